--- /dev/null
+++ b/elector/roster.go
@@ -0,0 +1,68 @@
+// Package elector decides which entry owns a submission. The roster of entries is folded from records of the
+// platform's log, so all processes that read the same prefix agree on it.
+package elector
+
+import (
+	"slices"
+
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// Owner returns the entry that owns the submission key in r, by rendezvous hashing. ok is false when r is empty.
+// The incarnation takes no part in the hash, so a restarted entry gets the keys that it had before.
+func Owner(r encoder.Roster, key string) (owner encoder.RosterEntry, ok bool) {
+	var best uint64
+	for i := range r.Entries {
+		score := weight(r.Entries[i].Member.ID, key)
+		if !ok || score > best || score == best && r.Entries[i].Member.ID < owner.Member.ID {
+			owner, best, ok = r.Entries[i], score, true
+		}
+	}
+	return owner, ok
+}
+
+// Successor returns the entry that owns key when its present owner leaves r.
+func Successor(r encoder.Roster, key string) (next encoder.RosterEntry, ok bool) {
+	owner, ok := Owner(r, key)
+	if !ok {
+		return next, false
+	}
+	rest := encoder.Roster{Epoch: r.Epoch, Entries: make([]encoder.RosterEntry, 0, len(r.Entries))}
+	for _, e := range r.Entries {
+		if e.Member.ID != owner.Member.ID {
+			rest.Entries = append(rest.Entries, e)
+		}
+	}
+	return Owner(rest, key)
+}
+
+// Find returns the roster's entry with the given identifier.
+func Find(r encoder.Roster, id string) (entry encoder.RosterEntry, ok bool) {
+	i := slices.IndexFunc(r.Entries, func(e encoder.RosterEntry) bool { return e.Member.ID == id })
+	if i < 0 {
+		return entry, false
+	}
+	return r.Entries[i], true
+}
+
+// weight is FNV-1a over both strings with a final mix; plain FNV-1a spreads similar identifiers badly.
+func weight(id, key string) uint64 {
+	h := uint64(fnvOffset)
+	for i := 0; i < len(id); i++ {
+		h = (h ^ uint64(id[i])) * fnvPrime
+	}
+	h = (h ^ 0xff) * fnvPrime
+	for i := 0; i < len(key); i++ {
+		h = (h ^ uint64(key[i])) * fnvPrime
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
