--- /dev/null
+++ b/appender/appender.go
@@ -0,0 +1,139 @@
+// Package appender is the client of the platform's log: append, read, head and tail, over HTTP and JSON. It never
+// reports an append as failed when the append may have taken effect.
+package appender
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"sync"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// MaxBody is the largest record body in bytes.
+	MaxBody = 1 << 20
+	// MaxLimit is the largest number of records that one read may ask for.
+	MaxLimit = 1000
+
+	defaultTimeout = 3 * timer.Second
+	// maxPage bounds a response of the log. Bodies travel in base64, which adds a third.
+	maxPage = 16 << 20
+	// maxUnresolved bounds the memory for appends of unknown outcome; the oldest are forgotten first.
+	maxUnresolved = 1024
+)
+
+type (
+	// Record is one record of a stream.
+	Record struct {
+		Offset uint64
+		ID     string
+		Body   []byte
+	}
+
+	// Page is the result of a read. First is the offset of the first retained record, Next the offset that the next
+	// record appended to the stream will get.
+	Page struct {
+		First, Next uint64
+		Records     []Record
+	}
+
+	// floors holds what a Client knows about its streams.
+	floors struct {
+		mu         sync.Mutex
+		next       map[string]uint64    // per stream, the highest head seen
+		unresolved map[appendKey]uint64 // per append of unknown outcome, the head known before its first attempt
+		order      []appendKey          // keys of unresolved, oldest first
+	}
+
+	appendKey struct{ stream, id string }
+
+	unknownError struct{ cause error }
+
+	truncatedError struct {
+		stream      string
+		from, first uint64
+	}
+)
+
+// NewID returns a random record identifier of 32 hexadecimal digits.
+func NewID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails, as documented by crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+// IsUnknown reports whether err means that the append may have taken effect or may yet do so.
+func IsUnknown(err error) bool {
+	var u *unknownError
+	return errors.As(err, &u)
+}
+
+// IsTruncated reports whether err means that the read began before the first retained record.
+func IsTruncated(err error) bool {
+	var t *truncatedError
+	return errors.As(err, &t)
+}
+
+// head returns the highest known head of the stream; ok is false when none is known.
+func (f *floors) head(stream string) (next uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next, ok = f.next[stream]
+	return next, ok
+}
+
+// saw records that the stream's head is at least next.
+func (f *floors) saw(stream string, next uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == nil {
+		f.next = map[string]uint64{}
+	}
+	if old, ok := f.next[stream]; !ok || next > old {
+		f.next[stream] = next
+	}
+}
+
+// floorOf returns the head known before the first attempt of an append of unknown outcome.
+func (f *floors) floorOf(k appendKey) (floor uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	floor, ok = f.unresolved[k]
+	return floor, ok
+}
+
+// remember notes that the outcome of the append is unknown. The floor of an earlier attempt is kept.
+func (f *floors) remember(k appendKey, floor uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.unresolved[k]; ok {
+		return
+	}
+	if f.unresolved == nil {
+		f.unresolved = map[appendKey]uint64{}
+	}
+	if len(f.order) >= maxUnresolved {
+		delete(f.unresolved, f.order[0])
+		f.order = f.order[1:]
+	}
+	f.unresolved[k] = floor
+	f.order = append(f.order, k)
+}
+
+// forget drops a resolved append.
+func (f *floors) forget(k appendKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.unresolved[k]; !ok {
+		return
+	}
+	delete(f.unresolved, k)
+	for i := range f.order {
+		if f.order[i] == k {
+			f.order = append(f.order[:i:i], f.order[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/configurer/codec.go
@@ -0,0 +1,257 @@
+package configurer
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/crocuslb/crocuslb/appender"
+)
+
+// Field numbers of the record format. A record has one of tagNote and tagCheckpoint. Unknown fields make a record
+// undecodable, so that processes of different versions refuse it alike.
+const (
+	tagNote       = 1
+	tagCheckpoint = 2
+
+	tagID        = 1
+	tagAuthor    = 2
+	tagComment   = 3
+	tagBase      = 4
+	tagAdded     = 5
+	tagChanged   = 6
+	tagWithdrawn = 7
+
+	tagOffset  = 1
+	tagEntries = 2
+	tagGone    = 3
+
+	tagKey       = 1
+	tagValue     = 2
+	tagChangedAt = 3
+
+	maxItem = MaxKey + MaxValue + entryOverhead
+)
+
+// AppendNote appends the record of a note to dst.
+func AppendNote(dst []byte, n Note) []byte {
+	var b []byte
+	b = appendText(b, tagID, n.ID)
+	b = appendText(b, tagAuthor, n.Author)
+	b = appendText(b, tagComment, n.Comment)
+	b = appendUint(b, tagBase, n.Base)
+	for _, e := range n.Added {
+		b = appendItem(b, tagAdded, item{key: e.Key, value: e.Value})
+	}
+	for _, e := range n.Changed {
+		b = appendItem(b, tagChanged, item{key: e.Key, value: e.Value})
+	}
+	for _, k := range n.Withdrawn {
+		b = protowire.AppendTag(b, tagWithdrawn, protowire.BytesType)
+		b = protowire.AppendString(b, k)
+	}
+	dst = protowire.AppendTag(dst, tagNote, protowire.BytesType)
+	return protowire.AppendBytes(dst, b)
+}
+
+// AppendCheckpoint appends the record of a checkpoint to dst. Equal snapshots give equal bytes. It fails for an edited
+// snapshot, which is no state of the log.
+func AppendCheckpoint(dst []byte, s Snapshot) ([]byte, error) {
+	if s.edited {
+		return dst, trace.BadParameter("snapshot has local edits and is no state of the log")
+	}
+	b := make([]byte, 0, s.size)
+	b = appendUint(b, tagOffset, s.offset)
+	for _, i := range s.entries {
+		b = appendItem(b, tagEntries, i)
+	}
+	for _, i := range s.gone {
+		b = appendItem(b, tagGone, i)
+	}
+	dst = protowire.AppendTag(dst, tagCheckpoint, protowire.BytesType)
+	return protowire.AppendBytes(dst, b), nil
+}
+
+// DecodeRecord decodes the body of a record. The record is the zero value when there is an error.
+func DecodeRecord(body []byte) (Record, error) {
+	var r Record
+	if len(body) > appender.MaxBody {
+		return r, trace.BadParameter("record of %d bytes is larger than %d", len(body), appender.MaxBody)
+	}
+	err := appender.Fields(body, func(f appender.Field) error {
+		b, err := f.Message(len(body))
+		if err != nil {
+			return err
+		}
+		if r.Kind != 0 {
+			return trace.BadParameter("record has more than one part")
+		}
+		switch f.Tag {
+		case tagNote:
+			r.Kind = KindNote
+			r.Note, err = decodeNote(b)
+		case tagCheckpoint:
+			r.Kind = KindCheckpoint
+			r.Checkpoint, err = decodeCheckpoint(b)
+		default:
+			err = f.Unknown()
+		}
+		return err
+	})
+	if err == nil && r.Kind == 0 {
+		err = trace.BadParameter("record is empty")
+	}
+	if err != nil {
+		return Record{}, err
+	}
+	return r, nil
+}
+
+func decodeNote(b []byte) (Note, error) {
+	var n Note
+	err := appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagID:
+			return f.Text(&n.ID, maxID)
+		case tagAuthor:
+			return f.Text(&n.Author, maxAuthor)
+		case tagComment:
+			return f.Text(&n.Comment, maxComment)
+		case tagBase:
+			return f.Uint(&n.Base)
+		}
+		if len(n.Added)+len(n.Changed)+len(n.Withdrawn) >= MaxEntries {
+			return trace.BadParameter("note touches more than %d keys", MaxEntries)
+		}
+		switch f.Tag {
+		case tagAdded, tagChanged:
+			i, err := decodeItem(f)
+			if err == nil && i.changedAt != 0 {
+				err = trace.BadParameter("entry of a note has an offset")
+			}
+			if f.Tag == tagAdded {
+				n.Added = append(n.Added, Entry{Key: i.key, Value: i.value})
+			} else {
+				n.Changed = append(n.Changed, Entry{Key: i.key, Value: i.value})
+			}
+			return err
+		case tagWithdrawn:
+			var k string
+			err := f.Text(&k, MaxKey)
+			n.Withdrawn = append(n.Withdrawn, k)
+			return err
+		}
+		return f.Unknown()
+	})
+	return n, err
+}
+
+func decodeCheckpoint(b []byte) (Snapshot, error) {
+	var s Snapshot
+	err := appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagOffset:
+			return f.Uint(&s.offset)
+		case tagEntries, tagGone:
+			i, err := decodeItem(f)
+			if err != nil {
+				return err
+			}
+			s.size += i.weight()
+			if f.Tag == tagEntries {
+				s.entries = append(s.entries, i)
+			} else {
+				s.gone = append(s.gone, i)
+			}
+			return nil
+		}
+		return f.Unknown()
+	})
+	if err != nil {
+		return Snapshot{}, err
+	}
+	if err := s.valid(); err != nil {
+		return Snapshot{}, err
+	}
+	s.refreshDomains()
+	return s, nil
+}
+
+// valid checks what the fold guarantees, so that a checkpoint cannot bring in a state that no fold yields.
+func (s Snapshot) valid() error {
+	if s.size > MaxSize {
+		return trace.BadParameter("checkpoint counts %d bytes, more than %d", s.size, MaxSize)
+	}
+	var r report
+	for n, list := range [][]item{s.entries, s.gone} {
+		for i, e := range list {
+			if problem := checkKey(e.key); problem != "" {
+				return trace.BadParameter("checkpoint: %s", problem)
+			}
+			if n == 0 {
+				checkValue(&r, e.key, Entry{Key: e.key, Value: e.value})
+			} else if _, ok := search(s.entries, e.key); ok || e.value != "" || e.changedAt+BaseWindow <= s.offset {
+				return trace.BadParameter("checkpoint: withdrawn key %q does not fit", e.key)
+			}
+			if i > 0 && list[i-1].key >= e.key {
+				return trace.BadParameter("checkpoint: key %q is not in order", e.key)
+			}
+			if e.changedAt == 0 || e.changedAt > s.offset {
+				return trace.BadParameter("checkpoint: key %q was changed at %d, outside of its offset %d", e.key, e.changedAt, s.offset)
+			}
+		}
+	}
+	return Err(r.all())
+}
+
+func decodeItem(f appender.Field) (item, error) {
+	var i item
+	b, err := f.Message(maxItem)
+	if err != nil {
+		return i, err
+	}
+	err = appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagKey:
+			return f.Text(&i.key, MaxKey)
+		case tagValue:
+			return f.Text(&i.value, MaxValue)
+		case tagChangedAt:
+			return f.Uint(&i.changedAt)
+		}
+		return f.Unknown()
+	})
+	return i, err
+}
+
+func appendItem(b []byte, tag protowire.Number, i item) []byte {
+	size := sizeText(tagKey, i.key) + sizeText(tagValue, i.value)
+	if i.changedAt != 0 {
+		size += protowire.SizeTag(tagChangedAt) + protowire.SizeVarint(i.changedAt)
+	}
+	b = protowire.AppendTag(b, tag, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(size))
+	b = appendText(b, tagKey, i.key)
+	b = appendText(b, tagValue, i.value)
+	return appendUint(b, tagChangedAt, i.changedAt)
+}
+
+func appendText(b []byte, tag protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, tag, protowire.BytesType), s)
+}
+
+func appendUint(b []byte, tag protowire.Number, n uint64) []byte {
+	if n == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, tag, protowire.VarintType), n)
+}
+
+func sizeText(tag protowire.Number, s string) int {
+	if s == "" {
+		return 0
+	}
+	return protowire.SizeTag(tag) + protowire.SizeBytes(len(s))
+}
--- /dev/null
+++ b/configurer/fold.go
@@ -0,0 +1,147 @@
+package configurer
+
+import (
+	"slices"
+	"strconv"
+)
+
+const (
+	// BaseWindow is how many records a note's base may lie behind the note. Withdrawn keys are remembered that long,
+	// so that a note which adds one of them again without having seen the withdrawal is refused.
+	BaseWindow = 4096
+
+	// KindNote is a record with a note.
+	KindNote RecordKind = 1
+	// KindCheckpoint is a record that restates the configuration, so that older records may be dropped by the log.
+	KindCheckpoint RecordKind = 2
+)
+
+type (
+	// RecordKind is the kind of a record of the configuration stream.
+	RecordKind uint8
+
+	// Record is a record of the configuration stream. The zero value stands for a record that cannot be decoded.
+	Record struct {
+		Kind       RecordKind
+		Note       Note
+		Checkpoint Snapshot
+	}
+)
+
+// Apply folds the record at the given offset into s. A record with findings changes nothing; the offset advances
+// nevertheless, so that every reader of the same records has the same state. Records before the snapshot's offset are
+// ignored, and records beyond it are refused without an advance, because records between are missing.
+func Apply(s Snapshot, offset uint64, r Record) (Snapshot, []Finding) {
+	switch {
+	case s.edited:
+		return s, []Finding{{Place: place(offset), Text: "snapshot has local edits and is no state of the log"}}
+	case offset < s.offset:
+		return s, nil
+	case offset > s.offset:
+		return s, []Finding{{Place: place(offset), Text: "records from offset " + strconv.FormatUint(s.offset, 10) + " on are missing"}}
+	}
+	var findings []Finding
+	next := s
+	switch r.Kind {
+	case KindNote:
+		next, findings = s.apply(r.Note)
+	case KindCheckpoint:
+		if r.Checkpoint.offset == s.offset && !r.Checkpoint.Equal(s) {
+			findings = []Finding{{Place: place(offset), Text: "checkpoint differs from the state folded from the log"}}
+		}
+	default:
+		findings = []Finding{{Place: place(offset), Text: "record is not a configuration record"}}
+	}
+	next.offset = offset + 1
+	return next.prune(), findings
+}
+
+// Fold decodes and applies the body of the record at the given offset. A body that cannot be decoded is a finding.
+func Fold(s Snapshot, offset uint64, body []byte) (Snapshot, []Finding) {
+	r, err := DecodeRecord(body)
+	next, findings := Apply(s, offset, r)
+	if err != nil && len(findings) > 0 {
+		findings[0].Text += ": " + err.Error()
+	}
+	return next, findings
+}
+
+// Check returns what Apply would find if the note were the next record, without changing anything.
+func Check(s Snapshot, n Note) []Finding {
+	_, findings := s.apply(n)
+	return findings
+}
+
+// apply returns the state after the note, with the offset unchanged, or s and the findings.
+func (s Snapshot) apply(n Note) (Snapshot, []Finding) {
+	var r report
+	n.checkForm(&r)
+	if n.Base > s.offset {
+		r.add("base", "base %d lies after the last record %d", n.Base, s.offset)
+	} else if s.offset-n.Base > BaseWindow {
+		r.add("base", "base %d lies more than %d records back", n.Base, BaseWindow)
+	}
+	for i, e := range n.Added {
+		if _, _, ok := s.Get(e.Key); ok {
+			r.add("added["+strconv.Itoa(i)+"].key", "key %q exists already", e.Key)
+		}
+		s.conflict(&r, "added["+strconv.Itoa(i)+"].key", e.Key, n.Base)
+	}
+	for i, e := range n.Changed {
+		if _, _, ok := s.Get(e.Key); !ok {
+			r.add("changed["+strconv.Itoa(i)+"].key", "key %q does not exist", e.Key)
+		}
+		s.conflict(&r, "changed["+strconv.Itoa(i)+"].key", e.Key, n.Base)
+	}
+	for i, k := range n.Withdrawn {
+		if _, _, ok := s.Get(k); !ok {
+			r.add("withdrawn["+strconv.Itoa(i)+"]", "key %q does not exist", k)
+		}
+		s.conflict(&r, "withdrawn["+strconv.Itoa(i)+"]", k, n.Base)
+	}
+	if findings := r.all(); len(findings) > 0 {
+		return s, findings
+	}
+	next, at := s.clone(), s.offset+1
+	for _, e := range slices.Concat(n.Added, n.Changed) {
+		next.put(e.Key, e.Value, at)
+	}
+	for _, k := range n.Withdrawn {
+		next.drop(k, at)
+	}
+	next.refreshDomains()
+	if next.size > MaxSize && next.size > s.size {
+		return s, []Finding{{Text: "configuration would be larger than " + strconv.Itoa(MaxSize) + " bytes"}}
+	}
+	return next, nil
+}
+
+// conflict reports a key that was changed after the base.
+func (s Snapshot) conflict(r *report, place, key string, base uint64) {
+	if _, at, ok := s.Get(key); ok && at > base {
+		r.add(place, "key %q was changed at %d, after base %d", key, at, base)
+	}
+	if i, ok := search(s.gone, key); ok && s.gone[i].changedAt > base {
+		r.add(place, "key %q was withdrawn at %d, after base %d", key, s.gone[i].changedAt, base)
+	}
+}
+
+// prune forgets withdrawn keys that lie outside the base window.
+func (s Snapshot) prune() Snapshot {
+	old := func(i item) bool { return i.changedAt+BaseWindow <= s.offset }
+	if !slices.ContainsFunc(s.gone, old) {
+		return s
+	}
+	kept := make([]item, 0, len(s.gone))
+	for _, i := range s.gone {
+		if old(i) {
+			s.size -= i.weight()
+		} else {
+			kept = append(kept, i)
+		}
+	}
+	s.gone = kept
+	return s
+}
+
+func place(offset uint64) string { return "record " + strconv.FormatUint(offset, 10) }
--- /dev/null
+++ b/configurer/json.go
@@ -0,0 +1,208 @@
+package configurer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+)
+
+const (
+	// MaxNoteJSON is the largest note in JSON, in bytes.
+	MaxNoteJSON = 1 << 20
+)
+
+// member is one member of a JSON object.
+type member struct {
+	name  string
+	value json.RawMessage
+}
+
+// ParseNote reads a note from JSON:
+//
+//	{"id": "...", "author": "...", "comment": "...", "base": 12,
+//	 "added": [{"key": "...", "value": "..."}], "changed": [...], "withdrawn": ["..."]}
+//
+// All findings that do not depend on the state are reported together. The note is usable only when there are none.
+func ParseNote(body []byte) (Note, []Finding) {
+	var (
+		n Note
+		r report
+	)
+	if len(body) > MaxNoteJSON {
+		r.add("", "note of %d bytes is larger than %d", len(body), MaxNoteJSON)
+		return n, r.all()
+	}
+	if !json.Valid(body) {
+		r.add("", "note is not valid JSON")
+		return n, r.all()
+	}
+	for _, m := range parseObject(&r, "", body) {
+		switch m.name {
+		case "id":
+			n.ID = parseText(&r, m.name, m.value)
+		case "author":
+			n.Author = parseText(&r, m.name, m.value)
+		case "comment":
+			n.Comment = parseText(&r, m.name, m.value)
+		case "base":
+			n.Base = parseNumber(&r, m.name, m.value)
+		case "added":
+			n.Added = parseEntries(&r, m.name, m.value)
+		case "changed":
+			n.Changed = parseEntries(&r, m.name, m.value)
+		case "withdrawn":
+			for i, v := range parseArray(&r, m.name, m.value) {
+				n.Withdrawn = append(n.Withdrawn, parseText(&r, m.name+"["+strconv.Itoa(i)+"]", v))
+			}
+		default:
+			r.add(m.name, "field is unknown")
+		}
+	}
+	if len(r.findings) == 0 {
+		n.checkForm(&r)
+	}
+	return n, r.all()
+}
+
+// FormatNote returns the note in the form that ParseNote reads.
+func FormatNote(n Note) []byte {
+	entries := func(list []Entry) []map[string]string {
+		out := make([]map[string]string, 0, len(list))
+		for _, e := range list {
+			out = append(out, map[string]string{"key": e.Key, "value": e.Value})
+		}
+		return out
+	}
+	withdrawn := n.Withdrawn
+	if withdrawn == nil {
+		withdrawn = []string{}
+	}
+	b, err := json.Marshal(map[string]any{
+		"id": n.ID, "author": n.Author, "comment": n.Comment, "base": n.Base,
+		"added": entries(n.Added), "changed": entries(n.Changed), "withdrawn": withdrawn,
+	})
+	if err != nil {
+		panic(err) // maps of strings and numbers always encode
+	}
+	return b
+}
+
+func parseEntries(r *report, place string, b []byte) []Entry {
+	var entries []Entry
+	for i, v := range parseArray(r, place, b) {
+		var e Entry
+		at := place + "[" + strconv.Itoa(i) + "]"
+		seen := map[string]bool{}
+		for _, m := range parseObject(r, at, v) {
+			seen[m.name] = true
+			switch m.name {
+			case "key":
+				e.Key = parseText(r, at+".key", m.value)
+			case "value":
+				e.Value = parseText(r, at+".value", m.value)
+			default:
+				r.add(at+"."+m.name, "field is unknown")
+			}
+		}
+		for _, name := range []string{"key", "value"} {
+			if !seen[name] {
+				r.add(at+"."+name, "field is missing")
+			}
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// parseObject returns the members of an object in order and reports names that occur twice.
+func parseObject(r *report, place string, b []byte) []member {
+	d := json.NewDecoder(bytes.NewReader(b))
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		r.add(place, "is not an object")
+		return nil
+	}
+	var members []member
+	seen := map[string]bool{}
+	for d.More() {
+		t, err := d.Token()
+		name, ok := t.(string)
+		var m member
+		if err != nil || !ok || d.Decode(&m.value) != nil {
+			r.add(place, "is not a valid object")
+			return nil
+		}
+		m.name = clip(name)
+		if seen[name] {
+			r.add(join(place, m.name), "field occurs more than once")
+			continue
+		}
+		seen[name] = true
+		members = append(members, m)
+	}
+	if _, err := d.Token(); err != nil {
+		r.add(place, "is not a valid object")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		r.add(place, "is followed by more data")
+	}
+	return members
+}
+
+// parseArray returns at most MaxEntries elements; a longer array is a finding.
+func parseArray(r *report, place string, b []byte) []json.RawMessage {
+	d := json.NewDecoder(bytes.NewReader(b))
+	if t, err := d.Token(); err != nil || t != json.Delim('[') {
+		r.add(place, "is not an array")
+		return nil
+	}
+	var elements []json.RawMessage
+	for d.More() {
+		if len(elements) == MaxEntries {
+			r.add(place, "has more than %d elements", MaxEntries)
+			break
+		}
+		var v json.RawMessage
+		if d.Decode(&v) != nil {
+			r.add(place, "is not a valid array")
+			break
+		}
+		elements = append(elements, v)
+	}
+	return elements
+}
+
+func parseText(r *report, place string, b []byte) string {
+	var s *string
+	if json.Unmarshal(b, &s) != nil || s == nil {
+		r.add(place, "is not a string")
+		return ""
+	}
+	return *s
+}
+
+func parseNumber(r *report, place string, b []byte) uint64 {
+	var n *uint64
+	if json.Unmarshal(b, &n) != nil || n == nil {
+		r.add(place, "is not a whole number from 0 to 2^64-1")
+		return 0
+	}
+	return *n
+}
+
+func join(place, name string) string {
+	if place == "" {
+		return name
+	}
+	return place + "." + name
+}
+
+// clip shortens a name that comes from outside for use in a report.
+func clip(name string) string {
+	const longest = 64
+	if len(name) > longest {
+		return name[:longest] + "..."
+	}
+	return name
+}
--- /dev/null
+++ b/configurer/note.go
@@ -0,0 +1,230 @@
+// Package configurer holds the configuration: changes made by operators (notes), the immutable snapshot, and the pure
+// fold of the configuration stream with its checkpoints.
+package configurer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/gravitational/trace"
+)
+
+// The bounds are part of the record format: every reader of the log must apply the same ones.
+const (
+	// MaxKey is the longest key in bytes.
+	MaxKey = 128
+	// MaxValue is the longest value in bytes.
+	MaxValue = 1024
+	// MaxEntries is the largest number of keys that one note may touch.
+	MaxEntries = 256
+	// MaxSize bounds the configuration in bytes, so that a checkpoint fits into one record of the log.
+	MaxSize = 768 << 10
+
+	maxID      = 64
+	maxAuthor  = 128
+	maxComment = 1024
+	// maxFindings bounds a report; the rest is summed up in one line.
+	maxFindings = 100
+
+	domainGroup  = "domain"
+	teamGroup    = "team"
+	kindGroup    = "kind"
+	settingGroup = "setting"
+
+	domainIn  = "in"
+	domainOut = "out"
+)
+
+type (
+	// Note is a configuration change. Base is the Offset of the snapshot that its author has seen.
+	Note struct {
+		ID, Author, Comment string
+		Base                uint64
+		Added, Changed      []Entry
+		Withdrawn           []string
+	}
+
+	// Entry is a key with its value. Keys have the form group/NAME; the groups are domain, team, kind and setting.
+	Entry struct{ Key, Value string }
+
+	// Finding is one reason why a note is refused, with the place in the note.
+	Finding struct{ Place, Text string }
+
+	// Team is the value of a team's key.
+	Team struct {
+		// Weight is the team's share when capacity is short.
+		Weight uint32
+		// Quota is the largest number of tasks that the team may run at a time; 0 means no limit.
+		Quota uint32
+	}
+
+	// report collects findings up to a bound.
+	report struct {
+		findings []Finding
+		more     int
+	}
+)
+
+// String returns the finding in one line.
+func (f Finding) String() string {
+	if f.Place == "" {
+		return f.Text
+	}
+	return f.Place + ": " + f.Text
+}
+
+// Err returns the findings as one error, or nil when there are none.
+func Err(findings []Finding) error {
+	if len(findings) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(findings))
+	for _, f := range findings {
+		lines = append(lines, f.String())
+	}
+	return trace.BadParameter("%s", strings.Join(lines, "; "))
+}
+
+// ParseTeam parses a team's value, for example "weight=3" or "weight=3 quota=400".
+func ParseTeam(value string) (Team, error) {
+	var t Team
+	seen := map[string]bool{}
+	for field := range strings.FieldsSeq(value) {
+		name, number, _ := strings.Cut(field, "=")
+		n, err := strconv.ParseUint(number, 10, 32)
+		if err != nil || seen[name] {
+			return Team{}, trace.BadParameter("team value %q is not of the form weight=N quota=N", value)
+		}
+		seen[name] = true
+		switch name {
+		case "weight":
+			t.Weight = uint32(n)
+		case "quota":
+			t.Quota = uint32(n)
+		default:
+			return Team{}, trace.BadParameter("team value %q has an unknown field %q", value, name)
+		}
+	}
+	if t.Weight == 0 {
+		return Team{}, trace.BadParameter("team value %q needs a weight of at least 1", value)
+	}
+	return t, nil
+}
+
+// String returns the team in the form that ParseTeam reads.
+func (t Team) String() string {
+	if t.Quota == 0 {
+		return fmt.Sprintf("weight=%d", t.Weight)
+	}
+	return fmt.Sprintf("weight=%d quota=%d", t.Weight, t.Quota)
+}
+
+func (r *report) add(place, format string, args ...any) {
+	if len(r.findings) >= maxFindings {
+		r.more++
+		return
+	}
+	r.findings = append(r.findings, Finding{Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+func (r *report) all() []Finding {
+	if r.more == 0 {
+		return r.findings
+	}
+	return append(r.findings[:len(r.findings):len(r.findings)], Finding{Text: fmt.Sprintf("%d more findings", r.more)})
+}
+
+// checkForm reports what is wrong with the note whatever the state is.
+func (n Note) checkForm(r *report) {
+	for _, f := range []struct {
+		place, text string
+		limit       int
+	}{{"id", n.ID, maxID}, {"author", n.Author, maxAuthor}, {"comment", n.Comment, maxComment}} {
+		checkText(r, f.place, f.text, f.limit)
+	}
+	total := len(n.Added) + len(n.Changed) + len(n.Withdrawn)
+	switch {
+	case total == 0:
+		r.add("", "note changes nothing")
+	case total > MaxEntries:
+		r.add("", "note touches %d keys, more than %d", total, MaxEntries)
+		return
+	}
+	seen := make(map[string]string, total)
+	key := func(place, k string) {
+		if problem := checkKey(k); problem != "" {
+			r.add(place, "%s", problem)
+			return
+		}
+		if first, ok := seen[k]; ok {
+			r.add(place, "key %q is also at %s", k, first)
+			return
+		}
+		seen[k] = place
+	}
+	for _, list := range []struct {
+		name    string
+		entries []Entry
+	}{{"added", n.Added}, {"changed", n.Changed}} {
+		for i, e := range list.entries {
+			place := list.name + "[" + strconv.Itoa(i) + "]"
+			key(place+".key", e.Key)
+			checkValue(r, place+".value", e)
+		}
+	}
+	for i, k := range n.Withdrawn {
+		key("withdrawn["+strconv.Itoa(i)+"]", k)
+	}
+}
+
+func checkText(r *report, place, text string, limit int) {
+	switch {
+	case len(text) > limit:
+		r.add(place, "text of %d bytes is longer than %d", len(text), limit)
+	case !utf8.ValidString(text):
+		r.add(place, "text is not valid UTF-8")
+	}
+}
+
+// checkKey returns what is wrong with a key, or nothing.
+func checkKey(k string) string {
+	if len(k) > MaxKey {
+		return fmt.Sprintf("key of %d bytes is longer than %d", len(k), MaxKey)
+	}
+	group, name, _ := strings.Cut(k, "/")
+	switch group {
+	case domainGroup, teamGroup, kindGroup, settingGroup:
+	default:
+		return fmt.Sprintf("key %q is not in group domain, team, kind or setting", k)
+	}
+	if name == "" {
+		return fmt.Sprintf("key %q has no name", k)
+	}
+	for i := 0; i < len(name); i++ {
+		c := name[i]
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' && c != '.' {
+			return fmt.Sprintf("name in key %q has a character other than letters, digits, '-', '_' and '.'", k)
+		}
+	}
+	return ""
+}
+
+func checkValue(r *report, place string, e Entry) {
+	before := len(r.findings)
+	checkText(r, place, e.Value, MaxValue)
+	if len(r.findings) > before {
+		return
+	}
+	switch group, _, _ := strings.Cut(e.Key, "/"); group {
+	case domainGroup:
+		if e.Value != domainIn && e.Value != domainOut {
+			r.add(place, "domain value %q is not %q or %q", e.Value, domainIn, domainOut)
+		}
+	case teamGroup:
+		if _, err := ParseTeam(e.Value); err != nil {
+			r.add(place, "%s", trace.UserMessage(err))
+		}
+	}
+}
--- /dev/null
+++ b/configurer/snapshot.go
@@ -0,0 +1,192 @@
+package configurer
+
+import (
+	"slices"
+	"strings"
+)
+
+const (
+	// entryOverhead is what an entry counts for beside its key and value: tags, lengths and offset in a checkpoint.
+	entryOverhead = 24
+)
+
+type (
+	// Snapshot is the configuration at an offset. It is immutable: methods that change it return a copy. The zero value
+	// is the empty configuration before the first record.
+	Snapshot struct {
+		offset  uint64
+		entries []item   // sorted by key
+		gone    []item   // withdrawn keys within the base window, sorted by key, without values
+		out     []string // names of withdrawn domains, sorted
+		local   []string // domains that are out on this process only, sorted
+		size    int      // what entries and gone count for
+		edited  bool     // made by With or Without, so not a state of the log
+	}
+
+	item struct {
+		key, value string
+		changedAt  uint64
+	}
+)
+
+// Offset returns the offset of the first record that is not part of the snapshot. It is 0 for the zero value.
+func (s Snapshot) Offset() uint64 { return s.offset }
+
+// Len returns the number of keys.
+func (s Snapshot) Len() int { return len(s.entries) }
+
+// Get returns the value of key. changedAt is the Offset of the first snapshot that has this value.
+func (s Snapshot) Get(key string) (value string, changedAt uint64, ok bool) {
+	i, ok := search(s.entries, key)
+	if !ok {
+		return "", 0, false
+	}
+	return s.entries[i].value, s.entries[i].changedAt, true
+}
+
+// Keys returns the keys that begin with prefix, sorted.
+func (s Snapshot) Keys(prefix string) []string {
+	var keys []string
+	i, _ := search(s.entries, prefix)
+	for ; i < len(s.entries) && strings.HasPrefix(s.entries[i].key, prefix); i++ {
+		keys = append(keys, s.entries[i].key)
+	}
+	return keys
+}
+
+// DomainInForce reports whether tasks may start in the failure domain. Domains without a key are in force.
+func (s Snapshot) DomainInForce(domain string) bool {
+	if len(s.out) == 0 && len(s.local) == 0 {
+		return true
+	}
+	_, out := slices.BinarySearch(s.out, domain)
+	_, local := slices.BinarySearch(s.local, domain)
+	return !out && !local
+}
+
+// Team returns the weight and quota of a team. Teams without a key have weight 1 and no quota.
+func (s Snapshot) Team(name string) Team {
+	v, _, ok := s.Get(teamGroup + "/" + name)
+	if !ok {
+		return Team{Weight: 1}
+	}
+	t, err := ParseTeam(v)
+	if err != nil {
+		return Team{Weight: 1}
+	}
+	return t
+}
+
+// WithDomainsOut returns a copy in which exactly the given domains are out of force beside those that the log has
+// withdrawn. It is for provisional withdrawals: Get, Apply and checkpoints disregard it, and Apply keeps it.
+func (s Snapshot) WithDomainsOut(domains ...string) Snapshot {
+	s.local = slices.Compact(slices.Sorted(slices.Values(domains)))
+	return s
+}
+
+// WithDomain returns an edited copy in which the domain is in or out of force.
+func (s Snapshot) WithDomain(domain string, inForce bool) Snapshot {
+	if inForce {
+		return s.With(domainGroup+"/"+domain, domainIn)
+	}
+	return s.With(domainGroup+"/"+domain, domainOut)
+}
+
+// With returns an edited copy in which key has the value. An edited copy is meant for Diff; Apply and checkpoints
+// refuse it.
+func (s Snapshot) With(key, value string) Snapshot {
+	s = s.clone()
+	s.put(key, value, s.offset)
+	s.refreshDomains()
+	s.edited = true
+	return s
+}
+
+// Without returns an edited copy that lacks the key.
+func (s Snapshot) Without(key string) Snapshot {
+	s = s.clone()
+	s.drop(key, s.offset)
+	s.refreshDomains()
+	s.edited = true
+	return s
+}
+
+// Equal reports whether both snapshots are the same state of the log. Provisional withdrawals are disregarded.
+func (s Snapshot) Equal(t Snapshot) bool {
+	return s.offset == t.offset && s.edited == t.edited && s.size == t.size &&
+		slices.Equal(s.entries, t.entries) && slices.Equal(s.gone, t.gone) && slices.Equal(s.out, t.out)
+}
+
+// Diff returns the note that turns from into to. Its base is the offset of from.
+func Diff(from, to Snapshot) Note {
+	n := Note{Base: from.offset}
+	a, b := from.entries, to.entries
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].key < b[0].key:
+			n.Withdrawn = append(n.Withdrawn, a[0].key)
+			a = a[1:]
+		case len(a) == 0 || b[0].key < a[0].key:
+			n.Added = append(n.Added, Entry{Key: b[0].key, Value: b[0].value})
+			b = b[1:]
+		default:
+			if a[0].value != b[0].value {
+				n.Changed = append(n.Changed, Entry{Key: b[0].key, Value: b[0].value})
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return n
+}
+
+// clone returns a copy whose lists may be changed in place.
+func (s Snapshot) clone() Snapshot {
+	s.entries, s.gone = slices.Clone(s.entries), slices.Clone(s.gone)
+	return s
+}
+
+// put sets the key in a clone. A withdrawn key that is added again is no longer remembered as withdrawn.
+func (s *Snapshot) put(key, value string, at uint64) {
+	i, ok := search(s.entries, key)
+	if ok {
+		s.size -= s.entries[i].weight()
+		s.entries[i] = item{key: key, value: value, changedAt: at}
+	} else {
+		s.entries = slices.Insert(s.entries, i, item{key: key, value: value, changedAt: at})
+	}
+	s.size += s.entries[i].weight()
+	if j, ok := search(s.gone, key); ok {
+		s.size -= s.gone[j].weight()
+		s.gone = slices.Delete(s.gone, j, j+1)
+	}
+}
+
+// drop removes the key from a clone and remembers it as withdrawn.
+func (s *Snapshot) drop(key string, at uint64) {
+	i, ok := search(s.entries, key)
+	if !ok {
+		return
+	}
+	s.size -= s.entries[i].weight()
+	s.entries = slices.Delete(s.entries, i, i+1)
+	j, _ := search(s.gone, key)
+	s.gone = slices.Insert(s.gone, j, item{key: key, changedAt: at})
+	s.size += s.gone[j].weight()
+}
+
+// refreshDomains computes the withdrawn domains from the entries.
+func (s *Snapshot) refreshDomains() {
+	s.out = nil
+	i, _ := search(s.entries, domainGroup+"/")
+	for ; i < len(s.entries) && strings.HasPrefix(s.entries[i].key, domainGroup+"/"); i++ {
+		if s.entries[i].value == domainOut {
+			s.out = append(s.out, s.entries[i].key[len(domainGroup)+1:])
+		}
+	}
+}
+
+func (i item) weight() int { return len(i.key) + len(i.value) + entryOverhead }
+
+func search(items []item, key string) (int, bool) {
+	return slices.BinarySearchFunc(items, key, func(i item, k string) int { return strings.Compare(i.key, k) })
+}
--- /dev/null
+++ b/elector/codec.go
@@ -0,0 +1,231 @@
+package elector
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+const (
+	// MaxEntries is the largest number of entries in a roster record.
+	MaxEntries = 1024
+	// MaxClaims is the largest number of submission keys in a claims record.
+	MaxClaims = 4096
+	// MaxKey is the longest submission key in bytes.
+	MaxKey = 200
+
+	maxID      = 128
+	maxAddress = 128
+
+	tagKind   = 1
+	tagBase   = 2
+	tagEntry  = 3
+	tagRoster = 4
+
+	tagEpoch   = 1
+	tagEntries = 2
+
+	tagMember  = 1
+	tagAddress = 2
+
+	tagMemberID    = 1
+	tagIncarnation = 2
+
+	tagClaimant = 1
+	tagKeys     = 2
+)
+
+// Claims is a record of the claims stream: submission keys that the member took on.
+type Claims struct {
+	Member encoder.Member
+	Keys   []string
+}
+
+// AppendChange appends the record of a roster change to dst.
+func AppendChange(dst []byte, c Change) []byte {
+	dst = appendUint(dst, tagKind, uint64(c.Kind))
+	dst = appendUint(dst, tagBase, c.Base)
+	if c.Entry != (encoder.RosterEntry{}) {
+		dst = appendMessage(dst, tagEntry, appendEntry(nil, c.Entry))
+	}
+	if c.Kind == ChangeCheckpoint {
+		b := appendUint(nil, tagEpoch, c.Roster.Epoch)
+		for _, e := range c.Roster.Entries {
+			b = appendMessage(b, tagEntries, appendEntry(nil, e))
+		}
+		dst = appendMessage(dst, tagRoster, b)
+	}
+	return dst
+}
+
+// DecodeChange decodes the body of a roster record.
+func DecodeChange(body []byte) (Change, error) {
+	var c Change
+	if len(body) > appender.MaxBody {
+		return c, trace.BadParameter("roster record of %d bytes is larger than %d", len(body), appender.MaxBody)
+	}
+	err := appender.Fields(body, func(f appender.Field) error {
+		switch f.Tag {
+		case tagKind:
+			var n uint64
+			err := f.Uint(&n)
+			if n > uint64(ChangeCheckpoint) {
+				return trace.BadParameter("roster record has unknown kind %d", n)
+			}
+			c.Kind = ChangeKind(n)
+			return err
+		case tagBase:
+			return f.Uint(&c.Base)
+		case tagEntry:
+			return decodeEntry(f, &c.Entry)
+		case tagRoster:
+			return decodeRoster(f, &c.Roster)
+		}
+		return f.Unknown()
+	})
+	if err == nil && c.Kind == 0 {
+		err = trace.BadParameter("roster record has no kind")
+	}
+	if err != nil {
+		return Change{}, err
+	}
+	return c, nil
+}
+
+// AppendClaims appends a claims record to dst. It panics when there are more than MaxClaims keys.
+func AppendClaims(dst []byte, c Claims) []byte {
+	if len(c.Keys) > MaxClaims {
+		panic("too many keys in a claims record")
+	}
+	dst = appendMessage(dst, tagClaimant, appendMember(nil, c.Member))
+	for _, k := range c.Keys {
+		dst = protowire.AppendTag(dst, tagKeys, protowire.BytesType)
+		dst = protowire.AppendString(dst, k)
+	}
+	return dst
+}
+
+// DecodeClaims decodes the body of a claims record.
+func DecodeClaims(body []byte) (Claims, error) {
+	var c Claims
+	if len(body) > appender.MaxBody {
+		return c, trace.BadParameter("claims record of %d bytes is larger than %d", len(body), appender.MaxBody)
+	}
+	err := appender.Fields(body, func(f appender.Field) error {
+		switch f.Tag {
+		case tagClaimant:
+			return decodeMember(f, &c.Member)
+		case tagKeys:
+			if len(c.Keys) >= MaxClaims {
+				return trace.BadParameter("claims record has more than %d keys", MaxClaims)
+			}
+			var k string
+			if err := f.Text(&k, MaxKey); err != nil {
+				return err
+			}
+			if k == "" {
+				return trace.BadParameter("claims record has an empty key at position %d", len(c.Keys))
+			}
+			c.Keys = append(c.Keys, k)
+			return nil
+		}
+		return f.Unknown()
+	})
+	if err == nil && c.Member.ID == "" {
+		err = trace.BadParameter("claims record names no member")
+	}
+	if err != nil {
+		return Claims{}, err
+	}
+	return c, nil
+}
+
+func appendEntry(dst []byte, e encoder.RosterEntry) []byte {
+	dst = appendMessage(dst, tagMember, appendMember(nil, e.Member))
+	return appendText(dst, tagAddress, e.Address)
+}
+
+func appendMember(dst []byte, m encoder.Member) []byte {
+	dst = appendText(dst, tagMemberID, m.ID)
+	return appendUint(dst, tagIncarnation, m.Incarnation)
+}
+
+func decodeRoster(f appender.Field, r *encoder.Roster) error {
+	b, err := f.Message(appender.MaxBody)
+	if err != nil {
+		return err
+	}
+	err = appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagEpoch:
+			return f.Uint(&r.Epoch)
+		case tagEntries:
+			if len(r.Entries) >= MaxEntries {
+				return trace.BadParameter("roster has more than %d entries", MaxEntries)
+			}
+			var e encoder.RosterEntry
+			if err := decodeEntry(f, &e); err != nil {
+				return err
+			}
+			if n := len(r.Entries); e.Member.ID == "" || n > 0 && r.Entries[n-1].Member.ID >= e.Member.ID {
+				return trace.BadParameter("roster entry %q is not in order", e.Member.ID)
+			}
+			r.Entries = append(r.Entries, e)
+			return nil
+		}
+		return f.Unknown()
+	})
+	return err
+}
+
+func decodeEntry(f appender.Field, e *encoder.RosterEntry) error {
+	b, err := f.Message(2 * (maxID + maxAddress))
+	if err != nil {
+		return err
+	}
+	return appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagMember:
+			return decodeMember(f, &e.Member)
+		case tagAddress:
+			return f.Text(&e.Address, maxAddress)
+		}
+		return f.Unknown()
+	})
+}
+
+func decodeMember(f appender.Field, m *encoder.Member) error {
+	b, err := f.Message(2 * maxID)
+	if err != nil {
+		return err
+	}
+	return appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case tagMemberID:
+			return f.Text(&m.ID, maxID)
+		case tagIncarnation:
+			return f.Uint(&m.Incarnation)
+		}
+		return f.Unknown()
+	})
+}
+
+func appendMessage(dst []byte, tag protowire.Number, b []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(dst, tag, protowire.BytesType), b)
+}
+
+func appendText(dst []byte, tag protowire.Number, s string) []byte {
+	if s == "" {
+		return dst
+	}
+	return protowire.AppendString(protowire.AppendTag(dst, tag, protowire.BytesType), s)
+}
+
+func appendUint(dst []byte, tag protowire.Number, n uint64) []byte {
+	if n == 0 {
+		return dst
+	}
+	return protowire.AppendVarint(protowire.AppendTag(dst, tag, protowire.VarintType), n)
+}
--- /dev/null
+++ b/emulator/log_control.go
@@ -0,0 +1,88 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// controlWire holds the settings that a control request changes; absent ones stay.
+	controlWire struct {
+		AppendDelayMs    *int64 `json:"appendDelayMs,omitempty"`
+		ReadDelayMs      *int64 `json:"readDelayMs,omitempty"`
+		Outage           *bool  `json:"outage,omitempty"`
+		Silent           *bool  `json:"silent,omitempty"`
+		LoseNext         *int   `json:"loseNext,omitempty"`
+		Retention        *int   `json:"retention,omitempty"`
+		AppendsPerSecond *int   `json:"appendsPerSecond,omitempty"`
+	}
+
+	streamWire struct {
+		First uint64 `json:"first"`
+		Next  uint64 `json:"next"`
+	}
+
+	statusWire struct {
+		Settings controlWire           `json:"settings"`
+		Streams  map[string]streamWire `json:"streams"`
+		Appended uint64                `json:"appended"`
+		Refused  uint64                `json:"refused"`
+		Lost     uint64                `json:"lost"`
+		Reads    uint64                `json:"reads"`
+	}
+)
+
+// handleStatus answers with the settings, the heads and the counts. It works during an outage, too.
+func (l *Log) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	s, c := l.settings, l.counts
+	status := statusWire{
+		Settings: controlWire{
+			AppendDelayMs: (*int64)(&s.AppendDelay), ReadDelayMs: (*int64)(&s.ReadDelay), Outage: &s.Outage, Silent: &s.Silent,
+			LoseNext: &s.LoseNext, Retention: &s.Retention, AppendsPerSecond: &s.AppendsPerSecond,
+		},
+		Streams:  map[string]streamWire{},
+		Appended: c.Appended, Refused: c.Refused, Lost: c.Lost, Reads: c.Reads,
+	}
+	for name, s := range l.streams {
+		status.Streams[name] = streamWire{First: s.first, Next: s.next()}
+	}
+	l.mu.Unlock()
+	answer(w, http.StatusOK, status)
+}
+
+// handleControl changes the settings that the request names and answers with the status.
+func (l *Log) handleControl(w http.ResponseWriter, q *http.Request) {
+	var c controlWire
+	d := json.NewDecoder(http.MaxBytesReader(w, q.Body, maxControlRequest))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		answer(w, http.StatusBadRequest, logErrorWire{Error: "control request is malformed: " + err.Error()})
+		return
+	}
+	for _, n := range []*int64{c.AppendDelayMs, c.ReadDelayMs} {
+		if n != nil && (*n < 0 || timer.Millis(*n) > 10*timer.Minute) {
+			answer(w, http.StatusBadRequest, logErrorWire{Error: "delay is not between 0 and 600000"})
+			return
+		}
+	}
+	l.Change(func(s *LogSettings) {
+		set(&s.AppendDelay, (*timer.Millis)(c.AppendDelayMs))
+		set(&s.ReadDelay, (*timer.Millis)(c.ReadDelayMs))
+		set(&s.Outage, c.Outage)
+		set(&s.Silent, c.Silent)
+		set(&s.LoseNext, c.LoseNext)
+		set(&s.Retention, c.Retention)
+		set(&s.AppendsPerSecond, c.AppendsPerSecond)
+	})
+	l.handleStatus(w, q)
+}
+
+// set copies a value that is present.
+func set[T any](dst *T, src *T) {
+	if src != nil {
+		*dst = *src
+	}
+}
