Schedule by team share, slack and free slots

Cause: the first scheduler was a plain list; a placement scanned every sidecar and teams had no shares. Change: start-time fair queueing over teams, jobs by slack, sidecars on shelves by free slots, a breaker for failing workers, learnt run times, early refusal, a retry budget; tests for the scheduler and the chart interpreter.

--- /dev/null
+++ b/interpreter/chart_test.go
@@ -0,0 +1,61 @@
+package interpreter
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestParse guards against charts with gaps, which would surface only when the missing event occurs.
+func TestParse(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		want string // part of the error; empty for a good chart
+	}{
+		{"good", "start a\nfinal b\non a go b # done", ""},
+		{"no start", "final b\non a go b", "no start state"},
+		{"second start", "start a\nstart b", "c:2: a second start state"},
+		{"unreachable", "start a\nfinal b\nfinal c\non a go b\non d go c", `state "d" cannot be reached`},
+		{"missing event", "start a\nfinal c\non a go b\non a stop c\non b stop c", `event "go" is neither handled nor refused in state "b"`},
+		{"refused event", "start a\nfinal c\non a go b\non a stop c\non b stop c\nrefuse b go", ""},
+		{"no way out", "start a\non a go b\non b go b\nfinal c\n", `state "b" has no way out`},
+		{"left final state", "start a\nfinal b\non a go b\non b go a", `final state "b" is left`},
+		{"double event", "start a\non a go b\non a go c", "c:3: event \"go\" stands twice"},
+		{"unknown directive", "begin a", `c:1: unknown directive "begin a"`},
+		{"all findings", "begin a\nend b", "c:2:"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("c", c.text)
+			if c.want == "" {
+				if err != nil {
+					t.Errorf("got error %v, want none", err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+// TestStep guards against an event that moves a state without the chart saying so.
+func TestStep(t *testing.T) {
+	c := MustParse("c", "start a\nfinal b\non a go b\nrefuse a stop")
+	cases := []struct {
+		state, event, want string
+		refused            bool
+	}{
+		{"a", "go", "b", false},
+		{"a", "stop", "a", true},
+		{"b", "go", "b", true},
+		{"a", "other", "a", true},
+	}
+	for _, x := range cases {
+		got, err := c.Step(x.state, x.event)
+		if got != x.want || (err != nil) != x.refused {
+			t.Errorf("%s on %s: got %s, %v, want %s, refused %v", x.event, x.state, got, err, x.want, x.refused)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -36,161 +36,135 @@
 		Sidecar string
 	}
 
-	// Admission is the answer to a job that asks to be queued. Code is 0 when the job is admitted.
-	Admission struct {
-		Code       encoder.FailureCode
-		Reason     string
-		RetryAfter timer.Millis
-	}
-
 	// Scheduler holds the queue, the sidecars and their credits. The zero value is ready to use.
 	Scheduler struct {
-		queue     []Task
-		sidecars  map[string]*sidecar
-		order     []*sidecar
-		withdrawn map[string]bool
-	}
+		// MaxWait is the longest expected wait in the queue with which a job without a deadline is admitted;
+		// 0 means 30 s.
+		MaxWait timer.Millis
 
-	sidecar struct {
-		Sidecar
-		credits uint32
-		running uint32
-		leaving bool
+		now       timer.Millis
+		queue     queue
+		fleet     fleet
+		estimates estimates
+		retries   retryBudget
 	}
 )
 
 // SetSidecar adds a sidecar or replaces its description; its credits are kept.
-func (s *Scheduler) SetSidecar(d Sidecar) {
-	if s.sidecars == nil {
-		s.sidecars = map[string]*sidecar{}
-	}
-	if old, ok := s.sidecars[d.ID]; ok {
-		old.Sidecar, old.leaving = d, false
-		return
-	}
-	sc := &sidecar{Sidecar: d}
-	s.sidecars[d.ID] = sc
-	s.order = append(s.order, sc)
-}
+func (s *Scheduler) SetSidecar(d Sidecar) { s.fleet.set(d) }
 
 // RemoveSidecar forgets a sidecar and its credits.
-func (s *Scheduler) RemoveSidecar(id string) {
-	delete(s.sidecars, id)
-	for i, sc := range s.order {
-		if sc.ID == id {
-			s.order = append(s.order[:i], s.order[i+1:]...)
-			return
-		}
-	}
-}
+func (s *Scheduler) RemoveSidecar(id string) { s.fleet.remove(id) }
 
 // SetLeaving makes a sidecar's credits void; it gets nothing new.
 func (s *Scheduler) SetLeaving(id string) {
-	if sc, ok := s.sidecars[id]; ok {
+	if sc := s.fleet.byID[id]; sc != nil {
 		sc.leaving, sc.credits = true, 0
+		s.fleet.update(sc)
 	}
 }
 
-// SetDomain says whether a failure domain is in force. Credits of a withdrawn domain are not spent.
-func (s *Scheduler) SetDomain(domain string, inForce bool) {
-	if s.withdrawn == nil {
-		s.withdrawn = map[string]bool{}
-	}
-	s.withdrawn[domain] = !inForce
-}
+// SetDomain says whether a failure domain is in force. Credits of a withdrawn domain are not spent. The sidecars of a
+// domain that returns are on probation: they use half of their slots until the first success.
+func (s *Scheduler) SetDomain(domain string, inForce bool) { s.fleet.setDomain(domain, inForce) }
+
+// SetTeam sets a team's share and the number of its tasks that may run at a time. A weight of 0 means 1, a quota of 0
+// means no limit.
+func (s *Scheduler) SetTeam(name string, weight, quota uint32) { s.queue.setTeam(name, weight, quota) }
 
 // Grant adds credits of a sidecar.
 func (s *Scheduler) Grant(id string, credits uint32) {
-	if sc, ok := s.sidecars[id]; ok && !sc.leaving {
+	if sc := s.fleet.byID[id]; sc != nil && !sc.leaving {
 		sc.credits += credits
+		s.fleet.update(sc)
 	}
 }
 
 // Recall takes back up to the given number of unspent credits and returns how many it took.
 func (s *Scheduler) Recall(id string, credits uint32) uint32 {
-	sc, ok := s.sidecars[id]
-	if !ok {
+	sc := s.fleet.byID[id]
+	if sc == nil {
 		return 0
 	}
 	taken := min(credits, sc.credits)
 	sc.credits -= taken
+	s.fleet.update(sc)
 	return taken
 }
 
-// Admit decides whether a job of the given tasks may be queued at now.
-func (s *Scheduler) Admit(_ timer.Millis, _ []Task) Admission { return Admission{} }
-
 // Push queues a task.
-func (s *Scheduler) Push(t Task) { s.queue = append(s.queue, t) }
+func (s *Scheduler) Push(t Task) {
+	run := s.estimates.runTime(t.Kind, t.RunTime)
+	s.queue.push(t, run, s.fleet.classOf(t.Kind, t.MemoryMB))
+}
 
 // Queued returns the number of queued tasks.
-func (s *Scheduler) Queued() int { return len(s.queue) }
+func (s *Scheduler) Queued() int { return s.queue.length }
 
 // Next takes the next task that can be placed at now out of the queue. ok is false when there is none.
-func (s *Scheduler) Next(_ timer.Millis) (p Placement, ok bool) {
-	if len(s.queue) == 0 {
+func (s *Scheduler) Next(now timer.Millis) (p Placement, ok bool) {
+	s.now = now
+	if s.queue.length == 0 {
 		return p, false
 	}
-	var best *sidecar
-	for _, sc := range s.order {
-		if sc.credits == 0 || s.withdrawn[sc.Domain] {
-			continue
-		}
-		if best == nil || sc.running*best.Slots < best.running*sc.Slots ||
-			sc.running*best.Slots == best.running*sc.Slots && sc.Distance < best.Distance {
-			best = sc
-		}
-	}
-	if best == nil {
+	s.fleet.releaseHeld(now)
+	j, sc := s.queue.best(&s.fleet)
+	if sc == nil {
 		return p, false
 	}
-	best.credits--
-	best.running++
-	p = Placement{Task: s.queue[0], Sidecar: best.ID}
-	s.queue = s.queue[1:]
-	return p, true
+	t := s.queue.pop(j)
+	sc.credits--
+	sc.running++
+	sc.placed()
+	s.fleet.update(sc)
+	s.retries.earn()
+	return Placement{Task: t, Sidecar: sc.ID}, true
 }
 
 // Finished reports the end of a placed task with its status and run time.
-func (s *Scheduler) Finished(id string, _ Task, _ encoder.Status, _ timer.Millis) {
-	if sc, ok := s.sidecars[id]; ok && sc.running > 0 {
+func (s *Scheduler) Finished(id string, t Task, status encoder.Status, ran timer.Millis) {
+	s.queue.ended(t.Team)
+	sc := s.fleet.byID[id]
+	if sc != nil && sc.running > 0 {
 		sc.running--
 	}
+	if status == encoder.StatusDone && ran > 0 {
+		if sc != nil {
+			sc.observeSpeed(ran, s.estimates.runTime(t.Kind, t.RunTime), s.estimates.known(t.Kind))
+		}
+		s.estimates.observe(t.Kind, ran)
+	}
+	if sc != nil {
+		s.fleet.observeStatus(sc, s.now, status)
+		s.fleet.update(sc)
+	}
 }
 
-// Refused reports that the sidecar did not start a placed task. The caller pushes the task again if it may run.
-func (s *Scheduler) Refused(id string, _ Task, _ encoder.RefusalReason) {
-	if sc, ok := s.sidecars[id]; ok && sc.running > 0 {
+// Refused reports that the sidecar did not start a placed task. The caller pushes the task again if it may run. A
+// sidecar that cannot start anything at present is left out for a while, so that the task does not come back to it.
+func (s *Scheduler) Refused(id string, t Task, reason encoder.RefusalReason) {
+	s.queue.ended(t.Team)
+	hold := s.retries.spend()
+	sc := s.fleet.byID[id]
+	if sc == nil {
+		return
+	}
+	if sc.running > 0 {
 		sc.running--
 	}
+	switch reason {
+	case encoder.RefusalLeaseExpired, encoder.RefusalDomainWithdrawn, encoder.RefusalLeaving,
+		encoder.RefusalNotAnnounced, encoder.RefusalNoSlot:
+		s.fleet.hold(sc, s.now+hold)
+	}
+	s.fleet.update(sc)
 }
 
 // CancelJob drops the queued tasks of a job and returns them.
-func (s *Scheduler) CancelJob(job string) []Task {
-	var dropped []Task
-	kept := s.queue[:0]
-	for _, t := range s.queue {
-		if t.Key.Job == job {
-			dropped = append(dropped, t)
-		} else {
-			kept = append(kept, t)
-		}
-	}
-	s.queue = kept
-	return dropped
-}
+func (s *Scheduler) CancelJob(job string) []Task { return s.queue.cancel(job) }
 
 // Expired drops queued tasks whose deadline has passed at now and returns them.
 func (s *Scheduler) Expired(now timer.Millis) []Task {
-	var dropped []Task
-	kept := s.queue[:0]
-	for _, t := range s.queue {
-		if t.Deadline != 0 && t.Deadline <= now {
-			dropped = append(dropped, t)
-		} else {
-			kept = append(kept, t)
-		}
-	}
-	s.queue = kept
-	return dropped
+	s.now = now
+	return s.queue.expired(now)
 }
