Give each cell of keys and sidecars one owner

Cause: owners that split the slots between them queue while other owners hold idle credits. Conclusion: one owner per cell; a killed owner pauses its whole cell, which the takeover has to keep short.

--- a/elector/roster.go
+++ b/elector/roster.go
@@ -13,17 +13,10 @@
 	fnvPrime  = 1099511628211
 )
 
-// Owner returns the entry that owns the submission key in r, by rendezvous hashing. ok is false when r is empty.
-// The incarnation takes no part in the hash, so a restarted entry gets the keys that it had before.
+// Owner returns the entry that owns the submission key in r: the owner of the key's cell. ok is false when r is empty.
+// Incarnations take no part in the choice, so a restarted entry gets the keys that it had before.
 func Owner(r encoder.Roster, key string) (owner encoder.RosterEntry, ok bool) {
-	var best uint64
-	for i := range r.Entries {
-		score := weight(r.Entries[i].Member.ID, key)
-		if !ok || score > best || score == best && r.Entries[i].Member.ID < owner.Member.ID {
-			owner, best, ok = r.Entries[i], score, true
-		}
-	}
-	return owner, ok
+	return cellOwner(r, cellOf(r, key))
 }
 
 // Successor returns the entry that owns key when its present owner leaves r.
