Encode and decode all messages

Change: hand-written codec on protowire, limits for every length and count, errors that name message and field, names of the enums. Decode reports an unknown message type as not implemented, so that receivers can skip messages of newer versions. Values of enums without a name are refused.

--- /dev/null
+++ b/encoder/decode_peer.go
@@ -0,0 +1,222 @@
+package encoder
+
+// decodePeer decodes the messages between entries. It returns nil for an unknown message type.
+func (r *reader) decodePeer(kind uint64) Message {
+	switch kind {
+	case kindPeerPing:
+		m := &PeerPing{}
+		r.message = "PeerPing"
+		r.peerPing(m)
+		return m
+	case kindPeerPong:
+		return r.peerPong()
+	case kindForward:
+		return r.forward()
+	case kindForwardAnswer:
+		return r.forwardAnswer()
+	case kindWitness:
+		m := &Witness{}
+		for r.message = "Witness"; r.next(); {
+			if r.number == 1 {
+				r.jobs(&m.Jobs)
+			}
+		}
+		return m
+	case kindPeerCensus:
+		m := &PeerCensus{}
+		r.onlyRoster("PeerCensus", &m.Roster)
+		return m
+	case kindPeerCensusReply:
+		return r.peerCensusReply()
+	case kindHandover:
+		return r.handover()
+	}
+	return nil
+}
+
+func (r *reader) peerPing(m *PeerPing) {
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Sequence = r.uint64("sequence")
+		case 2:
+			m.Epoch = r.uint64("epoch")
+		case 3:
+			m.ConfigOffset = r.uint64("configOffset")
+		case 4:
+			m.LogReachable = r.bool("logReachable")
+		case 5:
+			if domain := grow(r, "domains", &m.Domains, MaxDomains); domain != nil {
+				*domain = r.string("domains", MaxName)
+			}
+		case 6:
+			r.sidecars(&m.Sidecars)
+		case 7:
+			m.ConfigConfirmed = r.bool("configConfirmed")
+		}
+	}
+}
+
+func (r *reader) peerPong() *PeerPong {
+	m := &PeerPong{}
+	for r.message = "PeerPong"; r.next(); {
+		switch r.number {
+		case 1:
+			m.Sequence = r.uint64("sequence")
+		case 2:
+			o := r.enter("state", "PeerPing")
+			r.peerPing(&m.State)
+			r.leave(o)
+		}
+	}
+	return m
+}
+
+func (r *reader) forward() *Forward {
+	m := &Forward{}
+	for r.message = "Forward"; r.next(); {
+		switch r.number {
+		case 1:
+			m.ID = r.uint64("id")
+		case 2:
+			m.Request = enum[Request](r, "request", requestNames)
+		case 3:
+			m.Hops = r.uint32("hops")
+		case 4:
+			r.submission("job", &m.Job)
+		}
+	}
+	return m
+}
+
+func (r *reader) forwardAnswer() *ForwardAnswer {
+	m := &ForwardAnswer{}
+	for r.message = "ForwardAnswer"; r.next(); {
+		switch r.number {
+		case 1:
+			m.ID = r.uint64("id")
+		case 2:
+			r.answer("answer", &m.Answer)
+		}
+	}
+	return m
+}
+
+func (r *reader) peerCensusReply() *PeerCensusReply {
+	m := &PeerCensusReply{}
+	for r.message = "PeerCensusReply"; r.next(); {
+		switch r.number {
+		case 1:
+			m.Epoch = r.uint64("epoch")
+		case 2:
+			r.jobs(&m.Jobs)
+		case 3:
+			r.sidecars(&m.Sidecars)
+		case 4:
+			m.Last = r.bool("last")
+		}
+	}
+	return m
+}
+
+func (r *reader) handover() *Handover {
+	m := &Handover{}
+	for r.message = "Handover"; r.next(); {
+		switch r.number {
+		case 1:
+			r.submission("job", &m.Job)
+		case 2:
+			if s := grow(r, "started", &m.Started, MaxRows); s != nil {
+				r.startedTask("started", s)
+			}
+		case 3:
+			r.answer("answer", &m.Answer)
+		}
+	}
+	return m
+}
+
+func (r *reader) jobs(list *[]string) {
+	if job := grow(r, "jobs", list, MaxRows); job != nil {
+		*job = r.string("jobs", MaxKey)
+	}
+}
+
+func (r *reader) sidecars(list *[]Member) {
+	if m := grow(r, "sidecars", list, MaxSidecars); m != nil {
+		r.member("sidecars", m)
+	}
+}
+
+func (r *reader) submission(field string, m *Job) {
+	o := r.enter(field, "Job")
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Key = r.job("key")
+		case 2:
+			m.Team = r.string("team", MaxName)
+		case 3:
+			if t := grow(r, "tasks", &m.Tasks, MaxTasks); t != nil {
+				r.jobTask("tasks", t)
+			}
+		case 4:
+			m.Deadline = r.millis("deadline")
+		case 5:
+			m.Once = r.bool("once")
+		}
+	}
+	r.leave(o)
+}
+
+func (r *reader) jobTask(field string, m *JobTask) {
+	o := r.enter(field, "JobTask")
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Kind = r.string("kind", MaxName)
+		case 2:
+			m.Payload = r.bytes("payload")
+		case 3:
+			m.RunTime = r.millis("runTime")
+		case 4:
+			m.MemoryMB = r.uint64("memoryMB")
+		}
+	}
+	r.leave(o)
+}
+
+func (r *reader) answer(field string, m *Answer) {
+	o := r.enter(field, "Answer")
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Key = r.job("key")
+		case 2:
+			m.State = enum[JobState](r, "state", jobStateNames)
+		case 3:
+			m.Outcome = enum[Outcome](r, "outcome", outcomeNames)
+		case 4:
+			m.Code = enum[FailureCode](r, "code", codeNames)
+		case 5:
+			m.Reason = r.string("reason", MaxReason)
+		case 6:
+			if t := grow(r, "results", &m.Results, MaxTasks); t != nil {
+				r.taskResult("results", t)
+			}
+		case 7:
+			m.RetryAfter = r.millis("retryAfter")
+		}
+	}
+	r.leave(o)
+}
+
+func (r *reader) taskResult(field string, m *TaskResult) {
+	o := r.enter(field, "TaskResult")
+	for r.next() {
+		if r.number == 1 {
+			m.Body = r.bytes("body")
+		}
+	}
+	r.leave(o)
+}
