Order teams in a heap

Change: lanes of a class in a heap by virtual finish time, corrected when a lane comes to the top; lanes of teams at their quota wait outside it; queued tasks reuse their slice.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -30,7 +31,7 @@
 	class struct {
 		kind     string
 		memoryMB uint64
-		active   []*lane // lanes with queued jobs
+		active   laneHeap // lanes with queued jobs whose team is below its quota
 		lanes    map[*team]*lane
 		shapes   []*shape // sidecar shapes that fit; kept by the fleet
 	}
@@ -40,7 +41,10 @@
 		class *class
 		team  *team
 		jobs  jobHeap
-		index int // position in the class's active lanes
+		// finish is the team's virtual finish time when the lane was last ordered. It only grows, so an old value is
+		// corrected when the lane comes to the top.
+		finish int64
+		index  int // position in the class's active lanes, -1 when not there
 	}
 
 	team struct {
@@ -49,7 +53,8 @@
 		quota   uint32
 		running uint32
 		queued  int
-		finish  int64 // virtual finish time of the team's last placed task
+		finish  int64   // virtual finish time of the team's last placed task
+		waiting []*lane // lanes left out because the quota is reached
 	}
 
 	job struct {
@@ -64,6 +69,8 @@
 
 	jobHeap []*job
 
+	laneHeap []*lane
+
 	expiryItem struct {
 		deadline timer.Millis
 		job      string
@@ -75,6 +82,7 @@
 func (q *queue) setTeam(name string, weight, quota uint32) {
 	t := q.team(name)
 	t.weight, t.quota = max(weight, 1), quota
+	t.release()
 }
 
 func (q *queue) team(name string) *team {
@@ -102,6 +110,10 @@
 	q.length++
 	j := q.part(t, run, c, tm)
 	q.work += j.run
+	if j.head > 0 && len(j.tasks) == cap(j.tasks) {
+		j.tasks = j.tasks[:copy(j.tasks, j.tasks[j.head:])]
+		j.head = 0
+	}
 	j.tasks = append(j.tasks, t)
 	if t.Deadline != 0 && len(j.tasks)-j.head == 1 {
 		heap.Push(&q.expiry, expiryItem{t.Deadline, t.Key.Job})
@@ -117,10 +129,8 @@
 	}
 	j := &job{key: t.Key.Job, run: run, rank: rank(t, run), lane: q.lane(c, tm)}
 	q.jobs[t.Key.Job] = append(q.jobs[t.Key.Job], j)
-	if len(j.lane.jobs) == 0 {
-		c.activate(j.lane)
-	}
 	heap.Push(&j.lane.jobs, j)
+	j.lane.order()
 	return j
 }
 
@@ -131,21 +141,42 @@
 			c.lanes = map[*team]*lane{}
 			q.classes = append(q.classes, c)
 		}
-		l = &lane{class: c, team: tm}
+		l = &lane{class: c, team: tm, index: -1}
 		c.lanes[tm] = l
 	}
 	return l
 }
 
-func (c *class) activate(l *lane) {
-	l.index = len(c.active)
-	c.active = append(c.active, l)
+// order puts the lane in its place among the active lanes of its class, or out of them when it has no jobs.
+func (l *lane) order() {
+	switch {
+	case len(l.jobs) == 0 && l.index >= 0:
+		heap.Remove(&l.class.active, l.index)
+	case len(l.jobs) == 0:
+	case l.index >= 0:
+		heap.Fix(&l.class.active, l.index)
+	case !slices.Contains(l.team.waiting, l):
+		l.finish = l.team.finish
+		heap.Push(&l.class.active, l)
+	}
 }
 
-func (c *class) deactivate(l *lane) {
-	last := c.active[len(c.active)-1]
-	c.active[l.index], last.index = last, l.index
-	c.active = c.active[:len(c.active)-1]
+// top returns the lane whose team comes next, or nil.
+func (c *class) top() *lane {
+	for len(c.active) > 0 {
+		l := c.active[0]
+		switch {
+		case l.team.quota != 0 && l.team.running >= l.team.quota:
+			heap.Pop(&c.active)
+			l.team.waiting = append(l.team.waiting, l)
+		case l.finish != l.team.finish:
+			l.finish = l.team.finish
+			heap.Fix(&c.active, 0)
+		default:
+			return l
+		}
+	}
+	return nil
 }
 
 // rank orders the jobs of a team: by arrival, but a job that must start soon to meet its deadline comes earlier.
@@ -161,21 +192,12 @@
 	var chosen *job
 	var target *sidecar
 	for _, c := range q.classes {
-		var sc *sidecar
-		for _, l := range c.active {
-			if l.team.quota != 0 && l.team.running >= l.team.quota {
-				continue
-			}
-			j := l.jobs[0]
-			if chosen != nil && !before(j, chosen) {
-				continue
-			}
-			if sc == nil {
-				if sc = f.pick(c); sc == nil {
-					break
-				}
-			}
-			chosen, target = j, sc
+		l := c.top()
+		if l == nil || chosen != nil && !before(l.jobs[0], chosen) {
+			continue
+		}
+		if sc := f.pick(c); sc != nil {
+			chosen, target = l.jobs[0], sc
 		}
 	}
 	return chosen, target
@@ -207,17 +229,27 @@
 }
 
 func (q *queue) ended(name string) {
-	if t := q.teams[name]; t != nil && t.running > 0 {
-		t.running--
+	t := q.teams[name]
+	if t == nil || t.running == 0 {
+		return
+	}
+	t.running--
+	t.release()
+}
+
+// release brings the lanes back that were left out because of the quota.
+func (t *team) release() {
+	waiting := t.waiting
+	t.waiting = t.waiting[:0]
+	for _, l := range waiting {
+		l.order()
 	}
 }
 
 // drop removes a job part from its lane.
 func (q *queue) drop(j *job) {
 	heap.Remove(&j.lane.jobs, j.index)
-	if len(j.lane.jobs) == 0 {
-		j.lane.class.deactivate(j.lane)
-	}
+	j.lane.order()
 	parts := q.jobs[j.key]
 	for i := range parts {
 		if parts[i] == j {
@@ -254,51 +286,3 @@
 	}
 	return dropped
 }
-
-// Len is part of heap.Interface.
-func (h jobHeap) Len() int { return len(h) }
-
-// Less is part of heap.Interface.
-func (h jobHeap) Less(i, j int) bool { return h[i].rank < h[j].rank }
-
-// Swap is part of heap.Interface.
-func (h jobHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push is part of heap.Interface.
-func (h *jobHeap) Push(x any) {
-	j := x.(*job)
-	j.index = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop is part of heap.Interface.
-func (h *jobHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return j
-}
-
-// Len is part of heap.Interface.
-func (h expiryHeap) Len() int { return len(h) }
-
-// Less is part of heap.Interface.
-func (h expiryHeap) Less(i, j int) bool { return h[i].deadline < h[j].deadline }
-
-// Swap is part of heap.Interface.
-func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is part of heap.Interface.
-func (h *expiryHeap) Push(x any) { *h = append(*h, x.(expiryItem)) }
-
-// Pop is part of heap.Interface.
-func (h *expiryHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -149,7 +149,8 @@
 		var placed []Placement
 		var now timer.Millis
 		queued := map[encoder.TaskKey]bool{}
-		next := 0
+		next, running := 0, 0
+		s.SetTeam("y", 2, 2)
 		id := rapid.SampledFrom([]string{"s0", "s1", "s2", "s3"})
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
@@ -175,6 +176,12 @@
 				credits[p.Sidecar]--
 				delete(queued, p.Task.Key)
 				placed = append(placed, p)
+				if p.Task.Team == "y" {
+					running++
+				}
+				if running > 2 {
+					t.Fatalf("got %d running tasks of a team with a quota of 2", running)
+				}
 			},
 			"end": func(t *rapid.T) {
 				if len(placed) == 0 {
@@ -182,6 +189,9 @@
 				}
 				p := placed[0]
 				placed = placed[1:]
+				if p.Task.Team == "y" {
+					running--
+				}
 				switch rapid.IntRange(0, 2).Draw(t, "how") {
 				case 0:
 					s.Finished(p.Sidecar, p.Task, encoder.StatusDone, 50)
