Test the configuration fold; read beside slow appends and silent connections

Cause: the fold, its checkpoints and the note formats were untested; a response lost on a silent connection was resolved only after the full timeout. Change: property, table and fuzz tests and benchmarks for configurer; Replay for configuration and roster closes gaps with checkpoints; Append looks for its record after 300 ms beside the open request; Tail repeats a late read on a new connection; the log double can make connections silent; a roster record before the epoch is ignored, a roster is bounded.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"sync"
 
 	"github.com/crocuslb/crocuslb/timer"
@@ -14,6 +13,8 @@
 const (
 	// MaxBody is the largest record body in bytes.
 	MaxBody = 1 << 20
+	// MaxID is the longest record identifier in bytes.
+	MaxID = 64
 	// MaxLimit is the largest number of records that one read may ask for.
 	MaxLimit = 1000
 
@@ -48,13 +49,6 @@
 	}
 
 	appendKey struct{ stream, id string }
-
-	unknownError struct{ cause error }
-
-	truncatedError struct {
-		stream      string
-		from, first uint64
-	}
 )
 
 // NewID returns a random record identifier of 32 hexadecimal digits.
@@ -64,18 +58,6 @@
 	return hex.EncodeToString(b[:])
 }
 
-// IsUnknown reports whether err means that the append may have taken effect or may yet do so.
-func IsUnknown(err error) bool {
-	var u *unknownError
-	return errors.As(err, &u)
-}
-
-// IsTruncated reports whether err means that the read began before the first retained record.
-func IsTruncated(err error) bool {
-	var t *truncatedError
-	return errors.As(err, &t)
-}
-
 // head returns the highest known head of the stream; ok is false when none is known.
 func (f *floors) head(stream string) (next uint64, ok bool) {
 	f.mu.Lock()
--- a/appender/client.go
+++ b/appender/client.go
@@ -1,6 +1,7 @@
 package appender
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,9 +18,12 @@
 )
 
 const (
-	firstBackoff = 10 * timer.Millis(1)
-	lastBackoff  = 500 * timer.Millis(1)
-	readBackWait = 200 * timer.Millis(1)
+	firstBackoff timer.Millis = 10
+	lastBackoff  timer.Millis = 500
+	// readBackAfter is when the read-back begins beside an append without an answer. A synced write takes several ms,
+	// so a response that is later than this may be lost on a silent connection.
+	readBackAfter timer.Millis = 300
+	readBackWait  timer.Millis = 200
 )
 
 type (
@@ -29,7 +32,7 @@
 	Client struct {
 		// URL is the address of the log service, for example "http://10.0.0.1:7000".
 		URL string
-		// HTTP sends the requests; nil means a shared client that follows no redirects.
+		// HTTP sends the requests; nil means a shared client that uses no proxy and follows no redirects.
 		HTTP *http.Client
 		// Clock tells when exchanges begin.
 		Clock timer.Clock
@@ -39,70 +42,67 @@
 		floors floors
 	}
 
-	// statusError is an answer of the log other than success.
-	statusError struct {
-		code        int
-		notAppended bool // the log states that the record was not appended
-		text        string
+	// outcome is the result of an append attempt or of a read-back.
+	outcome struct {
+		offset uint64
+		found  bool
+		err    error
 	}
 )
 
 // shared is used by clients without their own http.Client. A redirected POST could be sent twice, so redirects are
 // not followed.
 var shared = &http.Client{
+	Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     time.Minute,
+	},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
-// Error implements error.
-func (e *statusError) Error() string {
-	return "log answered with status " + strconv.Itoa(e.code) + ": " + e.text
-}
-
 // Append appends body to the stream under the identifier and returns its offset. Attempts that surely did not take
-// effect are repeated until Timeout. After any other failure the record is looked for from the head known before the
-// first attempt on; when it is not found, the error satisfies IsUnknown. Append may then be called again with the same
-// identifier: it looks for the record before it sends it again.
+// effect are repeated until Timeout; when none succeeds, the error is definite. Without an answer the record is looked
+// for from the head known before the first attempt on. When it is not found, the error satisfies IsUnknown. Append may
+// then be called again with the same identifier: it looks for the record before it sends it again. A delayed first
+// attempt can then leave the record in the log twice, so folds must refuse a repeated record.
 func (c *Client) Append(ctx context.Context, stream, id string, body []byte) (offset uint64, err error) {
-	if len(body) > MaxBody {
+	switch {
+	case len(body) > MaxBody:
 		return 0, trace.BadParameter("record body of %d bytes is larger than %d", len(body), MaxBody)
-	}
-	if id == "" {
-		return 0, trace.BadParameter("record needs an identifier")
+	case id == "" || len(id) > MaxID:
+		return 0, trace.BadParameter("record identifier of %d bytes is not between 1 and %d bytes long", len(id), MaxID)
 	}
 	k := appendKey{stream: stream, id: id}
 	floor, again := c.floors.floorOf(k)
 	if again {
-		offset, found, err := c.find(ctx, k, floor, false)
-		if found {
-			return offset, nil
+		o := c.find(ctx, k, floor, false)
+		if o.found {
+			return o.offset, nil
 		}
-		if err != nil {
-			return 0, &unknownError{cause: err}
+		if o.err != nil {
+			return 0, &unknownError{cause: o.err}
 		}
 	} else if floor, err = c.floor(ctx, stream); err != nil {
-		return 0, err
+		return 0, trace.Wrap(err, "head of stream %q is not known, nothing was sent", stream)
 	}
-	offset, err = c.attempts(ctx, k, body)
-	if err == nil {
-		c.floors.forget(k)
-		return offset, nil
-	}
-	if definite(err) {
-		if again {
-			// The earlier attempt under this identifier is still open.
-			return 0, &unknownError{cause: err}
-		}
-		return 0, err
+	if err := ctx.Err(); err != nil && !again {
+		return 0, trace.Wrap(err, "nothing was sent")
 	}
 	c.floors.remember(k, floor)
-	offset, found, findErr := c.find(ctx, k, floor, true)
-	if found {
-		return offset, nil
-	}
-	if findErr != nil {
-		err = errors.Join(err, findErr)
+	offset, err = c.resolve(ctx, k, floor, body)
+	switch {
+	case err == nil:
+		c.floors.forget(k)
+	case !definite(err):
+		err = &unknownError{cause: err}
+	case again:
+		// The earlier attempt under this identifier is still open.
+		err = &unknownError{cause: err}
+	default:
+		c.floors.forget(k)
 	}
-	return 0, &unknownError{cause: err}
+	return offset, err
 }
 
 // Head returns the offset of the first retained record and the offset that the next record will get.
@@ -114,7 +114,11 @@
 // Read returns at most limit records from an offset on. When there are none, the log waits for one up to the given
 // time. The error satisfies IsTruncated when from lies before the first retained record.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait timer.Millis) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, (c.timeout() + wait).Duration())
+	return c.read(ctx, stream, from, limit, wait, c.timeout())
+}
+
+func (c *Client) read(ctx context.Context, stream string, from uint64, limit int, wait, timeout timer.Millis) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, (timeout + wait).Duration())
 	defer cancel()
 	q := url.Values{}
 	q.Set("from", strconv.FormatUint(from, 10))
@@ -123,8 +127,7 @@
 	body, err := c.exchange(ctx, http.MethodGet, stream, q.Encode(), nil)
 	var s *statusError
 	if errors.As(err, &s) && s.code == http.StatusGone {
-		first, _ := decodeFirst([]byte(s.text))
-		return Page{First: first}, &truncatedError{stream: stream, from: from, first: first}
+		return Page{First: s.first}, &truncatedError{stream: stream, from: from, first: s.first}
 	}
 	if err != nil {
 		return Page{}, err
@@ -146,62 +149,101 @@
 	return next, err
 }
 
+// resolve sends the record and looks for it when there is no answer in time or a failure that is not definite.
+func (c *Client) resolve(ctx context.Context, k appendKey, floor uint64, body []byte) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var (
+		sent  = make(chan outcome, 1)
+		back  chan outcome // nil while no read-back runs
+		fault error        // of the attempts, when they have ended
+		late  = time.NewTimer(readBackAfter.Duration())
+	)
+	defer late.Stop()
+	go func() { sent <- c.attempts(ctx, k, body) }()
+	look := func() {
+		// The connections that are open may be silent; the read-back needs one that works.
+		c.client().CloseIdleConnections()
+		back = make(chan outcome, 1)
+		go func(result chan<- outcome) { result <- c.find(ctx, k, floor, true) }(back)
+	}
+	for {
+		select {
+		case <-late.C:
+			if back == nil && fault == nil {
+				look()
+			}
+		case o := <-sent:
+			if o.err == nil || definite(o.err) {
+				return o.offset, o.err
+			}
+			fault = o.err
+			if back == nil {
+				look()
+			}
+		case o := <-back:
+			if o.found {
+				return o.offset, nil
+			}
+			if fault != nil {
+				return 0, errors.Join(fault, o.err)
+			}
+			back = nil // begins again when the attempts end without an answer
+		}
+	}
+}
+
 // attempts sends the append and repeats it while the failure is definite and time is left.
-func (c *Client) attempts(ctx context.Context, k appendKey, body []byte) (uint64, error) {
+func (c *Client) attempts(ctx context.Context, k appendKey, body []byte) outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout().Duration())
 	defer cancel()
 	payload := encodeAppend(k.id, body)
 	for pause := firstBackoff; ; pause = min(2*pause, lastBackoff) {
 		answer, err := c.exchange(ctx, http.MethodPost, k.stream, "", payload)
 		if err == nil {
-			offset, err := decodeOffset(answer)
-			if err != nil {
-				return 0, err
+			var offset uint64
+			if offset, err = decodeOffset(answer); err == nil {
+				c.floors.saw(k.stream, offset+1)
 			}
-			c.floors.saw(k.stream, offset+1)
-			return offset, nil
+			return outcome{offset: offset, err: err}
 		}
 		if !repeatable(err) || !sleep(ctx, pause) {
-			return 0, err
+			return outcome{err: err}
 		}
 	}
 }
 
 // find reads the stream from floor on and looks for the identifier. With poll it waits for the record until Timeout,
-// because a slow append can take effect after its response was given up; otherwise it stops at the head. A nil error
-// means that the head was reached.
-func (c *Client) find(ctx context.Context, k appendKey, floor uint64, poll bool) (offset uint64, found bool, err error) {
+// because a slow append can take effect after its response was given up; otherwise it stops at the head. Without an
+// error, the record was not there up to the head.
+func (c *Client) find(ctx context.Context, k appendKey, floor uint64, poll bool) outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout().Duration())
 	defer cancel()
 	from, wait, pause := floor, timer.Millis(0), firstBackoff
 	for {
 		p, err := c.Read(ctx, k.stream, from, MaxLimit, wait)
 		if IsTruncated(err) {
-			return 0, false, err
+			return outcome{err: err}
 		}
 		if err != nil {
 			if !sleep(ctx, pause) {
-				return 0, false, err
+				return outcome{err: err}
 			}
 			pause = min(2*pause, lastBackoff)
 			continue
 		}
 		for _, r := range p.Records {
 			if r.ID == k.id {
-				c.floors.forget(k)
-				return r.Offset, true, nil
+				return outcome{offset: r.Offset, found: true}
 			}
 			from = r.Offset + 1
 		}
 		if from >= p.Next {
 			if !poll {
-				return 0, false, nil
+				return outcome{}
 			}
 			wait = readBackWait
 		}
-		if ctx.Err() != nil {
-			return 0, false, nil
-		}
 	}
 }
 
@@ -213,16 +255,14 @@
 	}
 	u = u.JoinPath("v1", "streams", stream, "records")
 	u.RawQuery = query
-	q, err := http.NewRequestWithContext(ctx, method, u.String(), strings.NewReader(string(payload)))
+	q, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(payload))
 	if err != nil {
 		return nil, trace.BadParameter("log address %q is malformed: %v", c.URL, err)
 	}
-	q.Header.Set("Content-Type", "application/json")
-	h := c.HTTP
-	if h == nil {
-		h = shared
+	if method == http.MethodPost {
+		q.Header.Set("Content-Type", "application/json")
 	}
-	a, err := h.Do(q)
+	a, err := c.client().Do(q)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -235,49 +275,19 @@
 		return nil, trace.LimitExceeded("answer of the log is larger than %d bytes", maxPage)
 	}
 	if a.StatusCode != http.StatusOK {
-		return nil, &statusError{code: a.StatusCode, notAppended: decodeNotAppended(body), text: string(body[:min(len(body), 200)])}
+		return nil, decodeStatus(a.StatusCode, body)
 	}
 	return body, nil
 }
 
-func (c *Client) timeout() timer.Millis {
-	if c.Timeout > 0 {
-		return c.Timeout
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
 	}
-	return defaultTimeout
+	return shared
 }
 
-// definite reports whether a failed append surely did not take effect: the request was never sent, or the log refused
-// it. A 503 can also come from a proxy that gave up waiting, so it counts only when the log states that the record was
-// not appended.
-func definite(err error) bool {
-	var (
-		op *net.OpError
-		s  *statusError
-	)
-	switch {
-	case errors.As(err, &s):
-		switch s.code {
-		case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
-			http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType,
-			http.StatusTooManyRequests:
-			return true
-		}
-		return s.notAppended
-	case errors.As(err, &op):
-		return op.Op == "dial"
-	}
-	return trace.IsBadParameter(err)
-}
-
-// repeatable reports whether an append that failed with err may be sent again at once.
-func repeatable(err error) bool {
-	var s *statusError
-	if errors.As(err, &s) {
-		return s.notAppended || s.code == http.StatusTooManyRequests
-	}
-	return definite(err) && !trace.IsBadParameter(err)
-}
+func (c *Client) timeout() timer.Millis { return orDefault(c.Timeout, defaultTimeout) }
 
 // sleep waits and reports whether the context is still open.
 func sleep(ctx context.Context, d timer.Millis) bool {
--- a/appender/tail.go
+++ b/appender/tail.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-const defaultTailWait = 200 * timer.Millis(1)
+const (
+	defaultTailWait timer.Millis = 200
+	// defaultTailTimeout is below the freshness lease of 2 s: a later answer would confirm nothing.
+	defaultTailTimeout timer.Millis = 1000
+	// secondReadAfter is how late an answer may be before the read is sent again on a new connection.
+	secondReadAfter timer.Millis = 300
+)
 
 type (
 	// Tail follows a stream. Set the fields before Run.
@@ -19,6 +28,8 @@
 		Limit int
 		// Wait is how long one read waits at the head; 0 means 200 ms. It bounds the age of a confirmed head.
 		Wait timer.Millis
+		// Timeout bounds a read beyond Wait; 0 means 1 s.
+		Timeout timer.Millis
 		// OnRecord is called for each record, in offset order.
 		OnRecord func(r Record)
 		// OnRead is called after each read, when OnRecord was called for all of its records.
@@ -39,52 +50,96 @@
 		// Err is the reason why the read failed; the other fields but Began and Next are then zero.
 		Err error
 	}
+
+	// reading is the result of one read.
+	reading struct {
+		page  Page
+		began timer.Millis
+		err   error
+	}
 )
 
 // Run reads until ctx ends or the next record is no longer retained; the error then satisfies IsTruncated. Failed reads
 // are reported to OnRead and repeated.
 func (t *Tail) Run(ctx context.Context) error {
 	next, pause := t.From, firstBackoff
-	limit, wait := t.Limit, t.Wait
-	if limit <= 0 {
-		limit = MaxLimit
-	}
-	if wait <= 0 {
-		wait = defaultTailWait
-	}
-	// The first read does not wait, so that a new process learns at once that it has reached the head.
-	nextWait := timer.Millis(0)
+	// The first read does not wait, so that a new process learns at once that it has reached the head. Neither does
+	// one after a failure.
+	wait := timer.Millis(0)
 	for ctx.Err() == nil {
-		began := t.Client.Clock.Now()
-		p, err := t.Client.Read(ctx, t.Stream, next, limit, nextWait)
-		if err != nil && ctx.Err() != nil {
-			break
+		r := t.read(ctx, next, wait)
+		switch {
+		case r.err != nil && ctx.Err() != nil:
+			return ctx.Err()
+		case r.err == nil && r.page.Next < next:
+			// A log that lost records must not confirm a state that is ahead of it.
+			r.err = trace.CompareFailed("head %d of stream %q lies before offset %d, which was read already", r.page.Next, t.Stream, next)
 		}
-		if err != nil {
-			t.report(Progress{Began: began, Next: next, Err: err})
-			if IsTruncated(err) {
-				return err
+		if r.err != nil {
+			t.report(Progress{Began: r.began, Next: next, Err: r.err})
+			if IsTruncated(r.err) {
+				return r.err
 			}
-			if !sleep(ctx, pause) {
-				break
-			}
-			nextWait, pause = 0, min(2*pause, lastBackoff)
+			sleep(ctx, pause)
+			wait, pause = 0, min(2*pause, lastBackoff)
 			continue
 		}
-		for _, r := range p.Records {
+		for _, record := range r.page.Records {
 			if t.OnRecord != nil {
-				t.OnRecord(r)
+				t.OnRecord(record)
 			}
-			next = r.Offset + 1
+			next = record.Offset + 1
 		}
-		t.report(Progress{Began: began, Next: next, First: p.First, Head: next >= p.Next})
-		nextWait, pause = wait, firstBackoff
+		t.report(Progress{Began: r.began, Next: next, First: r.page.First, Head: next >= r.page.Next})
+		wait, pause = orDefault(t.Wait, defaultTailWait), firstBackoff
 	}
 	return ctx.Err()
 }
 
+// read reads once, and a second time on a new connection when the first has no answer in time: a connection can go
+// silent while new ones work.
+func (t *Tail) read(ctx context.Context, from uint64, wait timer.Millis) reading {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := t.Limit
+	if limit <= 0 {
+		limit = MaxLimit
+	}
+	results, open := make(chan reading, 2), 0
+	send := func() {
+		open++
+		began := t.Client.Clock.Now()
+		go func() {
+			p, err := t.Client.read(ctx, t.Stream, from, limit, wait, orDefault(t.Timeout, defaultTailTimeout))
+			results <- reading{page: p, began: began, err: err}
+		}()
+	}
+	late := time.NewTimer((wait + secondReadAfter).Duration())
+	defer late.Stop()
+	send()
+	for {
+		select {
+		case r := <-results:
+			open--
+			if r.err == nil || open == 0 || IsTruncated(r.err) {
+				return r
+			}
+		case <-late.C:
+			t.Client.client().CloseIdleConnections()
+			send()
+		}
+	}
+}
+
 func (t *Tail) report(p Progress) {
 	if t.OnRead != nil {
 		t.OnRead(p)
 	}
 }
+
+func orDefault(d, missing timer.Millis) timer.Millis {
+	if d > 0 {
+		return d
+	}
+	return missing
+}
--- a/appender/wire.go
+++ b/appender/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/gravitational/trace"
 )
@@ -78,17 +79,13 @@
 	return p, nil
 }
 
-// decodeFirst returns the first retained offset from the body of a 410.
-func decodeFirst(b []byte) (first uint64, ok bool) {
+// decodeStatus returns the error for an answer other than success. Its body is optional.
+func decodeStatus(code int, b []byte) *statusError {
+	const longest = 200
+	e := &statusError{code: code, text: strings.ToValidUTF8(string(b[:min(len(b), longest)]), "?")}
 	var w refusalWire
-	if json.Unmarshal(b, &w) != nil {
-		return 0, false
+	if json.Unmarshal(b, &w) == nil {
+		e.first, e.notAppended = w.First, w.Appended != nil && !*w.Appended
 	}
-	return w.First, true
-}
-
-// decodeNotAppended reports whether the body of a refusal states that nothing was appended.
-func decodeNotAppended(b []byte) bool {
-	var w refusalWire
-	return json.Unmarshal(b, &w) == nil && w.Appended != nil && !*w.Appended
+	return e
 }
--- /dev/null
+++ b/configurer/codec_test.go
@@ -0,0 +1,221 @@
+package configurer
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+)
+
+// largeSnapshot returns a configuration of the size to design for: 800 teams, 8 failure domains, and task kinds and
+// settings for 1,700 workers.
+func largeSnapshot() Snapshot {
+	var s Snapshot
+	var entries []Entry
+	for i := range 800 {
+		entries = append(entries, Entry{fmt.Sprintf("team/team-%04d", i), Team{Weight: uint32(i%9 + 1), Quota: 400}.String()})
+	}
+	for i := range 8 {
+		entries = append(entries, Entry{fmt.Sprintf("domain/zone-%d", i), "in"})
+	}
+	for i := range 1700 {
+		entries = append(entries, Entry{fmt.Sprintf("setting/worker-%04d", i), "accelerators=4"})
+	}
+	for len(entries) > 0 {
+		n := min(MaxEntries, len(entries))
+		s, _ = Apply(s, s.Offset(), Record{Kind: KindNote, Note: Note{Base: s.Offset(), Added: entries[:n]}})
+		entries = entries[n:]
+	}
+	return s
+}
+
+// Guards against fields that a codec forgets.
+func TestNoteCodecs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := drawNote(t, 1<<40)
+		n.ID, n.Author, n.Comment = rapid.StringN(0, 9, maxID).Draw(t, "id"), rapid.StringN(0, 9, maxAuthor).Draw(t, "author"), rapid.StringN(0, 9, maxComment).Draw(t, "comment")
+		r, err := DecodeRecord(AppendNote(nil, n))
+		if err != nil || !reflect.DeepEqual(r.Note, n) {
+			t.Fatalf("record: got %+v, error %v, want %+v", r.Note, err, n)
+		}
+		got, findings := ParseNote(FormatNote(n))
+		if len(findings) > 0 || !reflect.DeepEqual(got, n) {
+			t.Fatalf("JSON: got %+v, findings %v, want %+v", got, findings, n)
+		}
+	})
+}
+
+// Guards against a malformed note that is accepted, or whose findings lack their place.
+func TestParseNoteFindings(t *testing.T) {
+	many := `{"withdrawn":[` + strings.Repeat(`"kind/k",`, MaxEntries) + `"kind/k"]}`
+	for _, c := range []struct {
+		body string
+		want string
+	}{
+		{`{"base":1,"withdrawn":["kind/k"]}`, ""},
+		{``, "note is not valid JSON"},
+		{`{"base":1} {}`, "note is not valid JSON"},
+		{`[]`, "is not an object"},
+		{"{\"comment\":\"\xff\"}", "note is not valid UTF-8"},
+		{`{"base":-1,"id":7,"author":null}`, "base: is not a whole number from 0 to 2^64-1; id: is not a string; author: is not a string"},
+		{`{"base":1.5}`, "base: is not a whole number from 0 to 2^64-1"},
+		{`{"Base":1,"withdrawn":["kind/k"]}`, "Base: field is unknown"},
+		{`{"base":1,"base":2}`, "base: field occurs more than once"},
+		{`{"added":{},"changed":[1],"withdrawn":[{}]}`, "added: is not an array; changed[0]: is not an object; changed[0].key: field is missing; changed[0].value: field is missing; withdrawn[0]: is not a string"},
+		{`{"added":[{"key":"kind/k","value":"v","colour":1}]}`, "added[0].colour: field is unknown"},
+		{`{"added":[{"key":"kind/k","value":"v","value":"w"}]}`, "added[0].value: field occurs more than once"},
+		{`{"added":[{"key":"kind/k"}]}`, "added[0].value: field is missing"},
+		{`{}`, "note changes nothing"},
+		{`{"changed":[{"key":"domain/a","value":"on"},{"key":"domain/a","value":"in"}]}`, `changed[0].value: domain value "on" is not "in" or "out"; changed[1].key: key "domain/a" is also at changed[0].key`},
+		{many, "withdrawn: has more than 256 elements"},
+		{strings.Repeat(" ", MaxNoteJSON+1), "note of 1048577 bytes is larger than 1048576"},
+		{`{"` + strings.Repeat("x", 99) + `":1}`, strings.Repeat("x", 64) + "...: field is unknown"},
+	} {
+		_, findings := ParseNote([]byte(c.body))
+		var got []string
+		for _, f := range findings {
+			got = append(got, f.String())
+		}
+		if got := strings.Join(got, "; "); got != c.want {
+			t.Errorf("%.60q: got %q, want %q", c.body, got, c.want)
+		}
+		if (Err(findings) == nil) != (c.want == "") {
+			t.Errorf("%.60q: got error %v", c.body, Err(findings))
+		}
+	}
+}
+
+// Guards against a checkpoint that brings in a state which no fold yields, and against damaged records.
+func TestDecodeRecordRefusals(t *testing.T) {
+	checkpoint := func(offset uint64, entries, gone []item) []byte {
+		b, _ := AppendCheckpoint(nil, Snapshot{offset: offset, entries: entries, gone: gone})
+		return b
+	}
+	note := AppendNote(nil, Note{Withdrawn: []string{"kind/k"}})
+	for _, c := range []struct {
+		name string
+		body []byte
+		good bool
+	}{
+		{"good", checkpoint(2, []item{{"kind/a", "1", 1}, {"kind/b", "", 2}}, []item{{"kind/c", "", 1}}), true},
+		{"order", checkpoint(2, []item{{"kind/b", "", 1}, {"kind/a", "", 1}}, nil), false},
+		{"twice", checkpoint(2, []item{{"kind/a", "", 1}, {"kind/a", "", 1}}, nil), false},
+		{"changed later", checkpoint(2, []item{{"kind/a", "", 3}}, nil), false},
+		{"changed never", checkpoint(2, []item{{"kind/a", "", 0}}, nil), false},
+		{"withdrawn but present", checkpoint(2, []item{{"kind/a", "", 1}}, []item{{"kind/a", "", 1}}), false},
+		{"withdrawn long ago", checkpoint(BaseWindow+1, nil, []item{{"kind/a", "", 1}}), false},
+		{"key", checkpoint(2, []item{{"kind", "", 1}}, nil), false},
+		{"value", checkpoint(2, []item{{"domain/a", "", 1}}, nil), false},
+		{"empty", nil, false},
+		{"two parts", append(note, note...), false},
+		{"truncated", note[:len(note)-1], false},
+		{"unknown field", protowire.AppendBytes(protowire.AppendTag(nil, 9, protowire.BytesType), nil), false},
+		{"wrong type", protowire.AppendVarint(protowire.AppendTag(nil, tagNote, protowire.VarintType), 1), false},
+		{"group", protowire.AppendTag(nil, tagNote, protowire.StartGroupType), false},
+		{"too many keys", AppendNote(nil, Note{Withdrawn: make([]string, MaxEntries+1)}), false},
+		{"long key", AppendNote(nil, Note{Withdrawn: []string{strings.Repeat("k", MaxKey+1)}}), false},
+	} {
+		if _, err := DecodeRecord(c.body); (err == nil) != c.good {
+			t.Errorf("%s: got error %v, want success %v", c.name, err, c.good)
+		}
+	}
+}
+
+// Guards against damaged records that panic, and against records that do not survive a second encoding.
+func FuzzDecodeRecord(f *testing.F) {
+	checkpoint, _ := AppendCheckpoint(nil, Snapshot{}.WithDomainsOut("a"))
+	s, _ := Apply(Snapshot{}, 0, Record{Kind: KindNote, Note: Note{Added: []Entry{{"domain/a", "out"}, {"kind/k", "1"}}}})
+	s, _ = Apply(s, 1, Record{Kind: KindNote, Note: Note{Base: 1, Withdrawn: []string{"kind/k"}}})
+	full, _ := AppendCheckpoint(nil, s)
+	f.Add(checkpoint)
+	f.Add(full)
+	f.Add(AppendNote(nil, Note{ID: "i", Author: "a", Comment: "c", Base: 7, Added: []Entry{{"team/x", "weight=1"}}, Withdrawn: []string{"kind/k"}}))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := DecodeRecord(body)
+		if err != nil {
+			return
+		}
+		next, _ := Fold(Snapshot{}, 0, body)
+		if next.Offset() != 1 {
+			t.Fatalf("got offset %d, want 1", next.Offset())
+		}
+		if r.Kind == KindNote {
+			if again, err := DecodeRecord(AppendNote(nil, r.Note)); err != nil || !reflect.DeepEqual(again, r) {
+				t.Fatalf("got %+v, error %v, want %+v", again, err, r)
+			}
+			return
+		}
+		b, err := AppendCheckpoint(nil, r.Checkpoint)
+		if again, errAgain := DecodeRecord(b); err != nil || errAgain != nil || !again.Checkpoint.Equal(r.Checkpoint) {
+			t.Fatalf("got %+v, errors %v, %v, want %+v", again, err, errAgain, r)
+		}
+	})
+}
+
+// Guards against notes that panic, and against an accepted note that Check refuses for its form or that JSON changes.
+func FuzzParseNote(f *testing.F) {
+	f.Add([]byte(`{"id":"i","author":"a","comment":"c","base":1,"added":[{"key":"team/x","value":"weight=1 quota=2"}],"changed":[],"withdrawn":["kind/k"]}`))
+	f.Add([]byte(`{"added":[{"key":"domain/a","value":"out"}],"base":1e3,"x":{"y":[null]}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		n, findings := ParseNote(body)
+		if len(findings) > 0 {
+			return
+		}
+		if again, findings := ParseNote(FormatNote(n)); len(findings) > 0 || !bytes.Equal(FormatNote(again), FormatNote(n)) {
+			t.Fatalf("got %+v, findings %v, want %+v", again, findings, n)
+		}
+		if _, err := DecodeRecord(AppendNote(nil, n)); err != nil {
+			t.Fatalf("note %+v was accepted in JSON but not as a record: %v", n, err)
+		}
+	})
+}
+
+func BenchmarkGet(b *testing.B) {
+	s := largeSnapshot()
+	for b.Loop() {
+		s.Get("team/team-0400")
+	}
+}
+
+func BenchmarkDomainInForce(b *testing.B) {
+	s := largeSnapshot().WithDomainsOut("zone-3")
+	for b.Loop() {
+		s.DomainInForce("zone-4")
+	}
+}
+
+func BenchmarkApplyNote(b *testing.B) {
+	s := largeSnapshot()
+	body := AppendNote(nil, Note{ID: "0123456789abcdef0123456789abcdef", Base: s.Offset(), Changed: []Entry{{"domain/zone-4", "out"}}})
+	b.ReportAllocs()
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		Fold(s, s.Offset(), body)
+	}
+}
+
+func BenchmarkCheckpointEncode(b *testing.B) {
+	s := largeSnapshot()
+	var body []byte
+	for b.Loop() {
+		body, _ = AppendCheckpoint(body[:0], s)
+	}
+	b.ReportMetric(float64(len(body))/float64(s.Len()), "B/key")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(s.Len()), "ns/key")
+}
+
+func BenchmarkCheckpointDecode(b *testing.B) {
+	s := largeSnapshot()
+	body, _ := AppendCheckpoint(nil, s)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeRecord(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(s.Len()), "ns/key")
+}
--- a/configurer/fold.go
+++ b/configurer/fold.go
@@ -59,6 +59,10 @@
 // Fold decodes and applies the body of the record at the given offset. A body that cannot be decoded is a finding.
 func Fold(s Snapshot, offset uint64, body []byte) (Snapshot, []Finding) {
 	r, err := DecodeRecord(body)
+	return foldDecoded(s, offset, r, err)
+}
+
+func foldDecoded(s Snapshot, offset uint64, r Record, err error) (Snapshot, []Finding) {
 	next, findings := Apply(s, offset, r)
 	if err != nil && len(findings) > 0 {
 		findings[0].Text += ": " + err.Error()
@@ -75,7 +79,9 @@
 // apply returns the state after the note, with the offset unchanged, or s and the findings.
 func (s Snapshot) apply(n Note) (Snapshot, []Finding) {
 	var r report
-	n.checkForm(&r)
+	if !n.checkForm(&r) {
+		return s, r.all()
+	}
 	if n.Base > s.offset {
 		r.add("base", "base %d lies after the last record %d", n.Base, s.offset)
 	} else if s.offset-n.Base > BaseWindow {
--- a/configurer/json.go
+++ b/configurer/json.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"strconv"
+	"strings"
+	"unicode/utf8"
 )
 
 const (
@@ -34,6 +34,10 @@
 		r.add("", "note of %d bytes is larger than %d", len(body), MaxNoteJSON)
 		return n, r.all()
 	}
+	if !utf8.Valid(body) {
+		r.add("", "note is not valid UTF-8")
+		return n, r.all()
+	}
 	if !json.Valid(body) {
 		r.add("", "note is not valid JSON")
 		return n, r.all()
@@ -116,7 +120,7 @@
 	return entries
 }
 
-// parseObject returns the members of an object in order and reports names that occur twice.
+// parseObject returns the members of an object in valid JSON, in order, and reports names that occur twice.
 func parseObject(r *report, place string, b []byte) []member {
 	d := json.NewDecoder(bytes.NewReader(b))
 	if t, err := d.Token(); err != nil || t != json.Delim('{') {
@@ -141,12 +145,6 @@
 		seen[name] = true
 		members = append(members, m)
 	}
-	if _, err := d.Token(); err != nil {
-		r.add(place, "is not a valid object")
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		r.add(place, "is followed by more data")
-	}
 	return members
 }
 
@@ -202,7 +200,7 @@
 func clip(name string) string {
 	const longest = 64
 	if len(name) > longest {
-		return name[:longest] + "..."
+		return strings.ToValidUTF8(name[:longest], "") + "..."
 	}
 	return name
 }
--- a/configurer/note.go
+++ b/configurer/note.go
@@ -136,8 +136,9 @@
 	return append(r.findings[:len(r.findings):len(r.findings)], Finding{Text: fmt.Sprintf("%d more findings", r.more)})
 }
 
-// checkForm reports what is wrong with the note whatever the state is.
-func (n Note) checkForm(r *report) {
+// checkForm reports what is wrong with the note whatever the state is. It reports whether the entries can be looked at
+// one by one.
+func (n Note) checkForm(r *report) bool {
 	for _, f := range []struct {
 		place, text string
 		limit       int
@@ -150,7 +151,7 @@
 		r.add("", "note changes nothing")
 	case total > MaxEntries:
 		r.add("", "note touches %d keys, more than %d", total, MaxEntries)
-		return
+		return false
 	}
 	seen := make(map[string]string, total)
 	key := func(place, k string) {
@@ -177,6 +178,7 @@
 	for i, k := range n.Withdrawn {
 		key("withdrawn["+strconv.Itoa(i)+"]", k)
 	}
+	return true
 }
 
 func checkText(r *report, place, text string, limit int) {
--- a/configurer/replay.go
+++ b/configurer/replay.go
@@ -2,68 +2,60 @@
 
 import "github.com/crocuslb/crocuslb/appender"
 
-// maxHeld bounds the records that a Replay holds while it has no state. Newer checkpoints need newer records only, so
-// the oldest are dropped first.
-const maxHeld = 1 << 16
-
 // Replay folds the stream for a process that has no state or an old one. It may begin at the first retained record:
-// until a checkpoint closes the gap it holds the records. The zero value begins with the empty configuration. A Replay is
-// used by one goroutine.
+// until a checkpoint closes the gap it holds the records. The zero value begins with the empty configuration. A Replay
+// is used by one goroutine.
 type Replay struct {
-	state Snapshot
-	held  []appender.Record // contiguous, beyond state
+	state      Snapshot
+	gap        appender.Gap
+	checkpoint uint64 // offset after the last checkpoint record, 0 for none
 }
 
-// NewReplay returns a Replay that goes on from s.
-func NewReplay(s Snapshot) *Replay { return &Replay{state: s} }
+// Snapshot returns the state so far. ok is false while records are missing between it and those that were added.
+func (p *Replay) Snapshot() (s Snapshot, ok bool) { return p.state, !p.gap.Open() }
 
-// Snapshot returns the state so far. ok is false while records are missing before those that were added last.
-func (p *Replay) Snapshot() (s Snapshot, ok bool) { return p.state, len(p.held) == 0 }
+// SinceCheckpoint returns the number of records that were folded after the last checkpoint. A checkpoint is due when
+// it reaches half of the log's retention.
+func (p *Replay) SinceCheckpoint() uint64 { return p.state.offset - min(p.checkpoint, p.state.offset) }
 
-// Adopt takes over a state fetched from elsewhere when it is later than the own one.
-func (p *Replay) Adopt(s Snapshot) {
+// Adopt takes over a state fetched from elsewhere when it is later than the own one, and reports whether it did.
+func (p *Replay) Adopt(s Snapshot) bool {
 	if s.offset <= p.state.offset || s.edited {
-		return
+		return false
 	}
 	s.local = p.state.local
 	p.state = s
-	p.release()
+	rest, _ := p.gap.Close(s.offset)
+	for _, r := range rest {
+		p.fold(r) // findings were reported by the processes that were up to date
+	}
+	return true
 }
 
-// Add folds the next record of the stream. A checkpoint closes a gap before the held records.
+// Add folds the next record of the stream and returns the findings that made it ineffective. A checkpoint closes a gap
+// before the held records.
 func (p *Replay) Add(r appender.Record) []Finding {
 	if r.Offset <= p.state.offset {
-		var findings []Finding
-		p.state, findings = Fold(p.state, r.Offset, r.Body)
-		return findings
-	}
-	if n := len(p.held); n > 0 && p.held[n-1].Offset+1 != r.Offset {
-		p.held = nil
-	}
-	if len(p.held) >= maxHeld {
-		p.held = append([]appender.Record(nil), p.held[maxHeld/2:]...)
+		return p.fold(r)
 	}
-	p.held = append(p.held, r)
+	p.gap.Add(r)
 	c, err := DecodeRecord(r.Body)
-	if err != nil || c.Kind != KindCheckpoint {
-		return nil
-	}
-	// The state at the checkpoint's offset needs every record from there on; a checkpoint from the future is false.
-	if o := c.Checkpoint.offset; o >= p.held[0].Offset && o <= r.Offset {
+	// A checkpoint whose state lies after its own record is false.
+	if err == nil && c.Kind == KindCheckpoint && c.Checkpoint.offset <= r.Offset {
 		p.Adopt(c.Checkpoint)
 	}
 	return nil
 }
 
-// release folds the held records that follow the state.
-func (p *Replay) release() {
-	held := p.held
-	if len(held) > 0 && held[0].Offset > p.state.offset {
-		return
+func (p *Replay) fold(r appender.Record) []Finding {
+	if r.Offset < p.state.offset {
+		return nil
 	}
-	p.held = nil
-	for _, r := range held {
-		// Findings were reported by the processes that were up to date; here they only leave the state as it is.
-		p.state, _ = Fold(p.state, r.Offset, r.Body)
+	record, err := DecodeRecord(r.Body)
+	next, findings := foldDecoded(p.state, r.Offset, record, err)
+	p.state = next
+	if record.Kind == KindCheckpoint {
+		p.checkpoint = r.Offset + 1
 	}
+	return findings
 }
--- a/elector/codec.go
+++ b/elector/codec.go
@@ -9,15 +9,8 @@
 )
 
 const (
-	// MaxEntries is the largest number of entries in a roster record.
-	MaxEntries = 1024
 	// MaxClaims is the largest number of submission keys in a claims record.
 	MaxClaims = 4096
-	// MaxKey is the longest submission key in bytes.
-	MaxKey = 200
-
-	maxID      = 128
-	maxAddress = 128
 
 	tagKind   = 1
 	tagBase   = 2
@@ -94,13 +87,17 @@
 	return c, nil
 }
 
-// AppendClaims appends a claims record to dst. It panics when there are more than MaxClaims keys.
+// AppendClaims appends a claims record to dst. It panics when there are more than MaxClaims keys, or when a key is empty
+// or longer than encoder.MaxKey: readers would refuse the record with all of its claims.
 func AppendClaims(dst []byte, c Claims) []byte {
 	if len(c.Keys) > MaxClaims {
 		panic("too many keys in a claims record")
 	}
 	dst = appendMessage(dst, tagClaimant, appendMember(nil, c.Member))
 	for _, k := range c.Keys {
+		if k == "" || len(k) > encoder.MaxKey {
+			panic("key of a claims record is empty or too long")
+		}
 		dst = protowire.AppendTag(dst, tagKeys, protowire.BytesType)
 		dst = protowire.AppendString(dst, k)
 	}
@@ -122,7 +119,7 @@
 				return trace.BadParameter("claims record has more than %d keys", MaxClaims)
 			}
 			var k string
-			if err := f.Text(&k, MaxKey); err != nil {
+			if err := f.Text(&k, encoder.MaxKey); err != nil {
 				return err
 			}
 			if k == "" {
@@ -162,8 +159,8 @@
 		case tagEpoch:
 			return f.Uint(&r.Epoch)
 		case tagEntries:
-			if len(r.Entries) >= MaxEntries {
-				return trace.BadParameter("roster has more than %d entries", MaxEntries)
+			if len(r.Entries) >= encoder.MaxRoster {
+				return trace.BadParameter("roster has more than %d entries", encoder.MaxRoster)
 			}
 			var e encoder.RosterEntry
 			if err := decodeEntry(f, &e); err != nil {
@@ -181,7 +178,7 @@
 }
 
 func decodeEntry(f appender.Field, e *encoder.RosterEntry) error {
-	b, err := f.Message(2 * (maxID + maxAddress))
+	b, err := f.Message(4 * encoder.MaxName)
 	if err != nil {
 		return err
 	}
@@ -190,21 +187,21 @@
 		case tagMember:
 			return decodeMember(f, &e.Member)
 		case tagAddress:
-			return f.Text(&e.Address, maxAddress)
+			return f.Text(&e.Address, encoder.MaxName)
 		}
 		return f.Unknown()
 	})
 }
 
 func decodeMember(f appender.Field, m *encoder.Member) error {
-	b, err := f.Message(2 * maxID)
+	b, err := f.Message(2 * encoder.MaxName)
 	if err != nil {
 		return err
 	}
 	return appender.Fields(b, func(f appender.Field) error {
 		switch f.Tag {
 		case tagMemberID:
-			return f.Text(&m.ID, maxID)
+			return f.Text(&m.ID, encoder.MaxName)
 		case tagIncarnation:
 			return f.Uint(&m.Incarnation)
 		}
--- a/elector/fold.go
+++ b/elector/fold.go
@@ -27,7 +27,8 @@
 	// Change is a record of the roster stream.
 	Change struct {
 		Kind ChangeKind
-		// Base is the epoch on which a removal was decided. A removal is void when the member has changed since.
+		// Base is the epoch on which a removal was decided. A removal is void when the member has changed since. In a
+		// checkpoint, Base is the offset of the first record that is not part of the restated roster.
 		Base   uint64
 		Entry  encoder.RosterEntry
 		Roster encoder.Roster // checkpoints only
@@ -35,9 +36,12 @@
 )
 
 // Apply folds the record at the given offset into r and returns the new roster. A record that changes nothing keeps
-// the epoch; a record that does not fit the state is refused with an error and changes nothing. Every reader of the same
-// records gets the same result.
+// the epoch; a record that does not fit the state is refused with an error and changes nothing. Records before the epoch
+// are part of r already and are ignored. Every reader of the same records gets the same result.
 func Apply(r encoder.Roster, offset uint64, c Change) (encoder.Roster, error) {
+	if offset < r.Epoch {
+		return r, nil
+	}
 	switch c.Kind {
 	case ChangeJoin:
 		return join(r, offset, c)
@@ -45,6 +49,9 @@
 		return remove(r, offset, c)
 	case ChangeCheckpoint:
 		// A reader that starts at the first retained record has no state yet and takes the checkpoint's.
+		if c.Roster.Epoch > offset {
+			return r, trace.BadParameter("checkpoint at offset %d has the later epoch %d", offset, c.Roster.Epoch)
+		}
 		if c.Roster.Epoch > r.Epoch {
 			return c.Roster, nil
 		}
@@ -61,6 +68,9 @@
 		return r, trace.CompareFailed("entry %s joined with incarnation %d already", old.Member.ID, old.Member.Incarnation)
 	}
 	next := without(r, c.Entry.Member.ID)
+	if len(next.Entries) >= encoder.MaxRoster {
+		return r, trace.LimitExceeded("roster has %d entries already", len(next.Entries))
+	}
 	next.Entries = append(next.Entries, c.Entry)
 	slices.SortFunc(next.Entries, func(a, b encoder.RosterEntry) int { return strings.Compare(a.Member.ID, b.Member.ID) })
 	next.Epoch = offset + 1
--- a/emulator/log.go
+++ b/emulator/log.go
@@ -13,6 +13,7 @@
 	defaultRate      = 500     // "several hundred appends a second" is what the platform states
 	defaultRetention = 100_000 // records per stream
 	maxStreams       = 64
+	maxConnections   = 4096 // later connections cannot be made silent
 	maxStreamBytes   = 64 << 20
 	maxRecordBody    = 1 << 20
 	maxRecordID      = 64
@@ -35,6 +36,8 @@
 		filled   timer.Millis // when tokens was computed, 0 for never
 		changed  chan struct{}
 		counts   LogCounts
+		routes   *http.ServeMux
+		seen     map[string]bool // remote addresses of connections; true when the connection is silent
 	}
 
 	// LogSettings are the faults and limits of a Log. They may be set at run time.
@@ -47,8 +50,10 @@
 		Outage bool
 		// Silent leaves every request without an answer; nothing is appended.
 		Silent bool
-		// LoseNext is the number of appends that take effect and whose connection is then closed without an answer.
+		// LoseNext is the number of appends that take effect and whose answer is then lost.
 		LoseNext int
+		// LoseSilently keeps the connection of a lost answer open. Otherwise it is closed.
+		LoseSilently bool
 		// Retention is the number of records kept per stream; 0 means 100,000.
 		Retention int
 		// AppendsPerSecond limits the rate of appends over all streams; 0 means 500, a negative number no limit.
@@ -75,7 +80,35 @@
 )
 
 // ServeHTTP serves the interface of the platform's log and /control.
-func (l *Log) ServeHTTP(w http.ResponseWriter, q *http.Request) { l.mux().ServeHTTP(w, q) }
+func (l *Log) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	l.mu.Lock()
+	if l.routes == nil {
+		l.routes = l.mux()
+	}
+	routes := l.routes
+	silent := l.seen[q.RemoteAddr]
+	if !silent && len(l.seen) < maxConnections {
+		if l.seen == nil {
+			l.seen = map[string]bool{}
+		}
+		l.seen[q.RemoteAddr] = false
+	}
+	l.mu.Unlock()
+	if silent && q.URL.Path != controlPath {
+		hang(q)
+	}
+	routes.ServeHTTP(w, q)
+}
+
+// SilenceConnections makes every connection that was used so far silent for good: its requests get no answer and have no
+// effect. New connections work.
+func (l *Log) SilenceConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a := range l.seen {
+		l.seen[a] = true
+	}
+}
 
 // Settings returns the present settings.
 func (l *Log) Settings() LogSettings {
@@ -184,12 +217,11 @@
 	n := 0
 	for n < len(s.records) && (len(s.records)-n > retention || s.bytes > maxStreamBytes) {
 		s.bytes -= len(s.records[n].Body)
+		s.records[n] = LogRecord{} // frees the body before the list is copied at its next growth
 		n++
 	}
-	if n > 0 {
-		s.records = append([]LogRecord(nil), s.records[n:]...)
-		s.first += uint64(n)
-	}
+	s.records = s.records[n:]
+	s.first += uint64(n)
 }
 
 // page returns the records from an offset on, within the bounds of a page.
--- a/emulator/log_control.go
+++ b/emulator/log_control.go
@@ -15,8 +15,11 @@
 		Outage           *bool  `json:"outage,omitempty"`
 		Silent           *bool  `json:"silent,omitempty"`
 		LoseNext         *int   `json:"loseNext,omitempty"`
+		LoseSilently     *bool  `json:"loseSilently,omitempty"`
 		Retention        *int   `json:"retention,omitempty"`
 		AppendsPerSecond *int   `json:"appendsPerSecond,omitempty"`
+		// SilenceConnections is an action; a status does not have it.
+		SilenceConnections bool `json:"silenceConnections,omitempty"`
 	}
 
 	streamWire struct {
@@ -41,7 +44,7 @@
 	status := statusWire{
 		Settings: controlWire{
 			AppendDelayMs: (*int64)(&s.AppendDelay), ReadDelayMs: (*int64)(&s.ReadDelay), Outage: &s.Outage, Silent: &s.Silent,
-			LoseNext: &s.LoseNext, Retention: &s.Retention, AppendsPerSecond: &s.AppendsPerSecond,
+			LoseNext: &s.LoseNext, LoseSilently: &s.LoseSilently, Retention: &s.Retention, AppendsPerSecond: &s.AppendsPerSecond,
 		},
 		Streams:  map[string]streamWire{},
 		Appended: c.Appended, Refused: c.Refused, Lost: c.Lost, Reads: c.Reads,
@@ -74,9 +77,13 @@
 		set(&s.Outage, c.Outage)
 		set(&s.Silent, c.Silent)
 		set(&s.LoseNext, c.LoseNext)
+		set(&s.LoseSilently, c.LoseSilently)
 		set(&s.Retention, c.Retention)
 		set(&s.AppendsPerSecond, c.AppendsPerSecond)
 	})
+	if c.SilenceConnections {
+		l.SilenceConnections()
+	}
 	l.handleStatus(w, q)
 }
 
--- a/emulator/log_http.go
+++ b/emulator/log_http.go
@@ -15,6 +15,7 @@
 const (
 	maxAppendRequest  = maxRecordBody*4/3 + 4096
 	maxControlRequest = 4096
+	controlPath       = "/control"
 	maxReadWait       = 30 * timer.Second
 )
 
@@ -54,8 +55,8 @@
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/streams/{stream}/records", l.handleAppend)
 	m.HandleFunc("GET /v1/streams/{stream}/records", l.handleRead)
-	m.HandleFunc("GET /control", l.handleStatus)
-	m.HandleFunc("POST /control", l.handleControl)
+	m.HandleFunc("GET "+controlPath, l.handleStatus)
+	m.HandleFunc("POST "+controlPath, l.handleControl)
 	return m
 }
 
@@ -81,7 +82,7 @@
 	}
 	s := l.Settings()
 	if s.Silent {
-		hang(q.Context())
+		hang(q)
 	}
 	if s.Outage {
 		l.refuse(w, http.StatusServiceUnavailable, "log is not available")
@@ -104,13 +105,13 @@
 		silent := l.settings.Silent
 		l.mu.Unlock()
 		if silent {
-			hang(q.Context())
+			hang(q)
 		}
 		l.refuse(w, http.StatusServiceUnavailable, "log is not available")
 		return
 	}
 	offset, ok := l.add(stream, r.ID, r.Body)
-	lose := ok && l.settings.LoseNext > 0
+	lose, silently := ok && l.settings.LoseNext > 0, l.settings.LoseSilently
 	if lose {
 		l.settings.LoseNext--
 		l.counts.Lost++
@@ -119,6 +120,8 @@
 	switch {
 	case !ok:
 		l.refuse(w, http.StatusBadRequest, "there are too many streams")
+	case lose && silently:
+		hang(q)
 	case lose:
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	default:
@@ -159,7 +162,7 @@
 		l.mu.Unlock()
 		switch {
 		case s.Silent:
-			hang(q.Context())
+			hang(q)
 		case s.Outage:
 			answer(w, http.StatusServiceUnavailable, logErrorWire{Error: "log is not available"})
 			return
@@ -223,7 +226,9 @@
 }
 
 // hang keeps the connection open without an answer until the caller gives up.
-func hang(ctx context.Context) {
-	<-ctx.Done()
+func hang(q *http.Request) {
+	// The server notices a closed connection only when the body was read.
+	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, maxAppendRequest))
+	<-q.Context().Done()
 	panic(http.ErrAbortHandler)
 }
