--- a/configurer/fold_test.go
+++ b/configurer/fold_test.go
@@ -277,6 +277,51 @@
 	}
 }
 
+// Guards against records that are folded twice, too early, or from a false checkpoint.
+func TestOffsets(t *testing.T) {
+	add := func(key string, offset uint64) appender.Record {
+		return appender.Record{Offset: offset, Body: AppendNote(nil, Note{Base: offset, Added: []Entry{{key, ""}}})}
+	}
+	checkpoint := func(s Snapshot, offset uint64) appender.Record {
+		b, _ := AppendCheckpoint(nil, s)
+		return appender.Record{Offset: offset, Body: b}
+	}
+	old, _ := Fold(Snapshot{}, 0, add("kind/a", 0).Body)
+	later, _ := Fold(old, 1, add("kind/b", 1).Body)
+	falsely, _ := Fold(old, 1, add("kind/false", 1).Body)
+	for _, c := range []struct {
+		name     string
+		add      appender.Record
+		findings int
+		want     Snapshot
+	}{
+		{"next", add("kind/b", 1), 0, later},
+		{"folded already", add("kind/b", 0), 0, old},
+		{"too early", add("kind/b", 2), 1, old},
+		{"false checkpoint", checkpoint(falsely, 2), 1, old},
+	} {
+		if got, findings := Fold(old, c.add.Offset, c.add.Body); len(findings) != c.findings || !got.Equal(c.want) {
+			t.Errorf("%s: got %+v, findings %v, want %+v", c.name, got, findings, c.want)
+		}
+	}
+	if _, findings := Fold(later, 2, checkpoint(falsely, 2).Body); len(findings) != 1 {
+		t.Errorf("checkpoint that differs: got findings %v", findings)
+	}
+	p := &Replay{state: old.WithDomainsOut("zone")}
+	p.Add(add("kind/c", 5))
+	p.Add(checkpoint(Snapshot{offset: 8}, 6))
+	if s, ok := p.Snapshot(); ok || !s.Equal(old) {
+		t.Errorf("checkpoint from the future: got %+v, %v", s, ok)
+	}
+	p.Add(checkpoint(Snapshot{offset: 5}, 7))
+	if s, ok := p.Snapshot(); !ok || s.Offset() != 8 || s.DomainInForce("zone") || p.SinceCheckpoint() != 0 {
+		t.Errorf("got offset %d, %v, %d records since the checkpoint", s.Offset(), ok, p.SinceCheckpoint())
+	}
+	if p.Add(add("kind/d", 8)); p.SinceCheckpoint() != 1 {
+		t.Errorf("got %d records since the checkpoint, want 1", p.SinceCheckpoint())
+	}
+}
+
 // Guards against a configuration whose checkpoint does not fit into a record.
 func TestSizeBound(t *testing.T) {
 	var s Snapshot
