--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -8,14 +8,9 @@
 )
 
 const (
-	defaultRunTime = timer.Millis(300)
 	defaultMaxWait = 30 * timer.Second
-	// observationsToTrust is the number of ends after which a kind's learnt run time goes before declared ones.
-	observationsToTrust = 5
-	// runTimeWeight is the weight of the newest observation in a kind's smoothed run time.
-	runTimeWeight = 0.05
-	// maxKinds bounds the learnt kinds; callers choose the names.
-	maxKinds = 4096
+	// waitMargin is the part of the expected wait that is added to it, because estimates are rough.
+	waitMargin = 0.1
 )
 
 type (
@@ -25,14 +20,6 @@
 		Reason     string
 		RetryAfter timer.Millis
 	}
-
-	// estimates learns the usual run time of each kind of task.
-	estimates struct{ kinds map[string]*kindEstimate }
-
-	kindEstimate struct {
-		mean  float64
-		count int
-	}
 )
 
 // Admit decides whether a job of the given tasks may be queued at now. A job is refused when no sidecar can ever hold one
@@ -46,6 +33,7 @@
 		return a
 	}
 	wait := s.Wait()
+	wait += timer.Millis(float64(wait) * waitMargin)
 	if wait == 0 {
 		return Admission{}
 	}
@@ -74,15 +62,15 @@
 	return s.queue.work / timer.Millis(s.fleet.slots)
 }
 
-// duration estimates how long a job runs when it starts at once.
+// duration estimates how long a job runs when it starts at once. It allows for the longest of its tasks, because one
+// long task among many is likely even when it is rare.
 func (s *Scheduler) duration(tasks []Task) timer.Millis {
-	var longest, sum timer.Millis
+	var sum timer.Millis
 	for i := range tasks {
-		run := s.estimates.runTime(tasks[i].Kind, tasks[i].RunTime)
-		longest = max(longest, run)
-		sum += run
+		sum += s.estimates.runTime(tasks[i].Kind, tasks[i].RunTime)
 	}
-	return max(longest, sum/timer.Millis(max(s.fleet.slots, 1)))
+	longest := s.estimates.longest(tasks[0].Kind, tasks[0].RunTime, len(tasks))
+	return longest + sum/timer.Millis(max(s.fleet.slots, 1))
 }
 
 // placeable refuses a job with a task that no sidecar in view can hold.
@@ -115,35 +103,3 @@
 	}
 	return false
 }
-
-func (e *estimates) known(kind string) bool {
-	k := e.kinds[kind]
-	return k != nil && k.count >= observationsToTrust
-}
-
-// runTime returns the learnt run time of the kind, else the declared one, else a default.
-func (e *estimates) runTime(kind string, declared timer.Millis) timer.Millis {
-	if e.known(kind) {
-		return max(timer.Millis(e.kinds[kind].mean), 1)
-	}
-	if declared > 0 {
-		return declared
-	}
-	return defaultRunTime
-}
-
-func (e *estimates) observe(kind string, ran timer.Millis) {
-	k := e.kinds[kind]
-	if k == nil {
-		if len(e.kinds) >= maxKinds {
-			return
-		}
-		if e.kinds == nil {
-			e.kinds = map[string]*kindEstimate{}
-		}
-		k = &kindEstimate{mean: float64(ran)}
-		e.kinds[kind] = k
-	}
-	k.count++
-	k.mean += runTimeWeight * (float64(ran) - k.mean)
-}
--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -18,8 +18,13 @@
 	cutOffShare = 3
 	// slowFactor is how much slower than usual a sidecar must be to be placed on last.
 	slowFactor = 3.0
-	// speedWeight is the weight of the newest observation in a sidecar's smoothed speed.
-	speedWeight = 0.2
+	// speedWeight is the weight of the newest observation in a sidecar's smoothed speed. One observation counts for no
+	// more than speedClip: with 0.2 and no clip, a few long tasks in a row made sound sidecars count as slow.
+	speedWeight = 0.1
+	speedClip   = 6.0
+	// An idle slow sidecar gets a task after firstSlowProbe, then after twice the time, up to lastSlowProbe.
+	firstSlowProbe = 5 * timer.Second
+	lastSlowProbe  = timer.Minute
 	// holdMillis is how long a sidecar is left out after it refused a task for a reason of its own.
 	holdMillis = timer.Millis(100)
 
@@ -103,19 +108,35 @@
 }
 
 // observeSpeed notes how a run time compares with the usual run time of its kind.
-func (sc *sidecar) observeSpeed(ran, usual timer.Millis, known bool) {
+func (sc *sidecar) observeSpeed(now, ran, usual timer.Millis, known bool) {
 	if !known || usual <= 0 {
 		return
 	}
-	ratio := float64(ran) / float64(usual)
 	if sc.speed == 0 {
 		sc.speed = 1
 	}
-	sc.speed += speedWeight * (ratio - sc.speed)
+	sc.speed += speedWeight * (min(float64(ran)/float64(usual), speedClip) - sc.speed)
+	switch {
+	case sc.speed <= slowFactor:
+		sc.slowWait = 0
+	case ran > usual:
+		sc.slowWait = max(firstSlowProbe, min(2*sc.slowWait, lastSlowProbe))
+		sc.slowProbe = now + sc.slowWait
+	}
 }
 
 func (sc *sidecar) slow() bool { return sc.speed > slowFactor }
 
+// worthWaiting reports whether a task does better in the queue than on this slow sidecar: when the expected wait is
+// shorter than the time that the sidecar would lose. Now and then an idle slow sidecar gets a task all the same, to learn
+// whether it has recovered.
+func (sc *sidecar) worthWaiting(now, wait, run timer.Millis) bool {
+	if sc.running == 0 && now >= sc.slowProbe {
+		return false
+	}
+	return float64(wait) < (sc.speed-1)*float64(run)
+}
+
 // earn adds a part of a retry for each placement.
 func (r *retryBudget) earn() { r.spent = max(0, r.spent-retryShare) }
 
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -64,6 +64,8 @@
 		heldUntil timer.Millis
 		breaker   breaker
 		speed     float64 // run time over the kind's usual run time, smoothed; 0 when unknown
+		slowWait  timer.Millis
+		slowProbe timer.Millis
 		probation bool
 
 		// Position on a shelf; level is -1 when the sidecar is not on one.
@@ -214,13 +216,13 @@
 }
 
 // pick returns the sidecar for the next task of the class, or nil. A free slot in the nearest failure domain comes
-// first; among those, the sidecar with the most free slots. Slow sidecars come next. Extra credits, which make the task wait at
-// the sidecar, are spent last.
-func (f *fleet) pick(c *class) *sidecar {
+// first; among those, the sidecar with the most free slots. Slow sidecars come next, when waiting for another one would take
+// longer. Extra credits, which make the task wait at the sidecar, are spent last.
+func (f *fleet) pick(c *class, now, wait, run timer.Millis) *sidecar {
 	if sc := c.pickFree(false); sc != nil {
 		return sc
 	}
-	if sc := c.pickFree(true); sc != nil {
+	if sc := c.pickFree(true); sc != nil && !sc.worthWaiting(now, wait, run) {
 		return sc
 	}
 	for _, s := range c.shapes {
--- a/scheduler/policies_test.go
+++ b/scheduler/policies_test.go
@@ -142,6 +142,15 @@
 			o.place()
 		}
 	})
+	if w.fault.cancel {
+		w.after(30_000_000, func() {
+			for i, j := range w.jobs {
+				if j.cancels && j.at < w.now && j.left > 0 {
+					list[i%owners].fail(j)
+				}
+			}
+		})
+	}
 	for i, j := range w.jobs {
 		o := list[i%owners]
 		hop := int64(0)
@@ -156,15 +165,49 @@
 func (o *owner) now() timer.Millis { return timer.Millis(o.w.now / 1000) }
 
 func (o *owner) submit(j *jobSpec, answerDelay int64) {
+	tasks := make([]scheduler.Task, len(j.runs))
 	for i, r := range j.runs {
 		k := encoder.TaskKey{Job: j.key, Index: uint32(i)}
 		o.tasks[k] = queued{j, r, uint32(answerDelay)}
-		o.scheduler.Push(scheduler.Task{Key: k, Kind: "quote", Arrived: o.now(), JobLeft: uint32(j.left)})
+		tasks[i] = scheduler.Task{Key: k, Kind: "quote", Arrived: o.now(), JobLeft: uint32(j.left), RunTime: o.declare(i, r)}
+		if o.w.fault.deadline != 0 {
+			tasks[i].Deadline = timer.Millis((j.at + o.w.fault.deadline) / 1000)
+		}
+	}
+	if a := o.scheduler.Admit(o.now(), tasks); a.Code != 0 {
+		j.refused = true
+		return
+	}
+	for _, t := range tasks {
+		o.scheduler.Push(t)
 	}
 	o.place()
 }
 
+// declare returns the declared run time of a task, wrong by ten times when the fault says so.
+func (o *owner) declare(index int, run int64) timer.Millis {
+	switch {
+	case o.w.fault.declared && index%2 == 0:
+		return timer.Millis(run / 10_000)
+	case o.w.fault.declared:
+		return timer.Millis(run / 100)
+	}
+	return timer.Millis(run / 1000)
+}
+
+// fail drops the queued tasks of a job.
+func (o *owner) fail(j *jobSpec) {
+	j.failed = true
+	for range o.scheduler.CancelJob(j.key) {
+		o.w.taskEnded(j, 0, false, 0)
+	}
+}
+
 func (o *owner) place() {
+	for _, t := range o.scheduler.Expired(o.now()) {
+		o.fail(o.tasks[t.Key].j)
+		o.w.taskEnded(o.tasks[t.Key].j, 0, false, 0)
+	}
 	for {
 		p, ok := o.scheduler.Next(o.now())
 		if !ok {
@@ -194,6 +237,9 @@
 				o.scheduler.Finished(p.Sidecar, p.Task, status, ran)
 				o.scheduler.Grant(p.Sidecar, 1)
 				w.taskEnded(x.j, x.run, ok, int64(x.seq))
+				if x.j.failed {
+					o.fail(x.j)
+				}
 				o.place()
 			})
 		})
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -18,7 +18,7 @@
 	entries    = 3
 	callerHop  = 1000 // one way between caller and entry
 	sameDomain = 100  // one way within a failure domain
-	traceSpan  = 60_000_000
+	traceSpan  = 240_000_000
 )
 
 type (
@@ -32,7 +32,9 @@
 		load      float64
 		failing   bool // sidecar 0 fails every task after 1 ms
 		straggler bool // sidecar 1 runs at a tenth of the speed
-		cancel    bool // 30% of the jobs in the system are cancelled at half time
+		declared  bool // declared run times are wrong by ten times, either way
+		cancel    bool // 30% of the jobs in the system are cancelled at 30 s
+		deadline  int64
 		leave     bool // domain 0 leaves at 20 s and returns at 30 s
 	}
 
@@ -45,6 +47,7 @@
 		done    int64
 		left    int
 		failed  bool
+		refused bool
 		cancels bool
 	}
 
@@ -201,8 +204,9 @@
 
 // runIdeal fills in each job's response time under one queue that knows everything and pays only the network.
 func runIdeal(d deployment, f fault, seed uint64, jobs []*jobSpec) int64 {
-	f.failing, f.straggler, f.cancel = false, false, false
-	w := newWorld(d, f, seed)
+	w := newWorld(d, fault{load: f.load, leave: f.leave}, seed)
+	// The ideal knows the bad worker and leaves it out.
+	w.hosts[0].out, w.hosts[1].out = f.failing, f.straggler
 	type item struct {
 		j   *jobSpec
 		run int64
@@ -315,3 +319,66 @@
 	b.ReportMetric(float64(busy)/float64(ideal), "leave-share")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkFaults reports how the scheduler copes with one fault at a time, on the trace of Lyhtyoljy: response time
+// over the ideal without the fault for jobs that ended well, the share of jobs that failed, the share refused, the share
+// that missed the deadline after they were admitted, and the useful work as a share of the capacity and of the offer.
+func BenchmarkFaults(b *testing.B) {
+	d := deployment{"lyhtyoljy", 3, 1500}
+	cases := []struct {
+		name  string
+		fault fault
+	}{
+		{"none", fault{load: 0.8}},
+		{"failingWorker", fault{load: 0.8, failing: true}},
+		{"straggler", fault{load: 0.8, straggler: true}},
+		{"wrongRunTimes", fault{load: 0.8, declared: true}},
+		{"cancelWave", fault{load: 0.8, cancel: true}},
+		{"load130", fault{load: 1.3, deadline: 8_000_000}},
+		{"load130wrongRunTimes", fault{load: 1.3, deadline: 8_000_000, declared: true}},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				measureFault(b, d, c.fault)
+			}
+		})
+	}
+}
+
+func measureFault(b *testing.B, d deployment, f fault) {
+	w := newWorld(d, f, 1)
+	runIdeal(d, f, 1, w.jobs)
+	runCredits(w, 1)
+	w.runUntil(math.MaxInt64)
+	var ratios []float64
+	var offered, good int64
+	failed, refused, late := 0, 0, 0
+	for _, j := range w.jobs {
+		var work int64
+		for _, r := range j.runs {
+			work += r
+		}
+		offered += work
+		switch {
+		case j.refused:
+			refused++
+		case j.failed:
+			failed++
+		case f.deadline != 0 && j.done > j.at+f.deadline:
+			late++
+		default:
+			good += work
+			ratios = append(ratios, float64(j.done-j.at)/float64(j.ideal))
+		}
+	}
+	slices.Sort(ratios)
+	jobs := float64(len(w.jobs))
+	b.ReportMetric(quantile(ratios, 0.5), "p50-ratio")
+	b.ReportMetric(quantile(ratios, 0.99), "p99-ratio")
+	b.ReportMetric(float64(failed)/jobs, "failed-share")
+	b.ReportMetric(float64(refused)/jobs, "refused-share")
+	b.ReportMetric(float64(late)/jobs, "late-share")
+	b.ReportMetric(float64(good)/float64(min(offered, traceSpan*sidecars*slots)), "goodput-share")
+	b.ReportMetric(0, "ns/op")
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -188,7 +188,7 @@
 }
 
 // best returns the job to place next and the sidecar for it, or nil when nothing can be placed.
-func (q *queue) best(f *fleet) (*job, *sidecar) {
+func (q *queue) best(f *fleet, now, wait timer.Millis) (*job, *sidecar) {
 	var chosen *job
 	var target *sidecar
 	for _, c := range q.classes {
@@ -196,7 +196,7 @@
 		if l == nil || chosen != nil && !before(l.jobs[0], chosen) {
 			continue
 		}
-		if sc := f.pick(c); sc != nil {
+		if sc := f.pick(c, now, wait, l.jobs[0].run); sc != nil {
 			chosen, target = l.jobs[0], sc
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,7 +108,7 @@
 		return p, false
 	}
 	s.fleet.releaseHeld(now)
-	j, sc := s.queue.best(&s.fleet)
+	j, sc := s.queue.best(&s.fleet, now, s.Wait())
 	if sc == nil {
 		return p, false
 	}
@@ -130,7 +130,7 @@
 	}
 	if status == encoder.StatusDone && ran > 0 {
 		if sc != nil {
-			sc.observeSpeed(ran, s.estimates.runTime(t.Kind, t.RunTime), s.estimates.known(t.Kind))
+			sc.observeSpeed(s.now, ran, s.estimates.runTime(t.Kind, t.RunTime), s.estimates.known(t.Kind))
 		}
 		s.estimates.observe(t.Kind, ran)
 	}
