--- /dev/null
+++ b/messenger/node_test.go
@@ -0,0 +1,104 @@
+package messenger
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+// testLimit only ends a test that hangs; no verdict depends on it.
+const testLimit = time.Minute
+
+type event struct {
+	session *Session
+	message encoder.Message
+	cause   error
+}
+
+// testNode collects what a Node reports.
+type testNode struct {
+	*Node
+	up, down, messages chan event
+	failed             chan error
+}
+
+func newTestNode(id string) testNode {
+	tn := testNode{&Node{}, make(chan event, 100), make(chan event, 100), make(chan event, 100_000), make(chan error, 1000)}
+	tn.Hello = func() encoder.Hello { return encoder.Hello{Member: encoder.Member{ID: id}, Role: encoder.RoleSidecar} }
+	tn.Accept = func(*encoder.Hello) (encoder.HelloAck, error) {
+		return encoder.HelloAck{Member: encoder.Member{ID: id}}, nil
+	}
+	tn.OnUp = func(s *Session) { tn.up <- event{session: s} }
+	tn.OnDown = func(s *Session, cause error) { tn.down <- event{session: s, cause: cause} }
+	tn.OnMessage = func(s *Session, m encoder.Message) { tn.messages <- event{session: s, message: m} }
+	tn.OnFail = func(_ string, err error) {
+		select {
+		case tn.failed <- err:
+		default:
+		}
+	}
+	return tn
+}
+
+func (tn testNode) listen(ctx context.Context, t testing.TB) string {
+	t.Helper()
+	address, err := tn.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+func receive[T any](t testing.TB, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(testLimit):
+		t.Fatalf("got no %s within %v", what, testLimit)
+		panic("unreachable")
+	}
+}
+
+// Guards against a broken handshake, lost or reordered messages, and a close that drops what is queued.
+func TestSession(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	a, b := newTestNode("a"), newTestNode("b")
+	b.Connect(ctx, a.listen(ctx, t))
+	sa, sb := receive(t, a.up, "session").session, receive(t, b.up, "session").session
+	if got := sa.Peer().Member.ID; got != "b" {
+		t.Errorf("got peer %q, want b", got)
+	}
+	if got := sb.Ack().Member.ID; got != "a" {
+		t.Errorf("got acknowledgement of %q, want a", got)
+	}
+	const count = 20_000
+	for i := range count {
+		if !sb.Send(&encoder.Demand{Queued: uint32(i)}) {
+			t.Fatalf("message %d was refused", i)
+		}
+	}
+	if !sa.Send(&encoder.Result{Body: make([]byte, encoder.MaxFrame-100)}) {
+		t.Error("a large message was refused")
+	}
+	sb.Close()
+	for i := range count {
+		if got := receive(t, a.messages, "message").message.(*encoder.Demand).Queued; got != uint32(i) {
+			t.Fatalf("got message %d, want %d", got, i)
+		}
+	}
+	if got := receive(t, b.messages, "large message").message.(*encoder.Result); len(got.Body) != encoder.MaxFrame-100 {
+		t.Errorf("got %d bytes", len(got.Body))
+	}
+	receive(t, a.down, "end")
+	receive(t, b.down, "end")
+	if sb.Send(&encoder.Leaving{}) {
+		t.Error("a closed session took a message")
+	}
+	receive(t, b.up, "second session")
+	cancel()
+	a.Wait()
+	b.Wait()
+}
--- /dev/null
+++ b/messenger/session.go
@@ -0,0 +1,312 @@
+package messenger
+
+import (
+	"encoding/binary"
+	"errors"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// maxQueueBytes bounds the encoded messages that wait for the writer. It holds two of the largest messages.
+	maxQueueBytes = 2*encoder.MaxFrame + 1<<10
+	// maxQueueCount bounds the number of messages that wait for the writer.
+	maxQueueCount = 1 << 16
+	// keepBuffer is the largest write buffer that an idle session keeps.
+	keepBuffer = 4 << 10
+	// flushLimit bounds the time in which Close flushes queued messages and waits for the other end.
+	flushLimit = 500 * time.Millisecond
+)
+
+type (
+	// Session is an open, authenticated connection to another process. Its methods may be called from any goroutine.
+	Session struct {
+		node   *Node
+		conn   *quic.Conn
+		stream *quic.Stream
+		reader frameReader
+		peer   encoder.Hello
+		ack    encoder.HelloAck
+		down   chan struct{} // closed after OnDown
+
+		received atomic.Bool // bytes arrived since the last tick
+		busy     atomic.Bool // the reader is in OnMessage
+		missed   int         // ticks in a row without bytes; used by tick only
+
+		mu      sync.Mutex
+		queue   []byte // encoded frames that wait for the writer
+		count   int
+		spare   []byte // the buffer that the writer used last
+		writing bool   // a flush goroutine is running
+		closed  bool   // Send refuses
+		cause   error
+		beat    *time.Timer
+	}
+)
+
+func newSession(n *Node, conn *quic.Conn, stream *quic.Stream) *Session {
+	s := &Session{node: n, conn: conn, stream: stream, down: make(chan struct{})}
+	s.reader.source = stream
+	s.reader.received = &s.received
+	return s
+}
+
+// Peer returns the Hello of the other end. For a dialed session only role, member and address are set; the address is
+// the one that was dialed.
+func (s *Session) Peer() encoder.Hello { return s.peer }
+
+// Ack returns the HelloAck that the accepting end sent.
+func (s *Session) Ack() encoder.HelloAck { return s.ack }
+
+// Done returns a channel that is closed after OnDown returned.
+func (s *Session) Done() <-chan struct{} { return s.down }
+
+// Send queues m for the other end. It never blocks. It returns false when the session is closed, its queue is full or m
+// is longer than encoder.MaxFrame; the message is then lost for sure. True does not mean that the message arrives.
+func (s *Session) Send(m encoder.Message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.count >= maxQueueCount || len(s.queue) >= maxQueueBytes {
+		return false
+	}
+	start := len(s.queue)
+	grown := encoder.Append(append(s.queue, 0, 0, 0, 0), m)
+	size := len(grown) - start - headerSize
+	if size > encoder.MaxFrame || len(grown) > maxQueueBytes {
+		return false
+	}
+	binary.BigEndian.PutUint32(grown[start:], uint32(size))
+	s.enqueue(grown)
+	return true
+}
+
+// control queues a frame of the transport. The caller does not hold the mutex.
+func (s *Session) control(header uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A full queue delays only the heartbeat, and the bytes in it serve as one.
+	if !s.closed && len(s.queue) < maxQueueBytes {
+		s.enqueue(binary.BigEndian.AppendUint32(s.queue, header))
+	}
+}
+
+func (s *Session) enqueue(queue []byte) {
+	s.queue = queue
+	s.count++
+	if !s.writing {
+		s.writing = true
+		go s.flush()
+	}
+}
+
+// flush writes what is queued until nothing is left. While one batch is written, the next one collects, so that a busy
+// session needs few packets and system calls. An idle session has no writer goroutine.
+func (s *Session) flush() {
+	for {
+		s.mu.Lock()
+		batch := s.queue
+		s.queue, s.spare, s.count = s.spare[:0], nil, 0
+		if len(batch) == 0 {
+			s.writing = false
+			if s.closed {
+				_ = s.stream.Close()
+			}
+			s.spare = keep(batch)
+			s.queue = keep(s.queue)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		_, err := s.stream.Write(batch)
+		s.mu.Lock()
+		if err != nil {
+			s.writing, s.closed, s.queue = false, true, nil
+			s.mu.Unlock()
+			return
+		}
+		s.spare = batch[:0]
+		s.mu.Unlock()
+	}
+}
+
+func keep(b []byte) []byte {
+	if cap(b) > keepBuffer {
+		return nil
+	}
+	return b[:0]
+}
+
+// Close ends the session and returns at once. Send refuses from then on. Queued messages are flushed, and messages of
+// the other end are delivered, until the other end has closed its side as well, at most for half a second. Connect dials
+// again.
+func (s *Session) Close() { s.finish(trace.ConnectionProblem(nil, "closed by this end")) }
+
+// finish closes the write side after the queue, and the connection after flushLimit.
+func (s *Session) finish(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.setCause(cause)
+	if !s.writing {
+		_ = s.stream.Close()
+	}
+	_ = s.stream.SetReadDeadline(time.Now().Add(flushLimit))
+}
+
+// setCause keeps the first cause. The caller holds the mutex.
+func (s *Session) setCause(cause error) {
+	if s.cause == nil {
+		s.cause = cause
+	}
+}
+
+// first reads the first message of the handshake.
+func (s *Session) first(limit timer.Millis) (encoder.Message, error) {
+	if err := s.stream.SetReadDeadline(time.Now().Add(limit.Duration())); err != nil {
+		return nil, trace.ConnectionProblem(err, "handshake: %v", err)
+	}
+	frame, _, err := s.reader.next()
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "handshake: %v", describe(err))
+	}
+	m, err := encoder.Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	return m, s.stream.SetReadDeadline(time.Time{})
+}
+
+// run reads until the session ends, and reports it up and down.
+func (s *Session) run() {
+	n := s.node
+	if n.OnUp != nil {
+		n.OnUp(s)
+	}
+	s.mu.Lock()
+	s.beat = time.AfterFunc(n.period(), s.tick)
+	s.mu.Unlock()
+
+	code, cause := s.read()
+	s.mu.Lock()
+	s.closed = true
+	s.setCause(cause)
+	cause = s.cause
+	s.beat.Stop()
+	s.mu.Unlock()
+
+	late := code == codeSilent && n.Grace > 0
+	if !late {
+		_ = s.conn.CloseWithError(code, phrase(cause))
+	}
+	if n.OnDown != nil {
+		n.OnDown(s, cause)
+	}
+	close(s.down)
+	if late {
+		_ = s.stream.SetReadDeadline(time.Now().Add(n.Grace.Duration()))
+		_, _ = s.read()
+		_ = s.conn.CloseWithError(codeSilent, phrase(cause))
+	}
+}
+
+// read delivers messages until the stream ends. At the end of the stream it closes this end's side, after what is
+// queued, and waits until the other end closes the connection.
+func (s *Session) read() (quic.ApplicationErrorCode, error) {
+	for {
+		frame, control, err := s.reader.next()
+		switch {
+		case err == nil:
+		case errors.Is(err, errFrame):
+			return codeInvalid, err
+		case errors.Is(err, errEnd):
+			return s.ended()
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return s.expired()
+		default:
+			return codeClosed, trace.ConnectionProblem(err, "%v", describe(err))
+		}
+		if control == headerHeartbeat {
+			s.control(headerAnswer)
+		}
+		if control != 0 {
+			continue
+		}
+		m, err := encoder.Decode(frame)
+		if trace.IsNotImplemented(err) {
+			continue // a message of a newer version
+		}
+		if err != nil {
+			return codeInvalid, err
+		}
+		if s.node.OnMessage != nil {
+			s.busy.Store(true)
+			s.node.OnMessage(s, m)
+			s.busy.Store(false)
+		}
+	}
+}
+
+// ended handles the end of the other side's stream. Whoever sees the other side's end after closing its own closes the
+// connection; the other one waits for that, so that its last messages arrive.
+func (s *Session) ended() (quic.ApplicationErrorCode, error) {
+	s.mu.Lock()
+	first := s.closed
+	s.mu.Unlock()
+	if first {
+		return codeClosed, nil
+	}
+	cause := trace.ConnectionProblem(nil, "closed by the other end")
+	s.finish(cause)
+	t := time.NewTimer(flushLimit)
+	defer t.Stop()
+	select {
+	case <-s.conn.Context().Done():
+	case <-t.C:
+	}
+	return codeClosed, cause
+}
+
+// expired handles the read deadline, which tick and finish set.
+func (s *Session) expired() (quic.ApplicationErrorCode, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(s.cause, errSilent) {
+		return codeSilent, s.cause
+	}
+	return codeClosed, s.cause
+}
+
+// tick runs once in a heartbeat period. It counts periods instead of reading the clock, so that a pause of this process
+// does not count as silence of the other one.
+func (s *Session) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.beat.Reset(s.node.period())
+	if s.received.Swap(false) || s.busy.Load() {
+		s.missed = 0
+		return
+	}
+	s.missed++
+	switch {
+	case s.missed > s.node.ticks():
+		s.closed = true
+		s.setCause(errSilent)
+		_ = s.stream.SetReadDeadline(time.Now())
+	case s.missed == 1 && len(s.queue) < maxQueueBytes:
+		s.enqueue(binary.BigEndian.AppendUint32(s.queue, headerHeartbeat))
+	}
+}
