--- /dev/null
+++ b/dispatcher/answer.go
@@ -0,0 +1,119 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// answerOverhead is the assumed size of a kept answer beside its key and bodies, in bytes.
+const answerOverhead = 300
+
+type (
+	// kept holds the answers of ended submissions in the order of their ends. When a bound is reached, the oldest
+	// answers shrink to hashes of their keys, so that their tasks cannot start again.
+	kept struct {
+		byKey     map[string]keptAnswer
+		order     []keptKey
+		bytes     int
+		forgotten map[uint64]timer.Millis
+	}
+
+	keptAnswer struct {
+		answer encoder.Answer
+		digest uint64
+		size   int
+	}
+
+	keptKey struct {
+		key   string
+		ended timer.Millis
+	}
+)
+
+func failure(key string, code encoder.FailureCode, o encoder.Outcome, reason string) encoder.Answer {
+	return encoder.Answer{Key: key, State: encoder.JobFailed, Outcome: o, Code: code, Reason: reason}
+}
+
+func conflict(key string) encoder.Answer {
+	return failure(key, encoder.CodeConflict, encoder.OutcomeNotRun, "the key is in use with other content")
+}
+
+// refusal is a failure before the first start. The outcome is "not run" only when no earlier owner can have started
+// tasks of the key.
+func (c *Core) refusal(key string, code encoder.FailureCode, reason string) encoder.Answer {
+	o := encoder.OutcomeNotRun
+	if !c.settled(key) || c.known(key) {
+		o = encoder.OutcomeUnknown
+	}
+	return failure(key, code, o, reason)
+}
+
+func (c *Core) answer(w waiter, a encoder.Answer) {
+	if w.session == 0 {
+		c.out = append(c.out, Effect{Kind: EffectAnswer, Request: w.request, Answer: a})
+		return
+	}
+	if c.sessions[w.session] != nil {
+		c.send(w.session, &encoder.ForwardAnswer{ID: w.forward, Answer: a})
+	}
+}
+
+// stateOf answers for a key that this entry owns.
+func (c *Core) stateOf(key string) encoder.Answer {
+	if c.jobs[key] != nil {
+		return encoder.Answer{Key: key, State: encoder.JobRunning}
+	}
+	if k, ok := c.kept.byKey[key]; ok {
+		return k.answer
+	}
+	return failure(key, encoder.CodeNotFound, encoder.OutcomeUnknown, "the key is not known")
+}
+
+// keep stores the answer of an ended submission. A refusal is not kept, so that the caller may try again.
+func (c *Core) keep(digest uint64, a encoder.Answer) {
+	if a.Outcome == encoder.OutcomeNotRun && a.Code != encoder.CodeCanceled && a.Code != encoder.CodeDeadline {
+		return
+	}
+	k := &c.kept
+	if k.byKey == nil {
+		k.byKey, k.forgotten = map[string]keptAnswer{}, map[uint64]timer.Millis{}
+	}
+	size := answerOverhead + 2*len(a.Key) + len(a.Reason)
+	for i := range a.Results {
+		size += 24 + len(a.Results[i].Body)
+	}
+	k.byKey[a.Key] = keptAnswer{answer: a, digest: digest, size: size}
+	k.order = append(k.order, keptKey{a.Key, c.now})
+	k.bytes += size
+	for len(k.byKey) > c.settings.KeptAnswers || k.bytes > c.settings.KeptBytes {
+		oldest := k.dropOldest()
+		k.forgotten[c.hash(oldest.key)] = oldest.ended
+	}
+}
+
+func (k *kept) dropOldest() keptKey {
+	oldest := k.order[0]
+	k.order = k.order[1:]
+	k.bytes -= k.byKey[oldest.key].size
+	delete(k.byKey, oldest.key)
+	return oldest
+}
+
+func (k *kept) forgot(hash uint64) bool {
+	_, ok := k.forgotten[hash]
+	return ok
+}
+
+func (k *kept) keys() int { return len(k.byKey) + len(k.forgotten) }
+
+func (c *Core) sweepAnswers() {
+	k := &c.kept
+	for len(k.order) > 0 && k.order[0].ended+c.settings.KeyRetention < c.now {
+		k.dropOldest()
+	}
+	for hash, ended := range k.forgotten {
+		if ended+c.settings.KeyRetention < c.now {
+			delete(k.forgotten, hash)
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/census.go
@@ -0,0 +1,274 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	maxHandovers     = 10_000
+	maxHandoverBytes = 8 << 20
+)
+
+// censusReply merges a sidecar's evidence. Replies to the census of another epoch list other keys and do not count.
+func (c *Core) censusReply(sc *sidecar, m *encoder.CensusReply) {
+	if m.Epoch != c.roster.Epoch {
+		c.counters.Ignored++
+		return
+	}
+	t := &c.takeover
+	for i := range m.Started {
+		s := &m.Started[i]
+		if j := c.jobs[s.Task.Job]; j != nil && (j.state == stateOpen || j.state == stateClosing) {
+			continue // this entry started it
+		}
+		if _, ok := c.kept.byKey[s.Task.Job]; !ok {
+			t.add(s, sc.hello.Member, c.now)
+		}
+	}
+	if !m.Last {
+		return
+	}
+	if t.answered == nil {
+		t.answered = map[encoder.Member]uint64{}
+	}
+	for old := range t.answered {
+		if old.ID == sc.hello.Member.ID {
+			delete(t.answered, old)
+		}
+	}
+	t.answered[sc.hello.Member] = m.Epoch
+	delete(t.missing, sc.hello.Member)
+	c.tickTakeover()
+}
+
+func (t *takeover) add(s *encoder.StartedTask, from encoder.Member, now timer.Millis) {
+	if t.evidence == nil {
+		t.evidence = map[string]*evidence{}
+	}
+	e := t.evidence[s.Task.Job]
+	if e == nil {
+		e = &evidence{tasks: map[uint32]started{}}
+		t.evidence[s.Task.Job] = e
+	}
+	e.at = now
+	if old, ok := e.tasks[s.Task.Index]; ok && old.status != encoder.StatusRunning && s.Status == encoder.StatusRunning {
+		return
+	}
+	e.tasks[s.Task.Index] = started{from, s.Status, s.Body, s.Reason}
+}
+
+// resume goes on with a submission that a former owner may have worked on. Known results are used, running tasks are
+// awaited, and tasks without evidence are queued only when no evidence can be missing.
+func (c *Core) resume(s *submission) {
+	if !step(submissionChart, &s.state, eventAdmit) {
+		return
+	}
+	c.claim(s.key)
+	c.rewind(s)
+	found := map[uint32]started{}
+	if e := c.takeover.evidence[s.key]; e != nil {
+		found = e.tasks
+		delete(c.takeover.evidence, s.key)
+	}
+	complete := c.complete(s.key)
+	c.recover(s, found)
+	for i := 0; i < len(s.tasks); i++ {
+		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusDone {
+			c.taskEnded(s, i, c.sidecarOf(e.sidecar), e.status, e.body, e.reason, 0)
+		}
+	}
+	for i := 0; i < len(s.tasks); i++ {
+		if s.tasks[i].state != taskQueued {
+			continue
+		}
+		e, ok := found[uint32(i)]
+		switch {
+		case ok && e.status == encoder.StatusFailed:
+			c.taskEnded(s, i, c.sidecarOf(e.sidecar), e.status, nil, e.reason, 0)
+		case ok && e.status != encoder.StatusNotStarted:
+			c.taskEnded(s, i, c.sidecarOf(e.sidecar), encoder.StatusUnknown, nil, "the worker that had started the task was lost", 0)
+		case !ok && !complete:
+			c.taskEnded(s, i, nil, encoder.StatusUnknown, nil, "it is not known whether the task was started before", 0)
+		}
+	}
+	switch {
+	case s.state != stateOpen:
+		return
+	case s.code != 0:
+		c.fail(s, s.code, s.reason)
+		return
+	case s.left == 0:
+		c.endWhenDone(s)
+		return
+	}
+	for i := range s.tasks {
+		if s.tasks[i].state == taskQueued {
+			c.queue.Push(c.queued(s, i))
+		}
+	}
+}
+
+// rewind forgets which starts this entry made itself before it lost the key. All sidecars that made them have answered
+// the census or count as missing, so their evidence decides.
+func (c *Core) rewind(s *submission) {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if step(taskChart, &t.state, eventRewind) {
+			s.started--
+			c.queue.Refused(t.sidecar.hello.Member.ID, c.queued(s, i), encoder.RefusalCanceled)
+			t.sidecar, t.resent = nil, false
+		}
+	}
+}
+
+// recover repeats the starts of tasks that run on a known sidecar, which then sends their results to this entry.
+func (c *Core) recover(s *submission, found map[uint32]started) {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusRunning && t.state == taskQueued {
+			sc := c.sidecarOf(e.sidecar)
+			if sc == nil || !step(taskChart, &t.state, eventRecover) {
+				continue
+			}
+			t.sidecar, t.resent = sc, true
+			s.started++
+			if sc.session == 0 {
+				step(taskChart, &t.state, eventLose)
+			} else {
+				c.sendStart(s, i)
+			}
+		}
+	}
+}
+
+// sidecarOf returns the sidecar when this very incarnation is present.
+func (c *Core) sidecarOf(m encoder.Member) *sidecar {
+	if sc := c.sidecars[m.ID]; sc != nil && sc.hello.Member == m {
+		return sc
+	}
+	return nil
+}
+
+// peerCensus answers a peer with the keys of its share that this entry forwarded elsewhere, witnessed or owned.
+func (c *Core) peerCensus(id SessionID, p *peer, m *encoder.PeerCensus) {
+	if m.Roster.Epoch > c.roster.Epoch && c.confirmed[StreamRoster] != 0 {
+		c.adoptFromPeer(m.Roster)
+	}
+	reply := &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
+	for _, sc := range c.sidecars {
+		reply.Sidecars = append(reply.Sidecars, sc.hello.Member)
+	}
+	for gone := range c.gone {
+		reply.Sidecars = append(reply.Sidecars, gone)
+	}
+	add := func(key string) {
+		owner, ok := elector.Owner(m.Roster, key)
+		if !ok || owner.Member != p.member {
+			return
+		}
+		if reply.Jobs = append(reply.Jobs, key); len(reply.Jobs) == keysPerMessage {
+			c.send(id, reply)
+			reply = &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
+		}
+	}
+	for key, pass := range c.passed {
+		if pass.owner != p.member {
+			add(key)
+		}
+	}
+	for key, s := range c.jobs {
+		if s.state != stateHeld {
+			add(key)
+		}
+	}
+	reply.Last = true
+	c.send(id, reply)
+}
+
+func (c *Core) peerCensusReply(p *peer, m *encoder.PeerCensusReply) {
+	if m.Epoch != c.roster.Epoch {
+		c.counters.Ignored++
+		return
+	}
+	t := &c.takeover
+	if t.keys == nil {
+		t.keys = map[string]timer.Millis{}
+	}
+	for _, key := range m.Jobs {
+		t.keys[key] = c.now
+	}
+	for _, sc := range m.Sidecars {
+		t.heard(sc, c.now, false)
+	}
+	if m.Last {
+		p.census = m.Epoch
+		c.tickTakeover()
+	}
+}
+
+// adoptFromPeer takes over a roster that the log has not shown to this entry yet. Rosters between may have been missed,
+// so every key counts as owned by another entry in the meantime.
+func (c *Core) adoptFromPeer(r encoder.Roster) {
+	c.takeover.past = append(c.takeover.past, pastRoster{encoder.Roster{}, c.now})
+	c.takeover.chain = append(c.takeover.chain, encoder.Roster{Epoch: c.roster.Epoch})
+	c.folded = r
+	c.adopt(r)
+}
+
+// handOver gives a submission of this leaving entry to its next owner.
+func (c *Core) handOver(s *submission, job encoder.Job) {
+	owner, ok := elector.Owner(c.roster, s.key)
+	if !ok {
+		return
+	}
+	p := c.peers[owner.Member.ID]
+	if p == nil || p.session() == 0 {
+		return
+	}
+	m := &encoder.Handover{Job: job}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskDone {
+			m.Started = append(m.Started, encoder.StartedTask{
+				Task: encoder.TaskKey{Job: s.key, Index: uint32(i)}, Status: encoder.StatusDone, Body: t.body,
+			})
+		}
+	}
+	c.send(p.session(), m)
+}
+
+// handOverAnswers gives the newest kept answers to the next owners of their keys.
+func (c *Core) handOverAnswers() {
+	order := c.kept.order
+	bytes := 0
+	for i := len(order) - 1; i >= 0 && i >= len(order)-maxHandovers; i-- {
+		k := c.kept.byKey[order[i].key]
+		if bytes += k.size; bytes > maxHandoverBytes {
+			return
+		}
+		if owner, ok := elector.Owner(c.roster, order[i].key); ok {
+			if p := c.peers[owner.Member.ID]; p != nil && p.session() != 0 {
+				c.send(p.session(), &encoder.Handover{Job: encoder.Job{Key: order[i].key}, Answer: k.answer})
+			}
+		}
+	}
+}
+
+// takeHandover goes on with a submission of a leaving entry, or keeps its answer.
+func (c *Core) takeHandover(m *encoder.Handover) {
+	key := m.Job.Key
+	if m.Answer.State == encoder.JobComplete || m.Answer.State == encoder.JobFailed {
+		if _, ok := c.kept.byKey[key]; !ok && c.jobs[key] == nil {
+			c.keep(0, m.Answer) // without the job its content cannot be compared
+		}
+		return
+	}
+	if c.jobs[key] == nil {
+		for i := range m.Started {
+			c.takeover.add(&m.Started[i], encoder.Member{}, c.now)
+		}
+	}
+	c.route(waiter{}, encoder.RequestSubmit, m.Job, 0)
+}
--- /dev/null
+++ b/dispatcher/charts.go
@@ -0,0 +1,73 @@
+package dispatcher
+
+import (
+	_ "embed" // the state charts
+
+	"github.com/crocuslb/crocuslb/interpreter"
+)
+
+const (
+	stateHeld    = "held"
+	stateOpen    = "open"
+	stateClosing = "closing"
+	stateMoved   = "moved"
+	stateEnded   = "ended"
+
+	eventAdmit  = "admit"
+	eventClose  = "close"
+	eventEnd    = "end"
+	eventMove   = "move"
+	eventRegain = "regain"
+
+	taskQueued  = "queued"
+	taskStarted = "started"
+	taskDoubt   = "doubt"
+	taskDone    = "done"
+	taskFailed  = "failed"
+	taskUnknown = "unknown"
+	taskDropped = "dropped"
+
+	eventPlace   = "place"
+	eventRecover = "recover"
+	eventFinish  = "finish"
+	eventFail    = "fail"
+	eventForget  = "forget"
+	eventLose    = "lose"
+	eventRefuse  = "refuse"
+	eventDrop    = "drop"
+	eventRewind  = "rewind"
+
+	takeoverSettled = "settled"
+	takeoverWaiting = "waiting"
+	takeoverAsking  = "asking"
+	takeoverPartial = "partial"
+
+	eventChange   = "change"
+	eventMajority = "majority"
+	eventAnswered = "answered"
+	eventExpire   = "expire"
+)
+
+var (
+	//go:embed submission.chart
+	submissionText string
+	//go:embed task.chart
+	taskText string
+	//go:embed takeover.chart
+	takeoverText string
+
+	submissionChart = interpreter.MustParse("submission.chart", submissionText)
+	taskChart       = interpreter.MustParse("task.chart", taskText)
+	takeoverChart   = interpreter.MustParse("takeover.chart", takeoverText)
+)
+
+// step moves state along the chart. It returns false and changes nothing when the chart refuses the event, as it does
+// for late and duplicate messages.
+func step(c interpreter.Chart, state *string, event string) bool {
+	next, err := c.Step(*state, event)
+	if err != nil {
+		return false
+	}
+	*state = next
+	return true
+}
--- /dev/null
+++ b/dispatcher/claim.go
@@ -0,0 +1,126 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	maxClaimAppends  = 4
+	maxPendingClaims = 500_000
+	claimRetry       = 250 * timer.Millis(1)
+	keysPerMessage   = 500
+	// passKept is how long a forwarded key is remembered beyond its claim, which may still be on its way.
+	passKept = 10 * timer.Second
+)
+
+// claims are the submission keys that are or will be in the claims stream.
+type claims struct {
+	seen     map[uint64]timer.Millis // hash of the key to the time at which it was first seen
+	pending  []string
+	inFlight map[uint64][]string // by append tag
+	next     timer.Millis
+}
+
+func (l *claims) has(hash uint64) bool {
+	_, ok := l.seen[hash]
+	return ok
+}
+
+func (l *claims) sweep(now, retention timer.Millis) {
+	for hash, at := range l.seen {
+		if at+retention < now {
+			delete(l.seen, hash)
+		}
+	}
+}
+
+func (c *Core) claim(key string) {
+	if len(c.claims.pending) < maxPendingClaims {
+		c.claims.pending = append(c.claims.pending, key)
+	}
+}
+
+// flushClaims appends the collected keys in batches.
+func (c *Core) flushClaims() {
+	l := &c.claims
+	for len(l.pending) > 0 && c.now >= l.next && len(l.inFlight) < maxClaimAppends {
+		n := min(len(l.pending), elector.MaxClaims)
+		keys := l.pending[:n:n]
+		if l.pending = l.pending[n:]; len(l.pending) == 0 {
+			l.pending = nil
+			l.next = c.now + claimPeriod
+		}
+		if l.inFlight == nil {
+			l.inFlight = map[uint64][]string{}
+		}
+		tag := c.appendRecord(StreamClaims, elector.AppendClaims(nil, elector.Claims{Member: c.self, Keys: keys}))
+		l.inFlight[tag] = keys
+	}
+}
+
+// claimsAppended handles the outcome of an append. Keys whose append may have failed are appended again; a repeated
+// claim changes nothing.
+func (c *Core) claimsAppended(tag uint64, ok bool) bool {
+	keys, mine := c.claims.inFlight[tag]
+	if !mine {
+		return false
+	}
+	delete(c.claims.inFlight, tag)
+	if !ok {
+		c.claims.pending = append(c.claims.pending, keys...)
+		c.claims.next = c.now + claimRetry
+		return true
+	}
+	for _, key := range keys {
+		c.claimed(key)
+	}
+	return true
+}
+
+// claimed opens the start gates of a submission that runs at most once.
+func (c *Core) claimed(key string) {
+	s := c.jobs[key]
+	if s == nil || !s.once || s.claimed {
+		return
+	}
+	s.claimed = true
+	told := map[SessionID]bool{}
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskStarted && t.sidecar.session != 0 && !told[t.sidecar.session] {
+			told[t.sidecar.session] = true
+			c.send(t.sidecar.session, &encoder.Claimed{Job: key})
+		}
+	}
+}
+
+// ClaimsRecord takes the keys of a record of the claims stream.
+func (c *Core) ClaimsRecord(now timer.Millis, r elector.Claims) {
+	c.now = now
+	if c.claims.seen == nil {
+		c.claims.seen = map[uint64]timer.Millis{}
+	}
+	at := now
+	if c.confirmed[StreamClaims] == 0 {
+		at = 1 // history: older than anything that happens from now on; swept after the retention
+	}
+	for _, key := range r.Keys {
+		hash := c.hash(key)
+		if _, ok := c.claims.seen[hash]; !ok {
+			c.claims.seen[hash] = at
+		}
+		if r.Member == c.self {
+			c.claimed(key)
+		}
+	}
+}
+
+// Appended reports the outcome of an append effect. ok is false when the record is surely not in the log or when that
+// is not known; unknown tells these apart.
+func (c *Core) Appended(now timer.Millis, tag, offset uint64, ok, unknown bool) {
+	c.now = now
+	if !c.claimsAppended(tag, ok) {
+		c.decisionAppended(tag, offset, ok, unknown)
+	}
+}
--- /dev/null
+++ b/dispatcher/core.go
@@ -0,0 +1,239 @@
+// Package dispatcher is the entry: it owns submissions, queues and places their tasks and answers callers. The Core
+// decides; the Entry is the process around it.
+package dispatcher
+
+import (
+	"hash/maphash"
+
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/scheduler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// EffectSend sends Message on Session. When the message is surely lost, Core.Unsent is to be called.
+	EffectSend EffectKind = iota + 1
+	// EffectAnswer answers the caller's Request with Answer.
+	EffectAnswer
+	// EffectAppend appends Body to Stream of the log and reports the outcome with Core.Appended and Tag.
+	EffectAppend
+	// EffectDial asks for a lasting connection to the entry at Address.
+	EffectDial
+	// EffectHangUp ends the lasting connection to the entry at Address.
+	EffectHangUp
+	// EffectClose closes Session, so that the dialing side replaces it.
+	EffectClose
+	// EffectIncarnation says that the entry has a new incarnation, Member.
+	EffectIncarnation
+)
+
+const (
+	// StreamConfiguration is the stream of operators' changes.
+	StreamConfiguration = "configuration"
+	// StreamRoster is the stream of the entries' membership.
+	StreamRoster = "roster"
+	// StreamClaims is the stream of submission keys.
+	StreamClaims = "claims"
+)
+
+type (
+	// EffectKind says what the process is to do.
+	EffectKind uint8
+
+	// SessionID names a session within the process. 0 is no session.
+	SessionID uint64
+
+	// Effect is one thing that the process does for the core.
+	Effect struct {
+		Kind    EffectKind
+		Session SessionID
+		Message encoder.Message
+		Request uint64
+		Answer  encoder.Answer
+		Stream  string
+		Tag     uint64
+		Body    []byte
+		Address string
+		Member  encoder.Member
+	}
+
+	// Core holds the control state of an entry. One goroutine calls it; it has no clock and no I/O. Its methods
+	// collect effects, which Take returns. Make it with New.
+	Core struct {
+		settings Settings
+		self     encoder.Member
+		out      []Effect
+		now      timer.Millis
+		seed     maphash.Seed
+		queue    scheduler.Scheduler
+
+		roster      encoder.Roster
+		folded      encoder.Roster // fold of the roster stream; ahead of roster before the first confirmation
+		joined      bool
+		draining    bool
+		joinTried   timer.Millis
+		removals    map[encoder.Member]timer.Millis
+		lastTag     uint64
+		domains     domains
+		confirmed   map[string]timer.Millis
+		peers       map[string]*peer
+		sessions    map[SessionID]*session
+		sidecars    map[string]*sidecar
+		gone        map[encoder.Member]timer.Millis
+		jobs        map[string]*submission
+		byDeadline  deadlines
+		delayed     []delayed
+		kept        kept
+		collect     collection
+		forwards    map[uint64]*forward
+		passed      map[string]pass
+		lastForward uint64
+		claims      claims
+		takeover    takeover
+		decisions   decisions
+		lastPeers   timer.Millis
+		lastTick    timer.Millis
+		lastSweep   timer.Millis
+		demanded    int
+		counters    Counters
+	}
+
+	// Counters count events since the start of the process.
+	Counters struct {
+		Submitted, Complete, Failed, Started, Refused, Requeued, Ignored, Forwarded, Takeovers uint64
+	}
+
+	// session is an open session to a sidecar or to a peer.
+	session struct {
+		id      SessionID
+		sidecar *sidecar
+		peer    *peer
+	}
+)
+
+// New returns a core that is in no roster yet. Zero fields of s take their default values.
+func New(s Settings) *Core {
+	s = s.withDefaults()
+	c := &Core{
+		settings: s, self: s.Member, seed: maphash.MakeSeed(),
+		removals: map[encoder.Member]timer.Millis{}, confirmed: map[string]timer.Millis{}, peers: map[string]*peer{},
+		sessions: map[SessionID]*session{}, sidecars: map[string]*sidecar{}, gone: map[encoder.Member]timer.Millis{},
+		jobs: map[string]*submission{}, forwards: map[uint64]*forward{}, passed: map[string]pass{},
+	}
+	c.takeover.state = takeoverChart.Start()
+	return c
+}
+
+// Take returns the effects since the last call. The slice is valid until the next call of a method of the core.
+func (c *Core) Take() []Effect {
+	out := c.out
+	c.out = c.out[:0]
+	return out
+}
+
+// Self returns the incarnation that the entry has now.
+func (c *Core) Self() encoder.Member { return c.self }
+
+// Roster returns the roster that the entry works under.
+func (c *Core) Roster() encoder.Roster { return c.roster }
+
+// Counters returns the event counts.
+func (c *Core) Counters() Counters { return c.counters }
+
+// Message handles a message from a session.
+func (c *Core) Message(now timer.Millis, id SessionID, m encoder.Message) {
+	c.now = now
+	s := c.sessions[id]
+	switch {
+	case s == nil:
+		c.counters.Ignored++ // the session ended before the message was handled
+	case s.sidecar != nil:
+		c.fromSidecar(s.sidecar, m)
+		c.place()
+	default:
+		c.fromPeer(s, m)
+	}
+}
+
+// Up handles a new session. For a peer the hello has at least role, member and address.
+func (c *Core) Up(now timer.Millis, id SessionID, h encoder.Hello) {
+	c.now = now
+	switch h.Role {
+	case encoder.RoleSidecar:
+		c.sidecarUp(id, h)
+		c.place()
+	case encoder.RoleEntry:
+		c.peerUp(id, h)
+	}
+}
+
+// Down handles the end of a session.
+func (c *Core) Down(now timer.Millis, id SessionID) {
+	c.now = now
+	s := c.sessions[id]
+	if s == nil {
+		return
+	}
+	delete(c.sessions, id)
+	if s.sidecar != nil {
+		c.sidecarDown(s)
+	} else {
+		c.peerDown(s)
+	}
+}
+
+// Unsent handles a message that surely did not leave the process.
+func (c *Core) Unsent(now timer.Millis, id SessionID, m encoder.Message) {
+	c.now = now
+	if start, ok := m.(*encoder.Start); ok {
+		c.startUnsent(id, start)
+	}
+	if f, ok := m.(*encoder.Forward); ok {
+		c.forwardUnsent(f.ID)
+	}
+}
+
+// Tick does what time alone brings about. It is to be called every few milliseconds.
+func (c *Core) Tick(now timer.Millis) {
+	c.now = now
+	c.expire()
+	c.releaseDelayed()
+	c.flushClaims()
+	c.flushCollected()
+	c.tickForwards()
+	c.tickPeers()
+	c.tickRoster()
+	c.tickTakeover()
+	c.tickDecisions()
+	if now-c.lastSweep >= sweepPeriod {
+		c.lastSweep = now
+		c.sweep()
+	}
+	c.place()
+	c.tellDemand()
+}
+
+// sweep drops what has outlived its use.
+func (c *Core) sweep() {
+	c.sweepSidecars()
+	c.sweepAnswers()
+	c.sweepForwards()
+	c.claims.sweep(c.now, c.settings.KeyRetention)
+}
+
+func (c *Core) send(id SessionID, m encoder.Message) {
+	c.out = append(c.out, Effect{Kind: EffectSend, Session: id, Message: m})
+}
+
+func (c *Core) appendRecord(stream string, body []byte) uint64 {
+	c.lastTag++
+	c.out = append(c.out, Effect{Kind: EffectAppend, Stream: stream, Tag: c.lastTag, Body: body})
+	return c.lastTag
+}
+
+// owns reports whether this incarnation owns the key under r.
+func (c *Core) owns(r encoder.Roster, key string) bool {
+	owner, ok := elector.Owner(r, key)
+	return ok && owner.Member == c.self
+}
--- /dev/null
+++ b/dispatcher/entry.go
@@ -0,0 +1,413 @@
+package dispatcher
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/configurer"
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/messenger"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	tickPeriod = 5 * time.Millisecond
+	eventQueue = 8192
+	// eventBatch bounds the events that are handled before their effects are performed.
+	eventBatch = 256
+	// tailWait bounds the age of a confirmation: a read at the head waits that long for a record.
+	tailWait = 150 * timer.Millis(1)
+	// claimsHistory is the number of claims records that a new entry reads.
+	claimsHistory = 50_000
+	historyKept   = 1000
+)
+
+type (
+	// Entry is the entry process. Set the exported fields before Run.
+	Entry struct {
+		ID          string
+		Incarnation uint64 // 0 means the wall clock in milliseconds, so that a restarted process has a larger one
+		Listen      string // UDP address of the QUIC listener
+		Advertise   string // address under which other processes reach the listener; "" means the bound address
+		Domain      string // failure domain of the entry
+		Log         *appender.Client
+		TLS         *tls.Config // nil means loopback only
+		Clock       timer.Clock
+		Logger      log.Interface
+		Settings    Settings // Member, Address, Domain and WithdrawRecord are set by Run
+
+		once     sync.Once
+		events   chan event
+		stopped  chan struct{}
+		requests atomic.Uint64
+		member   atomic.Pointer[encoder.Member]
+		roster   atomic.Pointer[encoder.Roster]
+		address  string
+
+		// The fields below belong to the control goroutine.
+		core     *Core
+		node     *messenger.Node
+		run      context.Context
+		sessions map[SessionID]*messenger.Session
+		ids      map[*messenger.Session]SessionID
+		last     SessionID
+		dialed   map[string]context.CancelFunc
+		answers  map[uint64]chan encoder.Answer
+		changes  map[uint64]chan Publication
+		replay   configurer.Replay
+		snapshot configurer.Snapshot
+		rosters  rosterReplay
+
+		checkpointed    uint64 // offset of the last checkpoint of the configuration
+		checkpointTried timer.Millis
+
+		history []Change
+		drained chan struct{}
+	}
+
+	// Change is an operator's change in the log. Findings is empty when it is in force.
+	Change struct {
+		Offset   uint64
+		Note     configurer.Note
+		Findings []configurer.Finding
+	}
+
+	eventKind uint8
+
+	event struct {
+		kind     eventKind
+		session  *messenger.Session
+		message  encoder.Message
+		hello    encoder.Hello
+		request  uint64
+		job      encoder.Job
+		answer   chan encoder.Answer
+		stream   string
+		record   appender.Record
+		progress appender.Progress
+		tag      uint64
+		offset   uint64
+		err      error
+		call     func()
+	}
+)
+
+const (
+	eventUp eventKind = iota + 1
+	eventDown
+	eventMessage
+	eventSubmit
+	eventGet
+	eventCancel
+	eventAbandon
+	eventRecord
+	eventRead
+	eventAppended
+	eventCall
+)
+
+func (e *Entry) init() {
+	e.once.Do(func() {
+		e.events = make(chan event, eventQueue)
+		e.stopped = make(chan struct{})
+		if e.Logger == nil {
+			e.Logger = log.Log
+		}
+	})
+}
+
+// Run serves until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	defer close(e.stopped)
+	if e.ID == "" || e.Log == nil {
+		return trace.BadParameter("an entry needs an identifier and a log")
+	}
+	if e.Incarnation == 0 {
+		e.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.run = ctx
+	member := encoder.Member{ID: e.ID, Incarnation: e.Incarnation}
+	e.member.Store(&member)
+	e.roster.Store(&encoder.Roster{})
+	e.node = &messenger.Node{Hello: e.hello, Accept: e.accept, OnUp: e.up, OnMessage: e.message, OnDown: e.down, TLS: e.TLS}
+	bound, err := e.node.Listen(ctx, e.Listen)
+	if err != nil {
+		return trace.Wrap(err, "entry %s cannot listen", e.ID)
+	}
+	if e.address = e.Advertise; e.address == "" {
+		e.address = bound
+	}
+	s := e.Settings
+	s.Member, s.Address, s.Domain, s.WithdrawRecord = member, e.address, e.Domain, e.withdrawRecord
+	e.core = New(s)
+	e.sessions, e.ids = map[SessionID]*messenger.Session{}, map[*messenger.Session]SessionID{}
+	e.dialed = map[string]context.CancelFunc{}
+	e.answers, e.changes = map[uint64]chan encoder.Answer{}, map[uint64]chan Publication{}
+	e.Logger.Infof("entry: %s incarnation %d listens on %s as %s", e.ID, e.Incarnation, bound, e.address)
+	var tails sync.WaitGroup
+	for _, stream := range []string{StreamConfiguration, StreamRoster, StreamClaims} {
+		tails.Go(func() { e.follow(ctx, stream) })
+	}
+	defer tails.Wait()
+	defer cancel()
+	e.control(ctx)
+	return nil
+}
+
+// control is the loop of the goroutine that owns the core.
+func (e *Entry) control(ctx context.Context) {
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-e.events:
+			e.handle(ev)
+			for n := 1; n < eventBatch; n++ {
+				select {
+				case ev = <-e.events:
+					e.handle(ev)
+					continue
+				default:
+				}
+				break
+			}
+		case <-tick.C:
+			e.core.Tick(e.Clock.Now())
+		}
+		e.perform()
+	}
+}
+
+func (e *Entry) handle(ev event) {
+	now := e.Clock.Now()
+	switch ev.kind {
+	case eventUp:
+		e.last++
+		e.sessions[e.last], e.ids[ev.session] = ev.session, e.last
+		e.core.Up(now, e.last, ev.hello)
+	case eventDown:
+		if id, ok := e.ids[ev.session]; ok {
+			delete(e.sessions, id)
+			delete(e.ids, ev.session)
+			e.core.Down(now, id)
+		}
+	case eventMessage:
+		if id, ok := e.ids[ev.session]; ok {
+			e.core.Message(now, id, ev.message)
+		}
+	case eventSubmit:
+		e.answers[ev.request] = ev.answer
+		e.core.Submit(now, ev.request, ev.job)
+	case eventGet:
+		e.answers[ev.request] = ev.answer
+		e.core.Get(now, ev.request, ev.job.Key)
+	case eventCancel:
+		e.answers[ev.request] = ev.answer
+		e.core.Cancel(now, ev.request, ev.job.Key)
+	case eventAbandon:
+		if _, ok := e.answers[ev.request]; ok {
+			delete(e.answers, ev.request)
+			e.core.Abandon(now, ev.request, ev.job.Key)
+		}
+	case eventRecord:
+		e.record(now, ev.stream, ev.record)
+	case eventRead:
+		e.read(now, ev.stream, ev.progress)
+	case eventAppended:
+		e.core.Appended(now, ev.tag, ev.offset, ev.err == nil, ev.err != nil && appender.IsUnknown(ev.err))
+		if ev.err != nil {
+			e.Logger.Warnf("entry: append to %s: %v", ev.stream, ev.err)
+		}
+	case eventCall:
+		ev.call()
+	}
+}
+
+// perform carries out the effects of the core, and those that follow from messages that could not be sent.
+func (e *Entry) perform() {
+	for {
+		effects := e.core.Take()
+		if len(effects) == 0 {
+			break
+		}
+		var unsent []Effect
+		for i := range effects {
+			f := &effects[i]
+			if f.Kind == EffectSend {
+				if s := e.sessions[f.Session]; s == nil || !s.Send(f.Message) {
+					unsent = append(unsent, *f)
+				}
+				continue
+			}
+			e.performOther(f)
+		}
+		clear(effects)
+		for i := range unsent {
+			e.core.Unsent(e.Clock.Now(), unsent[i].Session, unsent[i].Message)
+		}
+	}
+	for _, p := range e.core.Published() {
+		if ch := e.changes[p.Request]; ch != nil {
+			delete(e.changes, p.Request)
+			ch <- p.Publication
+		}
+	}
+	if r := e.core.Roster(); r.Epoch != e.roster.Load().Epoch {
+		e.Logger.Infof("entry: roster has epoch %d and %d members", r.Epoch, len(r.Entries))
+		e.roster.Store(&r)
+	}
+	if e.drained != nil && !e.core.joined && e.core.Idle() {
+		close(e.drained)
+		e.drained = nil
+	}
+}
+
+func (e *Entry) performOther(f *Effect) {
+	switch f.Kind {
+	case EffectAnswer:
+		if ch := e.answers[f.Request]; ch != nil {
+			delete(e.answers, f.Request)
+			ch <- f.Answer
+		}
+	case EffectAppend:
+		stream, tag, body := f.Stream, f.Tag, f.Body
+		go func() {
+			offset, err := e.Log.Append(e.run, stream, appender.NewID(), body)
+			e.post(event{kind: eventAppended, stream: stream, tag: tag, offset: offset, err: err})
+		}()
+	case EffectDial:
+		if e.dialed[f.Address] == nil {
+			ctx, cancel := context.WithCancel(e.run)
+			e.dialed[f.Address] = cancel
+			e.node.Connect(ctx, f.Address)
+		}
+	case EffectHangUp:
+		if cancel := e.dialed[f.Address]; cancel != nil {
+			cancel()
+			delete(e.dialed, f.Address)
+		}
+	case EffectClose:
+		if s := e.sessions[f.Session]; s != nil {
+			s.Close()
+		}
+	case EffectIncarnation:
+		member := f.Member
+		e.member.Store(&member)
+		e.Logger.Warnf("entry: removed from the roster; continues as incarnation %d", member.Incarnation)
+	}
+}
+
+// post hands an event to the control goroutine. It returns false when the entry has stopped.
+func (e *Entry) post(ev event) bool {
+	select {
+	case e.events <- ev:
+		return true
+	case <-e.stopped:
+		return false
+	}
+}
+
+func (e *Entry) hello() encoder.Hello {
+	return encoder.Hello{Role: encoder.RoleEntry, Member: *e.member.Load(), Address: e.address}
+}
+
+// accept acknowledges a session. The control goroutine knows a sidecar before it is told so, because from then on the
+// sidecar may accept starts that a census has to find.
+func (e *Entry) accept(h *encoder.Hello) (encoder.HelloAck, error) {
+	if h.Role == encoder.RoleSidecar {
+		known := make(chan struct{})
+		m := h.Member
+		if !e.post(event{kind: eventCall, call: func() {
+			e.core.Announce(e.Clock.Now(), m)
+			close(known)
+		}}) {
+			return encoder.HelloAck{}, trace.ConnectionProblem(nil, "entry %s has stopped", e.ID)
+		}
+		select {
+		case <-known:
+		case <-e.stopped:
+			return encoder.HelloAck{}, trace.ConnectionProblem(nil, "entry %s has stopped", e.ID)
+		}
+	}
+	return encoder.HelloAck{Member: *e.member.Load(), Roster: *e.roster.Load()}, nil
+}
+
+func (e *Entry) up(s *messenger.Session)            { e.post(event{kind: eventUp, session: s, hello: s.Peer()}) }
+func (e *Entry) down(s *messenger.Session, _ error) { e.post(event{kind: eventDown, session: s}) }
+func (e *Entry) message(s *messenger.Session, m encoder.Message) {
+	e.post(event{kind: eventMessage, session: s, message: m})
+}
+
+// record folds a record of the log.
+func (e *Entry) record(now timer.Millis, stream string, r appender.Record) {
+	switch stream {
+	case StreamConfiguration:
+		findings := e.replay.Add(r)
+		e.core.ConfigurationRecord(now, r.Offset, findings)
+		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindNote {
+			e.history = append(e.history, Change{Offset: r.Offset, Note: d.Note, Findings: findings})
+			if len(e.history) > 2*historyKept {
+				e.history = append([]Change(nil), e.history[historyKept:]...)
+			}
+		}
+		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindCheckpoint {
+			e.checkpointed = r.Offset
+		}
+		if s, ok := e.replay.Snapshot(); ok && e.core.confirmed[StreamConfiguration] != 0 {
+			e.setConfiguration(now, s)
+		}
+	case StreamRoster:
+		for _, c := range e.rosters.add(r) {
+			e.core.RosterRecord(now, c.offset, c.change)
+		}
+	case StreamClaims:
+		if claims, err := elector.DecodeClaims(r.Body); err == nil {
+			e.core.ClaimsRecord(now, claims)
+		}
+	}
+}
+
+func (e *Entry) setConfiguration(now timer.Millis, s configurer.Snapshot) {
+	e.snapshot = s
+	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
+	for _, key := range s.Keys("team/") {
+		t := s.Team(key[len("team/"):])
+		e.core.queue.SetTeam(key[len("team/"):], t.Weight, t.Quota)
+	}
+}
+
+// read handles the end of a read of the log.
+func (e *Entry) read(now timer.Millis, stream string, p appender.Progress) {
+	if p.Err != nil || !p.Head {
+		return
+	}
+	switch stream {
+	case StreamConfiguration:
+		s, ok := e.replay.Snapshot()
+		if !ok {
+			return
+		}
+		if s.Offset() != e.snapshot.Offset() || e.core.confirmed[stream] == 0 {
+			e.setConfiguration(now, s)
+		}
+	case StreamRoster:
+		if !e.rosters.ready() {
+			return
+		}
+	}
+	e.core.Confirmed(now, stream, p.Began)
+	e.checkpoint(stream, p)
+}
--- /dev/null
+++ b/dispatcher/forward.go
@@ -0,0 +1,187 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// forward is a caller's request that another entry is to answer. It is kept until the answer arrives and sent
+	// again when the owner changes, which is safe because submission is idempotent.
+	forward struct {
+		id       uint64
+		waiter   waiter
+		request  encoder.Request
+		job      encoder.Job
+		deadline timer.Millis // point in time; 0 for none
+		hops     uint32
+		session  SessionID // 0 while it waits for a session to the owner
+		retry    timer.Millis
+	}
+
+	// pass remembers to whom a submission was forwarded, or who owned it when this entry was its witness.
+	pass struct {
+		owner encoder.Member
+		at    timer.Millis
+	}
+)
+
+func (c *Core) forward(w waiter, r encoder.Request, job encoder.Job, hops uint32) {
+	c.lastForward++
+	f := &forward{id: c.lastForward, waiter: w, request: r, job: job, hops: hops}
+	if job.Deadline > 0 {
+		f.deadline = c.now + job.Deadline
+	}
+	c.forwards[f.id] = f
+	c.counters.Forwarded++
+	c.sendForward(f)
+}
+
+// sendForward sends the request to the owner, serves it when the owner is this entry by now, or leaves it waiting.
+func (c *Core) sendForward(f *forward) {
+	f.session = 0
+	f.retry = c.now + forwardPeriod
+	owner, ok := elector.Owner(c.roster, f.job.Key)
+	if !ok {
+		return
+	}
+	job := f.job
+	if f.deadline != 0 {
+		if f.deadline <= c.now {
+			return // sweepForwards answers it
+		}
+		job.Deadline = f.deadline - c.now
+	}
+	if owner.Member == c.self {
+		delete(c.forwards, f.id)
+		c.route(f.waiter, f.request, job, f.hops)
+		return
+	}
+	p := c.peers[owner.Member.ID]
+	if p == nil || p.member != owner.Member || p.session() == 0 {
+		return
+	}
+	if f.hops >= maxHops {
+		// The entries disagree on the roster. The request waits here until the next retry.
+		f.hops = 0
+		return
+	}
+	f.session = p.session()
+	if f.request == encoder.RequestSubmit {
+		c.passed[job.Key] = pass{owner.Member, c.now}
+	}
+	c.send(f.session, &encoder.Forward{ID: f.id, Request: f.request, Hops: f.hops + 1, Job: job})
+}
+
+func (c *Core) forwardAnswer(m *encoder.ForwardAnswer) {
+	f := c.forwards[m.ID]
+	if f == nil || f.job.Key != m.Answer.Key {
+		c.counters.Ignored++ // an answer that came before, or to another request
+		return
+	}
+	delete(c.forwards, f.id)
+	c.answer(f.waiter, m.Answer)
+}
+
+// forwardsLost takes back the requests that were sent on a session that ended.
+func (c *Core) forwardsLost(id SessionID) {
+	for _, f := range c.forwards {
+		switch id {
+		case f.waiter.session:
+			delete(c.forwards, f.id) // the peer sends it again on its next session
+		case f.session:
+			c.sendForward(f)
+		}
+	}
+}
+
+func (c *Core) forwardUnsent(id uint64) {
+	if f := c.forwards[id]; f != nil {
+		f.session, f.retry = 0, c.now+forwardPeriod
+	}
+}
+
+// retryForwards sends the requests that wait for a session to the given entry.
+func (c *Core) retryForwards(owner string) {
+	for _, f := range c.forwards {
+		if f.session != 0 {
+			continue
+		}
+		if o, ok := elector.Owner(c.roster, f.job.Key); ok && o.Member.ID == owner {
+			c.sendForward(f)
+		}
+	}
+}
+
+// redirectForwards sends requests again whose owner differs under the new roster.
+func (c *Core) redirectForwards() {
+	for _, f := range c.forwards {
+		owner, ok := elector.Owner(c.roster, f.job.Key)
+		p := c.peers[owner.Member.ID]
+		if !ok || f.session == 0 || p == nil || p.member != owner.Member || c.sessions[f.session] == nil ||
+			c.sessions[f.session].peer != p {
+			c.sendForward(f)
+		}
+	}
+}
+
+// sweepForwards answers requests whose deadline has passed and retries the waiting ones. Another entry may have run the
+// job, so the outcome is unknown.
+func (c *Core) tickForwards() {
+	for _, f := range c.forwards {
+		switch {
+		case f.deadline != 0 && f.deadline+leaseMargin <= c.now:
+			delete(c.forwards, f.id)
+			c.answer(f.waiter, failure(f.job.Key, encoder.CodeDeadline, encoder.OutcomeUnknown,
+				"the owner of the submission did not answer in time"))
+		case f.session == 0 && f.retry <= c.now:
+			c.sendForward(f)
+		}
+	}
+}
+
+func (c *Core) sweepForwards() {
+	for key, p := range c.passed {
+		if p.at+c.settings.KeyRetention < c.now || p.at+passKept < c.now && c.claims.has(c.hash(key)) {
+			delete(c.passed, key)
+		}
+	}
+}
+
+// witness tells the next owner in line of a key that no other entry knows.
+func (c *Core) witness(key string) {
+	next, ok := elector.Successor(c.roster, key)
+	if !ok {
+		return
+	}
+	if p := c.peers[next.Member.ID]; p != nil && p.session() != 0 {
+		c.send(p.session(), &encoder.Witness{Jobs: []string{key}})
+	}
+}
+
+// witnessAgain repeats the witness notes for a peer, because those on its former session may be lost.
+func (c *Core) witnessAgain(id string) {
+	var keys []string
+	for _, s := range c.jobs {
+		if !s.local || s.state == stateMoved {
+			continue
+		}
+		if next, ok := elector.Successor(c.roster, s.key); ok && next.Member.ID == id {
+			keys = append(keys, s.key)
+		}
+	}
+	for len(keys) > 0 {
+		n := min(len(keys), keysPerMessage)
+		c.send(c.peers[id].session(), &encoder.Witness{Jobs: keys[:n]})
+		keys = keys[n:]
+	}
+}
+
+func (c *Core) witnessed(owner encoder.Member, keys []string) {
+	for _, key := range keys {
+		if len(key) <= c.settings.MaxKey {
+			c.passed[key] = pass{owner, c.now}
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/placement.go
@@ -0,0 +1,264 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/scheduler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	refusalDelay    = 5 * timer.Millis(1)
+	maxRefusalDelay = 200 * timer.Millis(1)
+	// runMargin is added to the run limit before a started task without a result counts as lost.
+	runMargin = 10 * timer.Second
+)
+
+// delayed is a refused task that is queued again at a time, and not before the entry has the epoch.
+type delayed struct {
+	at    timer.Millis
+	epoch uint64
+	job   *submission
+	index int
+}
+
+// admit opens a submission whose ownership is settled.
+func (c *Core) admit(s *submission) {
+	if !c.settled(s.key) {
+		return // held; tickTakeover admits it
+	}
+	if s.deadline != 0 && s.deadline <= c.now {
+		c.pastDeadline(s)
+		return
+	}
+	if c.known(s.key) {
+		c.resume(s)
+		return
+	}
+	tasks := make([]scheduler.Task, len(s.tasks))
+	for i := range s.tasks {
+		tasks[i] = c.queued(s, i)
+	}
+	if a := c.queue.Admit(c.now, tasks); a.Code != 0 {
+		answer := c.refusal(s.key, a.Code, a.Reason)
+		answer.RetryAfter = a.RetryAfter
+		c.end(s, answer)
+		return
+	}
+	step(submissionChart, &s.state, eventAdmit)
+	c.claim(s.key)
+	for i := range tasks {
+		c.queue.Push(tasks[i])
+	}
+}
+
+// queued describes a task to the scheduler.
+func (c *Core) queued(s *submission, i int) scheduler.Task {
+	spec := &s.specs[i]
+	return scheduler.Task{
+		Key: encoder.TaskKey{Job: s.key, Index: uint32(i)}, Team: s.team, Kind: spec.Kind, MemoryMB: spec.MemoryMB,
+		RunTime: spec.RunTime, Arrived: s.arrived, Deadline: s.deadline, JobLeft: s.left,
+	}
+}
+
+// place starts queued tasks as long as there are credits.
+func (c *Core) place() {
+	for {
+		p, ok := c.queue.Next(c.now)
+		if !ok {
+			return
+		}
+		s, i := c.find(p.Task.Key)
+		sc := c.sidecars[p.Sidecar]
+		if sc == nil || sc.session == 0 {
+			c.queue.RemoveSidecar(p.Sidecar)
+			c.queue.Push(p.Task)
+			continue
+		}
+		if s == nil || s.state != stateOpen || !step(taskChart, &s.tasks[i].state, eventPlace) {
+			// The task ended while it was queued, so the credit is still good.
+			c.queue.Refused(p.Sidecar, p.Task, encoder.RefusalCanceled)
+			c.queue.Grant(p.Sidecar, 1)
+			continue
+		}
+		s.tasks[i].sidecar = sc
+		s.started++
+		c.sendStart(s, i)
+	}
+}
+
+func (c *Core) sendStart(s *submission, i int) {
+	t := &s.tasks[i]
+	left := timer.Millis(0)
+	if s.deadline != 0 {
+		left = max(1, s.deadline-c.now)
+	}
+	s.lastStart = c.now
+	c.counters.Started++
+	c.send(t.sidecar.session, &encoder.Start{
+		Task: encoder.TaskKey{Job: s.key, Index: uint32(i)}, Epoch: c.roster.Epoch, Owner: c.self,
+		Kind: s.specs[i].Kind, Payload: s.specs[i].Payload, Deadline: left, RunLimit: c.settings.RunLimit,
+		Once: s.once, Claimed: s.claimed,
+	})
+}
+
+// find returns the submission and the task index, or nil when the task is not known.
+func (c *Core) find(k encoder.TaskKey) (*submission, int) {
+	s := c.jobs[k.Job]
+	if s == nil || int(k.Index) >= len(s.tasks) {
+		return nil, 0
+	}
+	return s, int(k.Index)
+}
+
+// result handles the end of a task. A result counts for the task that is started on this very sidecar incarnation, or
+// for one that is queued here because an earlier owner started it.
+func (c *Core) result(sc *sidecar, m *encoder.Result) {
+	c.queue.Grant(sc.hello.Member.ID, m.Credits)
+	s, i := c.find(m.Task)
+	if s == nil {
+		c.counters.Ignored++
+		return
+	}
+	t := &s.tasks[i]
+	if t.sidecar != nil && t.sidecar != sc && t.state != taskQueued {
+		c.counters.Ignored++
+		return
+	}
+	if m.Status == encoder.StatusNotStarted {
+		c.requeue(s, i, sc, encoder.RefusalNoSlot, 0)
+		return
+	}
+	c.taskEnded(s, i, sc, m.Status, m.Body, m.Reason, m.Ran)
+}
+
+// taskEnded applies the end of a task. Later ends of the same task are refused by the chart and change nothing.
+func (c *Core) taskEnded(s *submission, i int, sc *sidecar, status encoder.Status, body []byte, reason string,
+	ran timer.Millis,
+) {
+	t := &s.tasks[i]
+	event := endEvent(status)
+	was := t.state
+	if event == "" || !step(taskChart, &t.state, event) {
+		c.counters.Ignored++
+		return
+	}
+	if was != taskQueued {
+		s.started--
+		c.queue.Finished(sc.hello.Member.ID, c.queued(s, i), status, ran)
+	}
+	t.sidecar = sc
+	s.left--
+	if event == eventForget {
+		s.lost = true
+	} else {
+		s.ran = true
+	}
+	if event == eventFinish {
+		t.body = body
+		if s.state == stateOpen || s.state == stateClosing {
+			c.endWhenDone(s)
+		}
+		return
+	}
+	code := encoder.CodeTask
+	if event == eventForget {
+		code = encoder.CodeUnknown
+	}
+	if reason == "" {
+		reason = "a task failed"
+	}
+	if s.state == stateOpen || s.state == stateClosing {
+		c.fail(s, code, reason)
+	}
+}
+
+// endEvent returns the chart's event for a final status, and "" for the others.
+func endEvent(status encoder.Status) string {
+	switch status {
+	case encoder.StatusDone:
+		return eventFinish
+	case encoder.StatusFailed:
+		return eventFail
+	case encoder.StatusUnknown:
+		return eventForget
+	}
+	return ""
+}
+
+// refused handles a refusal. It counts only for a task that is started on this sidecar.
+func (c *Core) refused(sc *sidecar, m *encoder.Refusal) {
+	c.queue.Grant(sc.hello.Member.ID, m.Credits)
+	s, i := c.find(m.Task)
+	if s == nil || s.tasks[i].sidecar != sc {
+		c.counters.Ignored++
+		return
+	}
+	c.counters.Refused++
+	if m.Reason == encoder.RefusalDuplicate {
+		return // it was started there before; the sidecar sends the result
+	}
+	c.requeue(s, i, sc, m.Reason, m.Epoch)
+}
+
+// requeue takes back a start that was definitely not made.
+func (c *Core) requeue(s *submission, i int, sc *sidecar, reason encoder.RefusalReason, epoch uint64) {
+	t := &s.tasks[i]
+	if t.sidecar != sc || !step(taskChart, &t.state, eventRefuse) {
+		c.counters.Ignored++
+		return
+	}
+	c.queue.Refused(sc.hello.Member.ID, c.queued(s, i), reason)
+	s.started--
+	t.sidecar, t.resent = nil, false
+	t.attempts++
+	switch {
+	case s.state == stateClosing:
+		step(taskChart, &t.state, eventDrop)
+		s.left--
+		c.endWhenDone(s)
+	case s.state != stateOpen:
+	case reason == encoder.RefusalDeadline:
+		c.fail(s, encoder.CodeDeadline, "the deadline passed")
+	case t.attempts >= c.settings.MaxAttempts:
+		c.fail(s, encoder.CodeUnavailable, "every start was refused")
+	default:
+		c.counters.Requeued++
+		wait := min(refusalDelay*timer.Millis(t.attempts), maxRefusalDelay)
+		if t.attempts == 1 && epoch <= c.roster.Epoch {
+			c.queue.Push(c.queued(s, i))
+			return
+		}
+		c.delayed = append(c.delayed, delayed{at: c.now + wait, epoch: epoch, job: s, index: i})
+	}
+}
+
+func (c *Core) releaseDelayed() {
+	waiting := c.delayed[:0]
+	for _, d := range c.delayed {
+		switch {
+		case d.job.state != stateOpen || d.job.tasks[d.index].state != taskQueued:
+		case d.at > c.now || d.epoch > c.roster.Epoch:
+			waiting = append(waiting, d)
+		default:
+			c.queue.Push(c.queued(d.job, d.index))
+		}
+	}
+	clear(c.delayed[len(waiting):])
+	c.delayed = waiting
+}
+
+// startUnsent takes back a start that did not leave the process. A start that was sent again stays in doubt, because
+// the first one may have arrived.
+func (c *Core) startUnsent(id SessionID, m *encoder.Start) {
+	s, i := c.find(m.Task)
+	if s == nil || s.tasks[i].sidecar == nil || s.tasks[i].sidecar.session != id || s.tasks[i].state != taskStarted {
+		return
+	}
+	t := &s.tasks[i]
+	if t.resent {
+		step(taskChart, &t.state, eventLose)
+		return
+	}
+	c.queue.Grant(t.sidecar.hello.Member.ID, 1)
+	c.requeue(s, i, t.sidecar, encoder.RefusalNoSlot, 0)
+}
--- /dev/null
+++ b/dispatcher/request.go
@@ -0,0 +1,170 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/configurer"
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+// Submit submits a job and waits for its answer. When ctx ends first the answer is that the job is running.
+func (e *Entry) Submit(ctx context.Context, job encoder.Job) encoder.Answer {
+	return e.request(ctx, eventSubmit, job)
+}
+
+// Get returns the state of a submission.
+func (e *Entry) Get(ctx context.Context, key string) encoder.Answer {
+	return e.request(ctx, eventGet, encoder.Job{Key: key})
+}
+
+// Cancel cancels a submission and returns its state after that. Tasks that run may end later.
+func (e *Entry) Cancel(ctx context.Context, key string) encoder.Answer {
+	return e.request(ctx, eventCancel, encoder.Job{Key: key})
+}
+
+func (e *Entry) request(ctx context.Context, kind eventKind, job encoder.Job) encoder.Answer {
+	e.init()
+	id := e.requests.Add(1)
+	answer := make(chan encoder.Answer, 1)
+	stopped := failure(job.Key, encoder.CodeUnavailable, encoder.OutcomeUnknown, "the entry has stopped")
+	if !e.post(event{kind: kind, request: id, job: job, answer: answer}) {
+		return stopped
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-e.stopped:
+		return stopped
+	case <-ctx.Done():
+		e.post(event{kind: eventAbandon, request: id, job: encoder.Job{Key: job.Key}})
+		return encoder.Answer{Key: job.Key, State: encoder.JobRunning}
+	}
+}
+
+// call runs a function on the control goroutine and waits for it.
+func (e *Entry) call(ctx context.Context, run func()) error {
+	e.init()
+	done := make(chan struct{})
+	if !e.post(event{kind: eventCall, call: func() { run(); close(done) }}) {
+		return trace.ConnectionProblem(nil, "entry %s has stopped", e.ID)
+	}
+	select {
+	case <-done:
+		return nil
+	case <-e.stopped:
+		return trace.ConnectionProblem(nil, "entry %s has stopped", e.ID)
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Publish checks an operator's note, appends it to the log and waits until it is accepted. With dryRun it is only
+// checked against the present configuration.
+func (e *Entry) Publish(ctx context.Context, n configurer.Note, dryRun bool) (Publication, error) {
+	return e.publish(ctx, func() (configurer.Note, string) { return n, "" }, dryRun)
+}
+
+// Withdraw takes a failure domain out of service.
+func (e *Entry) Withdraw(ctx context.Context, domain, author string) (Publication, error) {
+	return e.publish(ctx, func() (configurer.Note, string) { return e.domainNote(domain, author, false), domain }, false)
+}
+
+// Return puts a failure domain back into service.
+func (e *Entry) Return(ctx context.Context, domain, author string) (Publication, error) {
+	return e.publish(ctx, func() (configurer.Note, string) { return e.domainNote(domain, author, true), "" }, false)
+}
+
+// publish builds the note on the control goroutine, so that it fits the configuration that it is checked against.
+func (e *Entry) publish(ctx context.Context, build func() (configurer.Note, string), dryRun bool) (Publication, error) {
+	id := e.requests.Add(1)
+	done := make(chan Publication, 1)
+	err := e.call(ctx, func() {
+		n, domain := build()
+		if n.ID == "" {
+			n.ID = appender.NewID()
+		}
+		if len(n.Added)+len(n.Changed)+len(n.Withdrawn) == 0 && (domain != "" || !dryRun) && n.Comment == commentDomain {
+			done <- Publication{Offset: e.snapshot.Offset(), State: PublicationAccepted, Lagging: e.core.lagging(e.snapshot.Offset())}
+			return
+		}
+		if findings := configurer.Check(e.snapshot, n); len(findings) > 0 || dryRun {
+			p := Publication{State: PublicationRefused, Findings: findings}
+			if len(findings) == 0 {
+				p.State = PublicationAccepted
+			}
+			done <- p
+			return
+		}
+		e.changes[id] = done
+		e.core.Publish(e.Clock.Now(), id, configurer.AppendNote(nil, n), domain, n.Author)
+	})
+	if err != nil {
+		return Publication{State: PublicationUnknown}, err
+	}
+	select {
+	case p := <-done:
+		return p, nil
+	case <-e.stopped:
+		return Publication{State: PublicationUnknown}, trace.ConnectionProblem(nil, "entry %s has stopped", e.ID)
+	case <-ctx.Done():
+		_ = e.call(context.WithoutCancel(ctx), func() { delete(e.changes, id) })
+		return Publication{State: PublicationUnknown}, trace.Wrap(ctx.Err())
+	}
+}
+
+// commentDomain marks notes that change the state of a failure domain.
+const commentDomain = "failure domain"
+
+func (e *Entry) domainNote(domain, author string, inForce bool) configurer.Note {
+	s := e.snapshot.WithDomainsOut()
+	n := configurer.Note{Base: s.Offset()}
+	if s.DomainInForce(domain) != inForce {
+		n = configurer.Diff(s, s.WithDomain(domain, inForce))
+	}
+	n.Author, n.Comment = author, commentDomain
+	return n
+}
+
+func (e *Entry) withdrawRecord(domain, author string) []byte {
+	if author == "" {
+		author = e.ID
+	}
+	n := e.domainNote(domain, author, false)
+	n.ID = appender.NewID()
+	return configurer.AppendNote(nil, n)
+}
+
+// History returns the last operators' changes that this entry read from the log, the newest first.
+func (e *Entry) History(ctx context.Context, limit int) ([]Change, error) {
+	var list []Change
+	err := e.call(ctx, func() {
+		for i := len(e.history) - 1; i >= 0 && len(list) < limit; i-- {
+			list = append(list, e.history[i])
+		}
+	})
+	return list, err
+}
+
+// Drain refuses new submissions, hands over those that the entry owns, leaves the roster, and waits until no caller
+// waits here or ctx ends.
+func (e *Entry) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	err := e.call(ctx, func() {
+		e.drained = done
+		e.core.Drain(e.Clock.Now())
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-e.stopped:
+		return nil
+	case <-ctx.Done():
+		return trace.LimitExceeded("entry %s still had requests in flight at the end of the drain", e.ID)
+	}
+}
--- /dev/null
+++ b/dispatcher/settings.go
@@ -0,0 +1,78 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	claimPeriod   = 25 * timer.Millis(1)
+	peerPeriod    = 200 * timer.Millis(1)
+	reportValid   = 500 * timer.Millis(1)
+	leaseTime     = 2 * timer.Second
+	leaseMargin   = 500 * timer.Millis(1)
+	sweepPeriod   = timer.Second
+	joinPeriod    = 500 * timer.Millis(1)
+	collectDelay  = timer.Second
+	forwardPeriod = 100 * timer.Millis(1)
+	maxHops       = 4
+
+	maxProvisional = 64
+
+	// logSilence is the age of the last confirmation from which on the entry reports the log as unreachable. It is
+	// several confirmation periods, so that one slow read is no outage, and half of the lease.
+	logSilence = timer.Second
+
+	// redialAfter and silentAfter bound the detection of a dead peer: a new connection is tried after one missed
+	// heartbeat, and the peer is held for dead 0.3 s beyond its heartbeat.
+	redialAfter = 300 * timer.Millis(1)
+	silentAfter = peerPeriod + 300*timer.Millis(1)
+
+	// lostWait is how long after its last sign of life a sidecar delays takeovers. Beyond it no entry has a session
+	// to the sidecar, so its lease has expired.
+	lostWait = timer.Minute
+)
+
+type (
+	// Settings are fixed while the process runs. Zero fields take the default values.
+	Settings struct {
+		Member         encoder.Member
+		Address        string       // advertised address of the QUIC listener
+		Domain         string       // failure domain of the entry
+		KeyRetention   timer.Millis // how long answers are kept; 0 means 10 minutes
+		KeptAnswers    int          // bound on kept answers; 0 means 200,000
+		KeptBytes      int          // bound on bytes of kept answers; 0 means 64 MB
+		MaxKeys        int          // bound on known submission keys; 0 means 4,000,000
+		MaxJobs        int          // bound on submissions in flight; 0 means 100,000
+		MaxTasks       int          // bound on tasks of a job; 0 means 1,000
+		MaxKey         int          // bound on the length of a key; 0 means 200
+		SidecarTimeout timer.Millis // silence after which a sidecar is gone; 0 means 10 s
+		RunLimit       timer.Millis // longest run time of a task; 0 means 5 minutes
+		MaxAttempts    uint32       // starts of one task that may be refused; 0 means 1,000
+
+		// WithdrawRecord returns the configuration record that withdraws a domain, for the present configuration. The
+		// author is "" when another entry took the operator's request.
+		WithdrawRecord func(domain, author string) []byte
+	}
+)
+
+func (s Settings) withDefaults() Settings {
+	s.KeyRetention = positive(s.KeyRetention, 10*timer.Minute)
+	s.KeptAnswers = positive(s.KeptAnswers, 200_000)
+	s.KeptBytes = positive(s.KeptBytes, 64<<20)
+	s.MaxKeys = positive(s.MaxKeys, 4_000_000)
+	s.MaxJobs = positive(s.MaxJobs, 100_000)
+	s.MaxTasks = positive(s.MaxTasks, 1000)
+	s.MaxKey = positive(s.MaxKey, 200)
+	s.SidecarTimeout = positive(s.SidecarTimeout, 10*timer.Second)
+	s.RunLimit = positive(s.RunLimit, 5*timer.Minute)
+	s.MaxAttempts = positive(s.MaxAttempts, 1000)
+	return s
+}
+
+func positive[T int | uint32 | timer.Millis](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/dispatcher/sidecar.go
@@ -0,0 +1,190 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/scheduler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// sidecar is one incarnation of a sidecar that has or had a session to this entry.
+type sidecar struct {
+	hello   encoder.Hello
+	session SessionID    // 0 while there is none
+	down    timer.Millis // when the session ended
+	leaving bool
+	running uint32
+	asked   uint64 // epoch of the last census that was sent on the session
+	demand  int
+	offset  uint64 // configuration offset of the last pong
+}
+
+// Announce notes a sidecar whose session is about to be accepted.
+func (c *Core) Announce(now timer.Millis, m encoder.Member) {
+	c.now = now
+	c.takeover.heard(m, now, true)
+}
+
+func (c *Core) sidecarUp(id SessionID, h encoder.Hello) {
+	sc := c.sidecars[h.Member.ID]
+	switch {
+	case sc != nil && sc.hello.Member.Incarnation > h.Member.Incarnation:
+		c.out = append(c.out, Effect{Kind: EffectClose, Session: id})
+		return
+	case sc != nil && sc.hello.Member.Incarnation < h.Member.Incarnation:
+		c.sidecarGone(sc)
+		sc = nil
+	case sc != nil && sc.session != 0:
+		// Messages of the replaced session no longer count: a late refusal would look like the answer to a start
+		// that was sent again on the new session.
+		delete(c.sessions, sc.session)
+		c.out = append(c.out, Effect{Kind: EffectClose, Session: sc.session})
+		c.queue.RemoveSidecar(h.Member.ID)
+	}
+	if sc == nil {
+		sc = &sidecar{}
+		c.sidecars[h.Member.ID] = sc
+	}
+	sc.hello, sc.session, sc.leaving, sc.asked, sc.demand = h, id, false, 0, 0
+	c.sessions[id] = &session{id: id, sidecar: sc}
+	distance := timer.Millis(0)
+	if h.Domain != c.settings.Domain {
+		distance = 1
+	}
+	c.queue.SetSidecar(scheduler.Sidecar{
+		ID: h.Member.ID, Domain: h.Domain, Slots: h.Slots, MemoryMB: h.MemoryMB, Kinds: h.Kinds, Distance: distance,
+	})
+	c.queue.SetDomain(h.Domain, c.inForce(h.Domain))
+	c.askSidecar(sc)
+	c.startAgain(sc)
+}
+
+// startAgain repeats the starts whose outcome is open. The sidecar's table of started tasks makes that safe.
+func (c *Core) startAgain(sc *sidecar) {
+	for _, s := range c.jobs {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			if t.sidecar != sc || t.state != taskStarted && !step(taskChart, &t.state, eventRecover) {
+				continue
+			}
+			t.resent = true
+			if s.state == stateOpen || s.state == stateClosing {
+				c.sendStart(s, i)
+			}
+		}
+	}
+}
+
+func (c *Core) sidecarDown(ss *session) {
+	sc := ss.sidecar
+	if sc.session != ss.id {
+		return
+	}
+	sc.session, sc.down = 0, c.now
+	c.queue.RemoveSidecar(sc.hello.Member.ID)
+	for _, s := range c.jobs {
+		for i := range s.tasks {
+			if s.tasks[i].sidecar == sc {
+				step(taskChart, &s.tasks[i].state, eventLose)
+			}
+		}
+	}
+}
+
+// sidecarGone ends the tasks of a sidecar that cannot answer any more. They are never placed again.
+func (c *Core) sidecarGone(sc *sidecar) {
+	c.gone[sc.hello.Member] = c.now
+	if c.sidecars[sc.hello.Member.ID] == sc {
+		delete(c.sidecars, sc.hello.Member.ID)
+	}
+	if sc.session != 0 {
+		delete(c.sessions, sc.session)
+		c.out = append(c.out, Effect{Kind: EffectClose, Session: sc.session})
+		sc.session = 0
+		c.queue.RemoveSidecar(sc.hello.Member.ID)
+	}
+	for _, s := range c.jobs {
+		for i := 0; i < len(s.tasks); i++ {
+			if t := &s.tasks[i]; t.sidecar == sc && (t.state == taskStarted || t.state == taskDoubt) {
+				c.taskEnded(s, i, sc, encoder.StatusUnknown, nil, "the worker that had started the task was lost", 0)
+			}
+		}
+	}
+}
+
+func (c *Core) sweepSidecars() {
+	for _, sc := range c.sidecars {
+		if sc.session == 0 && c.now-sc.down > c.settings.SidecarTimeout {
+			c.sidecarGone(sc)
+		}
+	}
+	for m, at := range c.gone {
+		if c.now-at > c.settings.KeyRetention {
+			delete(c.gone, m)
+		}
+	}
+	limit := c.settings.RunLimit + runMargin
+	for _, s := range c.jobs {
+		if s.started == 0 || c.now-s.lastStart < limit {
+			continue
+		}
+		for i := 0; i < len(s.tasks); i++ {
+			if t := &s.tasks[i]; t.state == taskStarted {
+				c.taskEnded(s, i, t.sidecar, encoder.StatusUnknown, nil, "a started task sent no result", 0)
+			}
+		}
+	}
+}
+
+func (c *Core) fromSidecar(sc *sidecar, m encoder.Message) {
+	id := sc.hello.Member.ID
+	switch m := m.(type) {
+	case *encoder.Ping:
+		sc.running = m.Running
+		if m.Leaving {
+			c.sidecarLeaving(sc)
+		}
+		c.pong(sc, m)
+	case *encoder.Result:
+		c.result(sc, m)
+	case *encoder.Refusal:
+		c.refused(sc, m)
+	case *encoder.Grant:
+		c.queue.Grant(id, m.Credits)
+	case *encoder.Recall:
+		if taken := c.queue.Recall(id, m.Credits); taken > 0 {
+			c.send(sc.session, &encoder.Release{Credits: taken})
+		}
+	case *encoder.CensusReply:
+		c.censusReply(sc, m)
+	case *encoder.Leaving:
+		c.sidecarLeaving(sc)
+	default:
+		c.counters.Ignored++
+	}
+}
+
+func (c *Core) sidecarLeaving(sc *sidecar) {
+	if !sc.leaving {
+		sc.leaving = true
+		c.queue.SetLeaving(sc.hello.Member.ID)
+	}
+}
+
+// tellDemand reports the length of the queue to the sidecars when it changed from or to empty, or doubled.
+func (c *Core) tellDemand() {
+	queued := c.queue.Queued()
+	if queued == 0 && c.demanded == 0 {
+		return
+	}
+	c.demanded = 0
+	for _, sc := range c.sidecars {
+		if sc.session == 0 || sc.leaving {
+			continue
+		}
+		if (queued == 0) != (sc.demand == 0) || queued > 2*sc.demand {
+			sc.demand = queued
+			c.send(sc.session, &encoder.Demand{Queued: uint32(queued)})
+		}
+		c.demanded += sc.demand
+	}
+}
--- /dev/null
+++ b/dispatcher/status.go
@@ -0,0 +1,95 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// Status is the state of an entry at a point in time.
+	Status struct {
+		Entry        encoder.Member
+		Joined       bool
+		Draining     bool
+		LogReachable bool
+		Attests      bool
+		Takeover     string
+		Roster       encoder.Roster
+		ConfigOffset uint64
+		Sidecars     []SidecarStatus
+		Domains      []DomainStatus
+		Queued       int
+		Jobs         int
+		Kept         int
+		KeptBytes    int
+		Lagging      int // processes that are not known to have the configuration
+		Counters     Counters
+	}
+
+	// SidecarStatus describes a sidecar.
+	SidecarStatus struct {
+		Member       encoder.Member
+		Domain       string
+		Worker       string
+		Slots        uint32
+		Running      uint32
+		Credits      uint32
+		ConfigOffset uint64
+		Connected    bool
+		Leaving      bool
+		Silence      timer.Millis // since the session ended
+	}
+
+	// DomainStatus describes a failure domain.
+	DomainStatus struct {
+		Name        string
+		InForce     bool
+		Provisional bool
+		Sidecars    int
+	}
+)
+
+// Status returns the state of the entry. It is zero when ctx ends first.
+func (e *Entry) Status(ctx context.Context) Status {
+	var s Status
+	_ = e.call(ctx, func() { s = e.core.Status(e.Clock.Now()) })
+	return s
+}
+
+// Status returns the core's state.
+func (c *Core) Status(now timer.Millis) Status {
+	c.now = now
+	s := Status{
+		Entry: c.self, Joined: c.joined, Draining: c.draining, LogReachable: c.logReachable(), Attests: c.attests(),
+		Takeover: c.takeover.state, Roster: c.roster, ConfigOffset: c.domains.offset, Queued: c.queue.Queued(),
+		Jobs: len(c.jobs), Kept: len(c.kept.byKey), KeptBytes: c.kept.bytes, Lagging: c.lagging(c.domains.offset),
+		Counters: c.counters,
+	}
+	domains := map[string]int{}
+	for _, sc := range c.sidecars {
+		h := sc.hello
+		one := SidecarStatus{
+			Member: h.Member, Domain: h.Domain, Worker: h.Worker, Slots: h.Slots, Running: sc.running,
+			ConfigOffset: sc.offset, Connected: sc.session != 0, Leaving: sc.leaving,
+		}
+		if sc.session == 0 {
+			one.Silence = now - sc.down
+		}
+		s.Sidecars = append(s.Sidecars, one)
+		domains[h.Domain]++
+	}
+	for name := range c.domains.provisional {
+		domains[name] += 0
+	}
+	for name, count := range domains {
+		_, provisional := c.domains.provisional[name]
+		s.Domains = append(s.Domains, DomainStatus{name, c.inForce(name), provisional, count})
+	}
+	slices.SortFunc(s.Sidecars, func(a, b SidecarStatus) int { return strings.Compare(a.Member.ID, b.Member.ID) })
+	slices.SortFunc(s.Domains, func(a, b DomainStatus) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
--- /dev/null
+++ b/dispatcher/submission.go
@@ -0,0 +1,373 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"hash/maphash"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// submission is one job at its owner.
+	submission struct {
+		key, team string
+		digest    uint64
+		state     string
+		tasks     []task
+		specs     []encoder.JobTask
+		waiters   []waiter
+		arrived   timer.Millis
+		deadline  timer.Millis // 0 for none
+		lastStart timer.Millis
+		moved     timer.Millis
+		left      uint32 // tasks that have not ended
+		started   uint32 // tasks that are started or in doubt
+		ran       bool   // a task ended as done or failed
+		lost      bool   // a task ended as unknown
+		once      bool
+		claimed   bool
+		regained  bool // another entry may have owned the submission since it arrived here
+		local     bool // the caller's request arrived at this entry
+		code      encoder.FailureCode
+		reason    string
+	}
+
+	task struct {
+		state    string
+		sidecar  *sidecar
+		body     []byte
+		attempts uint32
+		resent   bool // the start was sent more than once to the sidecar
+	}
+
+	// waiter is a caller that waits for an answer: a local request, or a forwarded one of a peer's session.
+	waiter struct {
+		request uint64
+		session SessionID
+		forward uint64
+	}
+
+	deadlines []*submission
+)
+
+// Submit handles a caller's job. The answer comes as an effect when the submission has ended.
+func (c *Core) Submit(now timer.Millis, request uint64, job encoder.Job) {
+	c.now = now
+	c.counters.Submitted++
+	c.route(waiter{request: request}, encoder.RequestSubmit, job, 0)
+	c.place()
+}
+
+// Get handles a caller's question for the state of a submission.
+func (c *Core) Get(now timer.Millis, request uint64, key string) {
+	c.now = now
+	c.route(waiter{request: request}, encoder.RequestGet, encoder.Job{Key: key}, 0)
+}
+
+// Cancel handles a caller's cancellation. The answer is the state of the submission right after it.
+func (c *Core) Cancel(now timer.Millis, request uint64, key string) {
+	c.now = now
+	c.route(waiter{request: request}, encoder.RequestCancel, encoder.Job{Key: key}, 0)
+}
+
+// route serves the request when this entry owns the key, and forwards it to the owner otherwise.
+func (c *Core) route(w waiter, r encoder.Request, job encoder.Job, hops uint32) {
+	if reason := c.invalid(r, job); reason != "" {
+		c.answer(w, failure(job.Key, encoder.CodeInvalid, encoder.OutcomeNotRun, reason))
+		return
+	}
+	if !c.owns(c.roster, job.Key) {
+		c.forward(w, r, job, hops)
+		return
+	}
+	switch r {
+	case encoder.RequestSubmit:
+		c.submit(w, job)
+	case encoder.RequestCancel:
+		c.cancel(job.Key)
+		c.answer(w, c.stateOf(job.Key))
+	default:
+		c.answer(w, c.stateOf(job.Key))
+	}
+}
+
+func (c *Core) invalid(r encoder.Request, job encoder.Job) string {
+	switch {
+	case job.Key == "" || len(job.Key) > c.settings.MaxKey:
+		return "the key is empty or too long"
+	case r == encoder.RequestSubmit && len(job.Tasks) == 0:
+		return "the job has no tasks"
+	case r == encoder.RequestSubmit && len(job.Tasks) > c.settings.MaxTasks:
+		return "the job has too many tasks"
+	}
+	return ""
+}
+
+func (c *Core) submit(w waiter, job encoder.Job) {
+	digest := c.digest(job)
+	if s := c.jobs[job.Key]; s != nil {
+		c.resubmit(s, w, digest)
+		return
+	}
+	if k, ok := c.kept.byKey[job.Key]; ok {
+		if k.digest != 0 && k.digest != digest {
+			c.answer(w, conflict(job.Key))
+			return
+		}
+		c.answer(w, k.answer)
+		return
+	}
+	if c.kept.forgot(c.hash(job.Key)) {
+		c.answer(w, failure(job.Key, encoder.CodeUnknown, encoder.OutcomeUnknown, "the answer is no longer kept"))
+		return
+	}
+	if c.draining {
+		c.answer(w, c.refusal(job.Key, encoder.CodeUnavailable, "the entry is stopping"))
+		return
+	}
+	if len(c.jobs) >= c.settings.MaxJobs || c.kept.keys() >= c.settings.MaxKeys {
+		c.answer(w, c.refusal(job.Key, encoder.CodeOverload, "too many submissions"))
+		return
+	}
+	s := &submission{
+		key: job.Key, team: job.Team, digest: digest, state: submissionChart.Start(),
+		tasks: make([]task, len(job.Tasks)), specs: job.Tasks, waiters: []waiter{w},
+		arrived: c.now, left: uint32(len(job.Tasks)), once: job.Once, local: w.session == 0,
+	}
+	for i := range s.tasks {
+		s.tasks[i].state = taskChart.Start()
+	}
+	if job.Deadline > 0 {
+		s.deadline = c.now + job.Deadline
+		heap.Push(&c.byDeadline, s)
+	}
+	c.jobs[s.key] = s
+	if s.local {
+		c.witness(s.key)
+	}
+	c.admit(s)
+}
+
+// resubmit attaches another caller to a submission that is not answered yet.
+func (c *Core) resubmit(s *submission, w waiter, digest uint64) {
+	if s.digest != digest {
+		c.answer(w, conflict(s.key))
+		return
+	}
+	s.waiters = append(s.waiters, w)
+	if step(submissionChart, &s.state, eventRegain) {
+		c.admit(s)
+	}
+}
+
+// digest hashes the content of a job. The deadline takes no part, because a caller that submits again may shorten it.
+func (c *Core) digest(job encoder.Job) uint64 {
+	var h maphash.Hash
+	h.SetSeed(c.seed)
+	text := func(s string) {
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(s))))
+		_, _ = h.WriteString(s)
+	}
+	text(job.Team)
+	var word [25]byte
+	for _, t := range job.Tasks {
+		text(t.Kind)
+		binary.LittleEndian.PutUint64(word[0:], uint64(t.RunTime))
+		binary.LittleEndian.PutUint64(word[8:], t.MemoryMB)
+		binary.LittleEndian.PutUint64(word[16:], uint64(len(t.Payload)))
+		word[24] = 0
+		if job.Once {
+			word[24] = 1
+		}
+		_, _ = h.Write(word[:])
+		_, _ = h.Write(t.Payload)
+	}
+	return h.Sum64()
+}
+
+func (c *Core) hash(key string) uint64 { return maphash.String(c.seed, key) }
+
+// fail ends the submission as failed once its started tasks have ended. Queued tasks are dropped at once.
+func (c *Core) fail(s *submission, code encoder.FailureCode, reason string) {
+	if step(submissionChart, &s.state, eventClose) {
+		s.code, s.reason = code, reason
+		c.dropQueued(s)
+		c.cancelStarted(s)
+	}
+	c.endWhenDone(s)
+}
+
+func (c *Core) dropQueued(s *submission) {
+	dropped := false
+	for i := range s.tasks {
+		if step(taskChart, &s.tasks[i].state, eventDrop) {
+			s.left--
+			dropped = true
+		}
+	}
+	if dropped {
+		c.queue.CancelJob(s.key)
+	}
+}
+
+func (c *Core) cancelStarted(s *submission) {
+	if s.started == 0 {
+		return
+	}
+	lists := map[SessionID][]encoder.TaskKey{}
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskStarted && t.sidecar.session != 0 {
+			id := t.sidecar.session
+			lists[id] = append(lists[id], encoder.TaskKey{Job: s.key, Index: uint32(i)})
+		}
+	}
+	for id, tasks := range lists {
+		c.send(id, &encoder.Cancel{Tasks: tasks})
+	}
+}
+
+// cancel ends a submission at the caller's wish. Tasks that run are asked to stop, and their ends are awaited.
+func (c *Core) cancel(key string) {
+	s := c.jobs[key]
+	if s == nil {
+		return
+	}
+	if s.state == stateHeld {
+		a := c.refusal(key, encoder.CodeCanceled, "canceled by the caller")
+		c.end(s, a)
+		return
+	}
+	c.fail(s, encoder.CodeCanceled, "canceled by the caller")
+}
+
+// expire ends submissions whose deadline has passed. Tasks that still run make the outcome unknown.
+func (c *Core) expire() {
+	for len(c.byDeadline) > 0 && c.byDeadline[0].deadline <= c.now {
+		s, _ := heap.Pop(&c.byDeadline).(*submission)
+		c.pastDeadline(s)
+	}
+	for _, t := range c.queue.Expired(c.now) {
+		if s := c.jobs[t.Key.Job]; s != nil {
+			c.pastDeadline(s)
+		}
+	}
+}
+
+func (c *Core) pastDeadline(s *submission) {
+	const reason = "the deadline passed"
+	switch s.state {
+	case stateHeld:
+		c.end(s, c.refusal(s.key, encoder.CodeDeadline, reason))
+	case stateOpen, stateClosing:
+		c.dropQueued(s)
+		c.cancelStarted(s)
+		a := failure(s.key, encoder.CodeDeadline, s.outcome(), reason)
+		if s.code != 0 {
+			a.Code, a.Reason = s.code, s.reason
+		}
+		c.end(s, a)
+	}
+}
+
+// outcome says what the submission may have done so far.
+func (s *submission) outcome() encoder.Outcome {
+	switch {
+	case s.lost || s.started > 0:
+		return encoder.OutcomeUnknown
+	case s.ran:
+		return encoder.OutcomeRan
+	}
+	return encoder.OutcomeNotRun
+}
+
+// endWhenDone answers the submission when all its tasks have ended.
+func (c *Core) endWhenDone(s *submission) {
+	if s.left > 0 {
+		return
+	}
+	if s.state == stateClosing {
+		a := failure(s.key, s.code, s.outcome(), s.reason)
+		if s.lost {
+			a.Code = encoder.CodeUnknown
+		}
+		c.end(s, a)
+		return
+	}
+	a := encoder.Answer{Key: s.key, State: encoder.JobComplete, Outcome: encoder.OutcomeRan}
+	a.Results = make([]encoder.TaskResult, len(s.tasks))
+	for i := range s.tasks {
+		a.Results[i].Body = s.tasks[i].body
+	}
+	c.end(s, a)
+}
+
+// end gives the answer to all waiting callers and keeps it.
+func (c *Core) end(s *submission, a encoder.Answer) {
+	if !step(submissionChart, &s.state, eventEnd) {
+		return
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.sidecar == nil {
+			continue
+		}
+		if t.state == taskStarted {
+			// The result will find no submission, so the scheduler hears of the end now.
+			c.queue.Refused(t.sidecar.hello.Member.ID, c.queued(s, i), encoder.RefusalCanceled)
+		}
+		c.collect.add(t.sidecar, encoder.TaskKey{Job: s.key, Index: uint32(i)}, c.now+collectDelay)
+	}
+	if a.State == encoder.JobComplete {
+		c.counters.Complete++
+	} else {
+		c.counters.Failed++
+	}
+	for _, w := range s.waiters {
+		c.answer(w, a)
+	}
+	delete(c.jobs, s.key)
+	c.keep(s.digest, a)
+	s.tasks, s.specs, s.waiters = nil, nil, nil
+}
+
+// Abandon forgets a local request whose caller no longer waits. The submission goes on.
+func (c *Core) Abandon(now timer.Millis, request uint64, key string) {
+	c.now = now
+	if s := c.jobs[key]; s != nil {
+		for i, w := range s.waiters {
+			if w.session == 0 && w.request == request {
+				s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+				return
+			}
+		}
+	}
+	for id, f := range c.forwards {
+		if f.waiter.session == 0 && f.waiter.request == request {
+			delete(c.forwards, id)
+			return
+		}
+	}
+}
+
+// Len, Less, Swap, Push and Pop make a heap of submissions by deadline.
+func (d deadlines) Len() int           { return len(d) }
+func (d deadlines) Less(i, j int) bool { return d[i].deadline < d[j].deadline }
+func (d deadlines) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+
+// Push adds a submission.
+func (d *deadlines) Push(x any) {
+	if s, ok := x.(*submission); ok {
+		*d = append(*d, s)
+	}
+}
+
+// Pop removes the last submission.
+func (d *deadlines) Pop() any {
+	old := *d
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	*d = old[:len(old)-1]
+	return s
+}
--- /dev/null
+++ b/dispatcher/takeover.go
@@ -0,0 +1,361 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// takeoverWait is the time after which no sidecar that has not answered can start anything for a former owner:
+	// the validity of a peer's report, the freshness lease and a margin.
+	takeoverWait = reportValid + leaseTime + leaseMargin
+	askAgain     = timer.Second
+	seenMargin   = timer.Second
+)
+
+type (
+	// takeover is the state of the keys that this entry gained and the evidence about them.
+	takeover struct {
+		state    string
+		chain    []encoder.Roster // former rosters under which the keys were not settled yet
+		past     []pastRoster     // former rosters within the retention
+		adopted  timer.Millis
+		majority timer.Millis
+		asked    timer.Millis
+		answered map[encoder.Member]uint64       // sidecar to the epoch of its last complete answer
+		others   map[encoder.Member]timer.Millis // sidecars that peers know, with the time when they were told of
+		missing  map[encoder.Member]timer.Millis // sidecars whose evidence is lost, with the last time they could start
+		stopped  map[encoder.Member]timer.Millis // entries that left the roster at their own request
+		keys     map[string]timer.Millis         // keys that peers reported
+		evidence map[string]*evidence
+	}
+
+	pastRoster struct {
+		roster encoder.Roster
+		until  timer.Millis
+	}
+
+	// evidence lists the started tasks of a submission, by index.
+	evidence struct {
+		at    timer.Millis
+		tasks map[uint32]started
+	}
+
+	started struct {
+		sidecar encoder.Member
+		status  encoder.Status
+		body    []byte
+		reason  string
+	}
+)
+
+// change begins a takeover after the roster prev was replaced. Submissions that another entry owned at any time since
+// are held until the census is done.
+func (c *Core) change(prev encoder.Roster) {
+	t := &c.takeover
+	t.past = append(t.past, pastRoster{prev, c.now})
+	t.chain = append(t.chain, prev)
+	t.adopted, t.asked = c.now, c.now
+	step(takeoverChart, &t.state, eventChange)
+	c.counters.Takeovers++
+	if c.draining && !c.joined {
+		c.handOverAnswers()
+	}
+	for _, s := range c.jobs {
+		mine := c.owns(c.roster, s.key)
+		if (!mine || c.gained(s.key)) && s.state != stateEnded {
+			c.move(s)
+		}
+	}
+	if !c.joined {
+		return
+	}
+	for _, sc := range c.sidecars {
+		c.askSidecar(sc)
+	}
+	for _, p := range c.peers {
+		c.askPeer(p)
+	}
+	c.tickTakeover()
+}
+
+// gained reports whether another entry or incarnation owned the key since the keys were last settled.
+func (c *Core) gained(key string) bool {
+	for _, r := range c.takeover.chain {
+		if !c.owns(r, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// settled reports whether this entry may start work for a key that it owns.
+func (c *Core) settled(key string) bool {
+	return c.joined && (len(c.takeover.chain) == 0 || !c.gained(key))
+}
+
+// known reports whether a former owner may have started tasks of the key.
+func (c *Core) known(key string) bool {
+	formerly := false
+	for i := range c.takeover.past {
+		formerly = formerly || !c.owns(c.takeover.past[i].roster, key)
+	}
+	if !formerly {
+		return false
+	}
+	if p, ok := c.passed[key]; ok && p.owner != c.self {
+		return true
+	}
+	if _, ok := c.takeover.keys[key]; ok || c.takeover.evidence[key] != nil {
+		return true
+	}
+	s := c.jobs[key]
+	return c.claims.has(c.hash(key)) || s != nil && s.regained
+}
+
+// complete reports whether every sidecar that can have started tasks of the key has told so. A sidecar that was lost
+// before the key was first seen cannot have started any.
+func (c *Core) complete(key string) bool {
+	first := timer.Millis(0)
+	if _, reported := c.takeover.keys[key]; !reported {
+		first = c.passed[key].at
+	}
+	for _, lost := range c.takeover.missing {
+		if lost+seenMargin >= first {
+			return false
+		}
+	}
+	return true
+}
+
+// move hands the callers of a submission over to its owner. The tasks stay as evidence for the case that the key comes
+// back.
+func (c *Core) move(s *submission) {
+	if !step(submissionChart, &s.state, eventMove) {
+		return
+	}
+	c.queue.CancelJob(s.key)
+	s.regained, s.moved = true, c.now
+	waiters := s.waiters
+	s.waiters = nil
+	job := encoder.Job{Key: s.key, Team: s.team, Tasks: s.specs, Once: s.once}
+	if s.deadline != 0 {
+		job.Deadline = max(1, s.deadline-c.now)
+	}
+	if c.draining && !c.joined {
+		c.handOver(s, job)
+	}
+	if len(waiters) == 0 && c.owns(c.roster, s.key) {
+		waiters = []waiter{{}} // nobody waits, but the job goes on
+	}
+	for _, w := range waiters {
+		c.route(w, encoder.RequestSubmit, job, 0)
+	}
+}
+
+func (c *Core) askSidecar(sc *sidecar) {
+	if sc.session == 0 || !c.joined || c.takeover.answered[sc.hello.Member] >= c.roster.Epoch {
+		return
+	}
+	sc.asked = c.roster.Epoch
+	c.send(sc.session, &encoder.Census{Roster: c.roster})
+}
+
+func (c *Core) askPeer(p *peer) {
+	if _, listed := elector.Find(c.roster, p.member.ID); !listed || !c.joined || p.census >= c.roster.Epoch {
+		return
+	}
+	if id := p.session(); id != 0 {
+		c.send(id, &encoder.PeerCensus{Roster: c.roster})
+	}
+}
+
+// tickTakeover moves the takeover on when its conditions hold.
+func (c *Core) tickTakeover() {
+	t := &c.takeover
+	c.sweepTakeover()
+	if len(t.chain) == 0 || !c.joined {
+		return
+	}
+	if c.now-t.asked >= askAgain {
+		t.asked = c.now
+		for _, sc := range c.sidecars {
+			c.askSidecar(sc)
+		}
+		for _, p := range c.peers {
+			c.askPeer(p)
+		}
+	}
+	if t.state == takeoverWaiting && c.leftBehind() && step(takeoverChart, &t.state, eventMajority) {
+		t.majority = c.now
+	}
+	if t.state != takeoverAsking {
+		return
+	}
+	pending, lost := c.unanswered()
+	switch {
+	case !c.peersAnswered():
+		return
+	case pending == 0 && len(lost) == 0:
+		step(takeoverChart, &t.state, eventAnswered)
+	case (pending == 0 || c.now-t.majority >= takeoverWait) && c.confirmed[StreamClaims] >= t.adopted:
+		step(takeoverChart, &t.state, eventExpire)
+		if t.missing == nil {
+			t.missing = map[encoder.Member]timer.Millis{}
+		}
+		for m, at := range lost {
+			t.missing[m] = at
+		}
+	default:
+		return
+	}
+	t.chain = nil
+	for _, s := range c.jobs {
+		if s.state == stateHeld && c.owns(c.roster, s.key) {
+			c.admit(s)
+		}
+	}
+	c.place()
+}
+
+// leftBehind reports whether at least half of each former roster has reported the roster after it, so that the rest can
+// form no majority that attests a log outage under the former one.
+func (c *Core) leftBehind() bool {
+	t := &c.takeover
+	for i, r := range t.chain {
+		epoch := c.roster.Epoch
+		if i+1 < len(t.chain) {
+			epoch = t.chain[i+1].Epoch
+		}
+		count := 0
+		for _, e := range r.Entries {
+			_, stopped := t.stopped[e.Member]
+			p := c.peers[e.Member.ID]
+			if e.Member.ID == c.self.ID || stopped || p != nil && p.epoch >= epoch {
+				count++
+			}
+		}
+		if 2*count < len(r.Entries) {
+			return false
+		}
+	}
+	return true
+}
+
+// unanswered counts the sidecars whose answer has to be awaited, and returns all whose evidence is lacking with the last
+// time at which they can have started a task.
+func (c *Core) unanswered() (pending int, lost map[encoder.Member]timer.Millis) {
+	t := &c.takeover
+	lost = map[encoder.Member]timer.Millis{}
+	check := func(m encoder.Member, last timer.Millis) {
+		if t.answered[m] >= c.roster.Epoch {
+			return
+		}
+		if _, seen := lost[m]; seen {
+			return
+		}
+		lost[m] = last
+		now := c.sidecars[m.ID]
+		replaced := now != nil && now.hello.Member.Incarnation > m.Incarnation
+		if !replaced && c.now-last < lostWait {
+			pending++
+		}
+	}
+	for _, sc := range c.sidecars {
+		last := c.now
+		if sc.session == 0 {
+			last = sc.down
+		}
+		check(sc.hello.Member, last)
+	}
+	for m, at := range c.gone {
+		check(m, at)
+	}
+	for m, at := range t.others {
+		check(m, at)
+	}
+	if !c.trusted() {
+		// The empty name stands for the sidecars that nobody knows.
+		lost[encoder.Member{}] = c.now
+		pending++
+	}
+	return pending, lost
+}
+
+// peersAnswered reports whether the other members told the keys and sidecars that they know.
+func (c *Core) peersAnswered() bool {
+	for _, e := range c.roster.Entries {
+		if p := c.peers[e.Member.ID]; e.Member.ID != c.self.ID && (p == nil || p.census < c.roster.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// trusted reports whether all sidecars that accepted starts under the former rosters are known. A sidecar accepts starts
+// only when each member knows it, so one remaining member of each roster is enough.
+func (c *Core) trusted() bool {
+	for _, r := range c.takeover.chain {
+		remains := len(r.Entries) == 0
+		for _, e := range r.Entries {
+			now, ok := elector.Find(c.roster, e.Member.ID)
+			remains = remains || ok && now.Member == e.Member
+		}
+		if !remains {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) sweepTakeover() {
+	t := &c.takeover
+	old := c.now - c.settings.KeyRetention
+	for len(t.past) > 0 && t.past[0].until < old {
+		t.past = t.past[1:]
+	}
+	if c.now != c.lastSweep {
+		return
+	}
+	for key, s := range c.jobs {
+		if s.state == stateMoved && s.moved < old && step(submissionChart, &s.state, eventEnd) {
+			delete(c.jobs, key)
+		}
+	}
+	for _, list := range []map[encoder.Member]timer.Millis{t.others, t.missing, t.stopped} {
+		for m, at := range list {
+			if at < old {
+				delete(list, m)
+			}
+		}
+	}
+	for key, at := range t.keys {
+		if at < old {
+			delete(t.keys, key)
+		}
+	}
+	for key, e := range t.evidence {
+		if e.at < old {
+			delete(t.evidence, key)
+		}
+	}
+}
+
+// heard notes a sidecar that a peer knows. The time is that of the last report that the peer has a session to it.
+func (t *takeover) heard(m encoder.Member, now timer.Millis, connected bool) {
+	if t.others == nil {
+		t.others = map[encoder.Member]timer.Millis{}
+	}
+	if _, ok := t.others[m]; !ok || connected {
+		t.others[m] = now
+	}
+}
+
+// left notes an entry that has left the roster at its own request and starts nothing any more.
+func (t *takeover) left(m encoder.Member, now timer.Millis) {
+	if t.stopped == nil {
+		t.stopped = map[encoder.Member]timer.Millis{}
+	}
+	t.stopped[m] = now
+}
