Test the entry process over loopback

Cause: the process had not been run. Change: test with three entries, the log double and a fake sidecar: jobs, forwarding, withdrawal, return, drain.

--- /dev/null
+++ b/dispatcher/entry_test.go
@@ -0,0 +1,127 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/emulator"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/messenger"
+)
+
+// network is a log, entries and one fake sidecar over loopback.
+type network struct {
+	ctx     context.Context
+	entries []*Entry
+	stops   []context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newNetwork(t testing.TB, entries int) *network {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &network{ctx: ctx}
+	platform := httptest.NewServer(&emulator.Log{})
+	t.Cleanup(func() { cancel(); n.running.Wait(); platform.Close() })
+	for i := range entries {
+		e := &Entry{
+			ID: "entry-" + strconv.Itoa(i), Incarnation: uint64(i + 1), Listen: "127.0.0.1:0", Domain: "north",
+			Log: &appender.Client{URL: platform.URL},
+		}
+		run, stop := context.WithCancel(ctx)
+		n.entries, n.stops = append(n.entries, e), append(n.stops, stop)
+		n.running.Go(func() {
+			if err := e.Run(run); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	n.until(func() bool {
+		for _, e := range n.entries {
+			if len(e.Status(ctx).Roster.Entries) != entries {
+				return false
+			}
+		}
+		return true
+	})
+	n.sidecar()
+	return n
+}
+
+// until polls a condition. Only the test's own timeout ends it.
+func (n *network) until(holds func() bool) {
+	for !holds() {
+		pause(n.ctx, followRetry/20)
+	}
+}
+
+// sidecar runs a sidecar that answers every start with the payload.
+func (n *network) sidecar() {
+	node := &messenger.Node{
+		Hello: func() encoder.Hello { h := hello("s", 1); h.Slots = 8; return h },
+		OnUp:  func(s *messenger.Session) { s.Send(&encoder.Grant{Credits: 8}) },
+		OnMessage: func(s *messenger.Session, m encoder.Message) {
+			switch m := m.(type) {
+			case *encoder.Start:
+				s.Send(&encoder.Result{Task: m.Task, Status: encoder.StatusDone, Body: m.Payload, Ran: 1, Credits: 1})
+			case *encoder.Census:
+				s.Send(&encoder.CensusReply{Epoch: m.Roster.Epoch, Last: true})
+			}
+		},
+	}
+	for _, e := range n.entries {
+		node.Connect(n.ctx, e.address)
+	}
+	n.until(func() bool {
+		for _, e := range n.entries {
+			if s := e.Status(n.ctx); len(s.Sidecars) == 0 || s.Takeover != takeoverSettled && s.Takeover != takeoverPartial {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestEntries guards the process around the core: sessions, the log's tails, forwarding, operators' changes and drain.
+func TestEntries(t *testing.T) {
+	n := newNetwork(t, 3)
+	for i, e := range n.entries {
+		j := job("key-"+strconv.Itoa(i), 20)
+		for k := range j.Tasks {
+			j.Tasks[k].Payload = []byte(strconv.Itoa(k))
+		}
+		a := e.Submit(n.ctx, j)
+		if a.State != encoder.JobComplete || len(a.Results) != 20 || string(a.Results[13].Body) != "13" {
+			t.Fatalf("entry %d answered %d %q", i, a.State, a.Reason)
+		}
+		for _, other := range n.entries {
+			if got := other.Get(n.ctx, j.Key); got.State != encoder.JobComplete {
+				t.Errorf("another entry answered %d %q", got.State, got.Reason)
+			}
+		}
+	}
+	p, err := n.entries[1].Withdraw(n.ctx, "north", "ann")
+	if err != nil || p.State != PublicationAccepted {
+		t.Fatalf("withdrawal is %v (%v, %v)", p.State, p.Findings, err)
+	}
+	n.until(func() bool { return n.entries[0].Status(n.ctx).ConfigOffset == 1 })
+	if d := n.entries[0].Status(n.ctx).Domains; len(d) != 1 || d[0].InForce {
+		t.Errorf("domains are %v", d)
+	}
+	if p, err = n.entries[2].Return(n.ctx, "north", "ann"); err != nil || p.State != PublicationAccepted {
+		t.Fatalf("return is %v (%v, %v)", p.State, p.Findings, err)
+	}
+	if h, _ := n.entries[2].History(n.ctx, 9); len(h) != 2 || h[0].Note.Author != "ann" {
+		t.Errorf("history is %v", h)
+	}
+	if err := n.entries[0].Drain(n.ctx); err != nil {
+		t.Error(err)
+	}
+	n.stops[0]()
+	if a := n.entries[1].Submit(n.ctx, job("after", 5)); a.State != encoder.JobComplete {
+		t.Errorf("after the drain: %d %q", a.State, a.Reason)
+	}
+}
