--- /dev/null
+++ b/commander/operator.go
@@ -0,0 +1,189 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/server"
+)
+
+type refusalWire struct {
+	Reason   string `json:"reason"`
+	Outcome  string `json:"outcome"`
+	Findings []struct {
+		Place  string `json:"place"`
+		Reason string `json:"reason"`
+	} `json:"findings"`
+}
+
+// showFindings prints the findings of a refusal, if it has any.
+func (c call) showFindings(body []byte) {
+	var w refusalWire
+	if json.Unmarshal(body, &w) != nil {
+		return
+	}
+	if w.Outcome != "" {
+		c.printf("outcome: %s\n", w.Outcome)
+	}
+	for _, f := range w.Findings {
+		c.printf("%s: %s\n", f.Place, f.Reason)
+	}
+}
+
+// operator makes one operators' call. It prints the body with -json, otherwise with show.
+func (c call) operator(ctx context.Context, ask func(server.Client, context.Context) (server.Response, error), show func(body []byte) error) int {
+	client, ctx, cancel := c.client(ctx)
+	defer cancel()
+	r, err := ask(client, ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	ok := r.Status == http.StatusOK || r.Status == http.StatusAccepted
+	status := ExitSuccess
+	if !ok {
+		status = ExitFailure
+	}
+	switch {
+	case c.json():
+		c.printf("%s\n", r.Body)
+	case !ok:
+		var w refusalWire
+		if json.Unmarshal(r.Body, &w) != nil {
+			w.Reason = http.StatusText(r.Status)
+		}
+		c.errorf("the entry refused (status %d): %s\n", r.Status, w.Reason)
+		c.showFindings(r.Body)
+	default:
+		if err := show(r.Body); err != nil {
+			return c.fail(err)
+		}
+	}
+	return status
+}
+
+func publishNote(ctx context.Context, c call) int {
+	body, err := c.input()
+	if err != nil {
+		return c.fail(err)
+	}
+	if _, findings := server.DecodeNote(body); len(findings) > 0 {
+		for _, f := range findings {
+			c.errorf("%s: %s\n", f.Place, f.Reason)
+		}
+		return ExitUsage
+	}
+	return c.operator(ctx, func(s server.Client, ctx context.Context) (server.Response, error) {
+		return s.Publish(ctx, body, c.values.Switch("dryRun"))
+	}, c.showPublication)
+}
+
+func withdrawDomain(ctx context.Context, c call) int {
+	return c.operator(ctx, func(s server.Client, ctx context.Context) (server.Response, error) {
+		return s.Withdraw(ctx, c.args[0], c.values.Text(author.Name))
+	}, c.showPublication)
+}
+
+func returnDomain(ctx context.Context, c call) int {
+	return c.operator(ctx, func(s server.Client, ctx context.Context) (server.Response, error) {
+		return s.Return(ctx, c.args[0], c.values.Text(author.Name))
+	}, c.showPublication)
+}
+
+func (c call) showPublication(body []byte) error {
+	p, err := server.DecodePublication(body)
+	if err != nil {
+		return err
+	}
+	for _, d := range p.Differences {
+		if d.Before != "" {
+			c.printf("- %s = %s\n", d.Key, d.Before)
+		}
+		if d.After != "" {
+			c.printf("+ %s = %s\n", d.Key, d.After)
+		}
+	}
+	switch {
+	case p.DryRun:
+		c.printf("dry run, nothing published\n")
+	case p.Provisional:
+		c.printf("in force, not yet recorded (%v)\n", p.Took)
+	case p.Accepted && p.InForce:
+		c.printf("accepted at offset %d, in force everywhere (%v)\n", p.Offset, p.Took)
+	case p.Accepted:
+		c.printf("accepted at offset %d, not yet in force everywhere (%v)\n", p.Offset, p.Took)
+	default:
+		c.printf("not accepted yet (%v)\n", p.Took)
+	}
+	if p.Reason != "" {
+		c.printf("%s\n", p.Reason)
+	}
+	return nil
+}
+
+func showHistory(ctx context.Context, c call) int {
+	return c.operator(ctx, func(s server.Client, ctx context.Context) (server.Response, error) {
+		return s.History(ctx, int(c.values.Count("limit")))
+	}, func(body []byte) error {
+		records, err := server.DecodeHistory(body)
+		if err != nil {
+			return err
+		}
+		for _, r := range records {
+			c.printf("%d %s %s: %s\n", r.Offset, r.Note.ID, r.Note.Author, r.Note.Comment)
+			if r.Refused != "" {
+				c.printf("  refused: %s\n", r.Refused)
+			}
+			for _, e := range r.Note.Added {
+				c.printf("  added %s = %s\n", e.Key, e.Value)
+			}
+			for _, e := range r.Note.Changed {
+				c.printf("  changed %s = %s\n", e.Key, e.Value)
+			}
+			for _, k := range r.Note.Withdrawn {
+				c.printf("  withdrawn %s\n", k)
+			}
+		}
+		return nil
+	})
+}
+
+func showStatus(ctx context.Context, c call) int {
+	return c.operator(ctx, server.Client.Status, func(body []byte) error {
+		s, err := server.DecodeState(body)
+		if err != nil {
+			return err
+		}
+		c.printf("entry %s incarnation %d, epoch %d, configuration offset %d, log reachable %t, %d tasks queued, %d submissions\n",
+			s.ID, s.Incarnation, s.Epoch, s.ConfigOffset, s.LogReachable, s.Queued, s.Submissions)
+		w := tabwriter.NewWriter(c.Stdout, 0, 4, 2, ' ', 0)
+		for _, e := range s.Entries {
+			_, _ = fmt.Fprintf(w, "entry\t%s\t%s\treachable %t\n", e.ID, e.Address, e.Reachable)
+		}
+		for _, d := range s.Domains {
+			_, _ = fmt.Fprintf(w, "failure domain\t%s\tin force %t\tprovisional %t\n", d.Name, d.InForce, d.Provisional)
+		}
+		for _, k := range s.Sidecars {
+			_, _ = fmt.Fprintf(w, "sidecar\t%s\t%s\t%s\t%d slots\t%d credits\t%d running\tleaving %t\n",
+				k.ID, k.Domain, k.Worker, k.Slots, k.Credits, k.Running, k.Leaving)
+		}
+		return trace.Wrap(w.Flush())
+	})
+}
+
+func showBurn(ctx context.Context, c call) int {
+	format := c.values.Text("format")
+	if c.json() {
+		format = "json"
+	}
+	return c.operator(ctx, func(s server.Client, ctx context.Context) (server.Response, error) {
+		return s.Burn(ctx, format)
+	}, func(body []byte) error {
+		c.printf("%s", body)
+		return nil
+	})
+}
--- /dev/null
+++ b/commander/processes.go
@@ -0,0 +1,12 @@
+package commander
+
+import "context"
+
+func runEntry(_ context.Context, c call) int   { return c.notWired("entry") }
+func runSidecar(_ context.Context, c call) int { return c.notWired("sidecar") }
+func runDemo(_ context.Context, c call) int    { return c.notWired("demo") }
+
+func (c call) notWired(part string) int {
+	c.logger().Error(part + ": the process is not wired yet")
+	return ExitFailure
+}
--- /dev/null
+++ b/commander/program.go
@@ -0,0 +1,197 @@
+// Package commander holds the subcommands of the crocuslb binary.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/apex/log"
+	jsonhandler "github.com/apex/log/handlers/json"
+	texthandler "github.com/apex/log/handlers/text"
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/loader"
+	"github.com/crocuslb/crocuslb/server"
+)
+
+const (
+	// ExitSuccess is the exit status of a subcommand that did its work.
+	ExitSuccess = 0
+	// ExitFailure is the exit status of a subcommand that failed.
+	ExitFailure = 1
+	// ExitUsage is the exit status for wrong usage or settings; nothing was started.
+	ExitUsage = 2
+)
+
+type (
+	// Program is one call of the binary. Args excludes the program's name; Environ holds NAME=value pairs.
+	Program struct {
+		Args    []string
+		Environ []string
+		Stdin   io.Reader
+		Stdout  io.Writer
+		Stderr  io.Writer
+	}
+
+	command struct {
+		name     string // words separated by a space
+		args     string // names of the arguments in help texts
+		count    int    // number of arguments
+		optional bool   // the arguments may be left out
+		summary  string
+		settings []loader.Setting
+		rules    []loader.Rule
+		run      func(ctx context.Context, c call) int
+	}
+
+	// call is a subcommand with its checked settings and arguments.
+	call struct {
+		*Program
+		values loader.Values
+		args   []string
+	}
+)
+
+// Run executes the subcommand and returns the exit status.
+func (p *Program) Run(ctx context.Context) int {
+	cmd, rest := p.find()
+	if cmd == nil {
+		return p.unknown()
+	}
+	set := cmd.set()
+	if cmd.name == "settings check" {
+		return p.check(rest)
+	}
+	l := set.Load(rest, p.Environ)
+	if l.Help {
+		p.help(cmd)
+		return ExitSuccess
+	}
+	if n := len(l.Args); n != cmd.count && (!cmd.optional || n > cmd.count) {
+		l.Findings = append(l.Findings, loader.Finding{
+			Place: "arguments", Reason: fmt.Sprintf("got %d, want %d (usage: crocuslb %s)", n, cmd.count, cmd.usage()),
+		})
+	}
+	if len(l.Findings) > 0 {
+		p.errorf("%s", set.CheckText(l))
+		return ExitUsage
+	}
+	return cmd.run(ctx, call{p, l.Values, l.Args})
+}
+
+// find returns the subcommand with the longest matching name and the arguments after it.
+func (p *Program) find() (*command, []string) {
+	for words := min(2, len(p.Args)); words > 0; words-- {
+		name := strings.Join(p.Args[:words], " ")
+		for _, c := range commands() {
+			if c.name == name {
+				return &c, p.Args[words:]
+			}
+		}
+	}
+	return nil, nil
+}
+
+// unknown prints the overview. Asking for help is a success, anything else is wrong usage.
+func (p *Program) unknown() int {
+	group := ""
+	if len(p.Args) > 0 {
+		group = p.Args[0]
+	}
+	asked := false
+	for _, a := range p.Args {
+		asked = asked || a == "-h" || a == "-help" || a == "--help" || a == "help"
+	}
+	w, status := p.Stderr, ExitUsage
+	if asked {
+		w, status = p.Stdout, ExitSuccess
+	} else if group != "" {
+		p.errorf("there is no subcommand %q\n", strings.Join(p.Args[:min(2, len(p.Args))], " "))
+	}
+	p.overview(w, group)
+	return status
+}
+
+// overview lists the subcommands that begin with group, or all.
+func (p *Program) overview(w io.Writer, group string) {
+	var matching []command
+	for _, c := range commands() {
+		if strings.HasPrefix(c.name, group+" ") {
+			matching = append(matching, c)
+		}
+	}
+	if len(matching) == 0 {
+		matching = commands()
+	}
+	_, _ = fmt.Fprint(w, "usage: crocuslb SUBCOMMAND [flags]\n\n")
+	for _, c := range matching {
+		_, _ = fmt.Fprintf(w, "  %-34s %s\n", c.usage(), c.summary)
+	}
+	_, _ = fmt.Fprint(w, "\ncrocuslb SUBCOMMAND -help shows the settings of a subcommand with their units and defaults.\n"+
+		"Exit status: 0 success, 1 failure, 2 wrong usage or settings.\n")
+}
+
+func (p *Program) help(c *command) {
+	_, _ = fmt.Fprintf(p.Stdout, "usage: crocuslb %s [flags]\n\n%s.\n\nsettings (flag, unit, default, variable, meaning):\n%s\n"+
+		"Flags win over variables. Durations are plain numbers in ms, or numbers with ms, s, m or h.\n"+
+		"Exit status: 0 success, 1 failure, 2 wrong usage or settings.\n",
+		c.usage(), c.summary, c.set().Text())
+}
+
+func (c command) usage() string { return strings.TrimSpace(c.name + " " + c.args) }
+
+func (c command) set() loader.Set {
+	return loader.Set{Settings: c.settings, Known: allSettings(), Rules: c.rules}
+}
+
+// allSettings returns every setting of every subcommand once, in the order of the subcommands.
+func allSettings() []loader.Setting {
+	var all []loader.Setting
+	seen := map[string]bool{}
+	for _, c := range commands() {
+		for _, s := range c.settings {
+			if !seen[s.Name] {
+				seen[s.Name] = true
+				all = append(all, s)
+			}
+		}
+	}
+	return all
+}
+
+func (p *Program) errorf(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.Stderr, "crocuslb: "+format, args...)
+}
+
+func (p *Program) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.Stdout, format, args...)
+}
+
+// fail prints the error and returns the exit status of a failure.
+func (p *Program) fail(err error) int {
+	p.errorf("%s\n", trace.UserMessage(err))
+	return ExitFailure
+}
+
+// logger returns the logger that the settings describe; it writes to standard error.
+func (c call) logger() *log.Logger {
+	l := &log.Logger{Handler: texthandler.New(c.Stderr), Level: log.InfoLevel}
+	if c.values.Text(logFormat.Name) == logJSON {
+		l.Handler = jsonhandler.New(c.Stderr)
+	}
+	if level, err := log.ParseLevel(c.values.Text(logLevel.Name)); err == nil {
+		l.Level = level
+	}
+	return l
+}
+
+// client returns a client of the entry and a context bounded by the timeout.
+func (c call) client(ctx context.Context) (server.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, c.values.Millis(timeout.Name).Duration())
+	return server.Client{URL: c.values.Text(entryURL.Name), Token: c.values.Text(token.Name), HTTP: &http.Client{}}, ctx, cancel
+}
+
+func (c call) json() bool { return c.values.Switch(asJSON.Name) }
--- /dev/null
+++ b/commander/settingscommand.go
@@ -0,0 +1,107 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"runtime/debug"
+	"slices"
+	"strings"
+
+	"github.com/crocuslb/crocuslb/loader"
+)
+
+type versionWire struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Modified bool   `json:"modified"`
+	Go       string `json:"go"`
+}
+
+func listSettings(_ context.Context, c call) int {
+	set := loader.Set{Settings: allSettings()}
+	if len(c.args) > 0 {
+		cmd, rest := (&Program{Args: c.args}).find()
+		if cmd == nil || len(rest) > 0 {
+			c.errorf("there is no subcommand %q\n", strings.Join(c.args, " "))
+			return ExitUsage
+		}
+		set = cmd.set()
+	}
+	if !c.json() {
+		c.printf("%s", set.Text())
+		return ExitSuccess
+	}
+	body, err := set.JSON()
+	if err != nil {
+		return c.fail(err)
+	}
+	c.printf("%s\n", body)
+	return ExitSuccess
+}
+
+// check loads the settings of another subcommand from the same flags and variables as that one does. The switch -json
+// stands before the subcommand's name; after it, the flag belongs to the subcommand.
+func (p *Program) check(args []string) int {
+	asked := len(args) == 0 || slices.Contains([]string{"-h", "-help", "--help"}, args[0])
+	inJSON := !asked && (args[0] == "-json" || args[0] == "--json")
+	if inJSON {
+		args = args[1:]
+	}
+	cmd, rest := (&Program{Args: args}).find()
+	if cmd == nil || asked {
+		p.errorf("usage: crocuslb settings check [-json] SUBCOMMAND [flags]\n")
+		if len(args) > 0 && asked {
+			return ExitSuccess
+		}
+		return ExitUsage
+	}
+	set := cmd.set()
+	l := set.Load(rest, p.Environ)
+	status := ExitSuccess
+	if len(l.Findings) > 0 {
+		status = ExitUsage
+	}
+	if !inJSON {
+		p.printf("%s", set.CheckText(l))
+		return status
+	}
+	body, err := set.CheckJSON(l)
+	if err != nil {
+		return p.fail(err)
+	}
+	p.printf("%s\n", body)
+	return status
+}
+
+// version reads the version from the build information.
+func version() versionWire {
+	v := versionWire{Version: "unknown"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	v.Version, v.Go = info.Main.Version, info.GoVersion
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			v.Revision = s.Value
+		case "vcs.modified":
+			v.Modified = s.Value == "true"
+		}
+	}
+	return v
+}
+
+func showVersion(_ context.Context, c call) int {
+	v := version()
+	if !c.json() {
+		c.printf("crocuslb %s %s %s\n", v.Version, v.Revision, v.Go)
+		return ExitSuccess
+	}
+	body, err := json.Marshal(v)
+	if err != nil {
+		return c.fail(err)
+	}
+	c.printf("%s\n", body)
+	return ExitSuccess
+}
--- /dev/null
+++ b/reporter/metrics.go
@@ -0,0 +1,65 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// Metrics keeps the counters, gauges and histograms of one process. The zero value is ready to use; the methods may be
+// called concurrently. Label values must come from a bounded set.
+type Metrics struct {
+	once sync.Once
+	set  *metrics.Set
+}
+
+// CountCall counts an HTTP call with its status and duration.
+func (m *Metrics) CountCall(call string, status int, took timer.Millis) {
+	s := m.init()
+	s.GetOrCreateCounter(fmt.Sprintf(`crocuslb_http_requests_total{call=%q,status="%d"}`, call, status)).Inc()
+	s.GetOrCreateHistogram(fmt.Sprintf(`crocuslb_http_request_duration_seconds{call=%q}`, call)).Update(took.Duration().Seconds())
+}
+
+// CountJob counts an answered job, its tasks and the bytes of its payloads and results.
+func (m *Metrics) CountJob(state string, tasks, payloadBytes, resultBytes int, took timer.Millis) {
+	s := m.init()
+	s.GetOrCreateCounter(fmt.Sprintf(`crocuslb_jobs_total{state=%q}`, state)).Inc()
+	s.GetOrCreateCounter(`crocuslb_job_tasks_total`).Add(tasks)
+	s.GetOrCreateCounter(`crocuslb_job_payload_bytes_total`).Add(payloadBytes)
+	s.GetOrCreateCounter(`crocuslb_job_result_bytes_total`).Add(resultBytes)
+	s.GetOrCreateHistogram(fmt.Sprintf(`crocuslb_job_response_seconds{state=%q}`, state)).Update(took.Duration().Seconds())
+}
+
+// Gauge adds a gauge that is read at each Write. The name carries its unit as a suffix and may carry labels. A name
+// that exists already is kept.
+func (m *Metrics) Gauge(name string, read func() float64) { m.init().GetOrCreateGauge(name, read) }
+
+// Counter adds to the counter of the given name, which ends in _total.
+func (m *Metrics) Counter(name string, n int) { m.init().GetOrCreateCounter(name).Add(n) }
+
+// Burn adds gauges for the burn rates and budgets of r, read at the clock's time.
+func (m *Metrics) Burn(r *Reporter, c timer.Clock) {
+	for i, row := range r.Report(c.Now()).Rows {
+		read := func(pick func(Row) float64) func() float64 {
+			return func() float64 { return pick(r.Report(c.Now()).Rows[i]) }
+		}
+		m.Gauge(fmt.Sprintf(`crocuslb_burn_ratio{objective=%q,window="short"}`, row.Name), read(func(w Row) float64 { return w.BurnShort }))
+		m.Gauge(fmt.Sprintf(`crocuslb_burn_ratio{objective=%q,window="long"}`, row.Name), read(func(w Row) float64 { return w.BurnLong }))
+		m.Gauge(fmt.Sprintf(`crocuslb_budget_left_ratio{objective=%q}`, row.Name), read(func(w Row) float64 { return w.Left }))
+	}
+}
+
+// Write writes all metrics and those of the Go runtime in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) {
+	m.init().WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (m *Metrics) init() *metrics.Set {
+	m.once.Do(func() { m.set = metrics.NewSet() })
+	return m.set
+}
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,118 @@
+package reporter
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+func observe(r *Reporter, at timer.Millis, n int, v Observation) {
+	for range n {
+		r.Observe(at, v)
+	}
+}
+
+func near(got, want float64) bool { return math.Abs(got-want) < 1e-9 }
+
+// Burn rates decide whether operators are called, so their arithmetic is checked against figures worked out by hand.
+func TestBurn(t *testing.T) {
+	const m = timer.Minute
+	ok, bad := Observation{Response: 100, Ideal: 100}, Observation{Failed: true}
+	slow := Observation{Response: 113, Ideal: 100}
+	limit := Observation{Response: 112, Ideal: 100} // 100 * 1.10 + 2
+	tests := []struct {
+		name        string
+		fill        func(r *Reporter)
+		now         timer.Millis
+		row         int
+		total, bad  uint64
+		short, long float64
+	}{
+		{"nothing", func(*Reporter) {}, 0, success, 0, 0, 0, 0},
+		{"all good", func(r *Reporter) { observe(r, m, 1000, ok) }, m, success, 1000, 0, 0, 0},
+		{"budget used exactly", func(r *Reporter) { observe(r, m, 999, ok); observe(r, m, 1, bad) }, m, success, 1000, 1, 1, 1},
+		{"all failed", func(r *Reporter) { observe(r, m, 5, bad) }, m, success, 5, 5, 1000, 1000},
+		{"at the limit", func(r *Reporter) { observe(r, m, 100, limit) }, m, response, 100, 0, 0, 0},
+		{"slow", func(r *Reporter) { observe(r, m, 98, limit); observe(r, m, 2, slow) }, m, response, 100, 2, 2, 2},
+		{"failed jobs have no response time", func(r *Reporter) { observe(r, m, 9, bad) }, m, response, 0, 0, 0, 0},
+		{"unknown ideal", func(r *Reporter) { observe(r, m, 9, Observation{Response: 9999}) }, m, response, 0, 0, 0, 0},
+		{"left the short window", func(r *Reporter) { observe(r, m, 1, bad); observe(r, 20*m, 999, ok) }, 20 * m, success, 1000, 1, 0, 1},
+		{"left the long window", func(r *Reporter) { observe(r, m, 1, bad) }, 61 * m, success, 0, 0, 0, 0},
+		{"last minute of the long window", func(r *Reporter) { observe(r, m, 1, bad) }, 60 * m, success, 1, 1, 0, 1000},
+		{"a bucket is used again", func(r *Reporter) { observe(r, m, 7, bad); observe(r, 61*m, 1, ok) }, 61 * m, success, 1, 0, 0, 0},
+		{"time goes back", func(r *Reporter) { observe(r, 50*m, 1, ok); observe(r, 10*m, 1, bad) }, 10 * m, success, 2, 1, 500, 500},
+		{"late withdrawal", func(r *Reporter) { r.ObserveWithdrawal(m, "a", 3000); r.ObserveWithdrawal(m, "a", 3001) }, m, withdrawal, 2, 1, 500, 500},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var r Reporter
+			tc.fill(&r)
+			got := r.Report(tc.now).Rows[tc.row]
+			if got.Total != tc.total || got.Bad != tc.bad || !near(got.BurnShort, tc.short) || !near(got.BurnLong, tc.long) || !near(got.Left, 1-tc.long) {
+				t.Errorf("got %d of %d bad, burn %v and %v, left %v; want %d of %d, %v and %v, left %v",
+					got.Bad, got.Total, got.BurnShort, got.BurnLong, got.Left, tc.bad, tc.total, tc.short, tc.long, 1-tc.long)
+			}
+		})
+	}
+}
+
+// Operators look first at the failure domain and the worker that burn most.
+func TestCulprits(t *testing.T) {
+	var r Reporter
+	observe(&r, 0, 3, Observation{Domain: "a", Worker: "w1", Failed: true})
+	observe(&r, 0, 1, Observation{Domain: "b", Worker: "w2", Failed: true})
+	observe(&r, 0, 9, Observation{Domain: "c", Worker: "w3"})
+	row := r.Report(0).Rows[success]
+	if got, want := fmt.Sprint(row.Domains, row.Workers), "[{a 3 3 0.75} {b 1 1 0.25}] [{w1 3 3 0.75} {w2 1 1 0.25}]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// Workers come and go for months; the table of names must not grow, and a name that burns must not be lost.
+func TestMemoryIsBounded(t *testing.T) {
+	var r Reporter
+	for hour := range 4 {
+		at := timer.Millis(hour) * 61 * timer.Minute
+		for i := range maxWorkers {
+			r.Observe(at, Observation{Worker: fmt.Sprintf("w%d-%d", hour, i), Failed: i == 7})
+		}
+		row := r.Report(at).Rows[success]
+		if want := fmt.Sprintf("w%d-7", hour); len(r.workers.names) > maxWorkers || len(row.Workers) != 1 || row.Workers[0].Name != want {
+			t.Fatalf("hour %d: got %d names and %v, want at most %d names and %s", hour, len(r.workers.names), row.Workers, maxWorkers, want)
+		}
+	}
+}
+
+func TestWrite(t *testing.T) {
+	r := Reporter{Objectives: Objectives{SuccessTarget: 0.75}}
+	observe(&r, 0, 1, Observation{Domain: "<b>", Failed: true})
+	for _, tc := range []struct{ format, want, without string }{
+		{"text", "failure domain <b>: 100%", "NaN"}, {"json", `"budgetLeft":-3,`, "NaN"}, {"html", "<svg", "<b>"},
+	} {
+		var b bytes.Buffer
+		if err := r.Report(0).Write(&b, tc.format); err != nil || !strings.Contains(b.String(), tc.want) || strings.Contains(b.String(), tc.without) {
+			t.Errorf("%s: got %v, %s, want %q and no %q", tc.format, err, b.String(), tc.want, tc.without)
+		}
+		if tc.format == "json" && !json.Valid(b.Bytes()) {
+			t.Errorf("got invalid JSON %s", b.String())
+		}
+	}
+	if err := r.Report(0).Write(&bytes.Buffer{}, "pdf"); err == nil {
+		t.Error("got no error for an unknown format")
+	}
+	var m Metrics
+	m.Burn(&r, timer.Clock{NowFunc: func() timer.Millis { return 0 }})
+	m.CountCall("submit", 200, 5)
+	var b bytes.Buffer
+	m.Write(&b)
+	for _, want := range []string{`crocuslb_burn_ratio{objective="success",window="long"}`, `crocuslb_http_requests_total{call="submit",status="200"} 1`} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("got metrics without %s", want)
+		}
+	}
+}
--- /dev/null
+++ b/server/job.go
@@ -0,0 +1,251 @@
+package server
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	maxBody        = 4 << 20
+	maxHeader      = 16 << 10
+	maxTasks       = 1000
+	maxKeyLength   = 200
+	maxNameLength  = 100
+	maxPayload     = 1 << 20
+	maxDeadline    = 24 * 60 * timer.Minute
+	maxRunTime     = 60 * timer.Minute
+	maxMemoryMB    = 16 << 20
+	maxWait        = timer.Minute
+	defaultWait    = 30 * timer.Second
+	maxFindings    = 50
+	maxFields      = 100
+	maxAnswerFrame = encoder.MaxFrame - 64<<10 // the largest job that fits into one message with its envelope
+)
+
+const (
+	notRun  = "notRun"
+	unknown = "unknown"
+	ran     = "ran"
+)
+
+type (
+	// Request is a decoded submission. Wait is how long the caller waits for the answer.
+	Request struct {
+		Job  encoder.Job
+		Wait timer.Millis
+	}
+
+	resultWire struct {
+		Body       *string `json:"body,omitempty"`
+		BodyBase64 *string `json:"bodyBase64,omitempty"`
+	}
+
+	answerWire struct {
+		Key          string        `json:"key,omitempty"`
+		State        string        `json:"state"`
+		Results      []resultWire  `json:"results,omitempty"`
+		Code         string        `json:"code,omitempty"`
+		Reason       string        `json:"reason,omitempty"`
+		Outcome      string        `json:"outcome,omitempty"`
+		RetryAfterMs int64         `json:"retryAfterMs,omitempty"`
+		Findings     []findingWire `json:"findings,omitempty"`
+	}
+
+	findingWire struct {
+		Place  string `json:"place"`
+		Reason string `json:"reason"`
+	}
+)
+
+var (
+	codeNames = [...]string{
+		"", "task", "unknown", "deadline", "canceled", "overload", "quota", "unplaceable", "conflict", "unavailable",
+		"notFound", "invalid",
+	}
+	outcomeNames = [...]string{"", notRun, ran, unknown}
+	stateNames   = [...]string{"", "running", "complete", "failed"}
+)
+
+// DecodeJob reads the body of a submission. It returns all findings; the request is usable only when there are none.
+// A payload is the exact bytes of a JSON string, or of the base64 in payloadBase64.
+func DecodeJob(key string, body []byte) (Request, []Finding) {
+	r := newReader(body)
+	q := Request{Job: encoder.Job{Key: key}, Wait: defaultWait}
+	checkKey(r, "Idempotency-Key", key)
+	tasks := false
+	r.object("", func(name, place string) bool {
+		switch name {
+		case "team":
+			q.Job.Team = r.text(place, maxNameLength)
+			checkName(r, place, q.Job.Team)
+		case "tasks":
+			tasks = true
+			ok := r.array(place, maxTasks, func(_ int, place string) {
+				q.Job.Tasks = append(q.Job.Tasks, decodeTask(r, place))
+			})
+			if ok && len(q.Job.Tasks) == 0 {
+				r.add(place, "is empty")
+			}
+		case "deadlineMs":
+			q.Job.Deadline = timer.Millis(r.number(place, 1, int64(maxDeadline)))
+		case "once":
+			q.Job.Once = r.boolean(place)
+		case "waitMs":
+			q.Wait = timer.Millis(r.number(place, 0, int64(maxWait)))
+		default:
+			return false
+		}
+		return true
+	})
+	r.end()
+	if !tasks && !r.broken {
+		r.add("tasks", "is missing")
+	}
+	if size := jobSize(q.Job); size > maxAnswerFrame {
+		r.add("body", "the decoded job has %d bytes, at most %d are allowed", size, maxAnswerFrame)
+	}
+	return q, r.findings
+}
+
+func decodeTask(r *reader, place string) encoder.JobTask {
+	var t encoder.JobTask
+	payloads := 0
+	ok := r.object(place, func(name, place string) bool {
+		switch name {
+		case "kind":
+			t.Kind = r.text(place, maxNameLength)
+			checkName(r, place, t.Kind)
+		case "payload":
+			payloads++
+			t.Payload = []byte(r.text(place, maxPayload))
+		case "payloadBase64":
+			payloads++
+			t.Payload = r.data(place, maxPayload)
+		case "runMs":
+			t.RunTime = timer.Millis(r.number(place, 0, int64(maxRunTime)))
+		case "memoryMb":
+			t.MemoryMB = uint64(r.number(place, 0, maxMemoryMB))
+		default:
+			return false
+		}
+		return true
+	})
+	if ok && t.Kind == "" {
+		r.add(place+".kind", "is missing")
+	}
+	if payloads > 1 {
+		r.add(place, "has more than one payload")
+	}
+	return t
+}
+
+// checkKey allows characters that need no escaping in a URL path.
+func checkKey(r *reader, place, key string) {
+	switch {
+	case key == "":
+		r.add(place, "is missing")
+	case len(key) > maxKeyLength:
+		r.add(place, "is longer than %d bytes", maxKeyLength)
+	case strings.ContainsFunc(key, func(c rune) bool { return !word(c) && c != ':' && c != '~' }):
+		r.add(place, "holds a character other than letters, digits and -._~:")
+	case strings.Trim(key, ".") == "":
+		r.add(place, "consists of dots only")
+	}
+}
+
+// checkName allows words that are safe in URL paths, header fields and metric labels.
+func checkName(r *reader, place, name string) {
+	if name != "" && (strings.ContainsFunc(name, func(c rune) bool { return !word(c) }) || strings.Trim(name, ".") == "") {
+		r.add(place, "holds a character other than letters, digits and -._")
+	}
+}
+
+func word(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.'
+}
+
+func jobSize(j encoder.Job) int {
+	const perTask = 32 // upper bound of the tags, lengths and numbers of one encoded task
+	size := len(j.Key) + len(j.Team)
+	for _, t := range j.Tasks {
+		size += len(t.Kind) + len(t.Payload) + perTask
+	}
+	return size
+}
+
+// Status returns the HTTP status of an answer. A status that promises "not run" (4xx, 503) is used only for answers
+// whose outcome says so.
+func Status(a encoder.Answer) int {
+	switch a.State {
+	case encoder.JobComplete:
+		return http.StatusOK
+	case encoder.JobRunning:
+		return http.StatusAccepted
+	}
+	switch a.Code {
+	case encoder.CodeConflict:
+		return http.StatusConflict
+	case encoder.CodeNotFound:
+		return http.StatusNotFound
+	case encoder.CodeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if a.Outcome != encoder.OutcomeNotRun {
+		return http.StatusInternalServerError
+	}
+	switch a.Code {
+	case encoder.CodeOverload, encoder.CodeUnavailable:
+		return http.StatusServiceUnavailable
+	case encoder.CodeQuota:
+		return http.StatusTooManyRequests
+	case encoder.CodeUnplaceable:
+		return http.StatusUnprocessableEntity
+	case encoder.CodeInvalid:
+		return http.StatusBadRequest
+	}
+	return http.StatusInternalServerError
+}
+
+// EncodeAnswer maps an answer to JSON. Results are included only in complete answers. A result that is valid UTF-8 is
+// given as a string, any other as base64.
+func EncodeAnswer(a encoder.Answer) ([]byte, error) {
+	w := answerWire{
+		Key: a.Key, State: name(stateNames[:], int(a.State)), Code: name(codeNames[:], int(a.Code)), Reason: a.Reason,
+		RetryAfterMs: int64(a.RetryAfter),
+	}
+	if a.State == encoder.JobFailed {
+		w.Outcome = name(outcomeNames[:], int(a.Outcome))
+		if w.Outcome == "" {
+			w.Outcome = unknown // the only claim that needs no evidence
+		}
+	}
+	if a.State == encoder.JobComplete {
+		w.Results = make([]resultWire, 0, len(a.Results))
+		for _, t := range a.Results {
+			w.Results = append(w.Results, encodeResult(t.Body))
+		}
+	}
+	return json.Marshal(w)
+}
+
+func encodeResult(body []byte) resultWire {
+	if utf8.Valid(body) {
+		s := string(body)
+		return resultWire{Body: &s}
+	}
+	s := base64.StdEncoding.EncodeToString(body)
+	return resultWire{BodyBase64: &s}
+}
+
+func name(names []string, i int) string {
+	if i < len(names) {
+		return names[i]
+	}
+	return ""
+}
--- /dev/null
+++ b/server/operators.go
@@ -0,0 +1,174 @@
+package server
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"github.com/kataras/iris/v12"
+)
+
+const defaultHistory = 50
+
+func (s *Server) publish(c iris.Context) {
+	dryRun := false
+	if text := c.URLParam("dryRun"); text != "" {
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			refuse(c, http.StatusBadRequest, "the request is malformed", []Finding{{"dryRun", "want true or false"}})
+			return
+		}
+		dryRun = b
+	}
+	body, ok := readBody(c)
+	if !ok {
+		return
+	}
+	n, findings := DecodeNote(body)
+	if len(findings) > 0 {
+		refuse(c, http.StatusBadRequest, "the request is malformed", findings)
+		return
+	}
+	if s.Publish == nil {
+		refuse(c, http.StatusServiceUnavailable, "the entry takes no configuration changes", nil)
+		return
+	}
+	p, err := s.Publish(c.Request().Context(), n, dryRun)
+	published(c, p, err)
+}
+
+func (s *Server) history(c iris.Context) {
+	limit := defaultHistory
+	if text := c.URLParam("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxHistory {
+			refuse(c, http.StatusBadRequest, "the request is malformed",
+				[]Finding{{"limit", "want a whole number from 1 to " + strconv.Itoa(maxHistory)}})
+			return
+		}
+		limit = n
+	}
+	if s.History == nil {
+		refuse(c, http.StatusServiceUnavailable, "the entry has no history", nil)
+		return
+	}
+	records, err := s.History(c.Request().Context(), limit)
+	if err != nil {
+		failed(c, err)
+		return
+	}
+	body, err := EncodeHistory(records)
+	respondJSON(c, body, err)
+}
+
+func (s *Server) withdraw(c iris.Context) { s.domain(c, s.Withdraw) }
+func (s *Server) giveBack(c iris.Context) { s.domain(c, s.Return) }
+
+// domain serves the two calls on failure domains. The optional query parameter author goes into the log record.
+func (s *Server) domain(c iris.Context, call domainCall) {
+	domain, author := c.Params().Get("domain"), c.URLParam("author")
+	r := &reader{}
+	for _, f := range [][2]string{{"domain", domain}, {"author", author}} {
+		checkName(r, f[0], f[1])
+		if len(f[1]) > maxNameLength {
+			r.add(f[0], "is longer than %d bytes", maxNameLength)
+		}
+	}
+	if len(r.findings) > 0 {
+		refuse(c, http.StatusBadRequest, "the request is malformed", r.findings)
+		return
+	}
+	if call == nil {
+		refuse(c, http.StatusServiceUnavailable, "the entry takes no decisions on failure domains", nil)
+		return
+	}
+	p, err := call(c.Request().Context(), domain, author)
+	published(c, p, err)
+}
+
+func (s *Server) status(c iris.Context) {
+	if s.Status == nil {
+		refuse(c, http.StatusServiceUnavailable, "the entry has no status", nil)
+		return
+	}
+	st, err := s.Status(c.Request().Context())
+	if err != nil {
+		failed(c, err)
+		return
+	}
+	body, err := EncodeState(st)
+	respondJSON(c, body, err)
+}
+
+// burn answers in the format that the parameter names: text, json (the default) or html.
+func (s *Server) burn(c iris.Context) {
+	types := map[string]string{"text": contentText, "json": contentJSON, "html": contentHTML}
+	format := c.URLParamDefault("format", "json")
+	contentType, ok := types[format]
+	if !ok {
+		refuse(c, http.StatusBadRequest, "the request is malformed", []Finding{{"format", "want text, json or html"}})
+		return
+	}
+	if s.Burn == nil {
+		refuse(c, http.StatusServiceUnavailable, "the entry has no burn report", nil)
+		return
+	}
+	var b bytes.Buffer
+	if err := s.Burn(&b, format); err != nil {
+		fault(c, err)
+		return
+	}
+	write(c, http.StatusOK, contentType, b.Bytes())
+}
+
+func (s *Server) metrics(c iris.Context) {
+	var b bytes.Buffer
+	if s.Metrics != nil {
+		s.Metrics(&b)
+	}
+	write(c, http.StatusOK, contentText, b.Bytes())
+}
+
+// published answers a decision: 200 when it is accepted or was only checked, 202 when it is not recorded yet.
+func published(c iris.Context, p Publication, err error) {
+	if err != nil {
+		failed(c, err)
+		return
+	}
+	body, err := EncodePublication(p)
+	if err != nil {
+		fault(c, err)
+		return
+	}
+	status := http.StatusOK
+	if !p.Accepted && !p.DryRun {
+		status = http.StatusAccepted
+	}
+	write(c, status, contentJSON, body)
+}
+
+// failed maps the kinds of errors to status codes. Only errors that surely had no effect say "not run".
+func failed(c iris.Context, err error) {
+	reason := trace.UserMessage(err)
+	switch {
+	case trace.IsBadParameter(err):
+		refuse(c, http.StatusBadRequest, reason, nil)
+	case trace.IsCompareFailed(err), trace.IsAlreadyExists(err):
+		refuse(c, http.StatusConflict, reason, nil)
+	case trace.IsNotFound(err):
+		refuse(c, http.StatusNotFound, reason, nil)
+	case trace.IsLimitExceeded(err):
+		refuse(c, http.StatusServiceUnavailable, reason, nil)
+	default:
+		fault(c, err)
+	}
+}
+
+func respondJSON(c iris.Context, body []byte, err error) {
+	if err != nil {
+		fault(c, err)
+		return
+	}
+	write(c, http.StatusOK, contentJSON, body)
+}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,360 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/configurer"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const testToken = "0123456789abcdef"
+
+func request(t *testing.T, s *Server, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	t.Helper()
+	h, err := s.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// Every malformed request is refused before Submit, with a reason, a place and a true "not run".
+func TestMalformedJobs(t *testing.T) {
+	one := `{"tasks":[{"kind":"k"}]}`
+	tasks := func(task string) string { return `{"tasks":[{"kind":"k"},` + task + `]}` }
+	tests := []struct {
+		name, key, body string
+		status          int
+		place           string // of the first finding
+	}{
+		{"no key", "", one, 400, "Idempotency-Key"},
+		{"long key", strings.Repeat("k", 201), one, 400, "Idempotency-Key"},
+		{"key with slash", "a/b", one, 400, "Idempotency-Key"},
+		{"key of dots", "..", one, 400, "Idempotency-Key"},
+		{"key with line break", "a\x01b", one, 400, "Idempotency-Key"},
+		{"empty body", "k", ``, 400, "body at byte 0"},
+		{"no JSON", "k", `hello`, 400, "body at byte 0"},
+		{"array", "k", `[]`, 400, "body"},
+		{"null", "k", `null`, 400, "body"},
+		{"cut off", "k", `{"tasks":[{"kind":"k"}`, 400, "body at byte 22"},
+		{"trailing data", "k", one + `{}`, 400, "body at byte 25"},
+		{"invalid UTF-8", "k", "{\"team\":\"\xff\"}", 400, "body"},
+		{"unpaired surrogate", "k", tasks(`{"kind":"k","payload":"\ud800"}`), 400, "tasks[1].payload"},
+		{"unknown field", "k", `{"tasks":[{"kind":"k"}],"dedline":1}`, 400, "dedline"},
+		{"name in other case", "k", `{"Tasks":[{"kind":"k"}]}`, 400, "Tasks"},
+		{"doubled field", "k", `{"tasks":[{"kind":"k"}],"once":true,"once":false}`, 400, "once"},
+		{"no tasks", "k", `{}`, 400, "tasks"},
+		{"empty tasks", "k", `{"tasks":[]}`, 400, "tasks"},
+		{"tasks is an object", "k", `{"tasks":{"a":[{}]}}`, 400, "tasks"},
+		{"too many tasks", "k", `{"tasks":[` + strings.Repeat(`{"kind":"k"},`, 1000) + `{"kind":"k"}]}`, 400, "tasks"},
+		{"task is a number", "k", tasks(`7`), 400, "tasks[1]"},
+		{"task without kind", "k", tasks(`{}`), 400, "tasks[1].kind"},
+		{"kind with slash", "k", tasks(`{"kind":"../run"}`), 400, "tasks[1].kind"},
+		{"long kind", "k", tasks(`{"kind":"` + strings.Repeat("k", 101) + `"}`), 400, "tasks[1].kind"},
+		{"unknown field of a task", "k", tasks(`{"kind":"k","x":{"y":[1]}}`), 400, "tasks[1].x"},
+		{"payload is an object", "k", tasks(`{"kind":"k","payload":{}}`), 400, "tasks[1].payload"},
+		{"long payload", "k", tasks(`{"kind":"k","payload":"` + strings.Repeat("p", maxPayload+1) + `"}`), 400, "tasks[1].payload"},
+		{"bad base64", "k", tasks(`{"kind":"k","payloadBase64":"?"}`), 400, "tasks[1].payloadBase64"},
+		{"two payloads", "k", tasks(`{"kind":"k","payload":"a","payloadBase64":"YQ=="}`), 400, "tasks[1]"},
+		{"negative run time", "k", tasks(`{"kind":"k","runMs":-1}`), 400, "tasks[1].runMs"},
+		{"fraction", "k", tasks(`{"kind":"k","runMs":1.5}`), 400, "tasks[1].runMs"},
+		{"number as string", "k", tasks(`{"kind":"k","runMs":"1"}`), 400, "tasks[1].runMs"},
+		{"null number", "k", tasks(`{"kind":"k","runMs":null}`), 400, "tasks[1].runMs"},
+		{"large number", "k", tasks(`{"kind":"k","memoryMb":1e99}`), 400, "tasks[1].memoryMb"},
+		{"no deadline left", "k", `{"tasks":[{"kind":"k"}],"deadlineMs":0}`, 400, "deadlineMs"},
+		{"long wait", "k", `{"tasks":[{"kind":"k"}],"waitMs":60001}`, 400, "waitMs"},
+		{"once is a number", "k", `{"tasks":[{"kind":"k"}],"once":1}`, 400, "once"},
+		{"team with space", "k", `{"tasks":[{"kind":"k"}],"team":"a b"}`, 400, "team"},
+		{"deep nesting", "k", `{"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`, 400, "x"},
+		{"large body", "k", `{"x":"` + strings.Repeat("x", maxBody) + `"}`, 413, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Server{Submit: func(context.Context, encoder.Job) encoder.Answer {
+				t.Error("got a call of Submit, want none")
+				return encoder.Answer{}
+			}}
+			w := request(t, s, "POST", "/v1/jobs", tc.body, "Idempotency-Key", tc.key)
+			var got answerWire
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatalf("got body %q, want JSON: %v", w.Body, err)
+			}
+			if w.Code != tc.status || got.State != "failed" || got.Outcome != notRun || got.Reason == "" {
+				t.Errorf("got %d %+v, want %d, not run, with a reason", w.Code, got, tc.status)
+			}
+			if tc.place != "" && (len(got.Findings) == 0 || got.Findings[0].Place != tc.place) {
+				t.Errorf("got findings %v, want the first at %s", got.Findings, tc.place)
+			}
+		})
+	}
+}
+
+func TestJobReachesSubmit(t *testing.T) {
+	var got encoder.Job
+	s := &Server{Submit: func(ctx context.Context, j encoder.Job) encoder.Answer {
+		got = j
+		if _, ok := ctx.Deadline(); !ok {
+			t.Error("got a context without a deadline")
+		}
+		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: []encoder.TaskResult{{Body: []byte("<é>")}, {Body: []byte{0xff}}}}
+	}}
+	w := request(t, s, "POST", "/v1/jobs", `{"team":"t","deadlineMs":5,"once":true,"waitMs":9,"tasks":[
+		{"kind":"k","payload":"\u00e9","runMs":50,"memoryMb":3},{"kind":"l","payloadBase64":"/w=="}]}`,
+		"Idempotency-Key", `"a.b"`, "Content-Type", "application/json; charset=utf-8")
+	if got.Key != "a.b" || got.Team != "t" || got.Deadline != 5 || !got.Once || len(got.Tasks) != 2 ||
+		string(got.Tasks[0].Payload) != "é" || got.Tasks[0].RunTime != 50 || got.Tasks[0].MemoryMB != 3 || string(got.Tasks[1].Payload) != "\xff" {
+		t.Errorf("got job %+v", got)
+	}
+	a, err := DecodeAnswer(w.Body.Bytes())
+	if err != nil || w.Code != 200 || len(a.Results) != 2 || string(a.Results[0].Body) != "<é>" || string(a.Results[1].Body) != "\xff" {
+		t.Errorf("got %d %s, %v, want both results byte for byte", w.Code, w.Body, err)
+	}
+}
+
+// The status tells callers whether the job ran, so a refusal that did run must not look like one that did not.
+func TestAnswers(t *testing.T) {
+	failed := func(c encoder.FailureCode, o encoder.Outcome) encoder.Answer {
+		return encoder.Answer{State: encoder.JobFailed, Code: c, Outcome: o, Reason: "r", RetryAfter: 1001}
+	}
+	tests := []struct {
+		name    string
+		answer  encoder.Answer
+		status  int
+		outcome string
+		retry   string
+	}{
+		{"running", encoder.Answer{State: encoder.JobRunning}, 202, "", ""},
+		{"complete", encoder.Answer{State: encoder.JobComplete, Results: make([]encoder.TaskResult, 1)}, 200, "", ""},
+		{"complete without results", encoder.Answer{State: encoder.JobComplete}, 500, unknown, ""},
+		{"no state", encoder.Answer{}, 500, unknown, ""},
+		{"answer of another submission", encoder.Answer{Key: "other", State: encoder.JobRunning}, 500, unknown, ""},
+		{"task failed", failed(encoder.CodeTask, encoder.OutcomeRan), 500, ran, ""},
+		{"unknown", failed(encoder.CodeUnknown, encoder.OutcomeUnknown), 500, unknown, ""},
+		{"outcome missing", failed(encoder.CodeOverload, 0), 500, unknown, ""},
+		{"deadline", failed(encoder.CodeDeadline, encoder.OutcomeRan), 504, ran, ""},
+		{"canceled", failed(encoder.CodeCanceled, encoder.OutcomeRan), 500, ran, ""},
+		{"overload", failed(encoder.CodeOverload, encoder.OutcomeNotRun), 503, notRun, "2"},
+		{"quota", failed(encoder.CodeQuota, encoder.OutcomeNotRun), 429, notRun, "2"},
+		{"unavailable", failed(encoder.CodeUnavailable, encoder.OutcomeNotRun), 503, notRun, "2"},
+		{"unavailable after a start", failed(encoder.CodeUnavailable, encoder.OutcomeUnknown), 500, unknown, ""},
+		{"unplaceable", failed(encoder.CodeUnplaceable, encoder.OutcomeNotRun), 422, notRun, ""},
+		{"conflict", failed(encoder.CodeConflict, encoder.OutcomeNotRun), 409, notRun, ""},
+		{"invalid", failed(encoder.CodeInvalid, encoder.OutcomeNotRun), 400, notRun, ""},
+		{"not found", failed(encoder.CodeNotFound, encoder.OutcomeNotRun), 404, notRun, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Server{Submit: func(context.Context, encoder.Job) encoder.Answer { return tc.answer }}
+			w := request(t, s, "POST", "/v1/jobs", `{"tasks":[{"kind":"k"}]}`, "Idempotency-Key", "k")
+			var got answerWire
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != tc.status || got.Outcome != tc.outcome || got.Key != "k" || w.Header().Get("Retry-After") != tc.retry {
+				t.Errorf("got %d %+v retry %q, want %d %q retry %q", w.Code, got, w.Header().Get("Retry-After"), tc.status, tc.outcome, tc.retry)
+			}
+		})
+	}
+}
+
+func TestCalls(t *testing.T) {
+	get := func(a encoder.Answer) func(context.Context, string) encoder.Answer {
+		return func(context.Context, string) encoder.Answer { return a }
+	}
+	canceled := encoder.Answer{State: encoder.JobFailed, Code: encoder.CodeCanceled, Outcome: encoder.OutcomeNotRun}
+	note := `{"added":[{"key":"domain/a","value":"out"}]}`
+	publish := func(err error) *Server {
+		return &Server{Publish: func(context.Context, configurer.Note, bool) (Publication, error) {
+			return Publication{Accepted: true}, err
+		}}
+	}
+	tests := []struct {
+		name, method, path, body string
+		server                   *Server
+		token                    string
+		status                   int
+		contains                 string
+	}{
+		{"get", "GET", "/v1/jobs/a", "", &Server{Get: get(encoder.Answer{State: encoder.JobRunning})}, "", 202, `"running"`},
+		{"get malformed key", "GET", "/v1/jobs/a%20b", "", &Server{}, "", 400, notRun},
+		{"cancel", "DELETE", "/v1/jobs/a", "", &Server{Cancel: get(canceled)}, "", 200, `"canceled"`},
+		{"no such call", "GET", "/v1/job", "", &Server{}, "", 404, "no such call"},
+		{"wrong method", "PUT", "/v1/jobs", "", &Server{}, "", 405, "method"},
+		{"no submit", "POST", "/v1/jobs", `{"tasks":[{"kind":"k"}]}`, &Server{}, "", 503, notRun},
+		{"description", "GET", "/v1/openapi.json", "", &Server{}, "", 200, `"openapi"`},
+		{"ready", "GET", "/health", "", &Server{}, "", 200, "ready"},
+		{"leaving", "GET", "/health", "", &Server{Ready: func() bool { return false }}, "", 503, "leaving"},
+		{"no token", "GET", "/v1/status", "", &Server{}, "", 401, notRun},
+		{"wrong token", "GET", "/metrics", "", &Server{}, "Bearer " + testToken + "0", 401, notRun},
+		{"other scheme", "GET", "/v1/burn", "", &Server{}, "Basic " + testToken, 401, notRun},
+		{"no status", "GET", "/v1/status", "", &Server{}, "Bearer " + testToken, 503, notRun},
+		{"burn format", "GET", "/v1/burn?format=pdf", "", &Server{}, "Bearer " + testToken, 400, `"format"`},
+		{"history limit", "GET", "/v1/notes?limit=0", "", &Server{}, "Bearer " + testToken, 400, `"limit"`},
+		{"domain name", "POST", "/v1/domains/a%20b/withdraw", "", &Server{}, "Bearer " + testToken, 400, `"domain"`},
+		{"published", "POST", "/v1/notes", note, publish(nil), "Bearer " + testToken, 200, `"accepted":true`},
+		{"dry run", "POST", "/v1/notes?dryRun=x", note, publish(nil), "Bearer " + testToken, 400, `"dryRun"`},
+		{"note in conflict", "POST", "/v1/notes", note, publish(trace.CompareFailed("newer")), "Bearer " + testToken, 409, notRun},
+		{"note without answer", "POST", "/v1/notes", note, publish(trace.ConnectionProblem(nil, "lost")), "Bearer " + testToken, 500, `"outcome":"unknown"`},
+		{"empty note", "POST", "/v1/notes", `{}`, publish(nil), "Bearer " + testToken, 400, "changes nothing"},
+		{"doubled key", "POST", "/v1/notes", `{"added":[{"key":"domain/a","value":"out"}],"withdrawn":["domain/a"]}`, publish(nil), "Bearer " + testToken, 400, `"withdrawn[0]"`},
+		{"unknown field of a note", "POST", "/v1/notes", `{"add":[]}`, publish(nil), "Bearer " + testToken, 400, `"add"`},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.server.Token = testToken
+			w := request(t, tc.server, tc.method, tc.path, tc.body, "Authorization", tc.token, "Idempotency-Key", "k")
+			if w.Code != tc.status || !strings.Contains(w.Body.String(), tc.contains) {
+				t.Errorf("got %d %s, want %d with %s", w.Code, w.Body, tc.status, tc.contains)
+			}
+		})
+	}
+	// A server without a token must not accept the empty one.
+	if w := request(t, &Server{}, "GET", "/v1/status", "", "Authorization", "Bearer "); w.Code != 401 {
+		t.Errorf("got %d without a token in the settings, want 401", w.Code)
+	}
+}
+
+// A request in flight at the time of Shutdown gets its whole answer.
+func TestShutdownWaits(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := &Server{Submit: func(_ context.Context, j encoder.Job) encoder.Answer {
+		close(entered)
+		<-release
+		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: make([]encoder.TaskResult, 1)}
+	}}
+	h, err := s.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Listener{Handler: h}
+	address, err := l.Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served, answered, stopped := make(chan error, 1), make(chan error, 1), make(chan error, 1)
+	go func() { served <- l.Serve() }()
+	go func() {
+		body, _ := EncodeJob(encoder.Job{Tasks: []encoder.JobTask{{Kind: "k"}}}, timer.Second)
+		r, err := Client{URL: "http://" + address}.Submit(context.Background(), "k", body)
+		if err == nil && r.Status != 200 {
+			err = trace.Errorf("status %d", r.Status)
+		}
+		answered <- err
+	}()
+	<-entered
+	go func() { stopped <- l.Shutdown(context.Background()) }()
+	if err := <-served; err != nil { // Serve returns when Shutdown has closed the listener
+		t.Error(err)
+	}
+	close(release)
+	for _, c := range []chan error{answered, stopped} {
+		if err := <-c; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestListenerBounds(t *testing.T) {
+	for _, tc := range []struct {
+		address string
+		guarded bool
+		ok      bool
+	}{{"127.0.0.1:0", false, true}, {"0.0.0.0:0", false, false}, {"[::]:0", false, false}, {"localhost:0", true, false}} {
+		l := &Listener{Guarded: tc.guarded}
+		_, err := l.Listen(context.Background(), tc.address)
+		if (err == nil) != tc.ok {
+			t.Errorf("%s guarded %t: got %v, want success %t", tc.address, tc.guarded, err, tc.ok)
+		}
+		if err == nil {
+			_ = l.bound.Close()
+		}
+	}
+	h, err := (&Server{}).Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Listener{Handler: h}
+	address, err := l.Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = l.Serve() }()
+	defer func() { _ = l.Shutdown(context.Background()) }()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Minute)) // only bounds a hanging test
+	_, _ = io.WriteString(c, "GET /health HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
+	head := make([]byte, 12)
+	if _, err := io.ReadFull(c, head); err != nil || string(head[9:]) != "431" {
+		t.Errorf("got %q, %v for a header of 64 KiB, want status 431", head, err)
+	}
+}
+
+// The description must not name other calls than the server has.
+func TestDescription(t *testing.T) {
+	var d struct {
+		Paths map[string]map[string]any `json:"paths"`
+	}
+	if err := json.Unmarshal(description, &d); err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Token: testToken}
+	for path, methods := range d.Paths {
+		for method := range methods {
+			path := strings.NewReplacer("{key}", "k", "{domain}", "d").Replace(path)
+			w := request(t, s, strings.ToUpper(method), path, "")
+			if w.Code == http.StatusNotFound || w.Code == http.StatusMethodNotAllowed {
+				t.Errorf("got %d for %s %s", w.Code, method, path)
+			}
+		}
+	}
+}
+
+// Any body is either refused with findings or gives a job within the limits; decoding never panics.
+func FuzzDecodeJob(f *testing.F) {
+	for _, seed := range []string{
+		`{"team":"t","tasks":[{"kind":"k","payload":"p","runMs":5,"memoryMb":1}],"deadlineMs":9,"once":true,"waitMs":0}`,
+		`{"tasks":[{"kind":"k","payloadBase64":"AA=="}]}`, `{"tasks":[{}]`, `[[[`, `{"a":{"b":[{}]}}`, `{"tasks":[{"kind":"\ud83d"}]}`, `null`, ``,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		q, findings := DecodeJob("k", []byte(body))
+		if len(findings) > maxFindings {
+			t.Fatalf("got %d findings, want at most %d", len(findings), maxFindings)
+		}
+		if len(findings) > 0 {
+			return
+		}
+		if n := len(q.Job.Tasks); n < 1 || n > maxTasks || q.Wait < 0 || q.Wait > maxWait {
+			t.Fatalf("got a job of %d tasks with wait %v", n, q.Wait)
+		}
+		again, err := EncodeJob(q.Job, q.Wait)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, findings := DecodeJob("k", again); len(findings) > 0 || len(r.Job.Tasks) != len(q.Job.Tasks) {
+			t.Fatalf("got %v when the job is encoded and decoded again", findings)
+		}
+	})
+}
