Accept roster checkpoints without an offset

Cause: the dispatcher writes roster checkpoints without Base, and the codec refused those whose epoch lies after Base. Change: the later of Base and epoch counts as the offset of the checkpoint; the codec leaves it to the fold. Conclusion: a checkpoint without Base closes a gap only while its epoch is still retained; writers should use NewCheckpoint with the offset of the next record.

--- a/elector/codec.go
+++ b/elector/codec.go
@@ -101,8 +101,6 @@
 		return trace.BadParameter("roster record of kind %d has the wrong parts", c.Kind)
 	case c.Kind != ChangeCheckpoint && c.Entry.Member.ID == "":
 		return trace.BadParameter("roster record of kind %d names no entry", c.Kind)
-	case c.Kind == ChangeCheckpoint && c.Roster.Epoch > c.Base:
-		return trace.BadParameter("checkpoint at offset %d has the later epoch %d", c.Base, c.Roster.Epoch)
 	}
 	return nil
 }
--- a/elector/fold.go
+++ b/elector/fold.go
@@ -28,7 +28,8 @@
 	Change struct {
 		Kind ChangeKind
 		// Base is the epoch on which a removal was decided. A removal is void when the member has changed since. In a
-		// checkpoint, Base is the offset of the first record that is not part of the restated roster.
+		// checkpoint, Base is the offset of the first record that is not part of the restated roster; when it is lower
+		// than the roster's epoch, the epoch counts.
 		Base   uint64
 		Entry  encoder.RosterEntry
 		Roster encoder.Roster // checkpoints only
--- a/elector/replay.go
+++ b/elector/replay.go
@@ -54,8 +54,11 @@
 	}
 	p.gap.Add(r)
 	c, err := DecodeChange(r.Body)
-	if err == nil && c.Kind == ChangeCheckpoint && c.Base <= r.Offset {
-		p.Adopt(c.Roster, c.Base)
+	if err == nil && c.Kind == ChangeCheckpoint {
+		// A checkpoint whose roster lies after its own record is false.
+		if as := max(c.Base, c.Roster.Epoch); as <= r.Offset {
+			p.Adopt(c.Roster, as)
+		}
 	}
 	return nil
 }
