--- a/emulator/log.go
+++ b/emulator/log.go
@@ -147,6 +147,14 @@
 	return nil
 }
 
+// Append stores a record whatever the faults are, for tests. ok is false when there are too many streams. The body is
+// kept, not copied.
+func (l *Log) Append(stream, id string, body []byte) (offset uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.add(stream, id, body)
+}
+
 // add stores a record; ok is false when there are too many streams.
 func (l *Log) add(stream, id string, body []byte) (offset uint64, ok bool) {
 	s, ok := l.streams[stream]
