--- /dev/null
+++ b/starter/freshness.go
@@ -0,0 +1,80 @@
+package starter
+
+import (
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// sentPing is the time at which a ping was sent.
+	sentPing struct {
+		sequence uint64
+		at       timer.Millis
+	}
+
+	// statement is the newest word of an entry on the sidecar's failure domain.
+	statement struct {
+		sequence uint64 // of the pong; 0 for none
+		offset   uint64
+		inForce  bool
+	}
+)
+
+// ping sends a heartbeat to e and remembers its time.
+func (c *Core) ping(now timer.Millis, e *entry) {
+	if e.session == 0 {
+		return
+	}
+	c.sequence++
+	c.pings[c.sequence%uint64(len(c.pings))] = sentPing{c.sequence, now}
+	c.send(e, &encoder.Ping{Sequence: c.sequence, Running: uint32(len(c.running)), Leaving: c.leaving})
+}
+
+// pong takes over newer state and extends the freshness lease.
+func (c *Core) pong(now timer.Millis, e *entry, m *encoder.Pong) {
+	sent := c.pings[m.Sequence%uint64(len(c.pings))]
+	if m.Sequence == 0 || sent.sequence != m.Sequence {
+		return // forged, or so old that it could renew nothing
+	}
+	c.adopt(m.Roster)
+	c.offset = max(c.offset, m.ConfigOffset)
+	if m.Sequence > e.statement.sequence {
+		e.statement = statement{m.Sequence, m.ConfigOffset, m.DomainInForce}
+	}
+	c.judgeDomain()
+	if !m.Confirmed || m.Age < 0 || m.Roster.Epoch == 0 {
+		return
+	}
+	// An attestation ends with the first newer epoch or offset: it says that there can be none.
+	if !m.LogReachable && (m.Roster.Epoch < c.roster.Epoch || m.ConfigOffset < c.offset) {
+		return
+	}
+	until := sent.at - m.Age + leaseTime
+	if until > c.lease && until > now {
+		c.lease = until
+		c.leaseState = step(leaseChart, c.leaseState, eventRenew)
+	}
+	if m.LogReachable {
+		e.outage = 0
+	} else {
+		e.outage = max(e.outage, until)
+	}
+}
+
+// judgeDomain derives the state of the own failure domain from the statements at the newest configuration offset. One
+// entry that reports the domain as withdrawn is enough there: it may know of a withdrawal that cannot be recorded now.
+func (c *Core) judgeDomain() {
+	known, inForce := false, true
+	for _, e := range c.entries {
+		if s := e.statement; s.sequence != 0 && s.offset == c.offset {
+			known, inForce = true, inForce && s.inForce
+		}
+	}
+	switch {
+	case !known: // the state at this offset was learnt before; it stays
+	case !inForce:
+		c.domain = step(domainChart, c.domain, eventWithdraw)
+	default:
+		c.domain = step(domainChart, c.domain, eventEnforce)
+	}
+}
