--- /dev/null
+++ b/configurer/replay.go
@@ -0,0 +1,61 @@
+package configurer
+
+import "github.com/crocuslb/crocuslb/appender"
+
+// Replay folds the stream for a process that has no state or an old one. It may begin at the first retained record:
+// until a checkpoint closes the gap it holds the records. The zero value begins with the empty configuration. A Replay
+// is used by one goroutine.
+type Replay struct {
+	state      Snapshot
+	gap        appender.Gap
+	checkpoint uint64 // offset after the last checkpoint record, 0 for none
+}
+
+// Snapshot returns the state so far. ok is false while records are missing between it and those that were added.
+func (p *Replay) Snapshot() (s Snapshot, ok bool) { return p.state, !p.gap.Open() }
+
+// SinceCheckpoint returns the number of records that were folded after the last checkpoint. A checkpoint is due when
+// it reaches half of the log's retention.
+func (p *Replay) SinceCheckpoint() uint64 { return p.state.offset - min(p.checkpoint, p.state.offset) }
+
+// Adopt takes over a state fetched from elsewhere when it is later than the own one, and reports whether it did.
+func (p *Replay) Adopt(s Snapshot) bool {
+	if s.offset <= p.state.offset || s.edited {
+		return false
+	}
+	s.local = p.state.local
+	p.state = s
+	rest, _ := p.gap.Close(s.offset)
+	for _, r := range rest {
+		p.fold(r) // findings were reported by the processes that were up to date
+	}
+	return true
+}
+
+// Add folds the next record of the stream and returns the findings that made it ineffective. A checkpoint closes a gap
+// before the held records.
+func (p *Replay) Add(r appender.Record) []Finding {
+	if r.Offset <= p.state.offset {
+		return p.fold(r)
+	}
+	p.gap.Add(r)
+	c, err := DecodeRecord(r.Body)
+	// A checkpoint whose state lies after its own record is false.
+	if err == nil && c.Kind == KindCheckpoint && c.Checkpoint.offset <= r.Offset {
+		p.Adopt(c.Checkpoint)
+	}
+	return nil
+}
+
+func (p *Replay) fold(r appender.Record) []Finding {
+	if r.Offset < p.state.offset {
+		return nil
+	}
+	record, err := DecodeRecord(r.Body)
+	next, findings := foldDecoded(p.state, r.Offset, record, err)
+	p.state = next
+	if record.Kind == KindCheckpoint {
+		p.checkpoint = r.Offset + 1
+	}
+	return findings
+}
