Test the sidecar's start gate, process and backend exchanges

Cause: the start gate is what keeps a task from starting twice; nothing but its refusals was tested. TestSidecar runs the process against a loopback entry and emulator.Backend. Tests of the runner, of idle connections and of health checks; benchmarks. The owner of the cell is computed once for each roster. Known keys spend no credit, because entries repeat starts without spending one.

--- a/starter/core.go
+++ b/starter/core.go
@@ -86,6 +86,7 @@
 		acked    map[encoder.Member]bool
 
 		roster    encoder.Roster // its epoch is the promised one
+		home      encoder.Member // owner of the sidecar's cell; only it gets credits
 		announced bool           // each entry of the roster has acknowledged this sidecar
 
 		lease      timer.Millis
@@ -269,7 +270,8 @@
 	if r.Epoch <= c.roster.Epoch {
 		return
 	}
-	c.roster = r
+	home, _ := elector.Home(r, c.ID)
+	c.roster, c.home = r, home.Member
 	for _, e := range c.entries {
 		if !c.member(e) {
 			e.credits, e.recalled = 0, 0
--- /dev/null
+++ b/starter/core_bench_test.go
@@ -0,0 +1,45 @@
+package starter
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+// benchmarkStarts sends n starts through a core, 20 tasks a job, each with its end and its collection.
+func benchmarkStarts(c *Core, n int) {
+	session := sessionOf(c, task(0))
+	owner := c.sessions[session].member
+	done := Outcome{Status: encoder.StatusDone, Body: make([]byte, 64)}
+	for i := range n {
+		k := encoder.TaskKey{Job: "team-1/submission-" + strconv.Itoa(i/20), Index: uint32(i % 20)}
+		c.Receive(1000, session, &encoder.Start{Task: k, Epoch: 5, Owner: owner})
+		c.Ended(1000, k, done)
+		c.Receive(1000, session, &encoder.Collected{Tasks: []encoder.TaskKey{k}})
+	}
+}
+
+// BenchmarkStart measures a start, its end and its collection in the core.
+func BenchmarkStart(b *testing.B) {
+	c := connected(five[:3]...)
+	b.ReportAllocs()
+	b.ResetTimer()
+	benchmarkStarts(c, b.N)
+}
+
+// BenchmarkKept reports the memory of a started task that ended and was collected, at the full table.
+func BenchmarkKept(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		c := connected(five[:3]...)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		benchmarkStarts(c, defaultMaxKeys)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/defaultMaxKeys, "B/key")
+		runtime.KeepAlive(c)
+	}
+}
--- a/starter/credits.go
+++ b/starter/credits.go
@@ -1,9 +1,6 @@
 package starter
 
-import (
-	"github.com/crocuslb/crocuslb/elector"
-	"github.com/crocuslb/crocuslb/encoder"
-)
+import "github.com/crocuslb/crocuslb/encoder"
 
 // committed returns the credits that are granted or spent on tasks that have not ended.
 func (c *Core) committed() uint32 {
@@ -27,12 +24,6 @@
 	return 0
 }
 
-// home reports whether e is the owner of the cell that this sidecar belongs to. Only it gets credits.
-func (c *Core) home(e *entry) bool {
-	h, ok := elector.Home(c.roster, c.ID)
-	return ok && h.Member == e.member
-}
-
 // deal grants the free credits to the owner of the cell. When that is the answered entry, they are returned instead, to
 // travel with the answer.
 func (c *Core) deal(answered *entry) uint32 {
@@ -41,7 +32,7 @@
 		return 0
 	}
 	for _, e := range c.entries {
-		if e.session == 0 || e.idle || !c.home(e) {
+		if e.session == 0 || e.idle || e.member != c.home {
 			continue
 		}
 		e.credits += limit - committed
@@ -57,7 +48,7 @@
 // recall asks for the credits of entries that stopped owning the cell, and for all while the domain is withdrawn.
 func (c *Core) recall() {
 	for _, e := range c.entries {
-		if e.credits > 0 && e.recalled == 0 && e.session != 0 && (c.domain == domainWithdrawn || !c.home(e)) {
+		if e.credits > 0 && e.recalled == 0 && e.session != 0 && (c.domain == domainWithdrawn || e.member != c.home) {
 			e.recalled = e.credits
 			c.send(e, &encoder.Recall{Credits: e.credits})
 		}
--- a/starter/gate.go
+++ b/starter/gate.go
@@ -7,14 +7,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-// start handles a Start message. It spends a credit of e.
+// start handles a Start message. It spends a credit of e, unless the key is known: entries repeat starts on a new session
+// without spending credits.
 func (c *Core) start(now timer.Millis, e *entry, m *encoder.Start) {
-	spent := e.credits > 0
-	if spent {
-		e.credits--
-		e.recalled = min(e.recalled, e.credits)
-	}
-	e.idle = false
 	// A known key is answered first, whatever the epoch: any other refusal could pass for "this task did not run".
 	if r := c.started.find(m.Task); r != nil {
 		if r.status == encoder.StatusRunning {
@@ -29,6 +24,12 @@
 		c.refuse(e, m.Task, encoder.RefusalDuplicate)
 		return
 	}
+	spent := e.credits > 0
+	if spent {
+		e.credits--
+		e.recalled = min(e.recalled, e.credits)
+	}
+	e.idle = false
 	a := &attempt{start: *m, from: e, session: e.session, claimed: m.Claimed, claimBy: now + c.ClaimWait, state: attemptChart.Start()}
 	if m.Deadline != 0 {
 		a.deadline = now + m.Deadline
--- a/starter/sidecar.go
+++ b/starter/sidecar.go
@@ -48,6 +48,7 @@
 		core     Core
 		node     messenger.Node
 		runner   *runner
+		health   *health
 		sessions map[uint64]*messenger.Session
 		numbers  map[*messenger.Session]uint64
 		last     uint64 // number of the newest session
@@ -100,7 +101,10 @@
 	s.node.OnMessage = func(n *messenger.Session, m encoder.Message) {
 		s.post(ctx, event{kind: eventMessage, session: n, message: m})
 	}
-	go newHealth(base).watch(ctx, func(err error) { s.post(ctx, event{kind: eventHealth, err: err}) })
+	if s.health == nil {
+		s.health = newHealth(base)
+	}
+	go s.health.watch(ctx, func(err error) { s.post(ctx, event{kind: eventHealth, err: err}) })
 	tick := time.NewTicker(tickPeriod)
 	defer tick.Stop()
 	for {
--- /dev/null
+++ b/starter/sidecar_test.go
@@ -0,0 +1,238 @@
+package starter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/emulator"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/messenger"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// fakeEntry is the only entry of a roster. It answers pings and passes other messages on.
+type fakeEntry struct {
+	node     messenger.Node
+	address  atomic.Value
+	sessions chan *messenger.Session
+	messages chan encoder.Message
+}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	f := &fakeEntry{sessions: make(chan *messenger.Session, 8), messages: make(chan encoder.Message, 64)}
+	member := encoder.Member{ID: "e", Incarnation: 1}
+	known := func() encoder.Roster {
+		address, _ := f.address.Load().(string)
+		return encoder.Roster{Epoch: 1, Entries: []encoder.RosterEntry{{Member: member, Address: address}}}
+	}
+	f.node.Accept = func(*encoder.Hello) (encoder.HelloAck, error) {
+		return encoder.HelloAck{Member: member, Roster: known()}, nil
+	}
+	f.node.OnUp = func(s *messenger.Session) { f.sessions <- s }
+	f.node.OnMessage = func(s *messenger.Session, m encoder.Message) {
+		if p, ok := m.(*encoder.Ping); ok {
+			s.Send(goodPong(p.Sequence, known()))
+			return
+		}
+		f.messages <- m
+	}
+	f.node.Silence = timer.Minute
+	address, err := f.node.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address.Store(address)
+	return f
+}
+
+// next returns the next message of type M and drops others.
+func next[M any](f *fakeEntry) M {
+	for {
+		if m, ok := (<-f.messages).(M); ok {
+			return m
+		}
+	}
+}
+
+// TestSidecar guards the path from a Start on a session to the backend server and back, and the drain.
+func TestSidecar(t *testing.T) {
+	f := newFakeEntry(t)
+	var backend emulator.Backend
+	base, err := backend.Serve(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, _ := f.address.Load().(string)
+	s := &Sidecar{ID: "s1", Domain: "d1", Backend: base, Entries: []string{address}}
+	// Time stands still, so that neither the lease, nor a session, nor a health check ends on a busy machine.
+	s.Clock.NowFunc = func() timer.Millis { return timer.Minute }
+	s.node.Silence = timer.Minute
+	u, _ := url.Parse(base)
+	s.health = newHealth(u)
+	s.health.client.Timeout = 0
+	ended := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { ended <- s.Run(ctx) }()
+	session := <-f.sessions
+	if got := next[*encoder.Grant](f).Credits; got != 10 {
+		t.Errorf("credits: got %d, want 10", got)
+	}
+	for i, tt := range []struct {
+		payload string
+		before  func()
+		want    string
+	}{
+		{payload: `{"echo":"hello"}`, want: "1 hello"},
+		{payload: `{"fail":true}`, want: "2 "},
+		{payload: `{"echo":"hello"}`, before: func() { backend.SetTruncated(true) }, want: "3 "},
+		{payload: strings.Repeat("x", MaxBody+1), before: func() { backend.SetTruncated(false) }, want: "2 "},
+	} {
+		if tt.before != nil {
+			tt.before()
+		}
+		key := encoder.TaskKey{Job: "job", Index: uint32(i)}
+		for range 2 { // the second start must not run the task again, and gets the same answer
+			session.Send(&encoder.Start{
+				Task: key, Epoch: 1, Owner: encoder.Member{ID: "e", Incarnation: 1}, Kind: "k", Payload: []byte(tt.payload),
+			})
+			m := next[*encoder.Result](f)
+			if got := fmt.Sprintf("%d %s", m.Status, m.Body); got != tt.want || m.Task != key {
+				t.Errorf("result of %v: got %q, want %q for %v", m.Task, got, tt.want, key)
+			}
+		}
+		session.Send(&encoder.Collected{Tasks: []encoder.TaskKey{key}})
+	}
+	if got, want := fmt.Sprint(backend.Starts()), "map[job/0:1 job/1:1 job/2:1 job/3:1]"; got != want {
+		t.Errorf("starts: got %s, want %s", got, want)
+	}
+	if err := s.Drain(t.Context()); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	next[*encoder.Leaving](f)
+	stop()
+	if err := <-ended; err != nil {
+		t.Errorf("run: %v", err)
+	}
+}
+
+// TestRunner guards the outcomes of exchanges with the backend server: "not started" only when surely nothing was sent,
+// and a success only with the whole body.
+func TestRunner(t *testing.T) {
+	canceled, cancel := context.WithCancel(t.Context())
+	tests := []struct {
+		name  string
+		ctx   context.Context
+		serve http.HandlerFunc // nil for a server that refuses connections
+		after timer.Millis
+		want  encoder.Status
+		hits  int32
+	}{
+		{name: "done", serve: func(http.ResponseWriter, *http.Request) {}, after: 2000, want: encoder.StatusDone, hits: 1},
+		{name: "refused", after: 2000, want: encoder.StatusNotStarted},
+		{name: "paused before the request", serve: func(http.ResponseWriter, *http.Request) {}, after: 1000,
+			want: encoder.StatusNotStarted},
+		{name: "broken off", serve: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, after: 2000,
+			want: encoder.StatusUnknown, hits: 1},
+		{name: "redirect", serve: func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusFound) },
+			after: 2000, want: encoder.StatusFailed, hits: 1},
+		{name: "no length", serve: func(w http.ResponseWriter, _ *http.Request) {
+			conn, rw, _ := http.NewResponseController(w).Hijack()
+			_, _ = rw.WriteString("HTTP/1.1 200 OK\r\n\r\npart")
+			_ = rw.Flush()
+			_ = conn.Close()
+		}, after: 2000, want: encoder.StatusUnknown, hits: 1},
+		{name: "canceled", ctx: canceled, serve: func(_ http.ResponseWriter, r *http.Request) {
+			cancel()
+			<-r.Context().Done()
+		}, after: 2000, want: encoder.StatusUnknown, hits: 1},
+	}
+	for _, tt := range tests {
+		var hits atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			hits.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body) // a server notices a lost client only after the whole request
+			tt.serve(w, r)
+		}))
+		base, _ := url.Parse(server.URL)
+		if tt.serve == nil {
+			server.Close()
+		}
+		if tt.ctx == nil {
+			tt.ctx = t.Context()
+		}
+		r := newRunner(base, timer.Clock{NowFunc: func() timer.Millis { return 1000 }}, 0)
+		got := r.run(tt.ctx, Run{Kind: "k", Payload: []byte("p"), NotAfter: tt.after})
+		if got.Status != tt.want || hits.Load() != tt.hits {
+			t.Errorf("%s: got status %d (%s) after %d requests, want %d after %d", tt.name, got.Status, got.Reason, hits.Load(), tt.want, tt.hits)
+		}
+		r.close()
+		server.Close()
+	}
+}
+
+// TestIdleConnections guards against the reuse of a connection that may have gone silent.
+func TestIdleConnections(t *testing.T) {
+	var conns atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	base, _ := url.Parse(server.URL)
+	now := timer.Millis(1000)
+	r := newRunner(base, timer.Clock{NowFunc: func() timer.Millis { return now }}, 0)
+	defer r.close()
+	for _, tt := range []struct {
+		pause timer.Millis
+		want  int32
+	}{{0, 1}, {maxIdle, 1}, {maxIdle + 1, 2}, {1, 2}} {
+		now += tt.pause
+		if o := r.run(t.Context(), Run{Kind: "k", NotAfter: 1 << 30}); o.Status != encoder.StatusDone {
+			t.Fatalf("run: %s", o.Reason)
+		}
+		if got := conns.Load(); got != tt.want {
+			t.Errorf("connections after a pause of %v: got %d, want %d", tt.pause, got, tt.want)
+		}
+	}
+}
+
+// TestHealth guards against new work for a backend server that is leaving or silent; one lost check must not count.
+func TestHealth(t *testing.T) {
+	var backend emulator.Backend
+	server := httptest.NewServer(&backend)
+	defer server.Close()
+	base, _ := url.Parse(server.URL)
+	h := newHealth(base)
+	for _, tt := range []struct {
+		name    string
+		leaving bool
+		frozen  bool
+		want    bool
+	}{
+		{"healthy", false, false, true}, {"leaving", true, false, false}, {"back", false, false, true},
+		{"silent once", false, true, true}, {"silent twice", false, true, false}, {"thawed", false, false, true},
+	} {
+		backend.SetLeaving(tt.leaving)
+		backend.SetFrozen(tt.frozen)
+		if tt.frozen {
+			h.client.Timeout = time.Millisecond // nothing answers, however long it is
+		} else {
+			h.client.Timeout = 0
+		}
+		if err := h.check(t.Context()); (err == nil) != tt.want {
+			t.Errorf("%s: got error %v, want healthy %v", tt.name, err, tt.want)
+		}
+	}
+}
