Test sessions under faults, end the grace on Close

Cause: the behaviour under silence, restarts and malformed input was not tested. A first version of the grace test showed that a Node could not stop while a silent session was in its grace. Change: a fault table with a UDP relay that drops packets in one or both directions; wrong secrets, refused sessions, malformed streams, full queues, slow consumers. Close ends the grace. Causes name the end that closed. Conclusion: a silent session is replaced through a new port within the configured silence, whichever direction fails.

--- /dev/null
+++ b/messenger/fault_test.go
@@ -0,0 +1,283 @@
+package messenger
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// Guards against connections that stay silent for good: the session must be replaced through a new port.
+func TestSilence(t *testing.T) {
+	tests := []struct {
+		name               string
+		toServer, toClient bool
+	}{
+		{"both directions", true, true},
+		{"to the server", true, false},
+		{"to the client", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			a, b := newTestNode("a"), newTestNode("b")
+			a.Heartbeat, a.Silence, b.Heartbeat, b.Silence = 50, 250, 50, 250
+			r := newRelay(t, a.listen(ctx, t))
+			b.Connect(ctx, r.address())
+			old := receive(t, b.up, "session").session
+			before := r.drop(tt.toServer, tt.toClient)
+			if down := receive(t, b.down, "end"); down.session != old || !strings.Contains(down.cause.Error(), "silent") {
+				t.Errorf("got end of %p by %v, want silence of %p", down.session, down.cause, old)
+			}
+			receive(t, b.up, "replacement")
+			if got := r.drop(false, false); got <= before {
+				t.Errorf("got %d client ports, want more than %d", got, before)
+			}
+			cancel()
+			a.Wait()
+			b.Wait()
+		})
+	}
+}
+
+// Guards against the loss of a late answer when the silent connection recovers within the grace.
+func TestGrace(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	a, b := newTestNode("a"), newTestNode("b")
+	b.Heartbeat, b.Silence, b.Grace = 50, 250, 60*timer.Second
+	a.Grace = b.Grace
+	r := newRelay(t, a.listen(ctx, t))
+	b.Connect(ctx, r.address())
+	old, server := receive(t, b.up, "session").session, receive(t, a.up, "session").session
+	r.drop(false, true)
+	server.Send(&encoder.Claimed{Job: "late"})
+	receive(t, b.down, "end")
+	if old.Send(&encoder.Leaving{}) {
+		t.Error("a silent session took a message")
+	}
+	r.drop(false, false)
+	if got := receive(t, b.messages, "late message"); got.session != old {
+		t.Errorf("got %+v from %p, want it from %p", got.message, got.session, old)
+	}
+	receive(t, b.up, "replacement")
+	cancel()
+	a.Wait()
+	b.Wait()
+}
+
+// Guards against a client that does not find a restarted process on the same address.
+func TestRestart(t *testing.T) {
+	first, stop := context.WithCancel(t.Context())
+	a, b := newTestNode("a"), newTestNode("b")
+	address := a.listen(first, t)
+	b.Connect(t.Context(), address)
+	receive(t, b.up, "session")
+	stop()
+	receive(t, b.down, "end")
+	a.Wait()
+	again := newTestNode("a2")
+	if _, err := again.Listen(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	if got := receive(t, b.up, "session").session.Ack().Member.ID; got != "a2" {
+		t.Errorf("got a session with %q, want a2", got)
+	}
+}
+
+// Guards against sessions that must not open, and against a refusal that does not reach the other end.
+func TestRefusedSessions(t *testing.T) {
+	secret := strings.Repeat("s", MinSecret)
+	tests := []struct {
+		name             string
+		change           func(a, b testNode)
+		accepts, dialing string // what the ends report; "" for nothing
+	}{
+		{"refused by Accept", func(a, _ testNode) {
+			a.Accept = func(*encoder.Hello) (encoder.HelloAck, error) {
+				return encoder.HelloAck{}, trace.BadParameter("wrong domain")
+			}
+		}, "wrong domain", "wrong domain"},
+		{"wrong secret", func(a, b testNode) { a.TLS, b.TLS = mustKeys(t, secret), mustKeys(t, secret+"x") }, "", "certificate"},
+		{"secret on one side", func(a, _ testNode) { a.TLS = mustKeys(t, secret) }, "", "certificate"},
+		{"no certificate", func(_, b testNode) {
+			b.TLS = mustKeys(t, developmentSecret)
+			b.TLS.GetClientCertificate = nil
+		}, "", "certificate required"},
+		{"too many sessions", func(a, _ testNode) { a.MaxSessions = 1 }, "", "cannot connect"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, b := newTestNode("a"), newTestNode("b")
+			tt.change(a, b)
+			address := a.listen(t.Context(), t)
+			if tt.name == "too many sessions" {
+				other := newTestNode("c")
+				other.Connect(t.Context(), address)
+				receive(t, other.up, "first session")
+			}
+			b.Connect(t.Context(), address)
+			if err := receive(t, b.failed, "failure"); !strings.Contains(err.Error(), tt.dialing) {
+				// The server's verdict on the client certificate arrives after the client's handshake.
+				t.Errorf("dialing end: got %v, want %q", err, tt.dialing)
+			}
+			if tt.accepts != "" {
+				if err := receive(t, a.failed, "failure"); !strings.Contains(err.Error(), tt.accepts) {
+					t.Errorf("accepting end: got %v, want %q", err, tt.accepts)
+				}
+			}
+			if len(b.up) > 0 {
+				t.Error("a session came up")
+			}
+		})
+	}
+}
+
+// Guards against traffic without a secret on addresses that other machines reach.
+func TestLoopbackOnly(t *testing.T) {
+	n := newTestNode("a")
+	for _, address := range []string{":0", "0.0.0.0:0", "[::]:0", "192.0.2.1:0"} {
+		if _, err := n.Listen(t.Context(), address); err == nil || !strings.Contains(err.Error(), "secret") {
+			t.Errorf("listen on %s: got %v, want an error that asks for a secret", address, err)
+		}
+	}
+	n.Connect(t.Context(), "192.0.2.1:1")
+	if err := receive(t, n.failed, "failure"); !strings.Contains(err.Error(), "secret") {
+		t.Errorf("connect: got %v, want an error that asks for a secret", err)
+	}
+	if _, err := Keys("short"); err == nil {
+		t.Error("a short secret was accepted")
+	}
+}
+
+// Guards against malformed input: each case must end the connection with a clear cause.
+func TestMalformedStreams(t *testing.T) {
+	hello := framed(encoder.Append(nil, &encoder.Hello{Role: encoder.RoleSidecar}))
+	tests := []struct {
+		name  string
+		bytes []byte
+		want  string
+	}{
+		{"oversized first frame", header(encoder.MaxFrame + 1), "out of range"},
+		{"empty first frame", header(0), "out of range"},
+		{"first message is not Hello", framed(encoder.Append(nil, &encoder.Leaving{})), "want Hello"},
+		{"Hello is garbage", framed([]byte{1, 8, 99}), "Hello.role"},
+		{"oversized frame", slices.Concat(hello, header(encoder.MaxFrame+1)), "out of range"},
+		{"truncated frame", slices.Concat(hello, header(1000)), "within a frame"},
+		{"truncated header", slices.Concat(hello, []byte{0, 0}), "within a frame"},
+		{"undecodable message", slices.Concat(hello, framed([]byte{3, 16})), "Ping"},
+		{"message of a newer version, then end", slices.Concat(hello, framed([]byte{100})), "closed by the other end"},
+	}
+	a := newTestNode("a")
+	address, err := net.ResolveUDPAddr("udp", a.listen(t.Context(), t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, err := quic.DialAddr(t.Context(), address.String(), mustKeys(t, developmentSecret), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stream, err := conn.OpenStream()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := stream.Write(tt.bytes); err != nil {
+				t.Fatal(err)
+			}
+			_ = stream.Close()
+			var got error
+			if len(tt.bytes) > len(hello) && string(tt.bytes[:len(hello)]) == string(hello) {
+				got = receive(t, a.down, "end").cause
+			} else {
+				got = receive(t, a.failed, "failure")
+			}
+			if !strings.Contains(got.Error(), tt.want) {
+				t.Errorf("got %v, want %q", got, tt.want)
+			}
+			<-conn.Context().Done()
+		})
+	}
+}
+
+// Guards against an unbounded queue, and against refusals that are not true: exactly the accepted messages arrive.
+func TestQueueFull(t *testing.T) {
+	tests := []struct {
+		name    string
+		message encoder.Message
+		limit   int
+	}{
+		{"count", &encoder.Grant{Credits: 1}, 2*maxQueueCount + 1000},
+		{"bytes", &encoder.Result{Body: make([]byte, 1<<20)}, 64},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, b := newTestNode("a"), newTestNode("b")
+			a.Silence, b.Silence = 60*timer.Second, 60*timer.Second
+			r := newRelay(t, a.listen(t.Context(), t))
+			b.Connect(t.Context(), r.address())
+			s := receive(t, b.up, "session").session
+			r.drop(true, true)
+			sent := 0
+			for s.Send(tt.message) {
+				if sent++; sent > tt.limit {
+					t.Fatalf("%d messages were queued", sent)
+				}
+			}
+			if s.Send(&encoder.Result{Body: make([]byte, encoder.MaxFrame)}) {
+				t.Error("a message above MaxFrame was queued")
+			}
+			r.drop(false, false)
+			for range sent {
+				receive(t, a.messages, "queued message")
+			}
+			if !s.Send(&encoder.Claimed{Job: "last"}) {
+				t.Fatal("the drained queue refuses messages")
+			}
+			if got, ok := receive(t, a.messages, "last message").message.(*encoder.Claimed); !ok {
+				t.Errorf("got %T, want the last message", got)
+			}
+		})
+	}
+}
+
+// Guards against a slow consumer that is mistaken for a silent peer, and against a pause that counts as silence.
+func TestTicks(t *testing.T) {
+	a, b := newTestNode("a"), newTestNode("b")
+	a.Heartbeat, a.Silence, b.Heartbeat = timer.Minute, 3*timer.Minute, timer.Minute
+	entered, leave := make(chan bool), make(chan bool)
+	a.OnMessage = func(*Session, encoder.Message) { entered <- true; <-leave }
+	b.Connect(t.Context(), a.listen(t.Context(), t))
+	s := receive(t, a.up, "session").session
+	receive(t, b.up, "session").session.Send(&encoder.Leaving{})
+	receive(t, entered, "message")
+	for range 10 {
+		s.tick()
+	}
+	if !s.Send(&encoder.Leaving{}) {
+		t.Error("the session with a slow consumer was closed")
+	}
+	leave <- true
+	receive(t, b.messages, "message")
+	for s.Send(&encoder.Leaving{}) {
+		s.received.Store(false)
+		s.busy.Store(false)
+		s.tick()
+	}
+	if got := receive(t, a.down, "end").cause; !errors.Is(got, errSilent) {
+		t.Errorf("got %v, want silence", got)
+	}
+}
+
+func header(size uint32) []byte { return binary.BigEndian.AppendUint32(nil, size) }
+
+func framed(frame []byte) []byte { return append(header(uint32(len(frame))), frame...) }
--- a/messenger/node_test.go
+++ b/messenger/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 }
 
 func newTestNode(id string) testNode {
-	tn := testNode{&Node{}, make(chan event, 100), make(chan event, 100), make(chan event, 100_000), make(chan error, 1000)}
+	tn := testNode{&Node{}, make(chan event, 100), make(chan event, 100), make(chan event, 200_000), make(chan error, 1000)}
 	tn.Hello = func() encoder.Hello { return encoder.Hello{Member: encoder.Member{ID: id}, Role: encoder.RoleSidecar} }
 	tn.Accept = func(*encoder.Hello) (encoder.HelloAck, error) {
 		return encoder.HelloAck{Member: encoder.Member{ID: id}}, nil
@@ -102,3 +103,12 @@
 	a.Wait()
 	b.Wait()
 }
+
+func mustKeys(t testing.TB, secret string) *tls.Config {
+	t.Helper()
+	keys, err := Keys(secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
--- a/messenger/reader.go
+++ b/messenger/reader.go
@@ -95,11 +95,11 @@
 	return nil
 }
 
-// describe returns the text that the other end gave for closing the connection, if there is one.
+// describe returns the text of err, or the one that the other end gave for closing the connection.
 func describe(err error) string {
 	var refused *quic.ApplicationError
 	if errors.As(err, &refused) && refused.ErrorMessage != "" {
-		return refused.ErrorMessage
+		return "closed by the other end: " + refused.ErrorMessage
 	}
 	return err.Error()
 }
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// maxQueueBytes bounds the encoded messages that wait for the writer. It holds two of the largest messages.
+	// maxQueueBytes bounds the encoded messages that wait for the writer. It holds two of the largest messages. The
+	// batch that is being written comes on top.
 	maxQueueBytes = 2*encoder.MaxFrame + 1<<10
 	// maxQueueCount bounds the number of messages that wait for the writer.
 	maxQueueCount = 1 << 16
@@ -47,6 +48,7 @@
 		spare   []byte // the buffer that the writer used last
 		writing bool   // a flush goroutine is running
 		closed  bool   // Send refuses
+		over    bool   // Close was called
 		cause   error
 		beat    *time.Timer
 	}
@@ -129,6 +131,7 @@
 		s.mu.Lock()
 		if err != nil {
 			s.writing, s.closed, s.queue = false, true, nil
+			s.setCause(trace.ConnectionProblem(err, "%v", describe(err)))
 			s.mu.Unlock()
 			return
 		}
@@ -146,8 +149,16 @@
 
 // Close ends the session and returns at once. Send refuses from then on. Queued messages are flushed, and messages of
 // the other end are delivered, until the other end has closed its side as well, at most for half a second. Connect dials
-// again.
-func (s *Session) Close() { s.finish(trace.ConnectionProblem(nil, "closed by this end")) }
+// again. Close also ends the grace of a silent session.
+func (s *Session) Close() {
+	s.finish(trace.ConnectionProblem(nil, "closed by this end"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	if errors.Is(s.cause, errSilent) {
+		_ = s.stream.SetReadDeadline(time.Now())
+	}
+}
 
 // finish closes the write side after the queue, and the connection after flushLimit.
 func (s *Session) finish(cause error) {
@@ -214,7 +225,11 @@
 	}
 	close(s.down)
 	if late {
-		_ = s.stream.SetReadDeadline(time.Now().Add(n.Grace.Duration()))
+		s.mu.Lock()
+		if !s.over {
+			_ = s.stream.SetReadDeadline(time.Now().Add(n.Grace.Duration()))
+		}
+		s.mu.Unlock()
 		_, _ = s.read()
 		_ = s.conn.CloseWithError(codeSilent, phrase(cause))
 	}
