Measure throughput, latency and idle cost of sessions

Cause: idle sessions and blocking by large messages must be known. Change: benchmarks for sending, round trips and idle sessions.

--- /dev/null
+++ b/messenger/bench_test.go
@@ -0,0 +1,93 @@
+package messenger
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkSend measures small messages in one direction, at full rate.
+func BenchmarkSend(b *testing.B) {
+	sender := benchPair(b)
+	m := &encoder.Start{Task: encoder.TaskKey{Job: "0123456789abcdef"}, Kind: "k", Payload: make([]byte, 100)}
+	began := processorTime()
+	for n := int64(0); b.Loop(); {
+		if n++; !sender.Send(m) {
+			time.Sleep(100 * time.Microsecond)
+			n--
+		}
+	}
+	b.ReportMetric(float64(processorTime()-began)/float64(b.N), "cpu-ns/op")
+}
+
+// BenchmarkRoundTrip measures the latency of small messages, alone and behind large results on the same session.
+func BenchmarkRoundTrip(b *testing.B) {
+	for _, size := range []int{0, 64 << 10, 1 << 20, 4<<20 - 100} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			sender := benchPair(b)
+			large := &encoder.Result{Body: make([]byte, size)}
+			echo := make(chan bool, 1)
+			sender.node.OnMessage = func(*Session, encoder.Message) { echo <- true }
+			for b.Loop() {
+				if size > 0 {
+					sender.Send(large)
+				}
+				sender.Send(&encoder.Ping{})
+				<-echo
+			}
+		})
+	}
+}
+
+func benchPair(b *testing.B) *Session {
+	a, c := newTestNode("a"), newTestNode("c")
+	a.OnMessage = func(s *Session, m encoder.Message) {
+		if _, ok := m.(*encoder.Ping); ok {
+			s.Send(&encoder.Pong{})
+		}
+	}
+	c.Connect(b.Context(), a.listen(b.Context(), b))
+	return receive(b, c.up, "session").session
+}
+
+// BenchmarkIdle measures memory and processor time of idle sessions, for both ends together.
+func BenchmarkIdle(b *testing.B) {
+	const sessions = 300
+	a := newTestNode("a")
+	address := a.listen(b.Context(), b)
+	up := make(chan bool)
+	measure := func() (m runtime.MemStats) {
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m
+	}
+	before := measure()
+	for range sessions {
+		c := &Node{OnUp: func(*Session) { up <- true }}
+		c.Connect(b.Context(), address)
+		receive(b, up, "session")
+	}
+	time.Sleep(3 * time.Second)
+	after := measure()
+	used := processorTime()
+	began := time.Now()
+	for b.Loop() {
+		time.Sleep(5 * time.Second)
+	}
+	took := time.Since(began)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/sessions, "heap-B/session")
+	b.ReportMetric(float64(after.StackInuse-before.StackInuse)/sessions, "stack-B/session")
+	b.ReportMetric(float64(after.Sys-before.Sys)/sessions, "sys-B/session")
+	b.ReportMetric(float64(processorTime()-used)/took.Seconds()/sessions/1000, "cpu-us/s/session")
+}
