Hold gained keys until the evidence is complete; property over many entries

Cause: the property test found starts that were made twice after several processes had failed together. Change: a peer's doubt about sidecars that nobody knows travels with the census; a key passed to several owners stays known; a task that ends while the key is away fails the submission when it comes back.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -163,6 +163,12 @@
 	for gone := range c.gone {
 		reply.Sidecars = append(reply.Sidecars, gone)
 	}
+	for missing := range c.takeover.missing {
+		reply.Sidecars = append(reply.Sidecars, missing)
+	}
+	if !c.vouches() {
+		reply.Sidecars = append(reply.Sidecars, unknownSidecars)
+	}
 	add := func(key string) {
 		owner, ok := elector.Owner(m.Roster, key)
 		if !ok || owner.Member != p.member {
@@ -173,8 +179,8 @@
 			reply = &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
 		}
 	}
-	for key, pass := range c.passed {
-		if pass.owner != p.member {
+	for key := range c.passed {
+		if c.passedBeside(key, p.member) {
 			add(key)
 		}
 	}
@@ -183,6 +189,11 @@
 			add(key)
 		}
 	}
+	for key := range c.kept.byKey {
+		if !c.claims.has(c.hash(key)) {
+			add(key) // the others learn of the older keys from the claims
+		}
+	}
 	reply.Last = true
 	c.send(id, reply)
 }
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -22,11 +22,28 @@
 
 	// pass remembers to whom a submission was forwarded, or who owned it when this entry was its witness.
 	pass struct {
-		owner encoder.Member
-		at    timer.Millis
+		owner   encoder.Member
+		several bool         // there were other owners before
+		at      timer.Millis // the first time
 	}
 )
 
+func (c *Core) pass(key string, owner encoder.Member) {
+	p, ok := c.passed[key]
+	if !ok {
+		p = pass{owner: owner, at: c.now}
+	}
+	p.several = p.several || p.owner != owner
+	p.owner = owner
+	c.passed[key] = p
+}
+
+// passedBeside reports whether an owner other than m may have got the submission from here.
+func (c *Core) passedBeside(key string, m encoder.Member) bool {
+	p, ok := c.passed[key]
+	return ok && (p.several || p.owner != m)
+}
+
 func (c *Core) forward(w waiter, r encoder.Request, job encoder.Job, hops uint32) {
 	c.lastForward++
 	f := &forward{id: c.lastForward, waiter: w, request: r, job: job, hops: hops}
@@ -69,7 +86,7 @@
 	}
 	f.session = p.session()
 	if f.request == encoder.RequestSubmit {
-		c.passed[job.Key] = pass{owner.Member, c.now}
+		c.pass(job.Key, owner.Member)
 	}
 	c.send(f.session, &encoder.Forward{ID: f.id, Request: f.request, Hops: f.hops + 1, Job: job})
 }
@@ -181,7 +198,7 @@
 func (c *Core) witnessed(owner encoder.Member, keys []string) {
 	for _, key := range keys {
 		if len(key) <= c.settings.MaxKey {
-			c.passed[key] = pass{owner, c.now}
+			c.pass(key, owner)
 		}
 	}
 }
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -169,6 +169,8 @@
 	}
 	if s.state == stateOpen || s.state == stateClosing {
 		c.fail(s, code, reason)
+	} else if s.code == 0 {
+		s.code, s.reason = code, reason // resume fails the submission
 	}
 }
 
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -298,6 +298,9 @@
 	a := encoder.Answer{Key: s.key, State: encoder.JobComplete, Outcome: encoder.OutcomeRan}
 	a.Results = make([]encoder.TaskResult, len(s.tasks))
 	for i := range s.tasks {
+		if s.tasks[i].state != taskDone {
+			panic("a submission without failures has a task without result")
+		}
 		a.Results[i].Body = s.tasks[i].body
 	}
 	c.end(s, a)
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -14,6 +14,9 @@
 	seenMargin   = timer.Second
 )
 
+// unknownSidecars stands for sidecars that started tasks and that no remaining member of the roster may know.
+var unknownSidecars = encoder.Member{ID: "unknown sidecars"}
+
 type (
 	// takeover is the state of the keys that this entry gained and the evidence about them.
 	takeover struct {
@@ -104,7 +107,7 @@
 	if !formerly {
 		return false
 	}
-	if p, ok := c.passed[key]; ok && p.owner != c.self {
+	if c.passedBeside(key, c.self) {
 		return true
 	}
 	if _, ok := c.takeover.keys[key]; ok || c.takeover.evidence[key] != nil {
@@ -276,9 +279,7 @@
 		check(m, at)
 	}
 	if !c.trusted() {
-		// The empty name stands for the sidecars that nobody knows.
-		lost[encoder.Member{}] = c.now
-		pending++
+		check(unknownSidecars, c.now)
 	}
 	return pending, lost
 }
@@ -293,8 +294,8 @@
 	return true
 }
 
-// trusted reports whether all sidecars that accepted starts under the former rosters are known. A sidecar accepts starts
-// only when each member knows it, so one remaining member of each roster is enough.
+// trusted reports whether a member of each former roster remains, beside the peers' own doubts. A sidecar accepts starts
+// only when each member knows it, so one remaining member knows all sidecars that accepted starts under the roster.
 func (c *Core) trusted() bool {
 	for _, r := range c.takeover.chain {
 		remains := len(r.Entries) == 0
@@ -309,6 +310,17 @@
 	return true
 }
 
+// vouches reports whether this entry itself knows all sidecars that accepted starts under the former rosters, save for
+// the missing ones.
+func (c *Core) vouches() bool {
+	for _, r := range c.takeover.chain {
+		if me, ok := elector.Find(r, c.self.ID); len(r.Entries) > 0 && (!ok || me.Member != c.self) {
+			return false
+		}
+	}
+	return c.joined
+}
+
 func (c *Core) sweepTakeover() {
 	t := &c.takeover
 	old := c.now - c.settings.KeyRetention
--- /dev/null
+++ b/dispatcher/world_test.go
@@ -0,0 +1,507 @@
+package dispatcher
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// world holds entry cores, fake sidecars and a log in virtual time. rapid draws what happens next.
+	world struct {
+		t        *rapid.T
+		now      timer.Millis
+		entries  map[string]*node
+		sidecars map[string]*fake
+		links    []*link
+		lastLink SessionID
+		log      map[string][]logRecord
+		appends  []*pendingAppend
+		outage   bool
+		starts   map[encoder.TaskKey]int
+		jobs     map[string]*caller
+		request  uint64
+		asked    map[uint64]string
+		outcomes map[string]int
+	}
+
+	node struct {
+		id          string
+		core        *Core
+		alive       bool
+		paused      bool
+		cut         bool // the log cannot be reached from here
+		incarnation uint64
+		dials       map[string]bool
+		read        map[string]int
+	}
+
+	// fake is a sidecar: a table of started tasks behind a start gate.
+	fake struct {
+		id          string
+		incarnation uint64
+		alive       bool
+		table       map[encoder.TaskKey]*ranTask
+		roster      encoder.Roster
+		lease       timer.Millis
+		acked       map[encoder.Member]bool
+		pings       map[uint64]timer.Millis
+		sequence    uint64
+	}
+
+	ranTask struct {
+		status encoder.Status
+		once   bool
+		from   SessionID
+	}
+
+	// link is a session. Messages wait in order, per direction; the first end is the dialing one.
+	link struct {
+		id     SessionID
+		ends   [2]string
+		queues [2][]encoder.Message
+		silent timer.Millis // when it went silent; 0 for never
+		down   bool
+	}
+
+	logRecord struct {
+		change elector.Change
+		claims elector.Claims
+	}
+
+	pendingAppend struct {
+		by   *node
+		core *Core
+		f    Effect
+	}
+
+	caller struct {
+		job     encoder.Job
+		open    int
+		refused bool // the last answer said "not run"
+	}
+)
+
+func newWorld(t *rapid.T, entries, sidecars int) *world {
+	w := &world{
+		t: t, now: timer.Minute, entries: map[string]*node{}, sidecars: map[string]*fake{}, log: map[string][]logRecord{},
+		starts: map[encoder.TaskKey]int{}, jobs: map[string]*caller{}, asked: map[uint64]string{}, outcomes: map[string]int{},
+	}
+	for i := range entries {
+		w.entries["e"+strconv.Itoa(i)] = &node{id: "e" + strconv.Itoa(i)}
+	}
+	for i := range sidecars {
+		w.sidecars["s"+strconv.Itoa(i)] = &fake{id: "s" + strconv.Itoa(i)}
+	}
+	for _, n := range w.nodes() {
+		w.boot(n)
+	}
+	for _, s := range w.fakes() {
+		w.bootSidecar(s)
+	}
+	return w
+}
+
+// nodes and fakes return the processes in a fixed order, so that a seed always gives the same run.
+func (w *world) nodes() []*node {
+	var list []*node
+	for _, id := range slices.Sorted(maps.Keys(w.entries)) {
+		list = append(list, w.entries[id])
+	}
+	return list
+}
+
+func (w *world) fakes() []*fake {
+	var list []*fake
+	for _, id := range slices.Sorted(maps.Keys(w.sidecars)) {
+		list = append(list, w.sidecars[id])
+	}
+	return list
+}
+
+func (w *world) boot(n *node) {
+	n.incarnation += 1000
+	w.logf("boot %s/%d", n.id, n.incarnation)
+	n.alive, n.paused, n.dials, n.read = true, false, map[string]bool{}, map[string]int{}
+	n.core = New(Settings{Member: encoder.Member{ID: n.id, Incarnation: n.incarnation}, Address: n.id})
+}
+
+func (w *world) bootSidecar(s *fake) {
+	s.incarnation++
+	w.logf("boot %s/%d", s.id, s.incarnation)
+	s.alive, s.table, s.acked = true, map[encoder.TaskKey]*ranTask{}, map[encoder.Member]bool{}
+	s.roster, s.lease, s.pings = encoder.Roster{}, 0, map[uint64]timer.Millis{}
+}
+
+func (w *world) logf(format string, args ...any) {
+	w.t.Logf("%v "+format, append([]any{w.now}, args...)...)
+}
+
+func (w *world) kill(id string) {
+	w.logf("kill %s", id)
+	if n := w.entries[id]; n != nil {
+		n.alive = false
+	} else {
+		w.sidecars[id].alive = false
+	}
+	for _, l := range w.links {
+		if l.ends[0] == id || l.ends[1] == id {
+			w.breakLink(l)
+		}
+	}
+}
+
+func (w *world) breakLink(l *link) {
+	if l.down {
+		return
+	}
+	l.down = true
+	l.queues = [2][]encoder.Message{}
+	for _, id := range l.ends {
+		if n := w.entries[id]; n != nil && n.alive {
+			n.core.Down(w.now, l.id)
+		}
+	}
+}
+
+// connect opens the sessions that are wanted and not there.
+func (w *world) connect() {
+	for _, n := range w.nodes() {
+		for _, to := range slices.Sorted(maps.Keys(n.dials)) {
+			if o := w.entries[to]; n.alive && !n.paused && o != nil && o.alive && !o.paused && !w.linked(n.id, to) {
+				l := w.link(n.id, to)
+				n.core.Up(w.now, l.id, encoder.Hello{Role: encoder.RoleEntry, Member: o.core.Self(), Address: to})
+				o.core.Up(w.now, l.id, encoder.Hello{Role: encoder.RoleEntry, Member: n.core.Self(), Address: n.id})
+			}
+		}
+		for _, s := range w.fakes() {
+			if s.alive && n.alive && !n.paused && !w.linked(s.id, n.id) {
+				l := w.link(s.id, n.id)
+				n.core.Announce(w.now, encoder.Member{ID: s.id, Incarnation: s.incarnation})
+				s.acked[n.core.Self()] = true
+				n.core.Up(w.now, l.id, hello(s.id, s.incarnation))
+				w.push(l, 0, &encoder.Grant{Credits: 2})
+			}
+		}
+	}
+}
+
+func (w *world) linked(from, to string) bool {
+	return slices.ContainsFunc(w.links, func(l *link) bool { return !l.down && l.ends == [2]string{from, to} })
+}
+
+func (w *world) link(from, to string) *link {
+	w.lastLink++
+	l := &link{id: w.lastLink, ends: [2]string{from, to}}
+	w.links = append(w.links, l)
+	return l
+}
+
+func (w *world) push(l *link, from int, m encoder.Message) {
+	if l.silent == 0 && !l.down {
+		l.queues[from] = append(l.queues[from], m)
+	}
+}
+
+// perform carries out the effects of a core.
+func (w *world) perform(n *node) {
+	for effects := slices.Clone(n.core.Take()); len(effects) > 0; effects = slices.Clone(n.core.Take()) {
+		for _, f := range effects {
+			switch f.Kind {
+			case EffectSend:
+				if l := w.find(f.Session); l == nil || l.down {
+					n.core.Unsent(w.now, f.Session, f.Message)
+				} else if l.ends[0] == n.id {
+					w.push(l, 0, f.Message)
+				} else {
+					w.push(l, 1, f.Message)
+				}
+			case EffectAnswer:
+				w.answered(f.Request, f.Answer)
+			case EffectAppend:
+				w.appends = append(w.appends, &pendingAppend{n, n.core, f})
+			case EffectDial:
+				n.dials[f.Address] = true
+			case EffectHangUp:
+				delete(n.dials, f.Address)
+			case EffectClose:
+				if l := w.find(f.Session); l != nil {
+					w.breakLink(l)
+				}
+			}
+		}
+	}
+}
+
+func (w *world) find(id SessionID) *link {
+	for _, l := range w.links {
+		if l.id == id {
+			return l
+		}
+	}
+	return nil
+}
+
+// deliver hands over the first messages of a direction.
+func (w *world) deliver(l *link, from, count int) {
+	to := l.ends[1-from]
+	n, s := w.entries[to], w.sidecars[to]
+	for ; count > 0 && len(l.queues[from]) > 0 && !l.down; count-- {
+		if n != nil && (!n.alive || n.paused) {
+			return
+		}
+		m := l.queues[from][0]
+		l.queues[from] = l.queues[from][1:]
+		if n != nil {
+			n.core.Message(w.now, l.id, m)
+			w.perform(n)
+		} else {
+			w.toSidecar(s, l, m)
+		}
+	}
+}
+
+func (w *world) toSidecar(s *fake, l *link, m encoder.Message) {
+	switch m := m.(type) {
+	case *encoder.Pong:
+		if m.Confirmed {
+			s.lease = max(s.lease, s.pings[m.Sequence]-m.Age+leaseTime)
+		}
+		if m.Roster.Epoch > s.roster.Epoch {
+			s.roster = m.Roster
+		}
+	case *encoder.Census:
+		if m.Roster.Epoch < s.roster.Epoch {
+			return
+		}
+		s.roster = m.Roster
+		reply := &encoder.CensusReply{Epoch: m.Roster.Epoch, Last: true}
+		for task, r := range s.table {
+			if owner, ok := elector.Owner(m.Roster, task.Job); ok && owner.Member.ID == l.ends[1] {
+				started := encoder.StartedTask{Task: task, Status: r.status}
+				if r.status == encoder.StatusDone {
+					started.Body = resultOf(task)
+				}
+				reply.Started = append(reply.Started, started)
+			}
+		}
+		w.push(l, 0, reply)
+	case *encoder.Start:
+		w.start(s, l, m)
+	}
+}
+
+func (w *world) start(s *fake, l *link, m *encoder.Start) {
+	refuse := func(r encoder.RefusalReason) {
+		w.push(l, 0, &encoder.Refusal{Task: m.Task, Reason: r, Epoch: s.roster.Epoch, Credits: 1})
+	}
+	if r := s.table[m.Task]; r != nil {
+		r.from = l.id
+		if r.status == encoder.StatusRunning {
+			refuse(encoder.RefusalDuplicate)
+		} else {
+			w.push(l, 0, &encoder.Result{Task: m.Task, Status: r.status, Body: resultOf(m.Task), Credits: 1})
+		}
+		return
+	}
+	owner, ok := elector.Owner(s.roster, m.Task.Job)
+	switch {
+	case m.Epoch < s.roster.Epoch:
+		refuse(encoder.RefusalStaleEpoch)
+		return
+	case !ok || owner.Member != m.Owner:
+		refuse(encoder.RefusalNotOwner)
+		return
+	case s.lease < w.now:
+		refuse(encoder.RefusalLeaseExpired)
+		return
+	case slices.ContainsFunc(s.roster.Entries, func(e encoder.RosterEntry) bool { return !s.acked[e.Member] }):
+		refuse(encoder.RefusalNotAnnounced)
+		return
+	}
+	s.table[m.Task] = &ranTask{status: encoder.StatusRunning, once: m.Once, from: l.id}
+	w.starts[m.Task]++
+	w.logf("start of %v by %v in epoch %d at %s", m.Task, m.Owner, m.Epoch, s.id)
+	if w.starts[m.Task] > 1 {
+		w.t.Fatalf("task %v started twice", m.Task)
+	}
+	if c := w.jobs[m.Task.Job]; c.refused && c.open == 0 {
+		w.t.Fatalf("task %v started after the answer \"not run\"", m.Task)
+	}
+}
+
+func resultOf(k encoder.TaskKey) []byte { return fmt.Appendf(nil, "%s/%d", k.Job, k.Index) }
+
+// spared reports whether a trace of every started task is left without the given process: in the table of its sidecar,
+// in the claims, or at a member of the roster that runs. The promise that no task starts twice ends where all are lost.
+func (w *world) spared(without string) bool {
+	known := map[string]bool{}
+	for _, r := range w.log[StreamClaims] {
+		for _, key := range r.claims.Keys {
+			known[key] = true
+		}
+	}
+	var roster encoder.Roster
+	for i, r := range w.log[StreamRoster] {
+		roster, _ = elector.Apply(roster, uint64(i), r.change)
+	}
+	for _, n := range w.entries {
+		listed, _ := elector.Find(roster, n.id)
+		if !n.alive || n.paused || n.id == without || listed.Member != n.core.Self() {
+			continue
+		}
+		for key := range w.jobs {
+			_, passed := n.core.passed[key]
+			_, kept := n.core.kept.byKey[key]
+			known[key] = known[key] || passed || kept || n.core.jobs[key] != nil
+		}
+	}
+	for task, count := range w.starts {
+		held := known[task.Job] || count == 0
+		for _, s := range w.sidecars {
+			held = held || s.alive && s.id != without && s.table[task] != nil
+		}
+		if !held {
+			return false
+		}
+	}
+	return true
+}
+
+// finish ends a running task.
+func (w *world) finish(s *fake, task encoder.TaskKey, status encoder.Status) {
+	r := s.table[task]
+	if status == encoder.StatusNotStarted {
+		delete(s.table, task)
+		w.starts[task]--
+	}
+	r.status = status
+	if l := w.find(r.from); l != nil {
+		w.push(l, 0, &encoder.Result{Task: task, Status: status, Body: resultOf(task), Ran: 1, Credits: 1})
+	}
+}
+
+func (w *world) submit(n *node, key string) {
+	c := w.jobs[key]
+	c.open++
+	w.request++
+	w.logf("submit %s to %s, request %d", key, n.id, w.request)
+	w.asked[w.request] = key
+	n.core.Submit(w.now, w.request, c.job)
+	w.perform(n)
+}
+
+// answered checks that an answer is whole or failed and that "not run" is true.
+func (w *world) answered(request uint64, a encoder.Answer) {
+	key, ok := w.asked[request]
+	if !ok {
+		w.t.Fatalf("answer to request %d, which has one or never was", request)
+	}
+	delete(w.asked, request)
+	w.logf("answer to request %d: %+v", request, a)
+	c := w.jobs[key]
+	c.open--
+	c.refused = a.Outcome == encoder.OutcomeNotRun
+	w.outcomes[fmt.Sprintf("state %d outcome %d", a.State, a.Outcome)]++
+	if a.Key != key || a.State == encoder.JobRunning {
+		w.t.Fatalf("request for %q got %+v", key, a)
+	}
+	ran := 0
+	for i := range c.job.Tasks {
+		ran += w.starts[encoder.TaskKey{Job: key, Index: uint32(i)}]
+	}
+	switch {
+	case a.State == encoder.JobComplete:
+		if len(a.Results) != len(c.job.Tasks) || ran != len(a.Results) {
+			w.t.Fatalf("%q has %d results of %d tasks, %d started", key, len(a.Results), len(c.job.Tasks), ran)
+		}
+		for i, r := range a.Results {
+			if got, want := string(r.Body), string(resultOf(encoder.TaskKey{Job: key, Index: uint32(i)})); got != want {
+				w.t.Fatalf("result %d of %q is %q", i, key, got)
+			}
+		}
+	case len(a.Results) > 0:
+		w.t.Fatalf("failed answer with results: %+v", a)
+	case a.Outcome == encoder.OutcomeNotRun && ran > 0:
+		w.t.Fatalf("%q is said not to have run (code %d, %s), but %d tasks started", key, a.Code, a.Reason, ran)
+	}
+}
+
+// resolve ends an append: it takes effect or not, and the entry learns so or not.
+func (w *world) resolve(i int, lost bool) {
+	p := w.appends[i]
+	w.appends = slices.Delete(w.appends, i, i+1)
+	var offset uint64
+	cut := w.outage || p.by.cut
+	var r logRecord
+	switch p.f.Stream {
+	case StreamRoster:
+		r.change, _ = elector.DecodeChange(p.f.Body)
+		cut = cut || r.change.Kind == elector.ChangeRemove && !w.spared(r.change.Entry.Member.ID)
+	case StreamClaims:
+		r.claims, _ = elector.DecodeClaims(p.f.Body)
+	}
+	if !cut {
+		offset = uint64(len(w.log[p.f.Stream]))
+		w.log[p.f.Stream] = append(w.log[p.f.Stream], r)
+		w.logf("%s record %d of %s: %+v", p.f.Stream, offset, p.by.id, r)
+	}
+	if p.by.core == p.core && p.by.alive {
+		p.core.Appended(w.now, p.f.Tag, offset, !cut && !lost, lost)
+		w.perform(p.by)
+	}
+}
+
+// readLog brings an entry up to the head of the log.
+func (w *world) readLog(n *node) {
+	if w.outage || n.cut {
+		return
+	}
+	for _, stream := range []string{StreamConfiguration, StreamRoster, StreamClaims} {
+		for ; n.read[stream] < len(w.log[stream]); n.read[stream]++ {
+			r := w.log[stream][n.read[stream]]
+			if stream == StreamRoster {
+				n.core.RosterRecord(w.now, uint64(n.read[stream]), r.change)
+			} else {
+				n.core.ClaimsRecord(w.now, r.claims)
+			}
+		}
+		n.core.Confirmed(w.now, stream, w.now)
+	}
+	w.perform(n)
+}
+
+// pass lets time pass. Processes that are not paused do what time brings about.
+func (w *world) pass(d timer.Millis) {
+	w.now += d
+	for _, l := range w.links {
+		if l.silent != 0 && w.now-l.silent > timer.Second {
+			w.breakLink(l)
+		}
+	}
+	w.links = slices.DeleteFunc(w.links, func(l *link) bool { return l.down })
+	w.connect()
+	for _, s := range w.fakes() {
+		for _, l := range w.links {
+			if s.alive && l.ends[0] == s.id && w.now/300 != (w.now-d)/300 {
+				s.sequence++
+				s.pings[s.sequence] = w.now
+				w.push(l, 0, &encoder.Ping{Sequence: s.sequence})
+			}
+		}
+	}
+	for _, n := range w.nodes() {
+		if n.alive && !n.paused {
+			w.readLog(n)
+			n.core.Tick(w.now)
+			w.perform(n)
+		}
+	}
+}
