Partition processes in the property test

Cause: removing the majority rule from the takeover went unnoticed, because the test had no lasting partitions. Change: processes move across a partition and back.

--- a/dispatcher/property_test.go
+++ b/dispatcher/property_test.go
@@ -92,8 +92,10 @@
 			}
 		}
 	case 9:
+		w.part(rapid.SampledFrom([]string{n.id, s.id}).Draw(w.t, "moved"))
+	case 10:
 		w.pass(rapid.SampledFrom([]timer.Millis{500, 1500, 4000}).Draw(w.t, "time"))
-	case 10, 11, 12, 13, 14:
+	case 11, 12, 13, 14:
 		if n.alive && !n.paused {
 			w.submit(n, "k"+strconv.Itoa(rapid.IntRange(0, worldKeys-1).Draw(w.t, "key")))
 		}
@@ -139,6 +141,7 @@
 // heal ends all failures.
 func (w *world) heal() {
 	w.outage = false
+	clear(w.far)
 	for _, n := range w.nodes() {
 		n.cut, n.paused = false, false
 		if !n.alive {
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -25,6 +25,7 @@
 		log      map[string][]logRecord
 		appends  []*pendingAppend
 		outage   bool
+		far      map[string]bool // processes on the far side of a partition
 		starts   map[encoder.TaskKey]int
 		jobs     map[string]*caller
 		request  uint64
@@ -94,6 +95,7 @@
 	w := &world{
 		t: t, now: timer.Minute, entries: map[string]*node{}, sidecars: map[string]*fake{}, log: map[string][]logRecord{},
 		starts: map[encoder.TaskKey]int{}, jobs: map[string]*caller{}, asked: map[uint64]string{}, outcomes: map[string]int{},
+		far: map[string]bool{},
 	}
 	for i := range entries {
 		w.entries["e"+strconv.Itoa(i)] = &node{id: "e" + strconv.Itoa(i)}
@@ -176,14 +178,14 @@
 func (w *world) connect() {
 	for _, n := range w.nodes() {
 		for _, to := range slices.Sorted(maps.Keys(n.dials)) {
-			if o := w.entries[to]; n.alive && !n.paused && o != nil && o.alive && !o.paused && !w.linked(n.id, to) {
+			if o := w.entries[to]; n.alive && !n.paused && o != nil && o.alive && !o.paused && w.reaches(n.id, to) {
 				l := w.link(n.id, to)
 				n.core.Up(w.now, l.id, encoder.Hello{Role: encoder.RoleEntry, Member: o.core.Self(), Address: to})
 				o.core.Up(w.now, l.id, encoder.Hello{Role: encoder.RoleEntry, Member: n.core.Self(), Address: n.id})
 			}
 		}
 		for _, s := range w.fakes() {
-			if s.alive && n.alive && !n.paused && !w.linked(s.id, n.id) {
+			if s.alive && n.alive && !n.paused && w.reaches(s.id, n.id) {
 				l := w.link(s.id, n.id)
 				n.core.Announce(w.now, encoder.Member{ID: s.id, Incarnation: s.incarnation})
 				s.acked[n.core.Self()] = true
@@ -194,8 +196,21 @@
 	}
 }
 
-func (w *world) linked(from, to string) bool {
-	return slices.ContainsFunc(w.links, func(l *link) bool { return !l.down && l.ends == [2]string{from, to} })
+// reaches reports whether a session between the two can and should be opened.
+func (w *world) reaches(from, to string) bool {
+	return w.far[from] == w.far[to] &&
+		!slices.ContainsFunc(w.links, func(l *link) bool { return !l.down && l.ends == [2]string{from, to} })
+}
+
+// part puts a process on the other side of the partition.
+func (w *world) part(id string) {
+	w.logf("%s is moved across the partition", id)
+	w.far[id] = !w.far[id]
+	for _, l := range w.links {
+		if l.silent == 0 && w.far[l.ends[0]] != w.far[l.ends[1]] {
+			l.silent = w.now
+		}
+	}
 }
 
 func (w *world) link(from, to string) *link {
