--- a/commander/program.go
+++ b/commander/program.go
@@ -7,10 +7,10 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 
 	"github.com/apex/log"
 	jsonhandler "github.com/apex/log/handlers/json"
-	texthandler "github.com/apex/log/handlers/text"
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/loader"
@@ -178,7 +178,7 @@
 
 // logger returns the logger that the settings describe; it writes to standard error.
 func (c call) logger() *log.Logger {
-	l := &log.Logger{Handler: texthandler.New(c.Stderr), Level: log.InfoLevel}
+	l := &log.Logger{Handler: textHandler(c.Stderr), Level: log.InfoLevel}
 	if c.values.Text(logFormat.Name) == logJSON {
 		l.Handler = jsonhandler.New(c.Stderr)
 	}
@@ -188,6 +188,22 @@
 	return l
 }
 
+// textHandler writes one line per message, without the colors of the library's text handler, which are not wanted in
+// files.
+func textHandler(w io.Writer) log.Handler {
+	var mu sync.Mutex
+	return log.HandlerFunc(func(e *log.Entry) error {
+		line := fmt.Sprintf("%s %-5s %s", e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z"), e.Level, e.Message)
+		for _, name := range e.Fields.Names() {
+			line += fmt.Sprintf(" %s=%v", name, e.Fields.Get(name))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		_, err := io.WriteString(w, line+"\n")
+		return trace.Wrap(err)
+	})
+}
+
 // client returns a client of the entry and a context bounded by the timeout.
 func (c call) client(ctx context.Context) (server.Client, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, c.values.Millis(timeout.Name).Duration())
