Run the entry with its HTTP interface

Cause: callers and operators reach an entry over HTTP. Change: the entry subcommand wires dispatcher.Entry, the HTTP interface, metrics and the burn report, and drains on SIGTERM within drainMs. The ideal response time is the longest declared run time of a job. Note answers show differences, taken from the notes that the entry has read. Conclusion: jobs wait for the sidecar subcommand; the burn report has no failure domain or worker of failed tasks until the dispatcher reports them.

--- /dev/null
+++ b/commander/entry.go
@@ -0,0 +1,224 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/dispatcher"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/loader"
+	"github.com/crocuslb/crocuslb/messenger"
+	"github.com/crocuslb/crocuslb/reporter"
+	"github.com/crocuslb/crocuslb/server"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	statusWait   = time.Second
+	obeyPeriod   = 20 * time.Millisecond
+	obeyWait     = 10 * timer.Second
+	obeyWatchers = 8
+)
+
+// entryProcess is an entry with its HTTP interface. Set the exported fields before start.
+type entryProcess struct {
+	Entry       *dispatcher.Entry
+	Address     string // of the HTTP listener
+	Token       string
+	Guarded     bool
+	Connections int
+	Drain       timer.Millis
+	Reporter    reporter.Reporter
+
+	metrics  reporter.Metrics
+	listener server.Listener
+	leaving  atomic.Bool
+	watchers chan struct{}
+}
+
+func runEntry(ctx context.Context, c call) int {
+	v, logger := c.values, c.logger()
+	keys, err := c.keys()
+	if err != nil {
+		return c.fail(err)
+	}
+	p := &entryProcess{
+		Entry: &dispatcher.Entry{
+			ID: identifier(v.Text("id"), "entry"), Listen: v.Text("address"), Advertise: v.Text("advertise"), Domain: v.Text(domain.Name),
+			Log: &appender.Client{URL: v.Text("logUrl"), Timeout: v.Millis("logTimeoutMs")},
+			TLS: keys, Logger: logger,
+		},
+		Address: v.Text("httpAddress"), Token: v.Text(token.Name), Guarded: keys != nil && v.Text(token.Name) != "",
+		Connections: int(v.Count("connections")), Drain: v.Millis(drain.Name),
+		Reporter: reporter.Reporter{Objectives: objectives(v)},
+	}
+	address, err := p.start(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	logger.WithFields(log.Fields{"address": address, "id": p.Entry.ID}).Info("entry: HTTP interface is listening")
+	if err := p.serve(ctx); err != nil {
+		logger.WithError(err).Error("entry: ended with an error")
+		return ExitFailure
+	}
+	logger.Info("entry: ended")
+	return ExitSuccess
+}
+
+// keys derives the keys of the sessions between processes, or returns nil without a secret.
+func (c call) keys() (*tls.Config, error) {
+	s := c.values.Text(secret.Name)
+	if s == "" {
+		return nil, nil //nolint:nilnil // no keys is a valid result: the process then stays on loopback
+	}
+	return messenger.Keys(s)
+}
+
+func identifier(id, part string) string {
+	if id == "" {
+		return part + "-" + strings.ToLower(rand.Text()[:10])
+	}
+	return id
+}
+
+func objectives(v loader.Values) reporter.Objectives {
+	return reporter.Objectives{
+		ResponseRatio: v.Number("responseRatio"), ResponseTarget: v.Number("responseTarget"), SuccessTarget: v.Number("successTarget"),
+		WithdrawalLimit: v.Millis("withdrawalMs"), WithdrawalTarget: v.Number("withdrawalTarget"),
+		Short: v.Millis("burnShortMs"), Long: v.Millis("burnLongMs"),
+	}
+}
+
+// start binds the HTTP listener and returns its address.
+func (p *entryProcess) start(ctx context.Context) (string, error) {
+	p.watchers = make(chan struct{}, obeyWatchers)
+	p.metrics.Burn(&p.Reporter, p.Entry.Clock)
+	s := &server.Server{
+		Submit: p.submit, Get: p.Entry.Get, Cancel: p.Entry.Cancel,
+		Publish: p.publish, History: p.history, Withdraw: p.withdraw, Return: p.giveBack, Status: p.status,
+		Burn: func(w io.Writer, format string) error {
+			return p.Reporter.Report(p.Entry.Clock.Now()).Write(w, format)
+		},
+		Metrics: p.writeMetrics, Ready: p.ready, Observe: p.metrics.CountCall, Clock: p.Entry.Clock, Token: p.Token,
+	}
+	h, err := s.Handler()
+	if err != nil {
+		return "", err
+	}
+	p.listener = server.Listener{Handler: h, Connections: p.Connections, Guarded: p.Guarded}
+	return p.listener.Listen(ctx, p.Address)
+}
+
+// serve runs the entry until ctx ends, and then drains it: new jobs are refused, submissions are handed over, and
+// requests in flight are answered, all within the drain time.
+func (p *entryProcess) serve(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	entry, web := make(chan error, 1), make(chan error, 1)
+	go func() { entry <- p.Entry.Run(running) }()
+	go func() { web <- p.listener.Serve() }()
+	var err error
+	select {
+	case err = <-entry:
+		entry <- nil
+	case err = <-web:
+		web <- nil
+	case <-ctx.Done():
+		p.leaving.Store(true)
+		p.Entry.Logger.Info("entry: draining")
+	}
+	draining, cancel := context.WithTimeout(running, p.Drain.Duration())
+	defer cancel()
+	errs := []error{err}
+	if err == nil {
+		errs = append(errs, p.Entry.Drain(draining))
+	}
+	errs = append(errs, p.listener.Shutdown(draining))
+	stop()
+	return trace.NewAggregate(append(errs, <-entry, <-web)...)
+}
+
+func (p *entryProcess) submit(ctx context.Context, j encoder.Job) encoder.Answer {
+	begun := p.Entry.Clock.Now()
+	a := p.Entry.Submit(ctx, j)
+	now := p.Entry.Clock.Now()
+	sent, received := 0, 0
+	for _, t := range j.Tasks {
+		sent += len(t.Payload)
+	}
+	for _, r := range a.Results {
+		received += len(r.Body)
+	}
+	p.metrics.CountJob(a.State.String(), len(j.Tasks), sent, received, now-begun)
+	if judged(a) {
+		p.Reporter.Observe(now, reporter.Observation{
+			Response: now - begun, Ideal: ideal(j), Failed: a.State == encoder.JobFailed,
+		})
+	}
+	return a
+}
+
+// judged tells whether an answer counts for the service level. Failures that the caller caused do not.
+func judged(a encoder.Answer) bool {
+	if a.State == encoder.JobComplete {
+		return true
+	}
+	switch a.Code {
+	case encoder.CodeTask, encoder.CodeUnknown, encoder.CodeDeadline, encoder.CodeOverload, encoder.CodeUnavailable:
+		return a.State == encoder.JobFailed
+	}
+	return false
+}
+
+// ideal is the response time with free slots for every task and no network: the longest declared run time. It is 0,
+// which means unknown, when a task declares none.
+func ideal(j encoder.Job) timer.Millis {
+	var longest timer.Millis
+	for _, t := range j.Tasks {
+		if t.RunTime == 0 {
+			return 0
+		}
+		longest = max(longest, t.RunTime)
+	}
+	return longest
+}
+
+func (p *entryProcess) ready() bool {
+	if p.leaving.Load() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusWait)
+	defer cancel()
+	return p.Entry.Status(ctx).Joined
+}
+
+func (p *entryProcess) writeMetrics(w io.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusWait)
+	defer cancel()
+	s := p.Entry.Status(ctx)
+	for name, value := range map[string]int{
+		"crocuslb_queued_tasks": s.Queued, "crocuslb_open_submissions": s.Jobs, "crocuslb_kept_answers": s.Kept,
+		"crocuslb_kept_answers_bytes": s.KeptBytes, "crocuslb_sidecars": len(s.Sidecars), "crocuslb_roster_entries": len(s.Roster.Entries),
+		"crocuslb_lagging_processes": s.Lagging,
+	} {
+		p.metrics.Set(name, float64(value))
+	}
+	n := s.Counters
+	for name, value := range map[string]uint64{
+		"crocuslb_submitted_jobs_total": n.Submitted, "crocuslb_complete_jobs_total": n.Complete, "crocuslb_failed_jobs_total": n.Failed,
+		"crocuslb_started_tasks_total": n.Started, "crocuslb_refused_starts_total": n.Refused, "crocuslb_requeued_tasks_total": n.Requeued,
+		"crocuslb_ignored_messages_total": n.Ignored, "crocuslb_forwarded_requests_total": n.Forwarded, "crocuslb_takeovers_total": n.Takeovers,
+	} {
+		p.metrics.SetTotal(name, value)
+	}
+	p.metrics.Write(w)
+}
--- a/commander/operator.go
+++ b/commander/operator.go
@@ -111,16 +111,13 @@
 	case p.DryRun:
 		c.printf("dry run, nothing published\n")
 	case p.Provisional:
-		c.printf("in force, not yet recorded (%v)\n", p.Took)
-	case p.Accepted && p.InForce:
+		c.printf("in force, not yet recorded; %d processes do not obey it yet (%v)\n", p.Lagging, p.Took)
+	case p.Accepted && p.Lagging == 0:
 		c.printf("accepted at offset %d, in force everywhere (%v)\n", p.Offset, p.Took)
 	case p.Accepted:
-		c.printf("accepted at offset %d, not yet in force everywhere (%v)\n", p.Offset, p.Took)
+		c.printf("accepted at offset %d, not in force on %d processes yet (%v)\n", p.Offset, p.Lagging, p.Took)
 	default:
-		c.printf("not accepted yet (%v)\n", p.Took)
-	}
-	if p.Reason != "" {
-		c.printf("%s\n", p.Reason)
+		c.printf("recorded at offset %d, not accepted yet (%v)\n", p.Offset, p.Took)
 	}
 	return nil
 }
@@ -158,18 +155,18 @@
 		if err != nil {
 			return err
 		}
-		c.printf("entry %s incarnation %d, epoch %d, configuration offset %d, log reachable %t, %d tasks queued, %d submissions\n",
-			s.ID, s.Incarnation, s.Epoch, s.ConfigOffset, s.LogReachable, s.Queued, s.Submissions)
+		c.printf("entry %s incarnation %d, joined %t, epoch %d, configuration offset %d, log reachable %t, takeover %s, %d tasks queued, %d submissions\n",
+			s.ID, s.Incarnation, s.Joined, s.Epoch, s.ConfigOffset, s.LogReachable, s.Takeover, s.Queued, s.Submissions)
 		w := tabwriter.NewWriter(c.Stdout, 0, 4, 2, ' ', 0)
 		for _, e := range s.Entries {
-			_, _ = fmt.Fprintf(w, "entry\t%s\t%s\treachable %t\n", e.ID, e.Address, e.Reachable)
+			_, _ = fmt.Fprintf(w, "entry\t%s\t%s\tincarnation %d\n", e.ID, e.Address, e.Incarnation)
 		}
 		for _, d := range s.Domains {
 			_, _ = fmt.Fprintf(w, "failure domain\t%s\tin force %t\tprovisional %t\n", d.Name, d.InForce, d.Provisional)
 		}
 		for _, k := range s.Sidecars {
-			_, _ = fmt.Fprintf(w, "sidecar\t%s\t%s\t%s\t%d slots\t%d credits\t%d running\tleaving %t\n",
-				k.ID, k.Domain, k.Worker, k.Slots, k.Credits, k.Running, k.Leaving)
+			_, _ = fmt.Fprintf(w, "sidecar\t%s\t%s\t%s\t%d slots\t%d running\tconnected %t\tleaving %t\n",
+				k.ID, k.Domain, k.Worker, k.Slots, k.Running, k.Connected, k.Leaving)
 		}
 		return trace.Wrap(w.Flush())
 	})
--- a/commander/processes.go
+++ b/commander/processes.go
@@ -2,7 +2,6 @@
 
 import "context"
 
-func runEntry(_ context.Context, c call) int   { return c.notWired("entry") }
 func runSidecar(_ context.Context, c call) int { return c.notWired("sidecar") }
 func runDemo(_ context.Context, c call) int    { return c.notWired("demo") }
 
--- a/commander/program_test.go
+++ b/commander/program_test.go
@@ -114,7 +114,7 @@
 		},
 		Publish: func(_ context.Context, n configurer.Note, dryRun bool) (server.Publication, error) {
 			return server.Publication{
-				DryRun: dryRun, Accepted: !dryRun, Recorded: !dryRun, Offset: 7,
+				DryRun: dryRun, Accepted: !dryRun, Offset: 7,
 				Differences: []server.Difference{{Key: n.Added[0].Key, After: n.Added[0].Value}},
 			}, nil
 		},
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -37,6 +37,7 @@
 		{Name: "advertise", Unit: loader.UnitAddress, Meaning: "address at which other processes reach the QUIC listener; the listener's own when empty"},
 		{Name: "logUrl", Unit: loader.UnitURL, Required: true, Meaning: "base URL of the platform's log"},
 		{Name: "logTimeoutMs", Unit: loader.UnitMillis, Default: "1000", Min: 10, Max: 60_000, Meaning: "time after which a call to the log counts as failed"},
+		{Name: domain.Name, Meaning: "failure domain of the entry, for the choice of near sidecars; not known when empty", Check: word},
 		{Name: "connections", Unit: loader.UnitCount, Default: "4096", Min: 1, Max: 1_000_000, Meaning: "open HTTP connections at most"},
 		drain, secret, token, logLevel, logFormat,
 		{Name: "responseRatio", Unit: loader.UnitRatio, Default: "1.10", Min: 1, Max: 1000, Meaning: "objective: response time over ideal at which a job counts as slow"},
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -38,8 +38,11 @@
 // that exists already is kept.
 func (m *Metrics) Gauge(name string, read func() float64) { m.init().GetOrCreateGauge(name, read) }
 
-// Counter adds to the counter of the given name, which ends in _total.
-func (m *Metrics) Counter(name string, n int) { m.init().GetOrCreateCounter(name).Add(n) }
+// Set sets a gauge that Gauge did not add.
+func (m *Metrics) Set(name string, value float64) { m.init().GetOrCreateGauge(name, nil).Set(value) }
+
+// SetTotal sets a counter to a total that is counted elsewhere. The name ends in _total.
+func (m *Metrics) SetTotal(name string, total uint64) { m.init().GetOrCreateCounter(name).Set(total) }
 
 // Burn adds gauges for the burn rates and budgets of r, read at the clock's time.
 func (m *Metrics) Burn(r *Reporter, c timer.Clock) {
--- a/server/client.go
+++ b/server/client.go
@@ -181,12 +181,16 @@
 		return Publication{}, trace.BadParameter("the answer is not valid: %v", err)
 	}
 	p := Publication{
-		ID: w.ID, DryRun: w.DryRun, Recorded: w.Offset != nil, Accepted: w.Accepted, InForce: w.InForce,
-		Provisional: w.Provisional, Took: timer.Millis(w.TookMs), Reason: w.Reason,
+		ID: w.ID, DryRun: w.State == "dryRun", Accepted: w.State == "accepted", Recorded: w.State == "recorded",
+		Provisional: w.State == "provisional", Refused: w.State == "refused", Unknown: w.State == unknown,
+		Lagging: w.Lagging, Took: timer.Millis(w.TookMs),
 	}
 	if w.Offset != nil {
 		p.Offset = *w.Offset
 	}
+	for _, f := range w.Findings {
+		p.Findings = append(p.Findings, Finding(f))
+	}
 	for _, d := range w.Differences {
 		p.Differences = append(p.Differences, Difference(d))
 	}
@@ -218,7 +222,8 @@
 	}
 	s := State{
 		ID: w.ID, Incarnation: w.Incarnation, Version: w.Version, Epoch: w.Epoch, ConfigOffset: w.ConfigOffset,
-		LogReachable: w.LogReachable, Attested: w.Attested, Leaving: w.Leaving, Queued: w.Queued, Submissions: w.Submissions,
+		Joined: w.Joined, LogReachable: w.LogReachable, Attested: w.Attested, Leaving: w.Leaving, Takeover: w.Takeover,
+		Queued: w.Queued, Submissions: w.Submissions, Lagging: w.Lagging, Counters: Counters(w.Counters),
 	}
 	for _, e := range w.Entries {
 		s.Entries = append(s.Entries, EntryState(e))
@@ -226,7 +231,7 @@
 	for _, c := range w.Sidecars {
 		s.Sidecars = append(s.Sidecars, SidecarState{
 			ID: c.ID, Domain: c.Domain, Worker: c.Worker, Slots: c.Slots, Credits: c.Credits, Running: c.Running,
-			Leaving: c.Leaving, Silent: timer.Millis(c.SilentMs),
+			Connected: c.Connected, Leaving: c.Leaving, Silent: timer.Millis(c.SilentMs),
 		})
 	}
 	for _, d := range w.Domains {
--- a/server/note.go
+++ b/server/note.go
@@ -14,17 +14,20 @@
 	// Difference is what a note does to one key. Before is empty for an added key, After for a withdrawn one.
 	Difference struct{ Key, Before, After string }
 
-	// Publication is the outcome of a note or of a decision on a failure domain.
+	// Publication is the outcome of a note or of a decision on a failure domain. Exactly one of Accepted, Recorded,
+	// Provisional, Refused, Unknown and DryRun is set; a dry run with findings is Refused.
 	Publication struct {
 		ID          string
-		Offset      uint64 // offset of the log record, when Recorded is true
-		DryRun      bool   // nothing was published
-		Recorded    bool   // it is in the log
+		Offset      uint64 // offset of the log record, when Accepted or Recorded
+		DryRun      bool   // the note is sound and was not published
 		Accepted    bool   // it is in the log and at least half of the roster reported it
-		InForce     bool   // every known process obeys it
+		Recorded    bool   // it is in the log
 		Provisional bool   // it is obeyed although the log has not recorded it yet
+		Refused     bool   // it is not in force and will not be
+		Unknown     bool   // it may be in the log or may get there yet
+		Lagging     int    // processes that are not known to obey it
 		Took        timer.Millis
-		Reason      string
+		Findings    []Finding
 		Differences []Difference
 	}
 
@@ -51,13 +54,14 @@
 
 	publicationWire struct {
 		ID          string           `json:"id,omitempty"`
+		State       string           `json:"state"`
+		Outcome     string           `json:"outcome,omitempty"`
 		Offset      *uint64          `json:"offset,omitempty"`
-		DryRun      bool             `json:"dryRun,omitempty"`
-		Accepted    bool             `json:"accepted"`
 		InForce     bool             `json:"inForce"`
-		Provisional bool             `json:"provisional,omitempty"`
+		Lagging     int              `json:"lagging"`
 		TookMs      int64            `json:"tookMs"`
 		Reason      string           `json:"reason,omitempty"`
+		Findings    []findingWire    `json:"findings,omitempty"`
 		Differences []differenceWire `json:"differences,omitempty"`
 	}
 )
@@ -83,12 +87,23 @@
 
 // EncodePublication maps a publication to JSON. The offset is given only when the log has recorded it.
 func EncodePublication(p Publication) ([]byte, error) {
-	w := publicationWire{
-		ID: p.ID, DryRun: p.DryRun, Accepted: p.Accepted, InForce: p.InForce, Provisional: p.Provisional,
-		TookMs: int64(p.Took), Reason: p.Reason,
+	w := publicationWire{ID: p.ID, TookMs: int64(p.Took), Lagging: p.Lagging}
+	switch {
+	case p.Refused:
+		w.State, w.Outcome, w.Reason = "refused", notRun, "the change is refused"
+	case p.DryRun:
+		w.State = "dryRun"
+	case p.Accepted:
+		w.State, w.Offset, w.InForce = "accepted", &p.Offset, p.Lagging == 0
+	case p.Recorded:
+		w.State, w.Offset = "recorded", &p.Offset
+	case p.Provisional:
+		w.State, w.InForce, w.Reason = "provisional", p.Lagging == 0, "in force, not yet recorded"
+	default:
+		w.State, w.Outcome, w.Reason = unknown, unknown, "the change may be in the log or may get there yet"
 	}
-	if p.Recorded {
-		w.Offset = &p.Offset
+	for _, f := range p.Findings {
+		w.Findings = append(w.Findings, findingWire(f))
 	}
 	for _, d := range p.Differences {
 		w.Differences = append(w.Differences, differenceWire(d))
--- a/server/operators.go
+++ b/server/operators.go
@@ -130,7 +130,8 @@
 	write(c, http.StatusOK, contentText, b.Bytes())
 }
 
-// published answers a decision: 200 when it is accepted or was only checked, 202 when it is not recorded yet.
+// published answers a decision: 200 when it is accepted or was only checked, 202 when it is obeyed or recorded but not
+// accepted yet, 409 when it is refused, 500 when its outcome is unknown.
 func published(c iris.Context, p Publication, err error) {
 	if err != nil {
 		failed(c, err)
@@ -141,8 +142,13 @@
 		fault(c, err)
 		return
 	}
-	status := http.StatusOK
-	if !p.Accepted && !p.DryRun {
+	status := http.StatusInternalServerError
+	switch {
+	case p.Refused:
+		status = http.StatusConflict
+	case p.Accepted, p.DryRun:
+		status = http.StatusOK
+	case p.Recorded, p.Provisional:
 		status = http.StatusAccepted
 	}
 	write(c, status, contentJSON, body)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -180,11 +180,10 @@
 	}
 	canceled := encoder.Answer{State: encoder.JobFailed, Code: encoder.CodeCanceled, Outcome: encoder.OutcomeNotRun}
 	note := `{"added":[{"key":"domain/a","value":"out"}]}`
-	publish := func(err error) *Server {
-		return &Server{Publish: func(context.Context, configurer.Note, bool) (Publication, error) {
-			return Publication{Accepted: true}, err
-		}}
+	decided := func(p Publication, err error) *Server {
+		return &Server{Publish: func(context.Context, configurer.Note, bool) (Publication, error) { return p, err }}
 	}
+	publish := func(err error) *Server { return decided(Publication{Accepted: true}, err) }
 	tests := []struct {
 		name, method, path, body string
 		server                   *Server
@@ -208,7 +207,11 @@
 		{"burn format", "GET", "/v1/burn?format=pdf", "", &Server{}, "Bearer " + testToken, 400, `"format"`},
 		{"history limit", "GET", "/v1/notes?limit=0", "", &Server{}, "Bearer " + testToken, 400, `"limit"`},
 		{"domain name", "POST", "/v1/domains/a%20b/withdraw", "", &Server{}, "Bearer " + testToken, 400, `"domain"`},
-		{"published", "POST", "/v1/notes", note, publish(nil), "Bearer " + testToken, 200, `"accepted":true`},
+		{"published", "POST", "/v1/notes", note, publish(nil), "Bearer " + testToken, 200, `"state":"accepted"`},
+		{"recorded", "POST", "/v1/notes", note, decided(Publication{Recorded: true}, nil), "Bearer " + testToken, 202, `"inForce":false`},
+		{"provisional", "POST", "/v1/notes", note, decided(Publication{Provisional: true}, nil), "Bearer " + testToken, 202, `"provisional"`},
+		{"refused", "POST", "/v1/notes", note, decided(Publication{Refused: true, Findings: []Finding{{"log", "down"}}}, nil), "Bearer " + testToken, 409, `"place":"log"`},
+		{"outcome unknown", "POST", "/v1/notes", note, decided(Publication{Unknown: true}, nil), "Bearer " + testToken, 500, `"outcome":"unknown"`},
 		{"dry run", "POST", "/v1/notes?dryRun=x", note, publish(nil), "Bearer " + testToken, 400, `"dryRun"`},
 		{"note in conflict", "POST", "/v1/notes", note, publish(trace.CompareFailed("newer")), "Bearer " + testToken, 409, notRun},
 		{"note without answer", "POST", "/v1/notes", note, publish(trace.ConnectionProblem(nil, "lost")), "Bearer " + testToken, 500, `"outcome":"unknown"`},
--- a/server/state.go
+++ b/server/state.go
@@ -14,22 +14,30 @@
 		Version      string
 		Epoch        uint64
 		ConfigOffset uint64
+		Joined       bool
 		LogReachable bool
-		Attested     bool // the log outage is attested by more than half of the roster
+		Attested     bool // the entry attests a log outage that more than half of the roster reports
 		Leaving      bool
+		Takeover     string // state of the takeover of keys
 		Queued       int
 		Submissions  int
+		Lagging      int // processes that are not known to have the configuration
+		Counters     Counters
 		Entries      []EntryState
 		Sidecars     []SidecarState
 		Domains      []DomainState
 	}
 
+	// Counters count events since the start of the entry.
+	Counters struct {
+		Submitted, Complete, Failed, Started, Refused, Requeued, Ignored, Forwarded, Takeovers uint64
+	}
+
 	// EntryState is a member of the roster.
 	EntryState struct {
 		ID          string
 		Incarnation uint64
 		Address     string
-		Reachable   bool
 	}
 
 	// SidecarState is a sidecar as the entry sees it.
@@ -37,8 +45,9 @@
 		ID, Domain, Worker string
 		Slots, Credits     uint32
 		Running            uint32
+		Connected          bool
 		Leaving            bool
-		Silent             timer.Millis // time since its last message
+		Silent             timer.Millis // time since its session ended
 	}
 
 	// DomainState says whether a failure domain is in force.
@@ -54,11 +63,15 @@
 		Version      string             `json:"version,omitempty"`
 		Epoch        uint64             `json:"epoch"`
 		ConfigOffset uint64             `json:"configOffset"`
+		Joined       bool               `json:"joined"`
 		LogReachable bool               `json:"logReachable"`
 		Attested     bool               `json:"attested"`
 		Leaving      bool               `json:"leaving"`
+		Takeover     string             `json:"takeover"`
 		Queued       int                `json:"queuedTasks"`
 		Submissions  int                `json:"submissions"`
+		Lagging      int                `json:"lagging"`
+		Counters     countersWire       `json:"counters"`
 		Entries      []entryStateWire   `json:"entries"`
 		Sidecars     []sidecarStateWire `json:"sidecars"`
 		Domains      []domainStateWire  `json:"domains"`
@@ -68,18 +81,30 @@
 		ID          string `json:"id"`
 		Incarnation uint64 `json:"incarnation"`
 		Address     string `json:"address"`
-		Reachable   bool   `json:"reachable"`
+	}
+
+	countersWire struct {
+		Submitted uint64 `json:"submittedJobs"`
+		Complete  uint64 `json:"completeJobs"`
+		Failed    uint64 `json:"failedJobs"`
+		Started   uint64 `json:"startedTasks"`
+		Refused   uint64 `json:"refusedStarts"`
+		Requeued  uint64 `json:"requeuedTasks"`
+		Ignored   uint64 `json:"ignoredMessages"`
+		Forwarded uint64 `json:"forwardedRequests"`
+		Takeovers uint64 `json:"takeovers"`
 	}
 
 	sidecarStateWire struct {
-		ID       string `json:"id"`
-		Domain   string `json:"domain"`
-		Worker   string `json:"worker"`
-		Slots    uint32 `json:"slots"`
-		Credits  uint32 `json:"credits"`
-		Running  uint32 `json:"running"`
-		Leaving  bool   `json:"leaving"`
-		SilentMs int64  `json:"silentMs"`
+		ID        string `json:"id"`
+		Domain    string `json:"domain"`
+		Worker    string `json:"worker"`
+		Slots     uint32 `json:"slots"`
+		Credits   uint32 `json:"credits"`
+		Running   uint32 `json:"running"`
+		Connected bool   `json:"connected"`
+		Leaving   bool   `json:"leaving"`
+		SilentMs  int64  `json:"silentMs"`
 	}
 
 	domainStateWire struct {
@@ -93,7 +118,8 @@
 func EncodeState(s State) ([]byte, error) {
 	w := stateWire{
 		ID: s.ID, Incarnation: s.Incarnation, Version: s.Version, Epoch: s.Epoch, ConfigOffset: s.ConfigOffset,
-		LogReachable: s.LogReachable, Attested: s.Attested, Leaving: s.Leaving, Queued: s.Queued, Submissions: s.Submissions,
+		Joined: s.Joined, LogReachable: s.LogReachable, Attested: s.Attested, Leaving: s.Leaving, Takeover: s.Takeover,
+		Queued: s.Queued, Submissions: s.Submissions, Lagging: s.Lagging, Counters: countersWire(s.Counters),
 		Entries: []entryStateWire{}, Sidecars: []sidecarStateWire{}, Domains: []domainStateWire{},
 	}
 	for _, e := range s.Entries {
@@ -102,7 +128,7 @@
 	for _, c := range s.Sidecars {
 		w.Sidecars = append(w.Sidecars, sidecarStateWire{
 			ID: c.ID, Domain: c.Domain, Worker: c.Worker, Slots: c.Slots, Credits: c.Credits, Running: c.Running,
-			Leaving: c.Leaving, SilentMs: int64(c.Silent),
+			Connected: c.Connected, Leaving: c.Leaving, SilentMs: int64(c.Silent),
 		})
 	}
 	for _, d := range s.Domains {
