--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -34,6 +34,8 @@
 		Slots       int     // tasks that may run concurrently; others get 503
 		FailureRate float64 // share of tasks that fail, chosen by the task key, so that it is the same in each run
 		SlowDown    float64 // factor on run times; 0 means 1
+		// OnStart is called for each start before the task runs, when it is not nil.
+		OnStart func(task string)
 		// Sleep replaces the wait for the run time when it is not nil.
 		Sleep func(ctx context.Context, d time.Duration)
 
@@ -156,6 +158,9 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if b.OnStart != nil {
+		b.OnStart(task)
+	}
 	p := payloadWire{Echo: string(payload)}
 	if json.Unmarshal(payload, &p) != nil {
 		p = payloadWire{Echo: string(payload)}
