--- a/commander/processes.go
+++ b/commander/processes.go
@@ -2,8 +2,7 @@
 
 import "context"
 
-func runSidecar(_ context.Context, c call) int { return c.notWired("sidecar") }
-func runDemo(_ context.Context, c call) int    { return c.notWired("demo") }
+func runDemo(_ context.Context, c call) int { return c.notWired("demo") }
 
 func (c call) notWired(part string) int {
 	c.logger().Error(part + ": the process is not wired yet")
