--- a/elector/replay.go
+++ b/elector/replay.go
@@ -33,7 +33,7 @@
 func (p *Replay) SinceCheckpoint() uint64 { return p.next - min(p.checkpoint, p.next) }
 
 // Adopt takes over a roster fetched from elsewhere, as of an offset, when it is later than the own one, and reports
-// whether it did. The roster's epoch must not lie after the offset.
+// whether it did. The roster's epoch must not lie after the offset; the epoch itself is always a valid offset.
 func (p *Replay) Adopt(r encoder.Roster, offset uint64) bool {
 	if offset <= p.next || r.Epoch > offset || r.Epoch < p.roster.Epoch {
 		return false
@@ -54,8 +54,11 @@
 	}
 	p.gap.Add(r)
 	c, err := DecodeChange(r.Body)
-	if err == nil && c.Kind == ChangeCheckpoint && c.Base <= r.Offset {
-		p.Adopt(c.Roster, c.Base)
+	if err == nil && c.Kind == ChangeCheckpoint {
+		// A checkpoint whose roster lies after its own record is false.
+		if as := max(c.Base, c.Roster.Epoch); as <= r.Offset {
+			p.Adopt(c.Roster, as)
+		}
 	}
 	return nil
 }
