Keep uncollected task keys, and test the sidecar's evidence

Cause: the bound on the number of task keys could push out a task whose owner has no result yet; the owner would repeat the start and the task would run twice. Census parts, lost sessions, retention and credits had no tests. Change: only collected keys are forgotten early, the default bound is 262144 keys, and the process warns once when it is reached. A cancel of a running task is remembered in case the run ends as not started. The kinds "", "." and ".." are not sent, because they would change the path of the request. Conclusion: a full table still forgets evidence of collected tasks, so a takeover within that time could start such a task again; at the design rate of 100 starts a second the table holds the full 10 minutes.

--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -153,7 +153,7 @@
 		return
 	}
 	task := r.Header.Get(taskHeader)
-	wait, err := b.begin(task, payload)
+	factor, err := b.begin(task)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -165,7 +165,7 @@
 	if json.Unmarshal(payload, &p) != nil {
 		p = payloadWire{Echo: string(payload)}
 	}
-	b.sleep(r.Context(), time.Duration(float64(p.RunMs)*wait*float64(time.Millisecond)))
+	b.sleep(r.Context(), time.Duration(float64(p.RunMs)*factor*float64(time.Millisecond)))
 	b.end()
 	if !b.waitThawed(r.Context()) {
 		return
@@ -178,7 +178,7 @@
 }
 
 // begin takes a slot and returns the factor on the run time.
-func (b *Backend) begin(task string, _ []byte) (float64, error) {
+func (b *Backend) begin(task string) (float64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slots := b.Slots
--- a/starter/core.go
+++ b/starter/core.go
@@ -26,8 +26,9 @@
 	defaultSlots        = 8
 	defaultExtra        = 2
 	defaultKeyRetention = 10 * timer.Minute
-	// defaultMaxKeys allows 109 starts a second for the whole key retention; the design sizes ask for 100.
-	defaultMaxKeys = 1 << 16
+	// defaultMaxKeys keeps 436 starts a second for the whole key retention. The design sizes ask for 100, which take 5 MB
+	// of the 32 MB for one node.
+	defaultMaxKeys = 1 << 18
 	// defaultMaxBodies bounds the results that wait for collection, so that they fit the 32 MB for one node.
 	defaultMaxBodies = 8 << 20
 	defaultClaimWait = 3 * timer.Second
@@ -70,13 +71,14 @@
 
 	// Core holds the control state of a sidecar. One goroutine calls it; the time is an argument and must not go back.
 	// The effects that a method returns are valid until the next call. Set the fields before the first call; zero
-	// fields stand for defaults. It remembers task keys for KeyRetention, or until MaxKeys newer ones have ended.
+	// fields stand for defaults. It remembers the keys of ended tasks for KeyRetention; beyond MaxKeys it forgets the
+	// oldest collected ones earlier.
 	Core struct {
 		ID           string       // of the sidecar; it determines the sidecar's cell
 		Slots        uint32       // default 8
 		Extra        uint32       // credits beyond the slots; default 2
 		KeyRetention timer.Millis // default 10 minutes
-		MaxKeys      int          // default 65536
+		MaxKeys      int          // default 262144
 		MaxBodies    int          // bytes of results that wait for collection; default 8 MiB
 		ClaimWait    timer.Millis // longest wait for a claim; default 3 s
 
@@ -229,6 +231,10 @@
 // Running returns the number of tasks that were started and have not ended.
 func (c *Core) Running() int { return len(c.running) }
 
+// ForgottenEarly returns the number of task keys that MaxKeys pushed out before their retention was over. A start of such
+// a key would run again.
+func (c *Core) ForgottenEarly() uint64 { return c.started.early }
+
 // Drained reports whether no task waits or runs and no result waits for collection.
 func (c *Core) Drained() bool {
 	return len(c.running) == 0 && len(c.waiting) == 0 && c.started.uncollected == 0
--- /dev/null
+++ b/starter/evidence_test.go
@@ -0,0 +1,151 @@
+package starter
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// ended runs the tasks and ends each with the body.
+func ended(c *Core, now timer.Millis, body []byte, tasks ...encoder.TaskKey) {
+	for _, t := range tasks {
+		c.Receive(now, sessionOf(c, t), startOf(c, t))
+		c.Ended(now, t, Outcome{Status: encoder.StatusDone, Body: body})
+	}
+}
+
+// TestCensus guards the takeover: the reply must list each started task of the asker, with its body, in parts that fit
+// a frame, and a waiting task that it lacks must not start any more.
+func TestCensus(t *testing.T) {
+	c := connected(five[:3]...)
+	s := sessionOf(c, task(0))
+	ended(c, 1000, make([]byte, MaxBody), task(0), task(1), task(2), task(3), task(4), task(5))
+	c.Receive(1000, s, &encoder.Collected{Tasks: []encoder.TaskKey{task(5)}})
+	for i := 6; i < 9; i++ { // two run, one waits
+		c.Receive(1000, s, startOf(c, task(i)))
+	}
+	refused, last := false, false
+	got := map[encoder.TaskKey]string{}
+	for _, e := range c.Receive(1000, s, &encoder.Census{Roster: roster(6, five[:3]...)}) {
+		if m, ok := e.Message.(*encoder.Refusal); ok {
+			refused = m.Task == task(8) && m.Reason == encoder.RefusalStaleEpoch && m.Epoch == 6
+		}
+		if m, ok := e.Message.(*encoder.CensusReply); ok {
+			if n := len(encoder.Append(nil, m)); n > encoder.MaxFrame || !refused || last || m.Epoch != 6 {
+				t.Errorf("part of %d bytes and epoch %d, after the refusal %v, after the last part %v", n, m.Epoch, refused, last)
+			}
+			last = m.Last
+			for _, r := range m.Started {
+				got[r.Task] = fmt.Sprint(r.Status, " ", len(r.Body))
+			}
+		}
+	}
+	want := map[encoder.TaskKey]string{
+		task(0): "done 1048576", task(1): "done 1048576", task(2): "done 1048576", task(3): "done 1048576", task(4): "done 1048576",
+		task(5): "unknown 0", task(6): "running 0", task(7): "running 0",
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) || !last {
+		t.Errorf("census: got %v, last %v, want %v", got, last, want)
+	}
+}
+
+// TestLostSession guards against lost results, and against a "not started" that overtakes a repeated start.
+func TestLostSession(t *testing.T) {
+	c := connected(five[:3]...)
+	s := sessionOf(c, task(0))
+	ack := &encoder.HelloAck{Member: c.sessions[s].member, Roster: c.roster}
+	ended(c, 1000, []byte("x"), task(0))
+	c.Receive(1000, s, startOf(c, task(1)))
+	c.Receive(1000, s, startOf(c, task(2)))
+	for _, tt := range []struct{ got, want string }{
+		{fmt.Sprint(summary(c.Connected(1000, 9, ack))), "[result 1 x]"},
+		{fmt.Sprint(summary(c.Receive(1000, s, startOf(c, task(3))))), "[]"},
+		{fmt.Sprint(summary(c.Ended(1000, task(1), Outcome{Status: encoder.StatusNotStarted}))), "[]"},
+		{fmt.Sprint(summary(c.Receive(1000, 9, startOf(c, task(1))))), "[run]"},
+		{fmt.Sprint(summary(c.Receive(1000, 9, startOf(c, task(2))))), "[refuse 3 epoch 5]"},
+		{fmt.Sprint(summary(c.Receive(1000, 9, &encoder.Cancel{Tasks: []encoder.TaskKey{task(2)}}))), "[cancel]"},
+		{fmt.Sprint(summary(c.Ended(1000, task(2), Outcome{Status: encoder.StatusNotStarted}))), "[result 4 ]"},
+		{fmt.Sprint(summary(c.SetLeaving(1000, true)), summary(c.SetLeaving(1000, false))), "[] [reset reset reset]"},
+	} {
+		if tt.got != tt.want {
+			t.Errorf("got %s, want %s", tt.got, tt.want)
+		}
+	}
+}
+
+// TestRetention guards the bounds of the started-task table; a dropped body must not pass for an empty result.
+func TestRetention(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		limits Core
+		at     timer.Millis
+		want   string
+	}{
+		{"all kept", Core{}, 1000, "[result 1 xxxx] [result 1 xxxx]"},
+		{"time", Core{KeyRetention: 500}, 1501, "[run] [run]"},
+		{"not yet", Core{KeyRetention: 500}, 1500, "[result 1 xxxx] [result 1 xxxx]"},
+		{"count, collected", Core{MaxKeys: 1}, 1000, "[result 1 xxxx] [run]"}, // task 1 is collected below
+		{"bytes", Core{MaxBodies: 7}, 1000, "[result 3 ] [result 1 xxxx]"},
+	} {
+		c := connected(five[:3]...)
+		ended(c, 1000, []byte("xxxx"), task(0), task(1))
+		c.KeyRetention = orDefault(tt.limits.KeyRetention, c.KeyRetention)
+		c.MaxKeys, c.MaxBodies = orDefault(tt.limits.MaxKeys, c.MaxKeys), orDefault(tt.limits.MaxBodies, c.MaxBodies)
+		s := sessionOf(c, task(0))
+		if tt.limits.MaxKeys > 0 {
+			c.Receive(1000, s, &encoder.Collected{Tasks: []encoder.TaskKey{task(1)}})
+		}
+		got := fmt.Sprint(summary(c.Receive(tt.at, s, startOf(c, task(0)))), summary(c.Receive(tt.at, s, startOf(c, task(1)))))
+		if got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestCredits guards the return of a failure domain, the move of the cell to another owner, and withdrawals that only
+// one entry knows: credits must follow, and no slot may be granted twice.
+func TestCredits(t *testing.T) {
+	c := connected(five[:3]...)
+	s := sessionOf(c, task(0))
+	other := s%3 + 1
+	pong := func(s, offset uint64, inForce bool) []Effect {
+		return pongAt(c, 1000, s, func(p *encoder.Pong) { p.ConfigOffset, p.DomainInForce = offset, inForce })
+	}
+	rest := roster(6, five[:3]...)
+	rest.Entries = slices.DeleteFunc(rest.Entries, func(e encoder.RosterEntry) bool { return e.Member == c.sessions[s].member })
+	for i, tt := range []struct {
+		do   func() []Effect
+		want string
+	}{
+		{func() []Effect { return pong(other, 10, false) }, fmt.Sprintf("recall %d 3,", s)},
+		{func() []Effect { return pong(s, 10, true) }, ""},
+		{func() []Effect { return c.Receive(1000, s, &encoder.Release{Credits: 3}) }, ""},
+		{func() []Effect { return pong(other, 10, true) }, fmt.Sprintf("grant %d 1,", s)},
+		{func() []Effect { return c.Receive(1000, s, startOf(c, task(0))) }, ""},
+		{func() []Effect { return c.Ended(1000, task(0), Outcome{Status: encoder.StatusDone}) }, "with result 3,"},
+		{func() []Effect { return pong(s, 11, false) }, fmt.Sprintf("recall %d 3,", s)},
+		{func() []Effect { return c.Receive(1000, s, &encoder.Release{Credits: 3}) }, ""},
+		{func() []Effect { return pong(other, 10, true) }, ""},
+		{func() []Effect { return pong(s, 12, true) }, fmt.Sprintf("grant %d 1,", s)},
+		{func() []Effect { return c.Receive(1000, other, &encoder.Census{Roster: rest}) },
+			fmt.Sprintf("grant %d 1,", sessionOf(&Core{sessions: c.sessions, roster: rest}, task(0)))},
+	} {
+		got := ""
+		for _, e := range tt.do() {
+			switch m := e.Message.(type) {
+			case *encoder.Grant:
+				got += fmt.Sprintf("grant %d %d,", e.Session, m.Credits)
+			case *encoder.Recall:
+				got += fmt.Sprintf("recall %d %d,", e.Session, m.Credits)
+			case *encoder.Result:
+				got += fmt.Sprintf("with result %d,", m.Credits)
+			}
+		}
+		if got != tt.want {
+			t.Errorf("step %d: got %q, want %q", i, got, tt.want)
+		}
+	}
+}
--- a/starter/gate.go
+++ b/starter/gate.go
@@ -188,11 +188,10 @@
 		if !c.mayDecide(e, t) {
 			continue
 		}
+		c.canceled.add(now, t)
 		if _, ok := c.running[t]; ok {
 			c.out = append(c.out, Effect{Kind: EffectCancel, Task: t})
-			continue
 		}
-		c.canceled.add(now, t)
 	}
 }
 
--- a/starter/runner.go
+++ b/starter/runner.go
@@ -93,6 +93,9 @@
 
 // request builds the request for t. It has no GetBody, so that net/http cannot send it twice.
 func (r *runner) request(ctx context.Context, t Run) (*http.Request, error) {
+	if t.Kind == "" || t.Kind == "." || t.Kind == ".." {
+		return nil, fmt.Errorf("kind %q is not a path segment", t.Kind)
+	}
 	u := r.base.JoinPath("run", url.PathEscape(t.Kind))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(t.Payload))
 	if err != nil {
--- a/starter/sidecar.go
+++ b/starter/sidecar.go
@@ -54,10 +54,12 @@
 		last     uint64 // number of the newest session
 		dials    map[string]context.CancelFunc
 		runs     map[encoder.TaskKey]context.CancelFunc
-		epoch    uint64
-		ready    bool  // the backend server has been healthy
-		backend  error // why the backend server takes no work
+		epoch    uint64 // of the roster that connect has seen
+		changed  bool   // sessions came or went since connect has seen them
+		ready    bool   // the backend server has been healthy
+		backend  error  // why the backend server takes no work
 		draining bool
+		warned   bool // that keys are forgotten early
 	}
 
 	eventKind uint8
@@ -113,6 +115,7 @@
 			return nil
 		case <-tick.C:
 			s.perform(ctx, s.core.Tick(s.Clock.Now()))
+			s.warnForgotten()
 		case e := <-s.events:
 			s.handle(ctx, e)
 		}
@@ -173,6 +176,7 @@
 // been paused while it was queued.
 func (s *Sidecar) handle(ctx context.Context, e event) {
 	now := s.Clock.Now()
+	s.changed = s.changed || e.kind == eventUp || e.kind == eventDown || e.kind == eventHealth
 	switch e.kind {
 	case eventUp:
 		s.last++
@@ -242,10 +246,11 @@
 
 // connect keeps one connection to each entry of the roster. The configured addresses are used until one of those is up.
 func (s *Sidecar) connect(ctx context.Context) {
-	if !s.ready {
+	roster, direct := s.core.Roster(), false
+	if !s.ready || !s.changed && roster.Epoch == s.epoch {
 		return
 	}
-	roster, direct := s.core.Roster(), false
+	s.changed = false
 	wanted := map[string]bool{}
 	for _, e := range roster.Entries {
 		wanted[e.Address] = true
@@ -277,6 +282,14 @@
 	}
 }
 
+// warnForgotten reports once that the started-task table is too small for the rate of starts.
+func (s *Sidecar) warnForgotten() {
+	if n := s.core.ForgottenEarly(); n > 0 && !s.warned {
+		s.warned = true
+		s.Log.Warn("sidecar: the table of started tasks is full; keys are forgotten before their retention is over")
+	}
+}
+
 func (s *Sidecar) checkDrained() {
 	if s.draining && s.core.Drained() {
 		select {
--- a/starter/table.go
+++ b/starter/table.go
@@ -14,7 +14,7 @@
 	// of a job is computed once for all its tasks.
 	table struct {
 		jobs        map[string]*job
-		ended       []endedRow // in order of their ends; the first dropped ones have been forgotten
+		ended       []endedRow // oldest end first, with few exceptions; the first dropped ones have been forgotten
 		dropped     int
 		bodiless    int // rows of ended before this one have lost their bodies
 		bytes       int // of bodies and reasons
@@ -112,18 +112,24 @@
 	}
 }
 
-// expire forgets tasks that ended before the given time. It also forgets the oldest ended ones beyond maxKeys, and drops
-// the oldest bodies beyond maxBytes.
+// expire forgets tasks that ended before the given time. It also forgets the oldest collected ones beyond maxKeys, and
+// drops the oldest bodies beyond maxBytes. Tasks without collection stay, because their owner may repeat the start.
 func (t *table) expire(before timer.Millis, maxKeys, maxBytes int) {
 	for t.dropped < len(t.ended) {
 		e := t.ended[t.dropped]
+		r := e.job.find(e.index)
 		if e.at >= before {
-			if len(t.ended)-t.dropped <= maxKeys {
+			if kept := len(t.ended) - t.dropped; kept <= maxKeys || kept <= t.uncollected {
 				break
 			}
+			if r.state == stateEnded {
+				t.ended = append(t.ended, e)
+				t.ended[t.dropped] = endedRow{}
+				t.dropped++
+				continue
+			}
 			t.early++
 		}
-		r := e.job.find(e.index)
 		if r.state == stateEnded {
 			t.uncollected--
 		}
