Report why jobs failed in a fault run

Cause: a run with entries killed ended 67 of 158 jobs as unknown, and the report did not say why. Change: the fault runner counts the reasons of failed jobs.

--- a/injector/report.go
+++ b/injector/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -19,7 +21,8 @@
 		Tasks     int // tasks of complete jobs
 		Starts    int
 		Faults    map[string]int
-		Withdrawn int // withdrawals accepted
+		Reasons   map[string]int // of failed jobs
+		Withdrawn int            // withdrawals accepted
 
 		// The counts below are violations; each must be 0.
 		StartedTwice    int
@@ -62,6 +65,9 @@
 			fmt.Fprintf(&b, "fault: %-23s %d\n", name, n)
 		}
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(&b, "reason: %s: %d\n", reason, r.Reasons[reason])
+	}
 	for _, d := range r.Details {
 		fmt.Fprintln(&b, d)
 	}
--- a/injector/run.go
+++ b/injector/run.go
@@ -58,7 +58,7 @@
 		fleet: &launcher.Fleet{Directory: p.Directory, Entries: 3, Backends: 6, Domains: 3, Slots: 4},
 		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		report: Report{
-			Seed: p.Seed, Faults: map[string]int{},
+			Seed: p.Seed, Faults: map[string]int{}, Reasons: map[string]int{},
 		},
 		claimed: map[string]bool{}, stops: map[int]int64{},
 	}
@@ -188,6 +188,9 @@
 			r.violation(&r.UntrueNotRun, "%s: %d starts, answered %q", j.Key, starts, a.Reason)
 		}
 	}
+	if first.State == encoder.JobFailed {
+		r.Reasons[first.Reason]++
+	}
 	switch {
 	case first.State == encoder.JobComplete:
 		r.Complete++
