Ask peers about sidecars only when the entry was no member itself; benchmarks

Cause: a joining entry's doubts delayed the takeovers of all others by 3 s, and a submission that failed while its key was away could end without a failure. Change: an entry that was a member throughout trusts its own view; a peer's doubts count only as a missing vote; recalls are always answered with a release; credits are counted for the status.

--- /dev/null
+++ b/dispatcher/bench_test.go
@@ -0,0 +1,75 @@
+package dispatcher
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/encoder"
+)
+
+// BenchmarkTask measures the core's work for one task: its share of the submission, placement, result and answer, for
+// jobs of 10 tasks.
+func BenchmarkTask(b *testing.B) {
+	const tasks = 10
+	c := newBench(b, Settings{})
+	c.message(&encoder.Grant{Credits: tasks})
+	j := job("", tasks)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if n%tasks == 0 {
+			j.Key = strconv.Itoa(n)
+			c.core.Submit(c.now, uint64(n), j)
+			for _, f := range c.core.Take() {
+				if s, ok := f.Message.(*encoder.Start); ok {
+					c.core.Message(c.now, sidecarSession, &encoder.Result{
+						Task: s.Task, Status: encoder.StatusDone, Ran: 100, Credits: 1,
+					})
+				}
+			}
+			c.core.Take()
+			if len(c.core.jobs) != 0 {
+				b.Fatal("the job has not ended")
+			}
+		}
+		if n%10_000 == 0 {
+			c.now += 100
+			c.confirm()
+			c.core.Tick(c.now)
+			c.core.Take()
+		}
+	}
+}
+
+// BenchmarkMemory measures the bytes that a task in flight and a kept answer take, for jobs of 10 tasks.
+func BenchmarkMemory(b *testing.B) {
+	const jobs, tasks = 20_000, 10
+	for b.Loop() {
+		c := newBench(b, Settings{})
+		before := heapBytes()
+		for n := range jobs {
+			c.core.Submit(c.now, uint64(n), job(strconv.Itoa(n), tasks))
+		}
+		c.core.Take()
+		flying := heapBytes()
+		for n := range jobs {
+			for i := range tasks {
+				c.core.Message(c.now, sidecarSession, &encoder.Result{
+					Task: encoder.TaskKey{Job: strconv.Itoa(n), Index: uint32(i)}, Status: encoder.StatusDone, Body: make([]byte, 16),
+				})
+			}
+			c.core.Take()
+		}
+		kept := heapBytes()
+		b.ReportMetric(float64(flying-before)/jobs/tasks, "B/task")
+		b.ReportMetric(float64(kept-before)/jobs, "B/answer")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -164,7 +164,9 @@
 		reply.Sidecars = append(reply.Sidecars, gone)
 	}
 	for missing := range c.takeover.missing {
-		reply.Sidecars = append(reply.Sidecars, missing)
+		if missing != unknownSidecars {
+			reply.Sidecars = append(reply.Sidecars, missing)
+		}
 	}
 	if !c.vouches() {
 		reply.Sidecars = append(reply.Sidecars, unknownSidecars)
@@ -205,13 +207,17 @@
 	}
 	t := &c.takeover
 	if t.keys == nil {
-		t.keys = map[string]timer.Millis{}
+		t.keys, t.reported = map[string]timer.Millis{}, map[encoder.Member]timer.Millis{}
 	}
 	for _, key := range m.Jobs {
 		t.keys[key] = c.now
 	}
 	for _, sc := range m.Sidecars {
-		t.heard(sc, c.now, false)
+		if sc == unknownSidecars {
+			p.doubts = m.Epoch
+		} else if _, ok := t.reported[sc]; !ok {
+			t.reported[sc] = c.now
+		}
 	}
 	if m.Last {
 		p.census = m.Epoch
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -28,7 +28,7 @@
 		told     map[encoder.Member]bool
 		toldAll  timer.Millis
 		census   uint64 // epoch of the last complete answer to a peer census
-		asked    uint64
+		doubts   uint64 // epoch of the last such answer that left sidecars open which it may not know
 	}
 
 	sentPing struct {
@@ -69,7 +69,7 @@
 		return
 	}
 	if h.Member != p.member {
-		p.member, p.begun, p.census, p.asked = h.Member, 0, 0, 0
+		p.member, p.begun, p.census, p.doubts = h.Member, 0, 0, 0
 	}
 	p.sessions = append(p.sessions, id)
 	p.heard = max(p.heard, c.now)
@@ -133,7 +133,7 @@
 func (c *Core) peerState(p *peer, s *encoder.PeerPing) {
 	p.epoch = max(p.epoch, s.Epoch)
 	for _, m := range s.Sidecars {
-		c.takeover.heard(m, c.now, true)
+		c.takeover.heard(m, c.now)
 	}
 	for _, d := range s.Domains {
 		c.adoptProvisional(d, s.ConfigOffset)
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -82,6 +82,7 @@
 		}
 		s.tasks[i].sidecar = sc
 		s.started++
+		sc.credits -= min(1, sc.credits)
 		c.sendStart(s, i)
 	}
 }
@@ -113,7 +114,7 @@
 // result handles the end of a task. A result counts for the task that is started on this very sidecar incarnation, or
 // for one that is queued here because an earlier owner started it.
 func (c *Core) result(sc *sidecar, m *encoder.Result) {
-	c.queue.Grant(sc.hello.Member.ID, m.Credits)
+	c.grant(sc, m.Credits)
 	s, i := c.find(m.Task)
 	if s == nil {
 		c.counters.Ignored++
@@ -189,7 +190,7 @@
 
 // refused handles a refusal. It counts only for a task that is started on this sidecar.
 func (c *Core) refused(sc *sidecar, m *encoder.Refusal) {
-	c.queue.Grant(sc.hello.Member.ID, m.Credits)
+	c.grant(sc, m.Credits)
 	s, i := c.find(m.Task)
 	if s == nil || s.tasks[i].sidecar != sc {
 		c.counters.Ignored++
@@ -221,6 +222,8 @@
 	case s.state != stateOpen:
 	case reason == encoder.RefusalDeadline:
 		c.fail(s, encoder.CodeDeadline, "the deadline passed")
+	case reason == encoder.RefusalCanceled:
+		c.fail(s, encoder.CodeCanceled, "canceled at the sidecar")
 	case t.attempts >= c.settings.MaxAttempts:
 		c.fail(s, encoder.CodeUnavailable, "every start was refused")
 	default:
@@ -261,6 +264,6 @@
 		step(taskChart, &t.state, eventLose)
 		return
 	}
-	c.queue.Grant(t.sidecar.hello.Member.ID, 1)
+	c.grant(t.sidecar, 1)
 	c.requeue(s, i, t.sidecar, encoder.RefusalNoSlot, 0)
 }
--- a/dispatcher/sidecar.go
+++ b/dispatcher/sidecar.go
@@ -13,6 +13,7 @@
 	down    timer.Millis // when the session ended
 	leaving bool
 	running uint32
+	credits uint32 // as granted, spent and given back; the scheduler decides with its own count
 	asked   uint64 // epoch of the last census that was sent on the session
 	demand  int
 	offset  uint64 // configuration offset of the last pong
@@ -21,7 +22,7 @@
 // Announce notes a sidecar whose session is about to be accepted.
 func (c *Core) Announce(now timer.Millis, m encoder.Member) {
 	c.now = now
-	c.takeover.heard(m, now, true)
+	c.takeover.heard(m, now)
 }
 
 func (c *Core) sidecarUp(id SessionID, h encoder.Hello) {
@@ -44,7 +45,7 @@
 		sc = &sidecar{}
 		c.sidecars[h.Member.ID] = sc
 	}
-	sc.hello, sc.session, sc.leaving, sc.asked, sc.demand = h, id, false, 0, 0
+	sc.hello, sc.session, sc.leaving, sc.credits, sc.asked, sc.demand = h, id, false, 0, 0, 0
 	c.sessions[id] = &session{id: id, sidecar: sc}
 	distance := timer.Millis(0)
 	if h.Domain != c.settings.Domain {
@@ -136,7 +137,6 @@
 }
 
 func (c *Core) fromSidecar(sc *sidecar, m encoder.Message) {
-	id := sc.hello.Member.ID
 	switch m := m.(type) {
 	case *encoder.Ping:
 		sc.running = m.Running
@@ -149,11 +149,12 @@
 	case *encoder.Refusal:
 		c.refused(sc, m)
 	case *encoder.Grant:
-		c.queue.Grant(id, m.Credits)
+		c.grant(sc, m.Credits)
 	case *encoder.Recall:
-		if taken := c.queue.Recall(id, m.Credits); taken > 0 {
-			c.send(sc.session, &encoder.Release{Credits: taken})
-		}
+		// The sidecar asks again only after an answer, so it gets one even when nothing is left to give back.
+		taken := c.queue.Recall(sc.hello.Member.ID, m.Credits)
+		sc.credits -= min(taken, sc.credits)
+		c.send(sc.session, &encoder.Release{Credits: taken})
 	case *encoder.CensusReply:
 		c.censusReply(sc, m)
 	case *encoder.Leaving:
@@ -163,9 +164,16 @@
 	}
 }
 
+func (c *Core) grant(sc *sidecar, credits uint32) {
+	if credits > 0 && !sc.leaving {
+		sc.credits += credits
+		c.queue.Grant(sc.hello.Member.ID, credits)
+	}
+}
+
 func (c *Core) sidecarLeaving(sc *sidecar) {
 	if !sc.leaving {
-		sc.leaving = true
+		sc.leaving, sc.credits = true, 0
 		c.queue.SetLeaving(sc.hello.Member.ID)
 	}
 }
--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -74,7 +74,7 @@
 		h := sc.hello
 		one := SidecarStatus{
 			Member: h.Member, Domain: h.Domain, Worker: h.Worker, Slots: h.Slots, Running: sc.running,
-			ConfigOffset: sc.offset, Connected: sc.session != 0, Leaving: sc.leaving,
+			Credits: sc.credits, ConfigOffset: sc.offset, Connected: sc.session != 0, Leaving: sc.leaving,
 		}
 		if sc.session == 0 {
 			one.Silence = now - sc.down
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -287,7 +287,7 @@
 	if s.left > 0 {
 		return
 	}
-	if s.state == stateClosing {
+	if s.state == stateClosing || s.code != 0 {
 		a := failure(s.key, s.code, s.outcome(), s.reason)
 		if s.lost {
 			a.Code = encoder.CodeUnknown
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -28,6 +28,7 @@
 		asked    timer.Millis
 		answered map[encoder.Member]uint64       // sidecar to the epoch of its last complete answer
 		others   map[encoder.Member]timer.Millis // sidecars that peers know, with the time when they were told of
+		reported map[encoder.Member]timer.Millis // sidecars that peers knew, too, by the answers to the peer census
 		missing  map[encoder.Member]timer.Millis // sidecars whose evidence is lost, with the last time they could start
 		stopped  map[encoder.Member]timer.Millis // entries that left the roster at their own request
 		keys     map[string]timer.Millis         // keys that peers reported
@@ -278,6 +279,11 @@
 	for m, at := range t.others {
 		check(m, at)
 	}
+	if !c.vouches() {
+		for m, at := range t.reported {
+			check(m, at)
+		}
+	}
 	if !c.trusted() {
 		check(unknownSidecars, c.now)
 	}
@@ -294,14 +300,18 @@
 	return true
 }
 
-// trusted reports whether a member of each former roster remains, beside the peers' own doubts. A sidecar accepts starts
-// only when each member knows it, so one remaining member knows all sidecars that accepted starts under the roster.
+// trusted reports whether this entry or a peer without doubts was a member of each former roster. A sidecar accepts
+// starts only when each member knows it, so one such member knows all sidecars that accepted starts under the roster.
 func (c *Core) trusted() bool {
 	for _, r := range c.takeover.chain {
 		remains := len(r.Entries) == 0
 		for _, e := range r.Entries {
 			now, ok := elector.Find(c.roster, e.Member.ID)
-			remains = remains || ok && now.Member == e.Member
+			if !ok || now.Member != e.Member {
+				continue
+			}
+			p := c.peers[e.Member.ID]
+			remains = remains || e.Member == c.self || p != nil && p.census == c.roster.Epoch && p.doubts < c.roster.Epoch
 		}
 		if !remains {
 			return false
@@ -318,7 +328,8 @@
 			return false
 		}
 	}
-	return c.joined
+	_, unknown := c.takeover.missing[unknownSidecars]
+	return c.joined && !unknown
 }
 
 func (c *Core) sweepTakeover() {
@@ -335,7 +346,7 @@
 			delete(c.jobs, key)
 		}
 	}
-	for _, list := range []map[encoder.Member]timer.Millis{t.others, t.missing, t.stopped} {
+	for _, list := range []map[encoder.Member]timer.Millis{t.others, t.reported, t.missing, t.stopped} {
 		for m, at := range list {
 			if at < old {
 				delete(list, m)
@@ -354,14 +365,12 @@
 	}
 }
 
-// heard notes a sidecar that a peer knows. The time is that of the last report that the peer has a session to it.
-func (t *takeover) heard(m encoder.Member, now timer.Millis, connected bool) {
+// heard notes a sidecar that a peer has a session to.
+func (t *takeover) heard(m encoder.Member, now timer.Millis) {
 	if t.others == nil {
 		t.others = map[encoder.Member]timer.Millis{}
 	}
-	if _, ok := t.others[m]; !ok || connected {
-		t.others[m] = now
-	}
+	t.others[m] = now
 }
 
 // left notes an entry that has left the roster at its own request and starts nothing any more.
