--- a/appender/client_test.go
+++ b/appender/client_test.go
@@ -1,20 +1,78 @@
 package appender_test
 
 import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
 
 	"github.com/crocuslb/crocuslb/appender"
 	"github.com/crocuslb/crocuslb/emulator"
+	"github.com/crocuslb/crocuslb/timer"
 )
 
+const appended, notAppended, unknown = "appended", "not appended", "unknown"
+
+type (
+	// call is the result of one call of Append.
+	call struct {
+		verdict string
+		offset  uint64
+	}
+
+	// round is a time with certain faults, in which appends begin.
+	round struct {
+		faults      emulator.LogSettings
+		refusals    emulator.Refusals
+		stayRefused bool // until the next round
+		silence     bool // the connections used so far go silent
+		appends     int
+		appendAgain bool // appends of unknown outcome are called again
+		healAfter   timer.Millis
+	}
+
+	roundTrip func(q *http.Request) (*http.Response, error)
+)
+
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
+func (f roundTrip) RoundTrip(q *http.Request) (*http.Response, error) { return f(q) }
+
+func judge(err error) string {
+	switch {
+	case err == nil:
+		return appended
+	case appender.IsUnknown(err):
+		return unknown
+	}
+	return notAppended
+}
+
 // Guards against a client and a log that do not agree on the published protocol over real connections.
 func TestLoopback(t *testing.T) {
-	url, err := emulator.ServeLog(t.Context(), "127.0.0.1:0", &emulator.Log{})
+	l := &emulator.Log{}
+	url, err := emulator.ServeLog(t.Context(), "127.0.0.1:0", l)
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := &appender.Client{URL: url}
+	if first, next, err := c.Head(t.Context(), "roster"); err != nil || first != 0 || next != 0 {
+		t.Fatalf("got first %d, next %d, error %v", first, next, err)
+	}
 	for i, body := range []string{"a", "", "c"} {
+		l.Change(func(s *emulator.LogSettings) { s.LoseNext = (i + 1) % 2 })
 		got, err := c.Append(t.Context(), "roster", appender.NewID(), []byte(body))
 		if err != nil || got != uint64(i) {
 			t.Fatalf("append %d: got offset %d, error %v", i, got, err)
@@ -24,4 +82,256 @@
 	if err != nil || p.First != 0 || p.Next != 3 || len(p.Records) != 2 || string(p.Records[1].Body) != "c" {
 		t.Fatalf("got page %+v, error %v", p, err)
 	}
+	l.Change(func(s *emulator.LogSettings) { s.Retention = 1 })
+	if _, err := c.Read(t.Context(), "roster", 1, 10, 0); !appender.IsTruncated(err) {
+		t.Errorf("got error %v, want truncated", err)
+	}
+	if first, next, err := c.Head(t.Context(), "roster"); err != nil || first != 2 || next != 3 {
+		t.Errorf("got first %d, next %d, error %v, want 2, 3", first, next, err)
+	}
+}
+
+// drawRounds draws faults and what happens under them.
+func drawRounds(t *rapid.T) []round {
+	one := func(t *rapid.T, in int, label string) bool { return rapid.IntRange(1, in).Draw(t, label) == in }
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) round {
+		return round{
+			appends:     rapid.IntRange(1, 4).Draw(t, "appends"),
+			healAfter:   timer.Millis(rapid.IntRange(0, 3000).Draw(t, "heal after ms")),
+			silence:     one(t, 3, "silence connections"),
+			appendAgain: one(t, 2, "append again"),
+			stayRefused: one(t, 2, "stay refused"),
+			refusals:    emulator.Refusals{Reads: one(t, 5, "refuse reads"), Appends: one(t, 5, "refuse appends")},
+			faults: emulator.LogSettings{
+				AppendDelay:      rapid.SampledFrom([]timer.Millis{0, 0, 5, 1500, 2500, 9000}).Draw(t, "append delay"),
+				ReadDelay:        rapid.SampledFrom([]timer.Millis{0, 0, 100, 3000}).Draw(t, "read delay"),
+				LoseNext:         rapid.IntRange(0, 3).Draw(t, "lose"),
+				LoseSilently:     one(t, 2, "lose silently"),
+				Outage:           one(t, 5, "outage"),
+				Silent:           one(t, 6, "silent"),
+				AppendsPerSecond: rapid.SampledFrom([]int{0, 0, 1, 20}).Draw(t, "rate"),
+			},
+		}
+	}), 1, 6).Draw(t, "rounds")
+}
+
+// runRounds returns what is wrong with the verdicts and the log after the rounds, or nothing.
+func runRounds(rounds []round) string {
+	l := &emulator.Log{}
+	m := &emulator.Transport{Log: l}
+	c := &appender.Client{URL: "http://log", HTTP: &http.Client{Transport: m}, Timeout: 2 * timer.Second}
+	var mu sync.Mutex
+	calls := map[string][]call{}
+	send := func(id string) {
+		offset, err := c.Append(context.Background(), "claims", id, []byte(id))
+		mu.Lock()
+		defer mu.Unlock()
+		calls[id] = append(calls[id], call{judge(err), offset})
+	}
+	for n, r := range rounds {
+		l.Change(func(s *emulator.LogSettings) { *s = r.faults })
+		m.Refuse(r.refusals)
+		if r.silence {
+			l.SilenceConnections()
+		}
+		var ids []string
+		for i := range r.appends {
+			ids = append(ids, fmt.Sprint(n, "-", i))
+		}
+		for id, tries := range calls {
+			if r.appendAgain && tries[len(tries)-1].verdict == unknown {
+				ids = append(ids, id)
+			}
+		}
+		var g sync.WaitGroup
+		for _, id := range ids {
+			g.Go(func() { send(id) })
+		}
+		time.Sleep(r.healAfter.Duration())
+		l.Change(func(s *emulator.LogSettings) {
+			*s = emulator.LogSettings{AppendDelay: s.AppendDelay, LoseNext: s.LoseNext}
+		})
+		if !r.stayRefused {
+			m.Refuse(emulator.Refusals{})
+		}
+		g.Wait()
+	}
+	time.Sleep(time.Minute) // lets the slow appends take effect
+	in := map[string][]uint64{}
+	for _, r := range l.Records("claims") {
+		if in[r.ID] = append(in[r.ID], r.Offset); r.ID != string(r.Body) {
+			return fmt.Sprintf("record %d has another body", r.Offset)
+		}
+	}
+	for id, tries := range calls {
+		offsets, last := in[id], tries[len(tries)-1]
+		switch {
+		case len(offsets) > len(tries),
+			last.verdict == appended && !slices.Contains(offsets, last.offset),
+			last.verdict == notAppended && len(offsets) > 0:
+			return fmt.Sprintf("append with calls %+v is in the log at %v", tries, offsets)
+		}
+	}
+	return ""
+}
+
+// Guards against an append with a false verdict or offset, and against one call that leaves two records.
+func TestAppendUnderFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var fault string
+		rounds := drawRounds(r)
+		synctest.Test(t, func(*testing.T) { fault = runRounds(rounds) })
+		if fault != "" {
+			r.Fatal(fault)
+		}
+	})
+}
+
+// Guards against answers of the log, or of something between, that are mistaken for a definite refusal or a success.
+func TestAppendAnswers(t *testing.T) {
+	const refusal = `{"error":"no","appended":false}`
+	for _, c := range []struct {
+		name string
+		code int // 0 for no answer
+		body string
+		err  error
+		want string
+	}{
+		{"offset", 200, `{"offset":7}`, nil, appended},
+		{"no offset", 200, `{}`, nil, unknown},
+		{"not JSON", 200, `{"offset":`, nil, unknown},
+		{"negative offset", 200, `{"offset":-1}`, nil, unknown},
+		{"created", 201, `{"offset":7}`, nil, unknown},
+		{"redirect", 307, "", nil, unknown},
+		{"malformed", 400, refusal, nil, notAppended},
+		{"no access", 403, "", nil, notAppended},
+		{"timeout of a proxy", 408, "", nil, unknown},
+		{"conflict", 409, "", nil, unknown},
+		{"gone", 410, "", nil, unknown},
+		{"too large", 413, "", nil, notAppended},
+		{"rate", 429, "", nil, notAppended},
+		{"fault", 500, "", nil, unknown},
+		{"bad gateway", 502, "", nil, unknown},
+		{"outage stated by the log", 503, refusal, nil, notAppended},
+		{"outage stated by a proxy", 503, "<html>", nil, unknown},
+		{"outage after the append", 503, `{"appended":true}`, nil, unknown},
+		{"gateway timeout", 504, refusal, nil, notAppended},
+		{"oversized answer", 200, strings.Repeat(" ", 17<<20), nil, unknown},
+		{"connection refused", 0, "", &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, notAppended},
+		{"connection reset", 0, "", &net.OpError{Op: "read", Err: syscall.ECONNRESET}, unknown},
+		{"connection closed", 0, "", io.EOF, unknown},
+		{"no answer", 0, "", nil, unknown},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := &emulator.Transport{Log: &emulator.Log{}}
+			h := &http.Client{Transport: roundTrip(func(q *http.Request) (*http.Response, error) {
+				switch {
+				case q.Method == http.MethodGet:
+					return m.RoundTrip(q)
+				case c.code == 0 && c.err == nil:
+					<-q.Context().Done()
+					return nil, q.Context().Err()
+				}
+				return &http.Response{StatusCode: c.code, Body: io.NopCloser(strings.NewReader(c.body))}, c.err
+			})}
+			_, err := (&appender.Client{URL: "http://log", HTTP: h}).Append(t.Context(), "s", "id", nil)
+			if got := judge(err); got != c.want {
+				t.Errorf("%s: got %s (%v), want %s", c.name, got, err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an append that stays unknown although the log answers, and against a second call that repeats the first.
+func TestAppendResolves(t *testing.T) {
+	type step struct {
+		faults   emulator.LogSettings
+		refusals emulator.Refusals
+		want     string
+		within   timer.Millis
+	}
+	lose := emulator.LogSettings{LoseNext: 1}
+	noReads, noAppends := emulator.Refusals{Reads: true}, emulator.Refusals{Appends: true}
+	for _, c := range []struct {
+		name  string
+		steps []step // calls of Append with the same identifier
+	}{
+		{"closed connection", []step{{faults: lose, want: appended, within: 10}}},
+		{"silent connection", []step{{faults: emulator.LogSettings{LoseNext: 1, LoseSilently: true}, want: appended, within: 600}}},
+		{"slow append", []step{{faults: emulator.LogSettings{AppendDelay: 2500}, want: appended, within: 2600}}},
+		{"short outage", []step{{faults: emulator.LogSettings{AppendsPerSecond: 1}, want: appended, within: 1200}}},
+		{"outage", []step{{faults: emulator.LogSettings{Outage: true}, want: notAppended, within: 2600}, {want: appended}}},
+		{"found by the second call", []step{{faults: lose, refusals: noReads, want: unknown}, {refusals: noAppends, want: appended}}},
+		{"second call refused while the first is open", []step{{faults: emulator.LogSettings{AppendDelay: 20000}, want: unknown}, {refusals: noAppends, want: unknown}}},
+		{"second call without reads", []step{{faults: lose, refusals: noReads, want: unknown}, {refusals: noReads, want: unknown}, {want: appended}}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &emulator.Log{}
+			m := &emulator.Transport{Log: l}
+			a := &appender.Client{URL: "http://log", HTTP: &http.Client{Transport: m}, Timeout: 2 * timer.Second}
+			// Makes the head known, and uses up the rate of one append a second.
+			if _, err := a.Append(t.Context(), "s", "first", nil); err != nil {
+				t.Fatal(err)
+			}
+			for i, s := range c.steps {
+				l.Change(func(p *emulator.LogSettings) { *p = s.faults })
+				m.Refuse(s.refusals)
+				began := time.Now()
+				offset, err := a.Append(t.Context(), "s", "id", nil)
+				if got := judge(err); got != s.want || got == appended && offset != 1 {
+					t.Errorf("%s, call %d: got %s at %d (%v), want %s at 1", c.name, i, got, offset, err, s.want)
+				}
+				if took := timer.FromDuration(time.Since(began)); s.within > 0 && took > s.within {
+					t.Errorf("%s, call %d: took %s, want at most %s", c.name, i, took, s.within)
+				}
+			}
+			time.Sleep(time.Minute)
+			if got := len(l.Records("s")); got != 2 {
+				t.Errorf("%s: got %d records, want 2", c.name, got)
+			}
+		})
+	}
+}
+
+// Guards against requests that are sent although they cannot succeed, and against "unknown" when nothing was sent.
+func TestAppendNotSent(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	l := &emulator.Log{}
+	h := &http.Client{Transport: &emulator.Transport{Log: l}}
+	for _, c := range []struct {
+		name, url, id string
+		ctx           context.Context
+		size          int
+	}{
+		{"large body", "http://log", "id", t.Context(), appender.MaxBody + 1},
+		{"no identifier", "http://log", "", t.Context(), 0},
+		{"long identifier", "http://log", strings.Repeat("x", appender.MaxID+1), t.Context(), 0},
+		{"address", "http://log:x", "id", t.Context(), 0},
+		{"context ended", "http://log", "id", ended, 0},
+	} {
+		_, err := (&appender.Client{URL: c.url, HTTP: h}).Append(c.ctx, "s", c.id, make([]byte, c.size))
+		if got := judge(err); got != notAppended || l.Counts().Appended > 0 {
+			t.Errorf("%s: got %s (%v), %d appended", c.name, got, err, l.Counts().Appended)
+		}
+	}
+}
+
+// Guards against a Gap that grows without bound or hands out records with a hole.
+func TestGap(t *testing.T) {
+	var g appender.Gap
+	for offset := uint64(10); offset < 40; offset++ {
+		g.Add(appender.Record{Offset: offset, Body: make([]byte, appender.MaxBody)})
+	}
+	if _, ok := g.Close(10); ok || !g.Open() {
+		t.Error("a gap of more than its bound kept all records")
+	}
+	g.Add(appender.Record{Offset: 50}) // after a hole
+	g.Add(appender.Record{Offset: 51})
+	if _, ok := g.Close(49); ok {
+		t.Error("records with a hole were handed out")
+	}
+	if rest, ok := g.Close(51); !ok || len(rest) != 1 || rest[0].Offset != 51 || g.Open() {
+		t.Errorf("got %d records, %v, want 1", len(rest), ok)
+	}
 }
--- a/emulator/log.go
+++ b/emulator/log.go
@@ -63,6 +63,8 @@
 	// LogCounts count requests since the start.
 	LogCounts struct {
 		Appended, Refused, Lost, Reads uint64
+		// Hanging is the number of requests that are left without an answer at present.
+		Hanging uint64
 	}
 
 	// LogRecord is a stored record.
@@ -95,7 +97,7 @@
 	}
 	l.mu.Unlock()
 	if silent && q.URL.Path != controlPath {
-		hang(q)
+		l.hang(q)
 	}
 	routes.ServeHTTP(w, q)
 }
@@ -145,6 +147,14 @@
 	return nil
 }
 
+// Append stores a record whatever the faults are, for tests. ok is false when there are too many streams. The body is
+// kept, not copied.
+func (l *Log) Append(stream, id string, body []byte) (offset uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.add(stream, id, body)
+}
+
 // add stores a record; ok is false when there are too many streams.
 func (l *Log) add(stream, id string, body []byte) (offset uint64, ok bool) {
 	s, ok := l.streams[stream]
--- a/server/operators.go
+++ b/server/operators.go
@@ -70,9 +70,10 @@
 	domain, author := c.Params().Get("domain"), c.URLParam("author")
 	r := &reader{}
 	for _, f := range [][2]string{{"domain", domain}, {"author", author}} {
-		checkName(r, f[0], f[1])
+		at := &path{name: f[0]}
+		checkName(r, at, f[1])
 		if len(f[1]) > maxNameLength {
-			r.add(f[0], "is longer than %d bytes", maxNameLength)
+			r.add(at, "is longer than %d bytes", maxNameLength)
 		}
 	}
 	if len(r.findings) > 0 {
@@ -130,7 +131,8 @@
 	write(c, http.StatusOK, contentText, b.Bytes())
 }
 
-// published answers a decision: 200 when it is accepted or was only checked, 202 when it is not recorded yet.
+// published answers a decision: 200 when it is accepted or was only checked, 202 when it is obeyed or recorded but not
+// accepted yet, 409 when it is refused, 500 when its outcome is unknown.
 func published(c iris.Context, p Publication, err error) {
 	if err != nil {
 		failed(c, err)
@@ -141,8 +143,13 @@
 		fault(c, err)
 		return
 	}
-	status := http.StatusOK
-	if !p.Accepted && !p.DryRun {
+	status := http.StatusInternalServerError
+	switch {
+	case p.Refused:
+		status = http.StatusConflict
+	case p.Accepted, p.DryRun:
+		status = http.StatusOK
+	case p.Recorded, p.Provisional:
 		status = http.StatusAccepted
 	}
 	write(c, status, contentJSON, body)
