--- a/commander/settings.go
+++ b/commander/settings.go
@@ -65,7 +65,7 @@
 
 	demoSettings = []loader.Setting{
 		{Name: "seed", Unit: loader.UnitCount, Default: "1", Min: 0, Max: 1 << 53, Meaning: "seed of the job mix"},
-		{Name: "jobs", Unit: loader.UnitCount, Default: "150", Min: 1, Max: 1000, Meaning: "number of jobs"},
+		{Name: "jobs", Unit: loader.UnitCount, Default: "260", Min: 1, Max: 1000, Meaning: "number of jobs"},
 		asJSON, logLevel.WithDefault("error"), logFormat,
 	}
 )
--- a/server/server.go
+++ b/server/server.go
@@ -88,7 +88,7 @@
 	app.Get("/v1/jobs/{key:string}", s.observed("get", s.get))
 	app.Delete("/v1/jobs/{key:string}", s.observed("cancel", s.cancel))
 	app.Get("/v1/openapi.json", func(c iris.Context) { write(c, http.StatusOK, contentJSON, description) })
-	app.Get("/health", s.health)
+	app.HandleMany("GET HEAD", "/health", s.health)
 
 	app.Post("/v1/notes", s.observed("publish", s.operator(s.publish)))
 	app.Get("/v1/notes", s.observed("history", s.operator(s.history)))
