Give results with control characters as base64

Cause: a result of 900 KB of zero bytes became 5.5 MB of JSON, since each control character takes six bytes. Change: such results go as bodyBase64; answers do not escape <, > and &. Measured: go test ./server passes.

--- a/server/job.go
+++ b/server/job.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
@@ -210,8 +211,8 @@
 	return http.StatusInternalServerError
 }
 
-// EncodeAnswer maps an answer to JSON. Results are included only in complete answers. A result that is valid UTF-8 is
-// given as a string, any other as base64.
+// EncodeAnswer maps an answer to JSON. Results are included only in complete answers. A result that is text is given as
+// a string, any other as base64.
 func EncodeAnswer(a encoder.Answer) ([]byte, error) {
 	w := answerWire{
 		Key: a.Key, State: name(stateNames[:], int(a.State)), Code: name(codeNames[:], int(a.Code)), Reason: a.Reason,
@@ -229,11 +230,17 @@
 			w.Results = append(w.Results, encodeResult(t.Body))
 		}
 	}
-	return json.Marshal(w)
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false) // the answer is never part of a page
+	err := e.Encode(w)
+	return b.Bytes(), err
 }
 
+// encodeResult gives bodies with control characters as base64 as well, because JSON needs six bytes for each.
 func encodeResult(body []byte) resultWire {
-	if utf8.Valid(body) {
+	control := func(c rune) bool { return c < ' ' && c != '\t' && c != '\n' && c != '\r' }
+	if utf8.Valid(body) && bytes.IndexFunc(body, control) < 0 {
 		s := string(body)
 		return resultWire{Body: &s}
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -113,18 +113,19 @@
 		if _, ok := ctx.Deadline(); !ok {
 			t.Error("got a context without a deadline")
 		}
-		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: []encoder.TaskResult{{Body: []byte("<é>")}, {Body: []byte{0xff}}}}
+		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: []encoder.TaskResult{{Body: []byte("<é>\n")}, {Body: []byte{0xff}}, {Body: []byte{0}}}}
 	}}
 	w := request(t, s, "POST", "/v1/jobs", `{"team":"t","deadlineMs":5,"once":true,"waitMs":9,"tasks":[
-		{"kind":"k","payload":"\u00e9","runMs":50,"memoryMb":3},{"kind":"l","payloadBase64":"/w=="}]}`,
+		{"kind":"k","payload":"\u00e9","runMs":50,"memoryMb":3},{"kind":"l","payloadBase64":"/w=="},{"kind":"m"}]}`,
 		"Idempotency-Key", `"a.b"`, "Content-Type", "application/json; charset=utf-8")
-	if got.Key != "a.b" || got.Team != "t" || got.Deadline != 5 || !got.Once || len(got.Tasks) != 2 ||
+	if got.Key != "a.b" || got.Team != "t" || got.Deadline != 5 || !got.Once || len(got.Tasks) != 3 ||
 		string(got.Tasks[0].Payload) != "é" || got.Tasks[0].RunTime != 50 || got.Tasks[0].MemoryMB != 3 || string(got.Tasks[1].Payload) != "\xff" {
 		t.Errorf("got job %+v", got)
 	}
 	a, err := DecodeAnswer(w.Body.Bytes())
-	if err != nil || w.Code != 200 || len(a.Results) != 2 || string(a.Results[0].Body) != "<é>" || string(a.Results[1].Body) != "\xff" {
-		t.Errorf("got %d %s, %v, want both results byte for byte", w.Code, w.Body, err)
+	if err != nil || w.Code != 200 || len(a.Results) != 3 || string(a.Results[0].Body) != "<é>\n" ||
+		string(a.Results[1].Body) != "\xff" || string(a.Results[2].Body) != "\x00" {
+		t.Errorf("got %d %s, %v, want all results byte for byte", w.Code, w.Body, err)
 	}
 }
 
