--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -287,7 +287,7 @@
 	if s.left > 0 {
 		return
 	}
-	if s.state == stateClosing {
+	if s.state == stateClosing || s.code != 0 {
 		a := failure(s.key, s.code, s.outcome(), s.reason)
 		if s.lost {
 			a.Code = encoder.CodeUnknown
@@ -298,6 +298,9 @@
 	a := encoder.Answer{Key: s.key, State: encoder.JobComplete, Outcome: encoder.OutcomeRan}
 	a.Results = make([]encoder.TaskResult, len(s.tasks))
 	for i := range s.tasks {
+		if s.tasks[i].state != taskDone {
+			panic("a submission without failures has a task without result")
+		}
 		a.Results[i].Body = s.tasks[i].body
 	}
 	c.end(s, a)
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -14,6 +14,9 @@
 	seenMargin   = timer.Second
 )
 
+// unknownSidecars stands for sidecars that started tasks and that no remaining member of the roster may know.
+var unknownSidecars = encoder.Member{ID: "unknown sidecars"}
+
 type (
 	// takeover is the state of the keys that this entry gained and the evidence about them.
 	takeover struct {
@@ -25,6 +28,7 @@
 		asked    timer.Millis
 		answered map[encoder.Member]uint64       // sidecar to the epoch of its last complete answer
 		others   map[encoder.Member]timer.Millis // sidecars that peers know, with the time when they were told of
+		reported map[encoder.Member]timer.Millis // sidecars that peers knew, too, by the answers to the peer census
 		missing  map[encoder.Member]timer.Millis // sidecars whose evidence is lost, with the last time they could start
 		stopped  map[encoder.Member]timer.Millis // entries that left the roster at their own request
 		keys     map[string]timer.Millis         // keys that peers reported
@@ -104,7 +108,7 @@
 	if !formerly {
 		return false
 	}
-	if p, ok := c.passed[key]; ok && p.owner != c.self {
+	if c.passedBeside(key, c.self) {
 		return true
 	}
 	if _, ok := c.takeover.keys[key]; ok || c.takeover.evidence[key] != nil {
@@ -275,10 +279,13 @@
 	for m, at := range t.others {
 		check(m, at)
 	}
+	if !c.vouches() {
+		for m, at := range t.reported {
+			check(m, at)
+		}
+	}
 	if !c.trusted() {
-		// The empty name stands for the sidecars that nobody knows.
-		lost[encoder.Member{}] = c.now
-		pending++
+		check(unknownSidecars, c.now)
 	}
 	return pending, lost
 }
@@ -293,14 +300,18 @@
 	return true
 }
 
-// trusted reports whether all sidecars that accepted starts under the former rosters are known. A sidecar accepts starts
-// only when each member knows it, so one remaining member of each roster is enough.
+// trusted reports whether this entry or a peer without doubts was a member of each former roster. A sidecar accepts
+// starts only when each member knows it, so one such member knows all sidecars that accepted starts under the roster.
 func (c *Core) trusted() bool {
 	for _, r := range c.takeover.chain {
 		remains := len(r.Entries) == 0
 		for _, e := range r.Entries {
 			now, ok := elector.Find(c.roster, e.Member.ID)
-			remains = remains || ok && now.Member == e.Member
+			if !ok || now.Member != e.Member {
+				continue
+			}
+			p := c.peers[e.Member.ID]
+			remains = remains || e.Member == c.self || p != nil && p.census == c.roster.Epoch && p.doubts < c.roster.Epoch
 		}
 		if !remains {
 			return false
@@ -309,6 +320,18 @@
 	return true
 }
 
+// vouches reports whether this entry itself knows all sidecars that accepted starts under the former rosters, save for
+// the missing ones.
+func (c *Core) vouches() bool {
+	for _, r := range c.takeover.chain {
+		if me, ok := elector.Find(r, c.self.ID); len(r.Entries) > 0 && (!ok || me.Member != c.self) {
+			return false
+		}
+	}
+	_, unknown := c.takeover.missing[unknownSidecars]
+	return c.joined && !unknown
+}
+
 func (c *Core) sweepTakeover() {
 	t := &c.takeover
 	old := c.now - c.settings.KeyRetention
@@ -323,7 +346,7 @@
 			delete(c.jobs, key)
 		}
 	}
-	for _, list := range []map[encoder.Member]timer.Millis{t.others, t.missing, t.stopped} {
+	for _, list := range []map[encoder.Member]timer.Millis{t.others, t.reported, t.missing, t.stopped} {
 		for m, at := range list {
 			if at < old {
 				delete(list, m)
@@ -342,14 +365,12 @@
 	}
 }
 
-// heard notes a sidecar that a peer knows. The time is that of the last report that the peer has a session to it.
-func (t *takeover) heard(m encoder.Member, now timer.Millis, connected bool) {
+// heard notes a sidecar that a peer has a session to.
+func (t *takeover) heard(m encoder.Member, now timer.Millis) {
 	if t.others == nil {
 		t.others = map[encoder.Member]timer.Millis{}
 	}
-	if _, ok := t.others[m]; !ok || connected {
-		t.others[m] = now
-	}
+	t.others[m] = now
 }
 
 // left notes an entry that has left the roster at its own request and starts nothing any more.
--- a/server/server.go
+++ b/server/server.go
@@ -88,7 +88,7 @@
 	app.Get("/v1/jobs/{key:string}", s.observed("get", s.get))
 	app.Delete("/v1/jobs/{key:string}", s.observed("cancel", s.cancel))
 	app.Get("/v1/openapi.json", func(c iris.Context) { write(c, http.StatusOK, contentJSON, description) })
-	app.Get("/health", s.health)
+	app.HandleMany("GET HEAD", "/health", s.health)
 
 	app.Post("/v1/notes", s.observed("publish", s.operator(s.publish)))
 	app.Get("/v1/notes", s.observed("history", s.operator(s.history)))
@@ -175,7 +175,7 @@
 func (s *Server) byKey(c iris.Context, call func(context.Context, string) encoder.Answer, status func(encoder.Answer) int) {
 	key := c.Params().Get("key")
 	r := &reader{}
-	checkKey(r, "key", key)
+	checkKey(r, &path{name: "key"}, key)
 	if len(r.findings) > 0 {
 		refuse(c, http.StatusBadRequest, "the request is malformed", r.findings)
 		return
