Report an append without a connection as not appended

Cause: when the log's address does not answer at all, the attempt ran out of time while dialing and counted as unknown, although nothing was sent. Change: the client watches whether the transport got a connection for the request; without one the failure is definite. Measured: the new case of TestAppendAnswers fails without the change and passes with it; go test -race ./appender passes with 500 checks. Conclusion: a partition from the log gives a true "not appended" on new connections; an open connection that goes silent still gives "unknown".

--- a/appender/client.go
+++ b/appender/client.go
@@ -8,8 +8,10 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -300,6 +302,11 @@
 	}
 	u = u.JoinPath("v1", "streams", stream, "records")
 	u.RawQuery = query
+	var tried, connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { tried.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	q, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(payload))
 	if err != nil {
 		return nil, trace.BadParameter("log address %q is malformed: %v", c.URL, err)
@@ -309,6 +316,10 @@
 	}
 	a, err := c.client().Do(q)
 	if err != nil {
+		// A transport that does not report its connections leaves both unset.
+		if tried.Load() && !connected.Load() {
+			return nil, &notSentError{cause: err}
+		}
 		return nil, trace.Wrap(err)
 	}
 	defer func() { _ = a.Body.Close() }()
--- a/appender/client_test.go
+++ b/appender/client_test.go
@@ -190,9 +190,13 @@
 // Guards against answers of the log, or of something between, that are mistaken for a definite refusal or a success.
 func TestAppendAnswers(t *testing.T) {
 	const refusal = `{"error":"no","appended":false}`
+	unreachable := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		time.Sleep(time.Minute)
+		return nil, syscall.ETIMEDOUT
+	}}
 	for _, c := range []struct {
 		name string
-		code int // 0 for no answer
+		code int // 0 for no answer, -1 for no connection
 		body string
 		err  error
 		want string
@@ -221,6 +225,7 @@
 		{"connection reset", 0, "", &net.OpError{Op: "read", Err: syscall.ECONNRESET}, unknown},
 		{"connection closed", 0, "", io.EOF, unknown},
 		{"no answer", 0, "", nil, unknown},
+		{"no connection", -1, "", nil, notAppended},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			m := &emulator.Transport{Log: &emulator.Log{}}
@@ -228,16 +233,21 @@
 				switch {
 				case q.Method == http.MethodGet:
 					return m.RoundTrip(q)
+				case c.code < 0:
+					return unreachable.RoundTrip(q)
 				case c.code == 0 && c.err == nil:
 					<-q.Context().Done()
 					return nil, q.Context().Err()
+				case c.err != nil:
+					return nil, c.err
 				}
-				return &http.Response{StatusCode: c.code, Body: io.NopCloser(strings.NewReader(c.body))}, c.err
+				return &http.Response{StatusCode: c.code, Body: io.NopCloser(strings.NewReader(c.body))}, nil
 			})}
 			_, err := (&appender.Client{URL: "http://log", HTTP: h}).Append(t.Context(), "s", "id", nil)
 			if got := judge(err); got != c.want {
 				t.Errorf("%s: got %s (%v), want %s", c.name, got, err, c.want)
 			}
+			time.Sleep(2 * time.Minute) // lets an open dial end
 		})
 	}
 }
--- a/appender/errors.go
+++ b/appender/errors.go
@@ -18,6 +18,9 @@
 		from, first uint64
 	}
 
+	// notSentError means that there was no connection for the request before its time ran out.
+	notSentError struct{ cause error }
+
 	// statusError is an answer of the log other than success.
 	statusError struct {
 		code        int
@@ -47,6 +50,12 @@
 // Unwrap returns the error that left the outcome open.
 func (e *unknownError) Unwrap() error { return e.cause }
 
+// Error implements error.
+func (e *notSentError) Error() string { return "no connection to the log: " + e.cause.Error() }
+
+// Unwrap returns the error of the transport.
+func (e *notSentError) Unwrap() error { return e.cause }
+
 // Error implements error.
 func (e *truncatedError) Error() string {
 	return fmt.Sprintf("read of stream %q from offset %d begins before the first retained record %d", e.stream, e.from, e.first)
@@ -63,9 +72,12 @@
 func definite(err error) bool {
 	var (
 		op *net.OpError
+		n  *notSentError
 		s  *statusError
 	)
 	switch {
+	case errors.As(err, &n):
+		return true
 	case errors.As(err, &s):
 		switch s.code {
 		case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
