Keep collected results for the next owner

Change: sidecars keep collected results while there is room (8 MiB); a census lists them as kept without their bodies, and the new owner fetches one by repeating the start. The tests of census and collection now ask for the kept result. Conclusion: smaller census replies, and the answer to a finished job survives its owner.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -123,11 +123,13 @@
 	}
 }
 
-// recover repeats the starts of tasks that run on a known sidecar, which then sends their results to this entry.
+// recover repeats the starts of tasks that a known sidecar runs or whose results it keeps. It then sends the results to
+// this entry.
 func (c *Core) recover(s *submission, found map[uint32]started) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusRunning && t.state == taskQueued {
+		if e, ok := found[uint32(i)]; ok && t.state == taskQueued &&
+			(e.status == encoder.StatusRunning || e.status == encoder.StatusKept) {
 			sc := c.sidecarOf(e.sidecar)
 			if sc == nil || !step(taskChart, &t.state, eventRecover) {
 				continue
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -105,7 +105,7 @@
 		{"nested key too long", Append(nil, &Result{Task: TaskKey{Job: long}}), "TaskKey.job"},
 		{"too many tasks", Append(nil, &Cancel{make([]TaskKey, MaxTasks+1)}), "Cancel.tasks: more than 1024"},
 		{"too many jobs", Append(nil, &Witness{make([]string, MaxRows+1)}), "Witness.jobs"},
-		{"unknown status", Append(nil, &Result{Status: 6}), "Result.status: value 6"},
+		{"unknown status", Append(nil, &Result{Status: 7}), "Result.status: value 7"},
 		{"number too large", protowire.AppendVarint([]byte{kindGrant, 8}, 1<<32), "Grant.credits"},
 		{"duration too long", Append(nil, &Start{RunLimit: maxMillis + 1}), "Start.runLimit"},
 		{"wrong wire type", []byte{kindGrant, 10, 1, 1}, "Grant.credits: wire type 2"},
--- a/encoder/enums.go
+++ b/encoder/enums.go
@@ -3,7 +3,7 @@
 import "strconv"
 
 var (
-	statusNames  = []string{"", "done", "failed", "unknown", "notStarted", "running"}
+	statusNames  = []string{"", "done", "failed", "unknown", "notStarted", "running", "kept"}
 	refusalNames = []string{
 		"", "staleEpoch", "notOwner", "duplicate", "domainWithdrawn", "leaseExpired", "leaving", "deadline", "canceled",
 		"noSlot", "notAnnounced", "claimTimeout",
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -15,6 +15,9 @@
 	StatusNotStarted
 	// StatusRunning is used in census replies only: the task was started and has not ended.
 	StatusRunning
+	// StatusKept is used in census replies only: the task ended, and the sidecar keeps its result. A repeated start of
+	// the task gets it.
+	StatusKept
 )
 
 const (
--- a/starter/census.go
+++ b/starter/census.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxPart is the largest sum of row sizes in one part of a census reply. A single row is smaller, because result
-	// bodies are bounded, so that each part fits a frame.
+	// maxPart is the largest sum of row sizes in one part of a census reply. A single row is smaller, so that each part
+	// fits a frame.
 	maxPart = 2 << 20
 	// rowOverhead covers the encoding of a row's numbers and lengths.
 	rowOverhead = 64
@@ -33,8 +33,8 @@
 		for i := range j.rows {
 			r := &j.rows[i]
 			t := encoder.StartedTask{Task: encoder.TaskKey{Job: j.key, Index: r.index}}
-			t.Status, t.Body, t.Reason, _ = r.report()
-			n := len(t.Task.Job) + len(t.Body) + len(t.Reason) + rowOverhead
+			t.Status, t.Reason = r.evidence()
+			n := len(t.Task.Job) + len(t.Reason) + rowOverhead
 			if size+n > maxPart && len(reply.Started) > 0 {
 				c.send(e, reply)
 				reply, size = &encoder.CensusReply{Epoch: c.roster.Epoch}, 0
@@ -50,6 +50,16 @@
 	c.send(e, reply)
 }
 
+// evidence returns what a census reply says about a task. Bodies stay here: a takeover has to be quick, and the new owner
+// needs the results of few of the listed tasks.
+func (r *row) evidence() (status encoder.Status, reason string) {
+	status, _, reason, _ = r.report()
+	if status == encoder.StatusDone {
+		status = encoder.StatusKept
+	}
+	return status, reason
+}
+
 // resend sends the results that e owns and has not collected; some may have been lost with the previous session.
 func (c *Core) resend(e *entry) {
 	if c.started.uncollected == 0 {
--- a/starter/core.go
+++ b/starter/core.go
@@ -79,7 +79,7 @@
 		Extra        uint32       // credits beyond the slots; default 2
 		KeyRetention timer.Millis // default 10 minutes
 		MaxKeys      int          // default 262144
-		MaxBodies    int          // bytes of results that wait for collection; default 8 MiB
+		MaxBodies    int          // bytes of kept results; default 8 MiB
 		ClaimWait    timer.Millis // longest wait for a claim; default 3 s
 
 		out      []Effect
--- a/starter/core_test.go
+++ b/starter/core_test.go
@@ -144,6 +144,11 @@
 		{name: "collected", before: func(c *Core) {
 			end(c, encoder.StatusDone)
 			c.Receive(1000, session(c), &encoder.Collected{Tasks: []encoder.TaskKey{task(0)}})
+		}, want: "[result 1 x]"},
+		{name: "no room for the body", before: func(c *Core) {
+			c.MaxBodies = -1
+			end(c, encoder.StatusDone)
+			c.Tick(1000)
 		}, want: "[result 3 ]"},
 		{name: "not started", before: func(c *Core) { end(c, encoder.StatusNotStarted) }, want: "[run]"},
 		{name: "withdrawn", pong: func(p *encoder.Pong) { p.DomainInForce = false }, want: "[refuse 4 epoch 5]"},
--- a/starter/evidence_test.go
+++ b/starter/evidence_test.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// TestCensus guards the takeover: the reply must list each started task of the asker, with its body, in parts that fit
-// a frame, and a waiting task that it lacks must not start any more.
+// TestCensus guards the takeover: the reply must list each started task of the asker, in parts that fit a frame, and
+// a repeated start must get the kept result, also after its collection. A waiting task that it lacks must not start any more.
 func TestCensus(t *testing.T) {
 	c := connected(five[:3]...)
 	s := sessionOf(c, task(0))
@@ -44,12 +44,20 @@
 		}
 	}
 	want := map[encoder.TaskKey]string{
-		task(0): "done 1048576", task(1): "done 1048576", task(2): "done 1048576", task(3): "done 1048576", task(4): "done 1048576",
-		task(5): "unknown 0", task(6): "running 0", task(7): "running 0",
+		task(0): "kept 0", task(1): "kept 0", task(2): "kept 0", task(3): "kept 0", task(4): "kept 0", task(5): "kept 0",
+		task(6): "running 0", task(7): "running 0",
 	}
 	if fmt.Sprint(got) != fmt.Sprint(want) || !last {
 		t.Errorf("census: got %v, last %v, want %v", got, last, want)
 	}
+	for i := range 6 {
+		again := startOf(c, task(i))
+		again.Epoch = 6
+		sent := c.Receive(1000, s, again)
+		if m, ok := sent[0].Message.(*encoder.Result); !ok || m.Status != encoder.StatusDone || len(m.Body) != MaxBody {
+			t.Errorf("repeated start of task %d: got %v, want its kept result", i, summary(sent))
+		}
+	}
 }
 
 // TestLostSession guards against lost results, and against a "not started" that overtakes a repeated start.
--- a/starter/table.go
+++ b/starter/table.go
@@ -7,7 +7,7 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-const lostBody = "the task succeeded, but its result was dropped after collection or for lack of memory"
+const lostBody = "the task succeeded, but its result was dropped for lack of memory"
 
 type (
 	// table is the started-task table. The zero value is ready to use. Keys are kept by job, because the ownership
@@ -31,7 +31,7 @@
 		index  uint32
 		status encoder.Status
 		state  string
-		detail *detail // nil while the task runs, after collection, and when memory was short
+		detail *detail // nil while the task runs, and when memory was short
 	}
 
 	detail struct {
@@ -103,12 +103,12 @@
 	}
 }
 
-// collect drops the body of an ended task. Other tasks are left alone.
+// collect notes that the owner has the result of an ended task. Other tasks are left alone. The body stays while there
+// is room, because the owner may die before all callers have their answer.
 func (t *table) collect(k encoder.TaskKey) {
 	if r := t.find(k); r != nil && r.state == stateEnded {
 		r.state = step(attemptChart, r.state, eventCollect)
 		t.uncollected--
-		t.strip(r)
 	}
 }
 
