Test freshness, decisions and membership; retry the leave

Change: table tests for attestation, decisions, pongs, publications and roster changes; a drain repeats its leave; claims and forgotten answers are kept in two generations; a burst's effect buffer is released.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -15,7 +15,7 @@
 		byKey     map[string]keptAnswer
 		order     []keptKey
 		bytes     int
-		forgotten map[uint64]timer.Millis
+		forgotten keySet
 	}
 
 	keptAnswer struct {
@@ -76,7 +76,7 @@
 	}
 	k := &c.kept
 	if k.byKey == nil {
-		k.byKey, k.forgotten = map[string]keptAnswer{}, map[uint64]timer.Millis{}
+		k.byKey = map[string]keptAnswer{}
 	}
 	size := answerOverhead + 2*len(a.Key) + len(a.Reason)
 	for i := range a.Results {
@@ -86,34 +86,24 @@
 	k.order = append(k.order, keptKey{a.Key, c.now})
 	k.bytes += size
 	for len(k.byKey) > c.settings.KeptAnswers || k.bytes > c.settings.KeptBytes {
-		oldest := k.dropOldest()
-		k.forgotten[c.hash(oldest.key)] = oldest.ended
+		k.forgotten.add(c.hash(k.dropOldest()))
 	}
 }
 
-func (k *kept) dropOldest() keptKey {
-	oldest := k.order[0]
+func (k *kept) dropOldest() string {
+	key := k.order[0].key
 	k.order = k.order[1:]
-	k.bytes -= k.byKey[oldest.key].size
-	delete(k.byKey, oldest.key)
-	return oldest
+	k.bytes -= k.byKey[key].size
+	delete(k.byKey, key)
+	return key
 }
 
-func (k *kept) forgot(hash uint64) bool {
-	_, ok := k.forgotten[hash]
-	return ok
-}
-
-func (k *kept) keys() int { return len(k.byKey) + len(k.forgotten) }
+func (k *kept) keys() int { return len(k.byKey) + k.forgotten.size() }
 
 func (c *Core) sweepAnswers() {
 	k := &c.kept
 	for len(k.order) > 0 && k.order[0].ended+c.settings.KeyRetention < c.now {
 		k.dropOldest()
 	}
-	for hash, ended := range k.forgotten {
-		if ended+c.settings.KeyRetention < c.now {
-			delete(k.forgotten, hash)
-		}
-	}
+	k.forgotten.sweep(c.now, c.settings.KeyRetention)
 }
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 // BenchmarkTask measures the core's work for one task: its share of the submission, placement, result and answer, for
@@ -46,12 +47,18 @@
 	const jobs, tasks = 20_000, 10
 	for b.Loop() {
 		c := newBench(b, Settings{})
+		c.core.queue.MaxWait = 1000 * timer.Minute
 		before := heapBytes()
 		for n := range jobs {
 			c.core.Submit(c.now, uint64(n), job(strconv.Itoa(n), tasks))
 		}
 		c.core.Take()
 		flying := heapBytes()
+		if len(c.core.jobs) != jobs {
+			b.Fatalf("%d of %d jobs were admitted", len(c.core.jobs), jobs)
+		}
+		c.core.Message(c.now, sidecarSession, &encoder.Grant{Credits: jobs * tasks})
+		c.core.Take()
 		for n := range jobs {
 			for i := range tasks {
 				c.core.Message(c.now, sidecarSession, &encoder.Result{
@@ -60,6 +67,8 @@
 			}
 			c.core.Take()
 		}
+		c.tick(2 * collectDelay)
+		c.sent = nil
 		kept := heapBytes()
 		b.ReportMetric(float64(flying-before)/jobs/tasks, "B/task")
 		b.ReportMetric(float64(kept-before)/jobs, "B/answer")
--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -192,7 +192,7 @@
 		}
 	}
 	for key := range c.kept.byKey {
-		if !c.claims.has(c.hash(key)) {
+		if !c.claims.seen.has(c.hash(key)) {
 			add(key) // the others learn of the older keys from the claims
 		}
 	}
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -17,25 +17,12 @@
 
 // claims are the submission keys that are or will be in the claims stream.
 type claims struct {
-	seen     map[uint64]timer.Millis // hash of the key to the time at which it was first seen
+	seen     keySet
 	pending  []string
 	inFlight map[uint64][]string // by append tag
 	next     timer.Millis
 }
 
-func (l *claims) has(hash uint64) bool {
-	_, ok := l.seen[hash]
-	return ok
-}
-
-func (l *claims) sweep(now, retention timer.Millis) {
-	for hash, at := range l.seen {
-		if at+retention < now {
-			delete(l.seen, hash)
-		}
-	}
-}
-
 func (c *Core) claim(key string) {
 	if len(c.claims.pending) < maxPendingClaims {
 		c.claims.pending = append(c.claims.pending, key)
@@ -98,18 +85,8 @@
 // ClaimsRecord takes the keys of a record of the claims stream.
 func (c *Core) ClaimsRecord(now timer.Millis, r elector.Claims) {
 	c.now = now
-	if c.claims.seen == nil {
-		c.claims.seen = map[uint64]timer.Millis{}
-	}
-	at := now
-	if c.confirmed[StreamClaims] == 0 {
-		at = 1 // history: older than anything that happens from now on; swept after the retention
-	}
 	for _, key := range r.Keys {
-		hash := c.hash(key)
-		if _, ok := c.claims.seen[hash]; !ok {
-			c.claims.seen[hash] = at
-		}
+		c.claims.seen.add(c.hash(key))
 		if r.Member == c.self {
 			c.claimed(key)
 		}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -68,35 +68,36 @@
 		seed     maphash.Seed
 		queue    scheduler.Scheduler
 
-		roster      encoder.Roster
-		folded      encoder.Roster // fold of the roster stream; ahead of roster before the first confirmation
-		joined      bool
-		draining    bool
-		joinTried   timer.Millis
-		removals    map[encoder.Member]timer.Millis
-		lastTag     uint64
-		domains     domains
-		confirmed   map[string]timer.Millis
-		peers       map[string]*peer
-		sessions    map[SessionID]*session
-		sidecars    map[string]*sidecar
-		gone        map[encoder.Member]timer.Millis
-		jobs        map[string]*submission
-		byDeadline  deadlines
-		delayed     []delayed
-		kept        kept
-		collect     collection
-		forwards    map[uint64]*forward
-		passed      map[string]pass
-		lastForward uint64
-		claims      claims
-		takeover    takeover
-		decisions   decisions
-		lastPeers   timer.Millis
-		lastTick    timer.Millis
-		lastSweep   timer.Millis
-		demanded    int
-		counters    Counters
+		roster       encoder.Roster
+		folded       encoder.Roster // fold of the roster stream; ahead of roster before the first confirmation
+		joined       bool
+		draining     bool
+		joinTried    timer.Millis
+		removals     map[encoder.Member]timer.Millis
+		lastTag      uint64
+		domains      domains
+		confirmed    map[string]timer.Millis
+		peers        map[string]*peer
+		sessions     map[SessionID]*session
+		sidecars     map[string]*sidecar
+		gone         map[encoder.Member]timer.Millis
+		jobs         map[string]*submission
+		byDeadline   deadlines
+		delayed      []delayed
+		kept         kept
+		collect      collection
+		forwards     map[uint64]*forward
+		passed       map[string]pass
+		lastForward  uint64
+		claims       claims
+		takeover     takeover
+		decisions    decisions
+		lastPeers    timer.Millis
+		lastTick     timer.Millis
+		lastForwards timer.Millis
+		lastSweep    timer.Millis
+		demanded     int
+		counters     Counters
 	}
 
 	// Counters count events since the start of the process.
@@ -128,7 +129,9 @@
 // Take returns the effects since the last call. The slice is valid until the next call of a method of the core.
 func (c *Core) Take() []Effect {
 	out := c.out
-	c.out = c.out[:0]
+	if c.out = c.out[:0]; cap(c.out) > maxEffectBuffer {
+		c.out = nil // a burst is not kept in memory
+	}
 	return out
 }
 
@@ -201,7 +204,10 @@
 	c.releaseDelayed()
 	c.flushClaims()
 	c.flushCollected()
-	c.tickForwards()
+	if now-c.lastForwards >= forwardPeriod/2 {
+		c.lastForwards = now
+		c.tickForwards()
+	}
 	c.tickPeers()
 	c.tickRoster()
 	c.tickTakeover()
@@ -219,7 +225,7 @@
 	c.sweepSidecars()
 	c.sweepAnswers()
 	c.sweepForwards()
-	c.claims.sweep(c.now, c.settings.KeyRetention)
+	c.claims.seen.sweep(c.now, c.settings.KeyRetention)
 }
 
 func (c *Core) send(id SessionID, m encoder.Message) {
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -160,7 +160,7 @@
 
 func (c *Core) sweepForwards() {
 	for key, p := range c.passed {
-		if p.at+c.settings.KeyRetention < c.now || p.at+passKept < c.now && c.claims.has(c.hash(key)) {
+		if p.at+c.settings.KeyRetention < c.now || p.at+passKept < c.now && c.claims.seen.has(c.hash(key)) {
 			delete(c.passed, key)
 		}
 	}
--- /dev/null
+++ b/dispatcher/freshness_test.go
@@ -0,0 +1,206 @@
+package dispatcher
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/configurer"
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// group returns a bench whose core is in a roster with the named peers, each with the session 1, 2, ...
+func group(t testing.TB, peers ...string) *bench {
+	b := newBench(t, Settings{WithdrawRecord: func(domain, author string) []byte { return []byte(domain + " by " + author) }})
+	for i, id := range peers {
+		b.core.RosterRecord(b.now, uint64(i+1), elector.Change{
+			Kind: elector.ChangeJoin, Entry: encoder.RosterEntry{Member: encoder.Member{ID: id, Incarnation: 1}, Address: id},
+		})
+		b.core.Up(b.now, SessionID(i+1), encoder.Hello{Role: encoder.RoleEntry, Member: encoder.Member{ID: id, Incarnation: 1}})
+	}
+	b.take()
+	return b
+}
+
+// report lets the peer of the session answer a ping that was sent delay ago.
+func (b *bench) report(id SessionID, s encoder.PeerPing, delay timer.Millis) {
+	p := b.core.sessions[id].peer
+	b.core.now = b.now - delay
+	b.core.pingPeer(p)
+	b.core.Message(b.now, id, &encoder.PeerPong{Sequence: p.sequence, State: s})
+	b.take()
+}
+
+// TestFreshness guards the rules by which an entry renews leases and takes decisions.
+func TestFreshness(t *testing.T) {
+	const epoch = 4
+	up := encoder.PeerPing{Epoch: epoch, LogReachable: true}
+	down := encoder.PeerPing{Epoch: epoch}
+	tests := []struct {
+		name      string
+		silence   timer.Millis // since the last confirmation
+		reports   []encoder.PeerPing
+		delay     timer.Millis // age of the reports
+		attests   bool
+		decides   bool
+		confirmed bool
+	}{
+		{"all reachable", 100, []encoder.PeerPing{up, up, up}, 50, false, true, true},
+		{"alone with the log", 100, nil, 0, false, false, true},
+		{"half with the log", 100, []encoder.PeerPing{up}, 50, false, true, true},
+		{"half with the log, old report", 100, []encoder.PeerPing{up}, 500, false, false, true},
+		{"peers without the log", 100, []encoder.PeerPing{down, down, down}, 50, false, false, true},
+		{"all without the log", 1500, []encoder.PeerPing{down, down, down}, 50, true, false, true},
+		{"majority without the log", 1500, []encoder.PeerPing{down, down, up}, 50, true, false, true},
+		{"half without the log", 1500, []encoder.PeerPing{down, up, up}, 50, false, false, true},
+		{"half without the log, too long", 2000, []encoder.PeerPing{down, up, up}, 50, false, false, false},
+		{"minority", 2500, []encoder.PeerPing{down}, 50, false, false, false},
+		{"old reports", 2500, []encoder.PeerPing{down, down, down}, 500, false, false, false},
+		{"newer epoch", 2500, []encoder.PeerPing{down, down, {Epoch: epoch + 1}}, 50, false, false, false},
+		{"newer configuration", 2500, []encoder.PeerPing{down, down, {Epoch: epoch, ConfigOffset: 1}}, 50, false, false, false},
+		{"older peer", 2500, []encoder.PeerPing{down, down, {Epoch: epoch - 1}}, 50, true, false, true},
+	}
+	for _, tt := range tests {
+		b := group(t, "b", "c", "d")
+		b.confirm()
+		b.now += tt.silence
+		for i, r := range tt.reports {
+			b.report(SessionID(i+1), r, tt.delay)
+		}
+		b.core.now = b.now
+		if got := b.core.attests(); got != tt.attests {
+			t.Errorf("%s: attests is %v", tt.name, got)
+		}
+		if got := b.core.mayDecide(); got != tt.decides {
+			t.Errorf("%s: may decide is %v", tt.name, got)
+		}
+		b.sent = nil
+		b.message(&encoder.Ping{Sequence: 7})
+		pong, ok := b.sent[0].(*encoder.Pong)
+		if !ok || pong.Sequence != 7 || pong.Confirmed != tt.confirmed || pong.LogReachable == tt.attests {
+			t.Errorf("%s: pong is %+v", tt.name, b.sent[0])
+		}
+		if want := tt.silence; !tt.attests && tt.confirmed && pong.Age != want || tt.attests && pong.Age != 0 {
+			t.Errorf("%s: age is %v, last confirmation %v ago", tt.name, pong.Age, want)
+		}
+	}
+}
+
+// TestDecisions guards the answers to operators: accepted only with half of the roster, refused as the fold says, and
+// withdrawals that are obeyed during an outage and recorded after it.
+func TestDecisions(t *testing.T) {
+	up := encoder.PeerPing{Epoch: 3, LogReachable: true}
+	tests := []struct {
+		name    string
+		steps   []string
+		state   PublicationState
+		inForce bool
+		records int
+	}{
+		{"accepted", []string{"up", "publish", "append", "fold", "know"}, PublicationAccepted, false, 1},
+		{"nobody reports it", []string{"up", "publish", "append", "fold", "time"}, PublicationRecorded, false, 1},
+		{"undecided", []string{"up", "publish", "append", "fold"}, 0, false, 1},
+		{"not folded yet", []string{"up", "publish", "append"}, 0, true, 1},
+		{"refused by the fold", []string{"up", "publish", "append", "conflict"}, PublicationRefused, true, 1},
+		{"response lost", []string{"up", "publish", "lose"}, PublicationProvisional, false, 2},
+		{"no peer with the log", []string{"publish"}, PublicationProvisional, false, 0},
+		{"recorded later", []string{"publish", "time", "up", "time", "up", "tick"}, PublicationProvisional, false, 1},
+		{"peer's withdrawal", []string{"hear"}, 0, false, 0},
+		{"peer's withdrawal is recorded for it", []string{"hear", "time", "up", "tick"}, 0, false, 1},
+		{"recorded withdrawal is not renewed", []string{"hear", "fold", "return", "hear"}, 0, true, 0},
+	}
+	for _, tt := range tests {
+		b := group(t, "b", "c")
+		records := 0
+		var tag uint64
+		var got PublicationState
+		configuration := func(offset uint64, inForce bool) {
+			b.core.SetConfiguration(b.now, offset, func(domain string) bool { return inForce || domain != "north" })
+		}
+		for _, step := range tt.steps {
+			switch step {
+			case "up":
+				b.confirm()
+				b.report(1, up, 10)
+			case "publish":
+				b.core.Publish(b.now, 1, []byte("record"), "north", "ann")
+			case "append":
+				b.core.Appended(b.now, tag, 0, true, false)
+			case "lose":
+				b.core.Appended(b.now, tag, 0, false, true)
+			case "fold":
+				b.core.ConfigurationRecord(b.now, 0, nil)
+				configuration(1, false)
+			case "return":
+				configuration(2, true)
+			case "conflict":
+				b.core.ConfigurationRecord(b.now, 0, []configurer.Finding{{Text: "the key was changed"}})
+				configuration(1, true)
+			case "know":
+				b.report(1, encoder.PeerPing{Epoch: 3, LogReachable: true, ConfigOffset: 1}, 10)
+			case "hear":
+				b.core.Message(b.now, 1, &encoder.PeerPing{Epoch: 3, Domains: []string{"north"}, ConfigOffset: 0})
+			case "time":
+				b.now += 3500
+			}
+			b.core.Tick(b.now)
+			for _, f := range b.core.Take() {
+				if f.Kind == EffectAppend && f.Stream == StreamConfiguration {
+					tag = f.Tag
+					records++
+				}
+			}
+			for _, p := range b.core.Published() {
+				got = p.Publication.State
+			}
+		}
+		if got != tt.state || b.core.inForce("north") != tt.inForce || records != tt.records {
+			t.Errorf("%s: got %q, in force %v, %d records; want %q, %v, %d", tt.name, got, b.core.inForce("north"), records,
+				tt.state, tt.inForce, tt.records)
+		}
+	}
+}
+
+// TestRoster guards the membership: dead peers are removed, a paused entry removes nobody, and a removed one comes back.
+func TestRoster(t *testing.T) {
+	changes := func(b *bench) []string {
+		var list []string
+		for _, f := range b.core.Take() {
+			if f.Kind == EffectAppend && f.Stream == StreamRoster {
+				c, _ := elector.DecodeChange(f.Body)
+				list = append(list, strings.Repeat("-", int(c.Kind)-1)+c.Entry.Member.ID)
+			}
+		}
+		return list
+	}
+	b := group(t, "b", "c")
+	var got []string
+	for range 200 { // 4 s; b answers, c is silent
+		b.now += 20
+		b.confirm()
+		b.report(1, encoder.PeerPing{Epoch: 3, LogReachable: true}, 10)
+		b.core.Tick(b.now)
+		got = append(got, changes(b)...)
+	}
+	if want := []string{"--c", "--c"}; !slices.Equal(got, want) {
+		t.Errorf("changes are %v, want %v", got, want)
+	}
+	b = group(t, "b", "c")
+	b.tick(1)
+	b.now += timer.Minute
+	b.confirm()
+	b.report(1, encoder.PeerPing{Epoch: 3, LogReachable: true}, 10)
+	b.core.Tick(b.now)
+	if got := changes(b); len(got) > 0 {
+		t.Errorf("after a pause: %v", got)
+	}
+	b.core.RosterRecord(b.now, 3, elector.Change{
+		Kind: elector.ChangeRemove, Entry: encoder.RosterEntry{Member: encoder.Member{ID: "a", Incarnation: 1}},
+	})
+	b.core.Tick(b.now)
+	if got := changes(b); !slices.Equal(got, []string{"a"}) || b.core.Self().Incarnation != 2 {
+		t.Errorf("after the removal: %v, incarnation %d", got, b.core.Self().Incarnation)
+	}
+}
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -105,7 +105,7 @@
 	case *encoder.PeerPong:
 		c.peerState(p, &m.State)
 		for _, sent := range p.pings {
-			if sent.sequence == m.Sequence && sent.at > p.begun {
+			if sent.sequence == m.Sequence && sent.at >= p.begun {
 				p.begun, p.report = sent.at, m.State
 				p.report.Sidecars = nil
 			}
--- a/dispatcher/roster.go
+++ b/dispatcher/roster.go
@@ -84,16 +84,20 @@
 	}
 }
 
-// tickRoster joins the roster as long as the entry is not in it.
+// tickRoster joins the roster as long as the entry is not in it, and leaves it when the entry drains.
 func (c *Core) tickRoster() {
-	if c.joined || c.draining || c.confirmed[StreamRoster] == 0 || !c.logReachable() {
+	if c.joined != c.draining || c.confirmed[StreamRoster] == 0 || !c.logReachable() {
 		return
 	}
 	if c.joinTried != 0 && c.now-c.joinTried < joinPeriod {
 		return
 	}
 	c.joinTried = c.now
-	c.appendChange(elector.ChangeJoin)
+	if c.draining {
+		c.appendChange(elector.ChangeLeave)
+	} else {
+		c.appendChange(elector.ChangeJoin)
+	}
 }
 
 func (c *Core) appendChange(kind elector.ChangeKind) {
@@ -109,10 +113,8 @@
 	if c.draining {
 		return
 	}
-	c.draining = true
-	if c.joined {
-		c.appendChange(elector.ChangeLeave)
-	}
+	c.draining, c.joinTried = true, 0
+	c.tickRoster()
 }
 
 // Idle reports whether no caller waits at this entry and it owns no submission.
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -17,7 +17,8 @@
 	forwardPeriod = 100 * timer.Millis(1)
 	maxHops       = 4
 
-	maxProvisional = 64
+	maxProvisional  = 64
+	maxEffectBuffer = 4096
 
 	// logSilence is the age of the last confirmation from which on the entry reports the log as unreachable. It is
 	// several confirmation periods, so that one slow read is no outage, and half of the lease.
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -119,7 +119,7 @@
 		c.answer(w, k.answer)
 		return
 	}
-	if c.kept.forgot(c.hash(job.Key)) {
+	if c.kept.forgotten.has(c.hash(job.Key)) {
 		c.answer(w, failure(job.Key, encoder.CodeUnknown, encoder.OutcomeUnknown, "the answer is no longer kept"))
 		return
 	}
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -115,7 +115,7 @@
 		return true
 	}
 	s := c.jobs[key]
-	return c.claims.has(c.hash(key)) || s != nil && s.regained
+	return c.claims.seen.has(c.hash(key)) || s != nil && s.regained
 }
 
 // complete reports whether every sidecar that can have started tasks of the key has told so. A sidecar that was lost
