Place a task elsewhere when the backend server has no slot

Change: 503 with "Crocus-Started: false" is a definite "not started"; the backend double sends it. A 503 without the promise still fails the task. The fault runner names jobs without an answer. Measured: the runner's table passes, with one row for each of the two answers.

--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -19,6 +19,7 @@
 
 const (
 	taskHeader     = "Crocus-Task"
+	startedHeader  = "Crocus-Started"
 	maxPayload     = 4 << 20
 	defaultSlots   = 8
 	headerTimeout  = 5 * time.Second
@@ -155,6 +156,7 @@
 	task := r.Header.Get(taskHeader)
 	factor, err := b.begin(task)
 	if err != nil {
+		w.Header().Set(startedHeader, "false")
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
--- a/injector/callers.go
+++ b/injector/callers.go
@@ -25,6 +25,7 @@
 	want    []string
 	answers []encoder.Answer // final answers
 	calls   int
+	last    string // what the last call without a final answer got
 }
 
 func newJob(n int, seed uint64, r *rand.Rand) *job {
@@ -82,6 +83,7 @@
 	defer u.mu.Unlock()
 	u.report.Requests++
 	j.calls++
+	j.last = fmt.Sprintf("entry %d: status %d, %.200s %v", entry, got.Status, got.Body, err)
 	if err != nil {
 		u.checkCutOff(j, err, entry, stopped)
 		return false
--- a/injector/run.go
+++ b/injector/run.go
@@ -172,6 +172,7 @@
 	r := &u.report
 	if len(j.answers) == 0 {
 		r.NoAnswer++
+		u.detail("%s: no answer after %d calls and %d starts; last: %s", j.Key, j.calls, starts, j.last)
 		return
 	}
 	first := j.answers[0]
@@ -270,6 +271,11 @@
 func (u *run) note(format string, args ...any) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.detail(format, args...)
+}
+
+// detail adds a line to the report. The caller holds the lock.
+func (u *run) detail(format string, args ...any) {
 	if len(u.report.Details) < maxDetails {
 		u.report.Details = append(u.report.Details, fmt.Sprintf(format, args...))
 	}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -52,7 +52,7 @@
 // Build compiles the programs into a directory. It runs the Go tool in the module that contains the working directory.
 func Build(ctx context.Context, directory string) error {
 	for _, name := range []string{"crocuslb", "emulator"} {
-		c := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(directory, name),
+		c := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(directory, name), //nolint:gosec // the names are constant
 			"github.com/crocuslb/crocuslb/cmd/"+name)
 		if out, err := c.CombinedOutput(); err != nil {
 			return trace.Wrap(err, "cannot build %s: %s", name, out)
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -39,7 +39,7 @@
 // start runs the program. onLine is called for each line of its standard output.
 func start(ctx context.Context, name string, onLine func(line string), program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, done: make(chan struct{})}
-	p.command = exec.CommandContext(ctx, program, args...)
+	p.command = exec.CommandContext(ctx, program, args...) //nolint:gosec // runs the programs that Build made
 	p.command.Stderr = &lineWriter{line: func(line string) { p.add(line) }}
 	out, err := p.command.StdoutPipe()
 	if err != nil {
--- a/starter/runner.go
+++ b/starter/runner.go
@@ -22,6 +22,9 @@
 	MaxBody = 1 << 20
 	// TaskHeader names the task in a request to the backend server, as submission key and index.
 	TaskHeader = "Crocus-Task"
+	// StartedHeader is "false" in an answer with status 503 by which the backend server promises that it did not start
+	// the task.
+	StartedHeader = "Crocus-Started"
 
 	defaultRunLimit = timer.Minute
 	dialLimit       = 500 * time.Millisecond
@@ -162,6 +165,8 @@
 		return Outcome{Status: encoder.StatusFailed, Reason: fmt.Sprintf("result is larger than %d bytes", MaxBody)}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return unknown(errors.New("the answer of the backend server declares no length, so it may be truncated")), false
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(StartedHeader) == "false":
+		return notStarted(fmt.Errorf("backend server did not start the task: %s", body[:min(len(body), maxReason)])), true
 	case resp.StatusCode < 200 || resp.StatusCode > 299:
 		reason := fmt.Sprintf("backend server answered %s: %s", resp.Status, body[:min(len(body), maxReason)])
 		return Outcome{Status: encoder.StatusFailed, Reason: reason}, true
--- a/starter/sidecar_test.go
+++ b/starter/sidecar_test.go
@@ -134,6 +134,13 @@
 			want: encoder.StatusUnknown, hits: 1},
 		{name: "redirect", serve: func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusFound) },
 			after: 2000, want: encoder.StatusFailed, hits: 1},
+		{name: "no slot free", serve: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(StartedHeader, "false")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, after: 2000, want: encoder.StatusNotStarted, hits: 1},
+		{name: "unavailable without a promise", serve: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, after: 2000, want: encoder.StatusFailed, hits: 1},
 		{name: "no length", serve: func(w http.ResponseWriter, _ *http.Request) {
 			conn, rw, _ := http.NewResponseController(w).Hijack()
 			_, _ = rw.WriteString("HTTP/1.1 200 OK\r\n\r\npart")
