Detect failed members in the manner of SWIM

Cause: about 1,700 processes must notice failures at a cost that does not grow with their number. Change: a pure core (probes in shuffled rounds, indirect probes, suspicion, refutation, bounded rumors, pages that repair what rumors missed), its state chart, sealed datagrams of at most 1,400 bytes, a UDP process. A member declared dead can come back with a newer version, and a pause of a process does not count against others.

--- a/messenger/session.go
+++ b/messenger/session.go
@@ -41,6 +41,7 @@
 		received atomic.Bool // bytes arrived since the last tick
 		busy     atomic.Bool // the reader is in OnMessage
 		missed   int         // ticks in a row without bytes; used by tick only
+		patience int         // missed ticks after which this end sends a heartbeat
 
 		mu      sync.Mutex
 		queue   []byte // encoded frames that wait for the writer
@@ -55,7 +56,7 @@
 )
 
 func newSession(n *Node, conn *quic.Conn, stream *quic.Stream) *Session {
-	s := &Session{node: n, conn: conn, stream: stream, down: make(chan struct{})}
+	s := &Session{node: n, conn: conn, stream: stream, patience: 1, down: make(chan struct{})}
 	s.reader.source = stream
 	s.reader.received = &s.received
 	return s
@@ -321,7 +322,7 @@
 		s.closed = true
 		s.setCause(errSilent)
 		_ = s.stream.SetReadDeadline(time.Now())
-	case s.missed == 1 && len(s.queue) < maxQueueBytes:
+	case s.missed == s.patience && len(s.queue) < maxQueueBytes:
 		s.enqueue(binary.BigEndian.AppendUint32(s.queue, headerHeartbeat))
 	}
 }
--- /dev/null
+++ b/watcher/packet.go
@@ -0,0 +1,177 @@
+package watcher
+
+import (
+	"crypto/hkdf"
+	"crypto/hmac"
+	"crypto/sha256"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+const (
+	// KindPing asks for an ack. Target is the probed member.
+	KindPing Kind = iota + 1
+	// KindAck answers a ping, or a request on behalf of Target.
+	KindAck
+	// KindRequest asks the receiver to ping Target.
+	KindRequest
+	// KindSync asks for the members whose identifiers follow Cursor.
+	KindSync
+	// KindPage answers a sync. Cursor is the last identifier of the page, empty at the end.
+	KindPage
+
+	// MaxDatagram is the largest datagram in bytes. It fits into one packet on common networks.
+	MaxDatagram = 1400
+
+	maxUpdates = 64
+	sealSize   = 16
+	version    = 1
+)
+
+type (
+	// Kind is the type of a packet.
+	Kind uint8
+
+	// Packet is the content of a datagram.
+	Packet struct {
+		Kind     Kind
+		Sequence uint64
+		From     Member
+		Target   Member
+		Cursor   string
+		Updates  []Update
+	}
+
+	// sealer signs and verifies datagrams with a key that is derived from the secret.
+	sealer struct{ key []byte }
+)
+
+func newSealer(secret string) (sealer, error) {
+	key, err := hkdf.Key(sha256.New, []byte(secret), nil, "crocuslb/1 watcher", sha256.Size)
+	return sealer{key}, err
+}
+
+func (s sealer) sum(dst, data []byte) []byte {
+	h := hmac.New(sha256.New, s.key)
+	h.Write(data)
+	return h.Sum(dst)
+}
+
+// seal returns the datagram of p.
+func (s sealer) seal(p *Packet) []byte {
+	b := appendPacket(make([]byte, 0, 256), p)
+	return s.sum(b, b)[:len(b)+sealSize]
+}
+
+// open verifies and decodes a datagram.
+func (s sealer) open(datagram []byte) (Packet, error) {
+	size := len(datagram) - sealSize
+	if size < 0 || len(datagram) > MaxDatagram {
+		return Packet{}, trace.BadParameter("datagram of %d bytes", len(datagram))
+	}
+	if !hmac.Equal(s.sum(nil, datagram[:size])[:sealSize], datagram[size:]) {
+		return Packet{}, trace.AccessDenied("datagram with a wrong seal")
+	}
+	return decodePacket(datagram[:size])
+}
+
+func appendPacket(b []byte, p *Packet) []byte {
+	b = append(b, version, byte(p.Kind))
+	b = protowire.AppendVarint(b, p.Sequence)
+	b = appendMember(b, &p.From)
+	b = appendMember(b, &p.Target)
+	b = protowire.AppendString(b, p.Cursor)
+	b = append(b, byte(len(p.Updates)))
+	for i := range p.Updates {
+		b = appendMember(append(b, byte(p.Updates[i].State)), &p.Updates[i].Member)
+	}
+	return b
+}
+
+func appendMember(b []byte, m *Member) []byte {
+	b = protowire.AppendString(b, m.ID)
+	if m.ID == "" {
+		return b
+	}
+	b = protowire.AppendString(b, m.Address)
+	b = protowire.AppendVarint(b, m.Incarnation)
+	return protowire.AppendVarint(b, m.Refutations)
+}
+
+// size bounds the encoded size of an update from above.
+func (u *Update) size() int { return len(u.Member.ID) + len(u.Member.Address) + 1 + 2*2 + 2*10 }
+
+// parser takes values from the front of a datagram. After the first fault, failed stays set.
+type parser struct {
+	rest   []byte
+	failed bool
+}
+
+func decodePacket(b []byte) (Packet, error) {
+	if len(b) < 2 || b[0] != version || Kind(b[1]) < KindPing || Kind(b[1]) > KindPage {
+		return Packet{}, trace.BadParameter("packet of an unknown version or kind")
+	}
+	d := parser{rest: b[2:]}
+	p := Packet{Kind: Kind(b[1]), Sequence: d.varint(), From: d.member(), Target: d.member(), Cursor: d.text()}
+	count := int(d.byte())
+	if count > maxUpdates {
+		return Packet{}, trace.BadParameter("packet has %d updates, at most %d are allowed", count, maxUpdates)
+	}
+	if count > 0 && !d.failed {
+		p.Updates = make([]Update, count)
+	}
+	for i := range p.Updates {
+		s := State(d.byte())
+		p.Updates[i] = Update{State: s, Member: d.member()}
+		if s < StateAlive || s > StateDead || p.Updates[i].Member.ID == "" {
+			d.failed = true
+		}
+	}
+	if d.failed || len(d.rest) > 0 || p.From.ID == "" {
+		return Packet{}, trace.BadParameter("packet of kind %d is malformed", b[1])
+	}
+	return p, nil
+}
+
+func (d *parser) advance(n int) bool {
+	if n < 0 || d.failed {
+		d.failed, d.rest = true, nil
+		return false
+	}
+	d.rest = d.rest[n:]
+	return true
+}
+
+func (d *parser) byte() byte {
+	if len(d.rest) == 0 {
+		d.failed = true
+		return 0
+	}
+	b := d.rest[0]
+	d.advance(1)
+	return b
+}
+
+func (d *parser) varint() uint64 {
+	v, n := protowire.ConsumeVarint(d.rest)
+	d.advance(n)
+	return v
+}
+
+func (d *parser) text() string {
+	raw, n := protowire.ConsumeBytes(d.rest)
+	if d.advance(n) && len(raw) <= MaxName {
+		return string(raw)
+	}
+	d.failed = true
+	return ""
+}
+
+func (d *parser) member() Member {
+	m := Member{ID: d.text()}
+	if m.ID != "" {
+		m.Address, m.Incarnation, m.Refutations = d.text(), d.varint(), d.varint()
+	}
+	return m
+}
--- /dev/null
+++ b/watcher/packet_test.go
@@ -0,0 +1,138 @@
+package watcher
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var packets = []Packet{
+	{Kind: KindPing, Sequence: 1 << 50, From: Member{"a", "x:1", 1, 2}, Target: Member{"b", "y:2", 3, 4}},
+	{Kind: KindSync, From: Member{ID: "a"}, Cursor: "c"},
+	{Kind: KindPage, From: Member{ID: "a"}, Updates: []Update{{Member{"b", "y", 1, 0}, StateSuspect}, {Member{ID: "c"}, StateDead}}},
+}
+
+// Guards against fields that are lost, and against datagrams that another key sealed or that were changed on the way.
+func TestSeal(t *testing.T) {
+	s, _ := newSealer(strings.Repeat("a", MinSecret))
+	other, _ := newSealer(strings.Repeat("b", MinSecret))
+	for _, want := range packets {
+		datagram := s.seal(&want)
+		if got, err := s.open(datagram); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+		if _, err := other.open(datagram); err == nil {
+			t.Error("another key opened the datagram")
+		}
+		for i := range datagram {
+			if _, err := s.open(datagram[:i]); err == nil {
+				t.Errorf("%d of %d bytes were accepted", i, len(datagram))
+			}
+			datagram[i] ^= 1
+			if _, err := s.open(datagram); err == nil {
+				t.Errorf("a change of byte %d was accepted", i)
+			}
+			datagram[i] ^= 1
+		}
+	}
+	if _, err := s.open(make([]byte, MaxDatagram+1)); err == nil {
+		t.Error("a datagram above the limit was accepted")
+	}
+}
+
+// Guards against records that depend on the order in which updates arrive.
+func TestUpdateOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		updates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Update {
+			version := rapid.Uint64Range(0, 8).Draw(t, "version")
+			return Update{Member{"m", "x", version / 3, version % 3}, State(rapid.IntRange(1, 3).Draw(t, "state"))}
+		}), 1, 8).Draw(t, "updates")
+		var want []Update
+		for range 4 {
+			c := &Core{Self: Member{ID: "self"}}
+			c.begin()
+			c.apply(1, Update{Member{ID: "m"}, StateAlive})
+			for _, u := range rapid.Permutation(updates).Draw(t, "order") {
+				c.apply(1, u)
+			}
+			if want == nil {
+				want = c.Members()
+			}
+			if got := c.Members(); !reflect.DeepEqual(got, want) {
+				t.Fatalf("got %+v, want %+v", got, want)
+			}
+		}
+	})
+}
+
+// Guards against panics and against packets that change when they are encoded again.
+func FuzzPacket(f *testing.F) {
+	for i := range packets {
+		f.Add(appendPacket(nil, &packets[i]))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := decodePacket(data)
+		if err != nil {
+			return
+		}
+		again, err := decodePacket(appendPacket(nil, &p))
+		if err != nil || !reflect.DeepEqual(again, p) {
+			t.Errorf("got %+v, %v, want %+v", again, err, p)
+		}
+		c := &Core{Self: Member{ID: "self"}}
+		c.Receive(1, "x", &p)
+		c.Tick(1)
+	})
+}
+
+// Guards against a process that does not find others, or does not notice that one left or fell silent.
+func TestProcess(t *testing.T) {
+	changes := make(chan string, 1000)
+	first, stop := context.WithCancel(t.Context())
+	second, leave := context.WithCancel(t.Context())
+	watch := &Process{Secret: strings.Repeat("s", MinSecret), OnChange: func(m Member, s State) { changes <- m.ID + " " + s.String() }}
+	watch.Core.Self = Member{ID: "a", Incarnation: 1}
+	address, err := watch.Start(first, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaving, silent := &Process{}, &Process{}
+	for i, p := range []*Process{leaving, silent} {
+		p.Secret, p.Seeds, p.Core.Self = watch.Secret, []string{address}, Member{ID: fmt.Sprint("b", i), Incarnation: 1}
+		p.Core.Period, p.Core.Suspicion = 100, 300
+		if _, err := p.Start(second, "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	seen := map[string]bool{}
+	await := func(want string) {
+		t.Helper()
+		for limit := time.After(time.Minute); !seen[want]; {
+			select {
+			case got := <-changes:
+				seen[got] = true
+			case <-limit:
+				t.Fatalf("got no change %q", want)
+			}
+		}
+	}
+	await("b0 alive")
+	await("b1 alive")
+	_ = silent.socket.Close() // without a word
+	await("b1 dead")
+	leave()
+	await("b0 dead")
+	stop()
+	watch.Wait()
+	for _, p := range []*Process{{}, {Secret: "short"}} {
+		p.Core.Self.ID = "c"
+		if _, err := p.Start(t.Context(), "0.0.0.0:0"); err == nil || !strings.Contains(err.Error(), "secret") {
+			t.Errorf("got %v, want an error that asks for a secret", err)
+		}
+	}
+}
