--- a/configurer/codec_test.go
+++ b/configurer/codec_test.go
@@ -4,31 +4,30 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
+
+	"github.com/crocuslb/crocuslb/appender"
 )
 
-// largeSnapshot returns a configuration of the size to design for: 800 teams, 8 failure domains, and task kinds and
-// settings for 1,700 workers.
-func largeSnapshot() Snapshot {
-	var s Snapshot
+// largeSnapshot returns a configuration of the size to design for: 800 teams, 8 failure domains and 1,700 workers.
+func largeSnapshot() (s Snapshot) {
 	var entries []Entry
-	for i := range 800 {
-		entries = append(entries, Entry{fmt.Sprintf("team/team-%04d", i), Team{Weight: uint32(i%9 + 1), Quota: 400}.String()})
-	}
-	for i := range 8 {
-		entries = append(entries, Entry{fmt.Sprintf("domain/zone-%d", i), "in"})
-	}
-	for i := range 1700 {
-		entries = append(entries, Entry{fmt.Sprintf("setting/worker-%04d", i), "accelerators=4"})
+	for i := range 2508 {
+		e := Entry{fmt.Sprintf("setting/worker-%04d", i), "accelerators=4"}
+		if i < 800 {
+			e = Entry{fmt.Sprintf("team/team-%04d", i), "weight=3 quota=400"}
+		} else if i < 808 {
+			e = Entry{fmt.Sprintf("domain/zone-%d", i-800), "in"}
+		}
+		entries = append(entries, e)
 	}
-	for len(entries) > 0 {
-		n := min(MaxEntries, len(entries))
-		s, _ = Apply(s, s.Offset(), Record{Kind: KindNote, Note: Note{Base: s.Offset(), Added: entries[:n]}})
-		entries = entries[n:]
+	for part := range slices.Chunk(entries, MaxEntries) {
+		s, _ = Apply(s, s.Offset(), Record{Kind: KindNote, Note: Note{Base: s.Offset(), Added: part}})
 	}
 	return s
 }
@@ -92,8 +91,7 @@
 // Guards against a checkpoint that brings in a state which no fold yields, and against damaged records.
 func TestDecodeRecordRefusals(t *testing.T) {
 	checkpoint := func(offset uint64, entries, gone []item) []byte {
-		b, _ := AppendCheckpoint(nil, Snapshot{offset: offset, entries: entries, gone: gone})
-		return b
+		return checkpointOf(Snapshot{offset: offset, entries: entries, gone: gone})
 	}
 	note := AppendNote(nil, Note{Withdrawn: []string{"kind/k"}})
 	for _, c := range []struct {
@@ -127,12 +125,10 @@
 
 // Guards against damaged records that panic, and against records that do not survive a second encoding.
 func FuzzDecodeRecord(f *testing.F) {
-	checkpoint, _ := AppendCheckpoint(nil, Snapshot{}.WithDomainsOut("a"))
 	s, _ := Apply(Snapshot{}, 0, Record{Kind: KindNote, Note: Note{Added: []Entry{{"domain/a", "out"}, {"kind/k", "1"}}}})
 	s, _ = Apply(s, 1, Record{Kind: KindNote, Note: Note{Base: 1, Withdrawn: []string{"kind/k"}}})
-	full, _ := AppendCheckpoint(nil, s)
-	f.Add(checkpoint)
-	f.Add(full)
+	f.Add(checkpointOf(s))
+	f.Add(checkpointOf(Snapshot{}))
 	f.Add(AppendNote(nil, Note{ID: "i", Author: "a", Comment: "c", Base: 7, Added: []Entry{{"team/x", "weight=1"}}, Withdrawn: []string{"kind/k"}}))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		r, err := DecodeRecord(body)
@@ -143,15 +139,12 @@
 		if next.Offset() != 1 {
 			t.Fatalf("got offset %d, want 1", next.Offset())
 		}
-		if r.Kind == KindNote {
-			if again, err := DecodeRecord(AppendNote(nil, r.Note)); err != nil || !reflect.DeepEqual(again, r) {
-				t.Fatalf("got %+v, error %v, want %+v", again, err, r)
-			}
-			return
+		b := AppendNote(nil, r.Note)
+		if r.Kind == KindCheckpoint {
+			b = checkpointOf(r.Checkpoint)
 		}
-		b, err := AppendCheckpoint(nil, r.Checkpoint)
-		if again, errAgain := DecodeRecord(b); err != nil || errAgain != nil || !again.Checkpoint.Equal(r.Checkpoint) {
-			t.Fatalf("got %+v, errors %v, %v, want %+v", again, err, errAgain, r)
+		if again, err := DecodeRecord(b); err != nil || !reflect.DeepEqual(again, r) {
+			t.Fatalf("got %+v, error %v, want %+v", again, err, r)
 		}
 	})
 }
@@ -174,48 +167,30 @@
 	})
 }
 
-func BenchmarkGet(b *testing.B) {
-	s := largeSnapshot()
-	for b.Loop() {
-		s.Get("team/team-0400")
-	}
-}
-
-func BenchmarkDomainInForce(b *testing.B) {
+func Benchmark(b *testing.B) {
 	s := largeSnapshot().WithDomainsOut("zone-3")
-	for b.Loop() {
-		s.DomainInForce("zone-4")
-	}
-}
-
-func BenchmarkApplyNote(b *testing.B) {
-	s := largeSnapshot()
-	body := AppendNote(nil, Note{ID: "0123456789abcdef0123456789abcdef", Base: s.Offset(), Changed: []Entry{{"domain/zone-4", "out"}}})
-	b.ReportAllocs()
-	b.SetBytes(int64(len(body)))
-	for b.Loop() {
-		Fold(s, s.Offset(), body)
-	}
-}
-
-func BenchmarkCheckpointEncode(b *testing.B) {
-	s := largeSnapshot()
-	var body []byte
-	for b.Loop() {
-		body, _ = AppendCheckpoint(body[:0], s)
+	note := AppendNote(nil, Note{ID: "0123456789abcdef0123456789abcdef", Base: s.Offset(), Changed: []Entry{{"domain/zone-4", "out"}}})
+	body := checkpointOf(s)
+	run := func(name string, each, size int, f func()) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*each), "ns/each")
+			b.ReportMetric(float64(size)/float64(each), "B/each")
+		})
 	}
-	b.ReportMetric(float64(len(body))/float64(s.Len()), "B/key")
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(s.Len()), "ns/key")
-}
-
-func BenchmarkCheckpointDecode(b *testing.B) {
-	s := largeSnapshot()
-	body, _ := AppendCheckpoint(nil, s)
-	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := DecodeRecord(body); err != nil {
-			b.Fatal(err)
+	run("Get", 1, 0, func() { s.Get("team/team-0400") })
+	run("DomainInForce", 1, 0, func() { s.DomainInForce("zone-4") })
+	run("FoldNote", 1, len(note), func() { Fold(s, s.Offset(), note) })
+	p := &Replay{state: s}
+	run("EncodeAndReplayNote", 1, len(note), func() {
+		n := Note{Base: p.state.offset, Changed: []Entry{{"domain/zone-4", "out"}}}
+		if p.Add(appender.Record{Offset: n.Base, Body: AppendNote(nil, n)}) != nil {
+			b.Fatal("note was refused")
 		}
-	}
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(s.Len()), "ns/key")
+	})
+	run("CheckpointEncode", s.Len(), len(body), func() { body, _ = AppendCheckpoint(body[:0], s) })
+	run("CheckpointDecode", s.Len(), len(body), func() { _, _ = DecodeRecord(body) })
 }
--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -123,11 +123,13 @@
 	}
 }
 
-// recover repeats the starts of tasks that run on a known sidecar, which then sends their results to this entry.
+// recover repeats the starts of tasks that a known sidecar runs or whose results it keeps. It then sends the results to
+// this entry.
 func (c *Core) recover(s *submission, found map[uint32]started) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusRunning && t.state == taskQueued {
+		if e, ok := found[uint32(i)]; ok && t.state == taskQueued &&
+			(e.status == encoder.StatusRunning || e.status == encoder.StatusKept) {
 			sc := c.sidecarOf(e.sidecar)
 			if sc == nil || !step(taskChart, &t.state, eventRecover) {
 				continue
@@ -163,6 +165,14 @@
 	for gone := range c.gone {
 		reply.Sidecars = append(reply.Sidecars, gone)
 	}
+	for missing := range c.takeover.missing {
+		if missing != unknownSidecars {
+			reply.Sidecars = append(reply.Sidecars, missing)
+		}
+	}
+	if !c.vouches() {
+		reply.Sidecars = append(reply.Sidecars, unknownSidecars)
+	}
 	add := func(key string) {
 		owner, ok := elector.Owner(m.Roster, key)
 		if !ok || owner.Member != p.member {
@@ -173,8 +183,8 @@
 			reply = &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
 		}
 	}
-	for key, pass := range c.passed {
-		if pass.owner != p.member {
+	for key := range c.passed {
+		if c.passedBeside(key, p.member) {
 			add(key)
 		}
 	}
@@ -183,6 +193,11 @@
 			add(key)
 		}
 	}
+	for key := range c.kept.byKey {
+		if !c.claims.seen.has(c.hash(key)) {
+			add(key) // the others learn of the older keys from the claims
+		}
+	}
 	reply.Last = true
 	c.send(id, reply)
 }
@@ -194,13 +209,17 @@
 	}
 	t := &c.takeover
 	if t.keys == nil {
-		t.keys = map[string]timer.Millis{}
+		t.keys, t.reported = map[string]timer.Millis{}, map[encoder.Member]timer.Millis{}
 	}
 	for _, key := range m.Jobs {
 		t.keys[key] = c.now
 	}
 	for _, sc := range m.Sidecars {
-		t.heard(sc, c.now, false)
+		if sc == unknownSidecars {
+			p.doubts = m.Epoch
+		} else if _, ok := t.reported[sc]; !ok {
+			t.reported[sc] = c.now
+		}
 	}
 	if m.Last {
 		p.census = m.Epoch
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -119,7 +119,7 @@
 		c.answer(w, k.answer)
 		return
 	}
-	if c.kept.forgot(c.hash(job.Key)) {
+	if c.kept.forgotten.has(c.hash(job.Key)) {
 		c.answer(w, failure(job.Key, encoder.CodeUnknown, encoder.OutcomeUnknown, "the answer is no longer kept"))
 		return
 	}
@@ -287,7 +287,7 @@
 	if s.left > 0 {
 		return
 	}
-	if s.state == stateClosing {
+	if s.state == stateClosing || s.code != 0 {
 		a := failure(s.key, s.code, s.outcome(), s.reason)
 		if s.lost {
 			a.Code = encoder.CodeUnknown
@@ -298,6 +298,9 @@
 	a := encoder.Answer{Key: s.key, State: encoder.JobComplete, Outcome: encoder.OutcomeRan}
 	a.Results = make([]encoder.TaskResult, len(s.tasks))
 	for i := range s.tasks {
+		if s.tasks[i].state != taskDone {
+			panic("a submission without failures has a task without result")
+		}
 		a.Results[i].Body = s.tasks[i].body
 	}
 	c.end(s, a)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -50,7 +50,7 @@
 		{"key of dots", "..", one, 400, "Idempotency-Key"},
 		{"key with line break", "a\x01b", one, 400, "Idempotency-Key"},
 		{"empty body", "k", ``, 400, "body at byte 0"},
-		{"no JSON", "k", `hello`, 400, "body at byte 0"},
+		{"no JSON", "k", `hello`, 400, "body at byte 1"},
 		{"array", "k", `[]`, 400, "body"},
 		{"null", "k", `null`, 400, "body"},
 		{"cut off", "k", `{"tasks":[{"kind":"k"}`, 400, "body at byte 22"},
@@ -82,7 +82,7 @@
 		{"long wait", "k", `{"tasks":[{"kind":"k"}],"waitMs":60001}`, 400, "waitMs"},
 		{"once is a number", "k", `{"tasks":[{"kind":"k"}],"once":1}`, 400, "once"},
 		{"team with space", "k", `{"tasks":[{"kind":"k"}],"team":"a b"}`, 400, "team"},
-		{"deep nesting", "k", `{"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`, 400, "x"},
+		{"deep nesting", "k", `{"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`, 400, "body at byte 10005"},
 		{"large body", "k", `{"x":"` + strings.Repeat("x", maxBody) + `"}`, 413, ""},
 	}
 	for _, tc := range tests {
@@ -113,18 +113,19 @@
 		if _, ok := ctx.Deadline(); !ok {
 			t.Error("got a context without a deadline")
 		}
-		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: []encoder.TaskResult{{Body: []byte("<é>")}, {Body: []byte{0xff}}}}
+		return encoder.Answer{Key: j.Key, State: encoder.JobComplete, Results: []encoder.TaskResult{{Body: []byte("<é>\n")}, {Body: []byte{0xff}}, {Body: []byte{0}}}}
 	}}
 	w := request(t, s, "POST", "/v1/jobs", `{"team":"t","deadlineMs":5,"once":true,"waitMs":9,"tasks":[
-		{"kind":"k","payload":"\u00e9","runMs":50,"memoryMb":3},{"kind":"l","payloadBase64":"/w=="}]}`,
+		{"kind":"k","payload":"\u00e9","runMs":50,"memoryMb":3},{"kind":"l","payloadBase64":"/w=="},{"kind":"m"}]}`,
 		"Idempotency-Key", `"a.b"`, "Content-Type", "application/json; charset=utf-8")
-	if got.Key != "a.b" || got.Team != "t" || got.Deadline != 5 || !got.Once || len(got.Tasks) != 2 ||
+	if got.Key != "a.b" || got.Team != "t" || got.Deadline != 5 || !got.Once || len(got.Tasks) != 3 ||
 		string(got.Tasks[0].Payload) != "é" || got.Tasks[0].RunTime != 50 || got.Tasks[0].MemoryMB != 3 || string(got.Tasks[1].Payload) != "\xff" {
 		t.Errorf("got job %+v", got)
 	}
 	a, err := DecodeAnswer(w.Body.Bytes())
-	if err != nil || w.Code != 200 || len(a.Results) != 2 || string(a.Results[0].Body) != "<é>" || string(a.Results[1].Body) != "\xff" {
-		t.Errorf("got %d %s, %v, want both results byte for byte", w.Code, w.Body, err)
+	if err != nil || w.Code != 200 || len(a.Results) != 3 || string(a.Results[0].Body) != "<é>\n" ||
+		string(a.Results[1].Body) != "\xff" || string(a.Results[2].Body) != "\x00" {
+		t.Errorf("got %d %s, %v, want all results byte for byte", w.Code, w.Body, err)
 	}
 }
 
@@ -180,11 +181,10 @@
 	}
 	canceled := encoder.Answer{State: encoder.JobFailed, Code: encoder.CodeCanceled, Outcome: encoder.OutcomeNotRun}
 	note := `{"added":[{"key":"domain/a","value":"out"}]}`
-	publish := func(err error) *Server {
-		return &Server{Publish: func(context.Context, configurer.Note, bool) (Publication, error) {
-			return Publication{Accepted: true}, err
-		}}
+	decided := func(p Publication, err error) *Server {
+		return &Server{Publish: func(context.Context, configurer.Note, bool) (Publication, error) { return p, err }}
 	}
+	publish := func(err error) *Server { return decided(Publication{Accepted: true}, err) }
 	tests := []struct {
 		name, method, path, body string
 		server                   *Server
@@ -208,7 +208,11 @@
 		{"burn format", "GET", "/v1/burn?format=pdf", "", &Server{}, "Bearer " + testToken, 400, `"format"`},
 		{"history limit", "GET", "/v1/notes?limit=0", "", &Server{}, "Bearer " + testToken, 400, `"limit"`},
 		{"domain name", "POST", "/v1/domains/a%20b/withdraw", "", &Server{}, "Bearer " + testToken, 400, `"domain"`},
-		{"published", "POST", "/v1/notes", note, publish(nil), "Bearer " + testToken, 200, `"accepted":true`},
+		{"published", "POST", "/v1/notes", note, publish(nil), "Bearer " + testToken, 200, `"state":"accepted"`},
+		{"recorded", "POST", "/v1/notes", note, decided(Publication{Recorded: true}, nil), "Bearer " + testToken, 202, `"inForce":false`},
+		{"provisional", "POST", "/v1/notes", note, decided(Publication{Provisional: true}, nil), "Bearer " + testToken, 202, `"provisional"`},
+		{"refused", "POST", "/v1/notes", note, decided(Publication{Refused: true, Findings: []Finding{{"log", "down"}}}, nil), "Bearer " + testToken, 409, `"place":"log"`},
+		{"outcome unknown", "POST", "/v1/notes", note, decided(Publication{Unknown: true}, nil), "Bearer " + testToken, 500, `"outcome":"unknown"`},
 		{"dry run", "POST", "/v1/notes?dryRun=x", note, publish(nil), "Bearer " + testToken, 400, `"dryRun"`},
 		{"note in conflict", "POST", "/v1/notes", note, publish(trace.CompareFailed("newer")), "Bearer " + testToken, 409, notRun},
 		{"note without answer", "POST", "/v1/notes", note, publish(trace.ConnectionProblem(nil, "lost")), "Bearer " + testToken, 500, `"outcome":"unknown"`},
