Send long results in fragments between other messages

Cause: a round trip behind a result of 1 MiB took 9 to 11 ms, behind 4 MiB 24 to 38 ms. Change: a Result or ForwardAnswer above 32 KiB is sent in fragments on the same stream, and other messages pass between them. Other types keep their order, because for example a Claimed must not overtake its Start, nor the last part of a CensusReply the first one. A second stream would need a second reader and the same exception from the order. The read buffer shrinks only after small frames. Conclusion: fragments of 32 KiB.

The throughput that fragments cost matters less than the delay of small messages.

--- a/messenger/bench_test.go
+++ b/messenger/bench_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// BenchmarkBulk measures the throughput of large messages.
+func BenchmarkBulk(b *testing.B) {
+	sender := benchPair(b)
+	m := &encoder.Result{Body: make([]byte, 1<<20)}
+	b.SetBytes(1 << 20)
+	for b.Loop() {
+		for !sender.Send(m) {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
 func benchPair(b *testing.B) *Session {
 	a, c := newTestNode("a"), newTestNode("c")
 	a.OnMessage = func(s *Session, m encoder.Message) {
--- a/messenger/fault_test.go
+++ b/messenger/fault_test.go
@@ -167,11 +167,13 @@
 		want  string
 	}{
 		{"oversized first frame", header(encoder.MaxFrame + 1), "out of range"},
+		{"oversized fragments", slices.Concat(hello, header(fragmentFlag|encoder.MaxFrame), make([]byte, encoder.MaxFrame), header(fragmentFlag|1)), "out of range"},
 		{"empty first frame", header(0), "out of range"},
 		{"first message is not Hello", framed(encoder.Append(nil, &encoder.Leaving{})), "want Hello"},
 		{"Hello is garbage", framed([]byte{1, 8, 99}), "Hello.role"},
 		{"oversized frame", slices.Concat(hello, header(encoder.MaxFrame+1)), "out of range"},
 		{"truncated frame", slices.Concat(hello, header(1000)), "within a frame"},
+		{"truncated message", slices.Concat(hello, header(fragmentFlag|1), []byte{0}), "within a frame"},
 		{"truncated header", slices.Concat(hello, []byte{0, 0}), "within a frame"},
 		{"undecodable message", slices.Concat(hello, framed([]byte{3, 16})), "Ping"},
 		{"message of a newer version, then end", slices.Concat(hello, framed([]byte{100})), "closed by the other end"},
@@ -250,6 +252,25 @@
 	}
 }
 
+// Guards against a long result that holds up the messages behind it.
+func TestLongResult(t *testing.T) {
+	a, b := newTestNode("a"), newTestNode("b")
+	a.Silence, b.Silence = 60*timer.Second, 60*timer.Second
+	r := newRelay(t, a.listen(t.Context(), t))
+	b.Connect(t.Context(), r.address())
+	s := receive(t, b.up, "session").session
+	r.drop(true, true)
+	s.Send(&encoder.Result{Body: make([]byte, encoder.MaxFrame/2)})
+	s.Send(&encoder.Claimed{Job: "short"})
+	r.drop(false, false)
+	if got, ok := receive(t, a.messages, "short message").message.(*encoder.Claimed); !ok {
+		t.Errorf("got %T first, want the short message", got)
+	}
+	if got, ok := receive(t, a.messages, "result").message.(*encoder.Result); !ok || len(got.Body) != encoder.MaxFrame/2 {
+		t.Errorf("got %T, want the whole result", got)
+	}
+}
+
 // Guards against a slow consumer that is mistaken for a silent peer, and against a pause that counts as silence.
 func TestTicks(t *testing.T) {
 	a, b := newTestNode("a"), newTestNode("b")
--- a/messenger/reader.go
+++ b/messenger/reader.go
@@ -18,6 +18,9 @@
 	// Headers above this value are frames of the transport, without content.
 	headerHeartbeat uint32 = 0xffffff01
 	headerAnswer    uint32 = 0xffffff02
+	// A header with fragmentFlag begins a fragment of a long message, one with lastFlag the last fragment.
+	fragmentFlag uint32 = 0x80000000
+	lastFlag     uint32 = 0x40000000
 
 	readBuffer = 4 << 10
 	// maxPhrase is the longest reason in bytes that is sent when a connection is closed.
@@ -36,10 +39,12 @@
 	received *atomic.Bool
 	buffer   []byte // bytes read and not yet returned are buffer[start:]
 	start    int
+	last     int    // size of the last frame
+	long     []byte // fragments of the long message that is arriving
 }
 
-// next returns the next frame, which is valid until the next call, or the header of a transport frame. It returns errEnd
-// at the end of the stream, and errFrame for a header that is out of range.
+// next returns the next frame, which is valid until the next call, or the header of a transport frame or a
+// fragment. It returns errEnd at the end of the stream, and errFrame for a header that is out of range.
 func (r *frameReader) next() (frame []byte, control uint32, err error) {
 	if err := r.fill(headerSize); err != nil {
 		return nil, 0, err
@@ -47,25 +52,40 @@
 	header := binary.BigEndian.Uint32(r.buffer[r.start:])
 	if header == headerHeartbeat || header == headerAnswer {
 		r.start += headerSize
+		r.last = 0
 		return nil, header, nil
 	}
-	if header == 0 || header > encoder.MaxFrame {
-		return nil, 0, trace.Wrap(errFrame, "length %d is out of range", header)
+	length := header
+	if header&fragmentFlag != 0 {
+		length &^= fragmentFlag | lastFlag
 	}
-	size := headerSize + int(header)
+	if length == 0 || length > encoder.MaxFrame || header&fragmentFlag != 0 && len(r.long)+int(length) > encoder.MaxFrame {
+		return nil, 0, trace.Wrap(errFrame, "length %d is out of range", length)
+	}
+	size := headerSize + int(length)
 	if err := r.fill(size); err != nil {
 		return nil, 0, err
 	}
 	frame = r.buffer[r.start+headerSize : r.start+size]
 	r.start += size
+	r.last = size
+	if header&fragmentFlag == 0 {
+		return frame, 0, nil
+	}
+	r.long = append(r.long, frame...)
+	if header&lastFlag == 0 {
+		return nil, fragmentFlag, nil
+	}
+	frame, r.long = r.long, nil
 	return frame, 0, nil
 }
 
 // fill reads until at least size bytes are buffered. The buffer grows with the bytes that arrive, not with the length
-// that the other end claims, and shrinks when it is empty.
+// that the other end claims, and shrinks when it is empty after
+// a small frame.
 func (r *frameReader) fill(size int) error {
 	for len(r.buffer)-r.start < size {
-		if r.start == len(r.buffer) && cap(r.buffer) != readBuffer {
+		if r.start == len(r.buffer) && (r.buffer == nil || cap(r.buffer) > readBuffer && r.last < readBuffer) {
 			r.buffer = make([]byte, 0, readBuffer)
 			r.start = 0
 		}
@@ -83,7 +103,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			if r.start < len(r.buffer) {
+			if r.start < len(r.buffer) || len(r.long) > 0 {
 				return trace.Wrap(errFrame, "the stream ends within a frame")
 			}
 			return errEnd
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,10 @@
 	maxQueueBytes = 2*encoder.MaxFrame + 1<<10
 	// maxQueueCount bounds the number of messages that wait for the writer.
 	maxQueueCount = 1 << 16
+	// bulkSize is the encoded size above which results are sent in fragments of this size. On a busy machine, a round
+	// trip behind 1 MiB took 3 ms instead of 9, behind 4 MiB 3 ms instead of 24; the throughput of 1 MiB results fell
+	// from 210 to 110 MB/s.
+	bulkSize = 32 << 10
 	// keepBuffer is the largest write buffer that an idle session keeps.
 	keepBuffer = 4 << 10
 	// flushLimit bounds the time in which Close flushes queued messages and waits for the other end.
@@ -44,7 +49,9 @@
 		patience int         // missed ticks after which this end sends a heartbeat
 
 		mu      sync.Mutex
-		queue   []byte // encoded frames that wait for the writer
+		queue   []byte   // encoded frames that wait for the writer
+		bulk    [][]byte // rests of long messages that wait for the writer
+		waiting int      // bytes in bulk
 		count   int
 		spare   []byte // the buffer that the writer used last
 		writing bool   // a flush goroutine is running
@@ -74,23 +81,42 @@
 
 // Send queues m for the other end. It never blocks. It returns false when the session is closed, its queue is full or m
 // is longer than encoder.MaxFrame; the message is then lost for sure. True does not mean that the message arrives.
+//
+// Messages arrive in the order of Send, except that a Result or a ForwardAnswer longer than 32 KiB is sent in fragments
+// between other messages, and arrives after messages that were queued later.
 func (s *Session) Send(m encoder.Message) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.count >= maxQueueCount || len(s.queue) >= maxQueueBytes {
+	if s.closed || s.count >= maxQueueCount || len(s.queue)+s.waiting >= maxQueueBytes {
 		return false
 	}
 	start := len(s.queue)
 	grown := encoder.Append(append(s.queue, 0, 0, 0, 0), m)
 	size := len(grown) - start - headerSize
-	if size > encoder.MaxFrame || len(grown) > maxQueueBytes {
+	if size > encoder.MaxFrame || len(grown)+s.waiting > maxQueueBytes {
 		return false
 	}
+	if size > bulkSize && overtaken(m) {
+		s.bulk = append(s.bulk, slices.Clone(grown[start+headerSize:]))
+		s.waiting += size
+		s.enqueue(grown[:start])
+		return true
+	}
 	binary.BigEndian.PutUint32(grown[start:], uint32(size))
 	s.enqueue(grown)
 	return true
 }
 
+// overtaken reports whether later messages may overtake m. Receivers match results by key, and no later message depends
+// on their arrival.
+func overtaken(m encoder.Message) bool {
+	switch m.(type) {
+	case *encoder.Result, *encoder.ForwardAnswer:
+		return true
+	}
+	return false
+}
+
 // control queues a frame of the transport. The caller does not hold the mutex.
 func (s *Session) control(header uint32) {
 	s.mu.Lock()
@@ -117,6 +143,7 @@
 		s.mu.Lock()
 		batch := s.queue
 		s.queue, s.spare, s.count = s.spare[:0], nil, 0
+		batch = s.fragment(batch)
 		if len(batch) == 0 {
 			s.writing = false
 			if s.closed {
@@ -131,7 +158,7 @@
 		_, err := s.stream.Write(batch)
 		s.mu.Lock()
 		if err != nil {
-			s.writing, s.closed, s.queue = false, true, nil
+			s.writing, s.closed, s.queue, s.bulk = false, true, nil, nil
 			s.setCause(trace.ConnectionProblem(err, "%v", describe(err)))
 			s.mu.Unlock()
 			return
@@ -141,6 +168,24 @@
 	}
 }
 
+// fragment appends the next fragment of a long message to a batch. The caller holds the mutex.
+func (s *Session) fragment(batch []byte) []byte {
+	if len(s.bulk) == 0 {
+		return batch
+	}
+	n := min(len(s.bulk[0]), bulkSize)
+	header := fragmentFlag | uint32(n)
+	if n == len(s.bulk[0]) {
+		header |= lastFlag
+	}
+	batch = append(binary.BigEndian.AppendUint32(batch, header), s.bulk[0][:n]...)
+	s.waiting -= n
+	if s.bulk[0] = s.bulk[0][n:]; len(s.bulk[0]) == 0 {
+		s.bulk = s.bulk[1:]
+	}
+	return batch
+}
+
 func keep(b []byte) []byte {
 	if cap(b) > keepBuffer {
 		return nil
