Check the backend server at once after a refused connection

Cause: until the next health check, the sidecar of a stopped backend server attracts tasks by having free slots. Pings of all entries shared one ring of 64, too short for large rosters. Change: an outcome "not started" triggers a health check; a silent check is repeated at once. Each entry has its own pings. Run waits until the node has sent what is queued. The default limit of a run is 5 minutes, as long as entries wait.

--- a/starter/core.go
+++ b/starter/core.go
@@ -97,8 +97,6 @@
 		offset     uint64
 		leaving    bool
 
-		sequence uint64
-		pings    [64]sentPing
 		nextPing timer.Millis
 
 		started  table
@@ -125,6 +123,8 @@
 		credits  uint32 // granted and not spent
 		recalled uint32 // asked back and not answered
 		idle     bool   // it gave credits back of its own accord
+		sequence uint64 // of the newest ping
+		pings    [16]sentPing
 
 		statement statement
 		outage    timer.Millis // until when its attestation of a log outage holds
--- a/starter/freshness.go
+++ b/starter/freshness.go
@@ -25,14 +25,14 @@
 	if e.session == 0 {
 		return
 	}
-	c.sequence++
-	c.pings[c.sequence%uint64(len(c.pings))] = sentPing{c.sequence, now}
-	c.send(e, &encoder.Ping{Sequence: c.sequence, Running: uint32(len(c.running)), Leaving: c.leaving})
+	e.sequence++
+	e.pings[e.sequence%uint64(len(e.pings))] = sentPing{e.sequence, now}
+	c.send(e, &encoder.Ping{Sequence: e.sequence, Running: uint32(len(c.running)), Leaving: c.leaving})
 }
 
 // pong takes over newer state and extends the freshness lease.
 func (c *Core) pong(now timer.Millis, e *entry, m *encoder.Pong) {
-	sent := c.pings[m.Sequence%uint64(len(c.pings))]
+	sent := e.pings[m.Sequence%uint64(len(e.pings))]
 	if m.Sequence == 0 || sent.sequence != m.Sequence {
 		return // forged, or so old that it could renew nothing
 	}
--- a/starter/health.go
+++ b/starter/health.go
@@ -26,11 +26,16 @@
 	target string
 	client http.Client
 	silent int
+	again  chan struct{} // asks for a check at once
 }
 
 func newHealth(base *url.URL) *health {
 	t := &http.Transport{DisableKeepAlives: true}
-	return &health{target: base.JoinPath("health").String(), client: http.Client{Transport: t, Timeout: healthLimit}}
+	return &health{
+		target: base.JoinPath("health").String(),
+		client: http.Client{Transport: t, Timeout: healthLimit},
+		again:  make(chan struct{}, 1),
+	}
 }
 
 // check returns nil when the backend server takes work. A check that got no answer counts only when it is the second
@@ -78,10 +83,23 @@
 			first = false
 		}
 		last = err
+		if h.silent == 1 {
+			continue // the second check decides; tasks are sent meanwhile
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(healthPeriod):
+		case <-h.again:
 		}
 	}
 }
+
+// recheck asks for a check at once. Until a stopped backend server is noticed, its sidecar would go on to attract tasks
+// by having free slots.
+func (h *health) recheck() {
+	select {
+	case h.again <- struct{}{}:
+	default: // one is asked for already
+	}
+}
--- a/starter/runner.go
+++ b/starter/runner.go
@@ -23,7 +23,7 @@
 	// TaskHeader names the task in a request to the backend server, as submission key and index.
 	TaskHeader = "Crocus-Task"
 
-	defaultRunLimit = timer.Minute
+	defaultRunLimit = 5 * timer.Minute // as long as entries wait
 	dialLimit       = 500 * time.Millisecond
 	// A connection is used again only within this time after its last response. An idle one may have gone silent,
 	// which a POST would find out only by a lost task; a new one costs a round trip on the same worker.
--- a/starter/sidecar.go
+++ b/starter/sidecar.go
@@ -38,7 +38,7 @@
 		TLS          *tls.Config
 		Clock        timer.Clock
 		Log          log.Interface // default log.Log
-		RunLimit     timer.Millis  // longest run of any task; default 1 minute
+		RunLimit     timer.Millis  // longest run of any task; default 5 minutes
 		KeyRetention timer.Millis  // default 10 minutes
 
 		once    sync.Once
@@ -93,6 +93,7 @@
 	}
 	s.init()
 	ctx, cancel := context.WithCancel(ctx)
+	defer s.node.Wait() // it sends what is queued
 	defer cancel()
 	s.runner = newRunner(base, s.Clock, s.RunLimit)
 	defer s.runner.close()
@@ -197,6 +198,9 @@
 		}
 	case eventEnded:
 		delete(s.runs, e.task)
+		if e.outcome.Status == encoder.StatusNotStarted {
+			s.health.recheck()
+		}
 		s.perform(ctx, s.core.Ended(now, e.task, e.outcome))
 	case eventHealth:
 		s.ready, s.backend = true, e.err
