Count small results in the bound on kept results

Cause: since collected results are kept, a row without a body still held 64 bytes that no bound counted, 17 MB for a full table, beyond the 32 MB for one node together with its keys. Change: each kept result counts 64 bytes more.

--- a/starter/evidence_test.go
+++ b/starter/evidence_test.go
@@ -96,7 +96,7 @@
 		{"time", Core{KeyRetention: 500}, 1501, "[run] [run]"},
 		{"not yet", Core{KeyRetention: 500}, 1500, "[result 1 xxxx] [result 1 xxxx]"},
 		{"count, collected", Core{MaxKeys: 1}, 1000, "[result 1 xxxx] [run]"}, // task 1 is collected below
-		{"bytes", Core{MaxBodies: 7}, 1000, "[result 3 ] [result 1 xxxx]"},
+		{"bytes", Core{MaxBodies: 2*(4+detailOverhead) - 1}, 1000, "[result 3 ] [result 1 xxxx]"},
 	} {
 		c := connected(five[:3]...)
 		ended(c, 1000, []byte("xxxx"), task(0), task(1))
--- a/starter/table.go
+++ b/starter/table.go
@@ -7,7 +7,13 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-const lostBody = "the task succeeded, but its result was dropped for lack of memory"
+const (
+	// detailOverhead is the size of a detail without its contents. Without it, results without bodies would escape the
+	// bound; a full table of them takes 17 MB.
+	detailOverhead = 64
+
+	lostBody = "the task succeeded, but its result was dropped for lack of memory"
+)
 
 type (
 	// table is the started-task table. The zero value is ready to use. Keys are kept by job, because the ownership
@@ -17,7 +23,7 @@
 		ended       []endedRow // oldest end first, with few exceptions; the first dropped ones have been forgotten
 		dropped     int
 		bodiless    int // rows of ended before this one have lost their bodies
-		bytes       int // of bodies and reasons
+		bytes       int // of details
 		uncollected int
 		early       uint64 // keys forgotten before their retention was over
 	}
@@ -181,7 +187,7 @@
 	return r.status, nil, "", 0
 }
 
-func (d *detail) size() int { return len(d.body) + len(d.reason) }
+func (d *detail) size() int { return len(d.body) + len(d.reason) + detailOverhead }
 
 func (c *canceledKeys) has(k encoder.TaskKey) bool { return c.keys[k] }
 
