Grant credits again after a recall that found them spent

Cause: when starts under way had spent all recalled credits, the entry's empty Release passed for a return of its own accord. The sidecar granted nothing any more, so after a withdrawal under load the returned domain stayed idle. Change: whether a Recall is unanswered is kept apart from how much it will return. After the answer the entry counts as holding none of the recalled credits, so that a difference of both accounts ends there and causes no endless recalls.

--- a/starter/core.go
+++ b/starter/core.go
@@ -121,7 +121,8 @@
 		member   encoder.Member
 		session  uint64 // 0 while there is none
 		credits  uint32 // granted and not spent
-		recalled uint32 // asked back and not answered
+		asked    bool   // a Recall has no answer yet
+		recalled uint32 // credits that the answer will return, unless starts that are under way spend them
 		idle     bool   // it gave credits back of its own accord
 		sequence uint64 // of the newest ping
 		pings    [16]sentPing
@@ -213,7 +214,7 @@
 	}
 	c.leaving = leaving
 	for _, e := range c.entries {
-		e.credits, e.recalled = 0, 0
+		e.void()
 		switch {
 		case e.session == 0:
 		case leaving:
@@ -280,7 +281,7 @@
 	c.roster, c.home = r, home.Member
 	for _, e := range c.entries {
 		if !c.member(e) {
-			e.credits, e.recalled = 0, 0
+			e.void()
 		}
 	}
 	c.prune()
@@ -335,7 +336,8 @@
 // drop ends the session of e.
 func (c *Core) drop(e *entry) {
 	delete(c.sessions, e.session)
-	e.session, e.credits, e.recalled, e.idle = 0, 0, 0, false
+	e.void()
+	e.session, e.idle = 0, false
 	c.waiting = slices.DeleteFunc(c.waiting, func(a *attempt) bool {
 		if a.from != e {
 			return false
--- a/starter/credits.go
+++ b/starter/credits.go
@@ -48,17 +48,21 @@
 // recall asks for the credits of entries that stopped owning the cell, and for all while the domain is withdrawn.
 func (c *Core) recall() {
 	for _, e := range c.entries {
-		if e.credits > 0 && e.recalled == 0 && e.session != 0 && (c.domain == domainWithdrawn || e.member != c.home) {
-			e.recalled = e.credits
+		if e.credits > 0 && !e.asked && e.session != 0 && (c.domain == domainWithdrawn || e.member != c.home) {
+			e.asked, e.recalled = true, e.credits
 			c.send(e, &encoder.Recall{Credits: e.credits})
 		}
 	}
 }
 
-// release takes back credits that e returns. An entry answers each Recall with one Release. A Release without a Recall
-// means that it has no use for them; it gets new ones when it has a queue again.
+// release takes back credits that e returns. An entry answers each Recall with one Release. Starts that it sent before
+// have arrived by then, so it holds none of the recalled credits any more, even when it returns fewer than expected. A
+// Release without a Recall means that it has no use for the credits; it gets new ones when it has a queue again.
 func (c *Core) release(e *entry, n uint32) {
-	e.idle = e.recalled == 0
-	e.recalled = 0
-	e.credits -= min(n, e.credits)
+	e.idle = !e.asked && n > 0
+	e.credits -= min(max(n, e.recalled), e.credits)
+	e.asked, e.recalled = false, 0
 }
+
+// void drops the credits of e.
+func (e *entry) void() { e.credits, e.asked, e.recalled = 0, false, 0 }
--- a/starter/gate.go
+++ b/starter/gate.go
@@ -27,7 +27,7 @@
 	spent := e.credits > 0
 	if spent {
 		e.credits--
-		e.recalled = min(e.recalled, e.credits)
+		e.recalled -= min(1, e.recalled)
 	}
 	e.idle = false
 	a := &attempt{start: *m, from: e, session: e.session, claimed: m.Claimed, claimBy: now + c.ClaimWait, state: attemptChart.Start()}
