Detect dead peers 0.1 s earlier; keep evidence compact; repeat unsent answers

Change: peers ping every 100 ms; a peer census counts as a report of its epoch; evidence rows are slices; unsent answers go out with the next tick; forwarded requests are bounded; a withdrawn team key takes effect.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -24,7 +24,7 @@
 			continue // this entry started it
 		}
 		if _, ok := c.kept.byKey[s.Task.Job]; !ok {
-			t.add(s, sc.hello.Member, c.now)
+			t.add(s, &sc.hello.Member, c.now)
 		}
 	}
 	if !m.Last {
@@ -43,20 +43,35 @@
 	c.tickTakeover()
 }
 
-func (t *takeover) add(s *encoder.StartedTask, from encoder.Member, now timer.Millis) {
+func (t *takeover) add(s *encoder.StartedTask, from *encoder.Member, now timer.Millis) {
 	if t.evidence == nil {
 		t.evidence = map[string]*evidence{}
 	}
 	e := t.evidence[s.Task.Job]
 	if e == nil {
-		e = &evidence{tasks: map[uint32]started{}}
+		e = &evidence{}
 		t.evidence[s.Task.Job] = e
 	}
 	e.at = now
-	if old, ok := e.tasks[s.Task.Index]; ok && old.status != encoder.StatusRunning && s.Status == encoder.StatusRunning {
-		return
+	row := started{s.Task.Index, s.Status, from, s.Body, s.Reason}
+	if old := e.find(s.Task.Index); old == nil {
+		e.tasks = append(e.tasks, row)
+	} else if s.Status != encoder.StatusRunning || old.status == encoder.StatusRunning {
+		*old = row
+	}
+}
+
+// find returns what is known of a task, or nil. Sidecars report tasks in the order of the index, so the search is short.
+func (e *evidence) find(index uint32) *started {
+	if e == nil {
+		return nil
+	}
+	for i := len(e.tasks) - 1; i >= 0; i-- {
+		if e.tasks[i].index == index {
+			return &e.tasks[i]
+		}
 	}
-	e.tasks[s.Task.Index] = started{from, s.Status, s.Body, s.Reason}
+	return nil
 }
 
 // resume goes on with a submission that a former owner may have worked on. Known results are used, running tasks are
@@ -67,15 +82,12 @@
 	}
 	c.claim(s.key)
 	c.rewind(s)
-	found := map[uint32]started{}
-	if e := c.takeover.evidence[s.key]; e != nil {
-		found = e.tasks
-		delete(c.takeover.evidence, s.key)
-	}
+	found := c.takeover.evidence[s.key]
+	delete(c.takeover.evidence, s.key)
 	complete := c.complete(s.key)
 	c.recover(s, found)
 	for i := 0; i < len(s.tasks); i++ {
-		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusDone {
+		if e := found.find(uint32(i)); e != nil && e.status == encoder.StatusDone {
 			c.taskEnded(s, i, c.sidecarOf(e.sidecar), e.status, e.body, e.reason, 0)
 		}
 	}
@@ -83,13 +95,17 @@
 		if s.tasks[i].state != taskQueued {
 			continue
 		}
-		e, ok := found[uint32(i)]
+		e := found.find(uint32(i))
 		switch {
-		case ok && e.status == encoder.StatusFailed:
+		case e != nil && e.status == encoder.StatusFailed:
 			c.taskEnded(s, i, c.sidecarOf(e.sidecar), e.status, nil, e.reason, 0)
-		case ok && e.status != encoder.StatusNotStarted:
-			c.taskEnded(s, i, c.sidecarOf(e.sidecar), encoder.StatusUnknown, nil, "the worker that had started the task was lost", 0)
-		case !ok && !complete:
+		case e != nil && e.status != encoder.StatusNotStarted:
+			reason := e.reason
+			if reason == "" {
+				reason = "the worker that had started the task was lost"
+			}
+			c.taskEnded(s, i, c.sidecarOf(e.sidecar), encoder.StatusUnknown, nil, reason, 0)
+		case e == nil && !complete:
 			c.taskEnded(s, i, nil, encoder.StatusUnknown, nil, "it is not known whether the task was started before", 0)
 		}
 	}
@@ -124,10 +140,10 @@
 }
 
 // recover repeats the starts of tasks that run on a known sidecar, which then sends their results to this entry.
-func (c *Core) recover(s *submission, found map[uint32]started) {
+func (c *Core) recover(s *submission, found *evidence) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if e, ok := found[uint32(i)]; ok && e.status == encoder.StatusRunning && t.state == taskQueued {
+		if e := found.find(uint32(i)); e != nil && e.status == encoder.StatusRunning && t.state == taskQueued {
 			sc := c.sidecarOf(e.sidecar)
 			if sc == nil || !step(taskChart, &t.state, eventRecover) {
 				continue
@@ -144,8 +160,11 @@
 }
 
 // sidecarOf returns the sidecar when this very incarnation is present.
-func (c *Core) sidecarOf(m encoder.Member) *sidecar {
-	if sc := c.sidecars[m.ID]; sc != nil && sc.hello.Member == m {
+func (c *Core) sidecarOf(m *encoder.Member) *sidecar {
+	if m == nil {
+		return nil
+	}
+	if sc := c.sidecars[m.ID]; sc != nil && sc.hello.Member == *m {
 		return sc
 	}
 	return nil
@@ -156,6 +175,8 @@
 	if m.Roster.Epoch > c.roster.Epoch && c.confirmed[StreamRoster] != 0 {
 		c.adoptFromPeer(m.Roster)
 	}
+	p.epoch = max(p.epoch, m.Roster.Epoch)
+	c.tickTakeover()
 	reply := &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
 	for _, sc := range c.sidecars {
 		reply.Sidecars = append(reply.Sidecars, sc.hello.Member)
@@ -284,7 +305,7 @@
 	}
 	if c.jobs[key] == nil {
 		for i := range m.Started {
-			c.takeover.add(&m.Started[i], encoder.Member{}, c.now)
+			c.takeover.add(&m.Started[i], nil, c.now)
 		}
 	}
 	c.route(waiter{}, encoder.RequestSubmit, m.Job, 0)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -64,6 +64,7 @@
 		settings Settings
 		self     encoder.Member
 		out      []Effect
+		unsent   []Effect // answers to peers that are sent again with the next tick
 		now      timer.Millis
 		seed     maphash.Seed
 		queue    scheduler.Scheduler
@@ -189,17 +190,24 @@
 // Unsent handles a message that surely did not leave the process.
 func (c *Core) Unsent(now timer.Millis, id SessionID, m encoder.Message) {
 	c.now = now
-	if start, ok := m.(*encoder.Start); ok {
-		c.startUnsent(id, start)
-	}
-	if f, ok := m.(*encoder.Forward); ok {
-		c.forwardUnsent(f.ID)
+	switch m := m.(type) {
+	case *encoder.Start:
+		c.startUnsent(id, m)
+	case *encoder.Forward:
+		c.forwardUnsent(m.ID)
+	case *encoder.ForwardAnswer:
+		// The peer asks again only on a new session, so the answer is sent again on this one.
+		if c.sessions[id] != nil {
+			c.unsent = append(c.unsent, Effect{Kind: EffectSend, Session: id, Message: m})
+		}
 	}
 }
 
 // Tick does what time alone brings about. It is to be called every few milliseconds.
 func (c *Core) Tick(now timer.Millis) {
 	c.now = now
+	c.out = append(c.out, c.unsent...)
+	c.unsent = nil
 	c.expire()
 	c.releaseDelayed()
 	c.flushClaims()
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -28,6 +28,7 @@
 	// claimsHistory is the number of claims records that a new entry reads.
 	claimsHistory = 50_000
 	historyKept   = 1000
+	teamPrefix    = "team/"
 )
 
 type (
@@ -381,12 +382,15 @@
 }
 
 func (e *Entry) setConfiguration(now timer.Millis, s configurer.Snapshot) {
+	old := e.snapshot
 	e.snapshot = s
-	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
-	for _, key := range s.Keys("team/") {
-		t := s.Team(key[len("team/"):])
-		e.core.queue.SetTeam(key[len("team/"):], t.Weight, t.Quota)
+	for _, key := range append(old.Keys(teamPrefix), s.Keys(teamPrefix)...) {
+		name := key[len(teamPrefix):]
+		if t := s.Team(name); t != old.Team(name) {
+			e.core.queue.SetTeam(name, t.Weight, t.Quota)
+		}
 	}
+	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
 }
 
 // read handles the end of a read of the log.
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -45,6 +45,10 @@
 }
 
 func (c *Core) forward(w waiter, r encoder.Request, job encoder.Job, hops uint32) {
+	if len(c.forwards) >= c.settings.MaxJobs || len(c.passed) >= c.settings.MaxKeys {
+		c.answer(w, failure(job.Key, encoder.CodeOverload, encoder.OutcomeUnknown, "too many forwarded requests"))
+		return
+	}
 	c.lastForward++
 	f := &forward{id: c.lastForward, waiter: w, request: r, job: job, hops: hops}
 	if job.Deadline > 0 {
@@ -197,7 +201,7 @@
 
 func (c *Core) witnessed(owner encoder.Member, keys []string) {
 	for _, key := range keys {
-		if len(key) <= c.settings.MaxKey {
+		if len(key) <= c.settings.MaxKey && len(c.passed) < c.settings.MaxKeys {
 			c.pass(key, owner)
 		}
 	}
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -183,7 +183,7 @@
 			continue
 		}
 		p := c.peerOf(e.Member.ID)
-		if gap > peerPeriod/2 {
+		if gap > ownPause {
 			// This entry itself was paused, so the silence says nothing about its peers.
 			p.heard = max(p.heard, c.now)
 		}
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -7,7 +7,7 @@
 
 const (
 	claimPeriod   = 25 * timer.Millis(1)
-	peerPeriod    = 200 * timer.Millis(1)
+	peerPeriod    = 100 * timer.Millis(1)
 	reportValid   = 500 * timer.Millis(1)
 	leaseTime     = 2 * timer.Second
 	leaseMargin   = 500 * timer.Millis(1)
@@ -24,11 +24,14 @@
 	// several confirmation periods, so that one slow read is no outage, and half of the lease.
 	logSilence = timer.Second
 
-	// redialAfter and silentAfter bound the detection of a dead peer: a new connection is tried after one missed
+	// redialAfter and silentAfter bound the detection of a dead peer: a new connection is tried after a missed
 	// heartbeat, and the peer is held for dead 0.3 s beyond its heartbeat.
-	redialAfter = 300 * timer.Millis(1)
+	redialAfter = 200 * timer.Millis(1)
 	silentAfter = peerPeriod + 300*timer.Millis(1)
 
+	// ownPause is the time between two ticks from which on the entry itself was paused.
+	ownPause = 200 * timer.Millis(1)
+
 	// lostWait is how long after its last sign of life a sidecar delays takeovers. Beyond it no entry has a session
 	// to the sidecar, so its lease has expired.
 	lostWait = timer.Minute
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -40,15 +40,16 @@
 		until  timer.Millis
 	}
 
-	// evidence lists the started tasks of a submission, by index.
+	// evidence lists the started tasks of a submission.
 	evidence struct {
 		at    timer.Millis
-		tasks map[uint32]started
+		tasks []started
 	}
 
 	started struct {
-		sidecar encoder.Member
+		index   uint32
 		status  encoder.Status
+		sidecar *encoder.Member // nil when the former owner told of it
 		body    []byte
 		reason  string
 	}
@@ -179,6 +180,9 @@
 func (c *Core) tickTakeover() {
 	t := &c.takeover
 	c.sweepTakeover()
+	if t.state == takeoverPartial && len(t.missing) == 0 {
+		step(takeoverChart, &t.state, eventAnswered)
+	}
 	if len(t.chain) == 0 || !c.joined {
 		return
 	}
