--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -56,7 +56,7 @@
 	row := started{s.Task.Index, s.Status, from, s.Body, s.Reason}
 	if old := e.find(s.Task.Index); old == nil {
 		e.tasks = append(e.tasks, row)
-	} else if s.Status != encoder.StatusRunning || old.status == encoder.StatusRunning {
+	} else if old.status != encoder.StatusDone && old.status != encoder.StatusFailed {
 		*old = row
 	}
 }
@@ -139,11 +139,13 @@
 	}
 }
 
-// recover repeats the starts of tasks that run on a known sidecar, which then sends their results to this entry.
+// recover repeats the starts of tasks that a known sidecar runs or whose results it keeps. It then sends the results to
+// this entry.
 func (c *Core) recover(s *submission, found *evidence) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if e := found.find(uint32(i)); e != nil && e.status == encoder.StatusRunning && t.state == taskQueued {
+		if e := found.find(uint32(i)); e != nil && t.state == taskQueued &&
+			(e.status == encoder.StatusRunning || e.status == encoder.StatusKept) {
 			sc := c.sidecarOf(e.sidecar)
 			if sc == nil || !step(taskChart, &t.state, eventRecover) {
 				continue
