Answer decisions when they are in force everywhere

Cause: an operator's answer came at the acceptance and said that processes lagged, although they obeyed 0.1 s later; and a misspelt failure domain was accepted silently. Change: the answer waits up to 3 s until every known process has the change and gives both times; decisions give the number of known sidecars in the domain, and the command line warns when there is none. The demo takes the time of acceptance from the answer and checks that the withdrawal is in force everywhere within 3 s. Conclusion: operators see when a decision is obeyed.

--- a/commander/decision.go
+++ b/commander/decision.go
@@ -12,7 +12,11 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-const historySearched = 1000
+const (
+	historySearched = 1000
+	// forceWait is the time in which an accepted change is to be in force everywhere.
+	forceWait = 3 * timer.Second
+)
 
 func (p *entryProcess) publish(ctx context.Context, n configurer.Note, dryRun bool) (server.Publication, error) {
 	begun := p.Entry.Clock.Now()
@@ -25,8 +29,9 @@
 	out.ID, out.Differences = n.ID, differences
 	if dryRun && out.Accepted {
 		out.Accepted, out.DryRun = false, true
+		return out, nil
 	}
-	return out, nil
+	return p.awaitForce(ctx, begun, out), nil
 }
 
 // differences lists what the note does to each key. The values before come from the notes that the entry has read; a
@@ -87,7 +92,7 @@
 	if d.State == dispatcher.PublicationAccepted || d.State == dispatcher.PublicationRecorded {
 		p.watch(domain, d.Offset+1)
 	}
-	return publication(d, p.Entry.Clock.Now()-begun), nil
+	return p.decided(ctx, domain, begun, d), nil
 }
 
 func (p *entryProcess) giveBack(ctx context.Context, domain, author string) (server.Publication, error) {
@@ -96,7 +101,42 @@
 	if err != nil {
 		return server.Publication{}, err
 	}
-	return publication(d, p.Entry.Clock.Now()-begun), nil
+	return p.decided(ctx, domain, begun, d), nil
+}
+
+// decided returns the answer to a decision on a failure domain, with the number of sidecars that it concerns.
+func (p *entryProcess) decided(ctx context.Context, domain string, begun timer.Millis, d dispatcher.Publication) server.Publication {
+	out := publication(d, p.Entry.Clock.Now()-begun)
+	out.Domain = domain
+	for _, s := range p.Entry.Status(ctx).Sidecars {
+		if s.Domain == domain {
+			out.Sidecars++
+		}
+	}
+	return p.awaitForce(ctx, begun, out)
+}
+
+// awaitForce waits a short time until every known process has an accepted change, because operators want to know that
+// rather than the acceptance alone.
+func (p *entryProcess) awaitForce(ctx context.Context, begun timer.Millis, out server.Publication) server.Publication {
+	if !out.Accepted {
+		return out
+	}
+	until := p.Entry.Clock.Now() + forceWait
+	for {
+		s, now := p.Entry.Status(ctx), p.Entry.Clock.Now()
+		if s.Entry.ID != "" && s.ConfigOffset > out.Offset {
+			out.Lagging = s.Lagging
+			if s.Lagging == 0 {
+				out.InForce = now - begun
+				return out
+			}
+		}
+		if now >= until || ctx.Err() != nil {
+			return out
+		}
+		time.Sleep(obeyPeriod)
+	}
 }
 
 // watch observes how long it takes until every connected sidecar of the domain has the configuration offset. At most
--- a/commander/demo.go
+++ b/commander/demo.go
@@ -39,7 +39,8 @@
 
 		withdrawn, accepted timer.Millis
 		returning, returned timer.Millis
-		messages, wasted    float64 // per task
+		inForce             timer.Millis // from the request to withdraw until all processes obeyed
+		messages, wasted    float64      // per task
 	}
 
 	// demoCall is one submission of a job and what came back.
@@ -106,11 +107,13 @@
 	d.until(ctx, demoWithdraw)
 	d.withdrawn = d.clock.Now()
 	r, err := d.layout.client(0).Withdraw(ctx, demoDomain, "demo")
-	d.accepted = d.clock.Now()
 	if err != nil {
 		return err
 	}
-	if p, err := server.DecodePublication(r.Body); err != nil || !p.Accepted {
+	p, err := server.DecodePublication(r.Body)
+	// The answer waits until the withdrawal is in force, so the time of its acceptance is taken from the answer.
+	d.accepted, d.inForce = d.withdrawn+p.Took, p.InForce
+	if err != nil || !p.Accepted {
 		return trace.Errorf("the withdrawal was not accepted: status %d, %s", r.Status, r.Body)
 	}
 	d.until(ctx, demoReturn)
--- a/commander/demo_test.go
+++ b/commander/demo_test.go
@@ -42,7 +42,7 @@
 	sound := func() *demo {
 		d := &demo{
 			jobs: []demoJob{{key: "a", tasks: []timer.Millis{50, 60}, other: -1}}, layout: &layout{},
-			withdrawn: 100, accepted: 110, returning: 9000, returned: 9010,
+			withdrawn: 100, accepted: 110, returning: 9000, returned: 9010, inForce: 300,
 		}
 		d.calls = []demoCall{{job: &d.jobs[0], status: 200, took: 61, answer: encoder.Answer{
 			Key: "a", State: encoder.JobComplete,
@@ -64,6 +64,7 @@
 			d.layout.recorder.starts = append(d.layout.recorder.starts, startRecord{"a", "a/0", "west", 30})
 		}, "started twice"},
 		{"late start", func(d *demo) { d.layout.recorder.starts[2].at = 3111 }, "after the withdrawal"},
+		{"not in force", func(d *demo) { d.inForce = 0 }, "not in force everywhere"},
 		{"no return", func(d *demo) { d.layout.recorder.starts[3].domain = "west" }, "after its return"},
 		{"no answer", func(d *demo) { d.calls[0].err = errors.New("cut off") }, "no whole answer"},
 		{"answer to another", func(d *demo) { d.calls[0].answer.Key = "b" }, `the answer to "b"`},
--- a/commander/demoreport.go
+++ b/commander/demoreport.go
@@ -19,6 +19,7 @@
 		ResponseP50, IdealP50                  float64
 		LastStart                              timer.Millis // from the acceptance of the withdrawal to the last start
 		Accepted                               timer.Millis // time to accept the withdrawal
+		InForce                                timer.Millis // time until all processes obeyed it
 		FirstStart                             timer.Millis // from the acceptance of the return to the first start
 		Messages, Wasted                       float64
 		Broken                                 []string
@@ -42,6 +43,7 @@
 		ResponseMs   float64  `json:"responseP50Ms"`
 		IdealMs      float64  `json:"idealP50Ms"`
 		AcceptedMs   int64    `json:"withdrawalAcceptedMs"`
+		InForceMs    int64    `json:"withdrawalInForceMs"`
 		LastStartMs  int64    `json:"lastStartAfterWithdrawalMs"`
 		FirstStartMs int64    `json:"firstStartAfterReturnMs"`
 		Messages     float64  `json:"taskMessagesPerTask"`
@@ -52,7 +54,7 @@
 
 // report compares what the callers got with what the backend servers saw.
 func (d *demo) report() demoReport {
-	r := demoReport{Jobs: len(d.jobs), Accepted: d.accepted - d.withdrawn, Messages: d.messages, Wasted: d.wasted}
+	r := demoReport{Jobs: len(d.jobs), Accepted: d.accepted - d.withdrawn, InForce: d.inForce, Messages: d.messages, Wasted: d.wasted}
 	starts := d.layout.recorder.list()
 	r.Starts = len(starts)
 	perTask, perJob := map[string]int{}, map[string]int{}
@@ -166,6 +168,9 @@
 			r.FirstStart = max(1, s.at-d.returned)
 		}
 	}
+	if r.InForce == 0 {
+		r.broken("the withdrawal was not in force everywhere %v after its acceptance", forceWait)
+	}
 	if r.FirstStart == 0 {
 		r.broken("no task started in %s after its return", demoDomain)
 	}
@@ -199,6 +204,7 @@
 		{"response time over ideal, p50, p99, max", fmt.Sprintf("%.3f, %.3f, %.3f", r.RatioP50, r.RatioP99, r.RatioMax)},
 		{"response time p50, ideal p50", fmt.Sprintf("%.0f ms, %.0f ms", r.ResponseP50, r.IdealP50)},
 		{"withdrawal accepted after", r.Accepted.String()},
+		{"in force on all processes after", r.InForce.String()},
 		{"last start in the withdrawn domain after that", r.LastStart.String()},
 		{"starts in it more than " + demoBound.String() + " after that", strconv.Itoa(r.Late)},
 		{"first start in it after its return", r.FirstStart.String()},
@@ -213,7 +219,7 @@
 		Jobs: r.Jobs, Complete: r.Complete, Failed: r.Failed, Running: r.Running, Resubmitted: r.Again, Tasks: r.Tasks,
 		Starts: r.Starts, StartedTwice: r.Twice, LateStarts: r.Late, OnceTasks: r.OnceTasks, OnceStarts: r.OnceStarts,
 		RatioP50: r.RatioP50, RatioP99: r.RatioP99, RatioMax: r.RatioMax, ResponseMs: r.ResponseP50, IdealMs: r.IdealP50,
-		AcceptedMs: int64(r.Accepted), LastStartMs: int64(r.LastStart), FirstStartMs: int64(r.FirstStart),
+		AcceptedMs: int64(r.Accepted), InForceMs: int64(r.InForce), LastStartMs: int64(r.LastStart), FirstStartMs: int64(r.FirstStart),
 		Messages: r.Messages, Wasted: r.Wasted, Broken: r.Broken,
 	}
 	if w.Broken == nil {
--- a/commander/operator.go
+++ b/commander/operator.go
@@ -113,12 +113,15 @@
 	case p.Provisional:
 		c.printf("in force, not yet recorded; %d processes do not obey it yet (%v)\n", p.Lagging, p.Took)
 	case p.Accepted && p.Lagging == 0:
-		c.printf("accepted at offset %d, in force everywhere (%v)\n", p.Offset, p.Took)
+		c.printf("accepted at offset %d after %v, in force everywhere after %v\n", p.Offset, p.Took, p.InForce)
 	case p.Accepted:
-		c.printf("accepted at offset %d, not in force on %d processes yet (%v)\n", p.Offset, p.Lagging, p.Took)
+		c.printf("accepted at offset %d after %v, not in force on %d processes yet\n", p.Offset, p.Took, p.Lagging)
 	default:
 		c.printf("recorded at offset %d, not accepted yet (%v)\n", p.Offset, p.Took)
 	}
+	if p.Domain != "" && p.Sidecars == 0 {
+		c.printf("no sidecar is known in failure domain %s; is the name right?\n", p.Domain)
+	}
 	return nil
 }
 
--- a/commander/program_test.go
+++ b/commander/program_test.go
@@ -122,7 +122,7 @@
 			return []server.Record{{Offset: 3, Refused: "newer", Note: configurer.Note{ID: "n", Withdrawn: []string{"domain/a"}}}}, nil
 		},
 		Withdraw: func(_ context.Context, domain, _ string) (server.Publication, error) {
-			return server.Publication{Provisional: true}, nil
+			return server.Publication{Provisional: true, Domain: domain}, nil
 		},
 		Return: func(context.Context, string, string) (server.Publication, error) {
 			return server.Publication{}, trace.CompareFailed("the log is down")
@@ -159,6 +159,7 @@
 		{"note publish", `{"x":1}`, 2, "x"},
 		{"note history", "", 0, "refused: newer"},
 		{"domain withdraw north", "", 0, "not yet recorded"},
+		{"domain withdraw north", "", 0, "is the name right"},
 		{"domain return north -json", "", 1, `"outcome":"notRun"`},
 		{"domain return north", "", 1, "the log is down"},
 		{"status", "", 0, "failure domain  north"},
--- a/server/client.go
+++ b/server/client.go
@@ -183,7 +183,10 @@
 	p := Publication{
 		ID: w.ID, DryRun: w.State == "dryRun", Accepted: w.State == "accepted", Recorded: w.State == "recorded",
 		Provisional: w.State == "provisional", Refused: w.State == "refused", Unknown: w.State == unknown,
-		Lagging: w.Lagging, Took: timer.Millis(w.TookMs),
+		Lagging: w.Lagging, Domain: w.Domain, Took: timer.Millis(w.TookMs), InForce: timer.Millis(w.InForceMs),
+	}
+	if w.Sidecars != nil {
+		p.Sidecars = *w.Sidecars
 	}
 	if w.Offset != nil {
 		p.Offset = *w.Offset
--- a/server/job.go
+++ b/server/job.go
@@ -234,7 +234,7 @@
 	e := json.NewEncoder(&b)
 	e.SetEscapeHTML(false) // the answer is never part of a page
 	err := e.Encode(w)
-	return b.Bytes(), err
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), err
 }
 
 // encodeResult gives bodies with control characters as base64 as well, because JSON needs six bytes for each.
--- a/server/note.go
+++ b/server/note.go
@@ -18,15 +18,18 @@
 	// Provisional, Refused, Unknown and DryRun is set; a dry run with findings is Refused.
 	Publication struct {
 		ID          string
-		Offset      uint64 // offset of the log record, when Accepted or Recorded
-		DryRun      bool   // the note is sound and was not published
-		Accepted    bool   // it is in the log and at least half of the roster reported it
-		Recorded    bool   // it is in the log
-		Provisional bool   // it is obeyed although the log has not recorded it yet
-		Refused     bool   // it is not in force and will not be
-		Unknown     bool   // it may be in the log or may get there yet
-		Lagging     int    // processes that are not known to obey it
-		Took        timer.Millis
+		Offset      uint64       // offset of the log record, when Accepted or Recorded
+		DryRun      bool         // the note is sound and was not published
+		Accepted    bool         // it is in the log and at least half of the roster reported it
+		Recorded    bool         // it is in the log
+		Provisional bool         // it is obeyed although the log has not recorded it yet
+		Refused     bool         // it is not in force and will not be
+		Unknown     bool         // it may be in the log or may get there yet
+		Lagging     int          // processes that are not known to obey it
+		Domain      string       // the failure domain that the decision is about; empty for a note
+		Sidecars    int          // known sidecars in that domain
+		Took        timer.Millis // until it was accepted
+		InForce     timer.Millis // until every known process obeyed it; 0 when that was not awaited or did not come
 		Findings    []Finding
 		Differences []Difference
 	}
@@ -59,7 +62,10 @@
 		Offset      *uint64          `json:"offset,omitempty"`
 		InForce     bool             `json:"inForce"`
 		Lagging     int              `json:"lagging"`
+		Domain      string           `json:"domain,omitempty"`
+		Sidecars    *int             `json:"sidecars,omitempty"`
 		TookMs      int64            `json:"tookMs"`
+		InForceMs   int64            `json:"inForceMs,omitempty"`
 		Reason      string           `json:"reason,omitempty"`
 		Findings    []findingWire    `json:"findings,omitempty"`
 		Differences []differenceWire `json:"differences,omitempty"`
@@ -87,7 +93,10 @@
 
 // EncodePublication maps a publication to JSON. The offset is given only when the log has recorded it.
 func EncodePublication(p Publication) ([]byte, error) {
-	w := publicationWire{ID: p.ID, TookMs: int64(p.Took), Lagging: p.Lagging}
+	w := publicationWire{ID: p.ID, TookMs: int64(p.Took), InForceMs: int64(p.InForce), Lagging: p.Lagging}
+	if p.Domain != "" {
+		w.Domain, w.Sidecars = p.Domain, &p.Sidecars
+	}
 	switch {
 	case p.Refused:
 		w.State, w.Outcome, w.Reason = "refused", notRun, "the change is refused"
