Keep the output of processes in a fault run

Change: faultrunner -logs writes the output of each process to a file; -patienceMs sets how long callers resubmit. Conclusion: the stuck job can now be followed.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -23,9 +23,12 @@
 	every := flag.Int64("faultMs", 1000, "mean time between faults, in ms")
 	rate := flag.Int("jobs", 20, "jobs submitted per second")
 	faults := flag.String("faults", "", "names of faults to draw from, separated by commas; all when empty")
+	patience := flag.Int64("patienceMs", 0, "time for which callers resubmit, in ms; 0 for the default of 40000")
+	logs := flag.String("logs", "", "directory for the output of the processes; none when empty")
 	flag.Parse()
 	os.Exit(run(injector.Plan{
 		Seed: *seed, Length: timer.Millis(*seconds) * timer.Second, FaultEvery: timer.Millis(*every), JobsPerSecond: *rate,
+		Patience: timer.Millis(*patience), Logs: *logs,
 		Faults: strings.FieldsFunc(*faults, func(c rune) bool { return c == ',' }),
 	}))
 }
--- a/injector/callers.go
+++ b/injector/callers.go
@@ -15,8 +15,8 @@
 const (
 	callTimeout   = 6 * time.Second
 	waitForAnswer = 4 * timer.Second
-	// patience is how long a caller resubmits a job before it gives up.
-	patience = 40 * time.Second
+	// defaultPatience is how long a caller resubmits a job before it gives up.
+	defaultPatience = 40 * timer.Second
 )
 
 // job is one submission and what its callers saw.
@@ -63,7 +63,7 @@
 	if err != nil {
 		panic(err) // a job made here is always encodable
 	}
-	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(u.plan.Patience.Duration()); time.Now().Before(end) && ctx.Err() == nil; {
 		entry := r.IntN(u.fleet.Entries)
 		client := server.Client{URL: u.fleet.EntryURL(entry), HTTP: u.http}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/injector/run.go
+++ b/injector/run.go
@@ -31,6 +31,8 @@
 		JobsPerSecond int          // default 20
 		FaultEvery    timer.Millis // mean time between faults; default 1 s
 		Faults        []string     // names of the faults to draw from; default all
+		Patience      timer.Millis // how long callers resubmit; default 40 s
+		Logs          string       // directory for the output of the processes; none when empty
 	}
 
 	run struct {
@@ -67,6 +69,11 @@
 	}
 	u.work(ctx)
 	u.check()
+	if p.Logs != "" {
+		if err := u.fleet.WriteLogs(p.Logs); err != nil {
+			return nil, err
+		}
+	}
 	return &u.report, nil
 }
 
@@ -77,6 +84,9 @@
 	if p.JobsPerSecond == 0 {
 		p.JobsPerSecond = 20
 	}
+	if p.Patience == 0 {
+		p.Patience = defaultPatience
+	}
 	if p.FaultEvery == 0 {
 		p.FaultEvery = timer.Second
 	}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +44,7 @@
 		ctx       context.Context
 		mu        sync.Mutex
 		processes map[string]*Process
+		ended     []*Process // replaced by newer ones of the same name
 		starts    []Start
 		logURL    string
 		backends  []string
@@ -140,6 +144,22 @@
 	return f.processes[name]
 }
 
+// WriteLogs writes the output of all processes so far into a directory, one file for each name.
+func (f *Fleet) WriteLogs(directory string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	texts := map[string]string{}
+	for _, p := range append(f.ended[:len(f.ended):len(f.ended)], slices.Collect(maps.Values(f.processes))...) {
+		texts[p.Name] += p.Tail(maxLines) + "\n"
+	}
+	for name, text := range texts {
+		if err := os.WriteFile(filepath.Join(directory, name+".log"), []byte(text), 0o600); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return nil
+}
+
 // Starts returns all starts so far, at backend servers that are alive and at those that were killed.
 func (f *Fleet) Starts() []Start {
 	f.mu.Lock()
@@ -197,6 +217,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if old := f.processes[name]; old != nil {
+		f.ended = append(f.ended, old)
+	}
 	f.processes[name] = p
 	return nil
 }
