Log the progress of a takeover

Cause: after a fault run nothing said why an entry worked with partial evidence. Change: the entry logs each state of a takeover and the sidecars whose evidence is missing.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -51,6 +51,7 @@
 		requests atomic.Uint64
 		member   atomic.Pointer[encoder.Member]
 		roster   atomic.Pointer[encoder.Roster]
+		takeover string // last logged state
 		address  string
 
 		// The fields below belong to the control goroutine.
@@ -270,6 +271,10 @@
 		e.Logger.Infof("entry: roster has epoch %d and %d members", r.Epoch, len(r.Entries))
 		e.roster.Store(&r)
 	}
+	if state := e.core.takeover.state; state != e.takeover {
+		e.takeover = state
+		e.Logger.Infof("entry: takeover is %s%s", state, e.core.takeover.lost())
+	}
 	if e.drained != nil && !e.core.joined && e.core.Idle() {
 		close(e.drained)
 		e.drained = nil
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/crocuslb/crocuslb/elector"
 	"github.com/crocuslb/crocuslb/encoder"
 	"github.com/crocuslb/crocuslb/timer"
@@ -336,6 +339,19 @@
 	return c.joined && !unknown
 }
 
+// lost describes the sidecars whose evidence is missing, for the log.
+func (t *takeover) lost() string {
+	if len(t.missing) == 0 {
+		return ""
+	}
+	names := make([]string, 0, len(t.missing))
+	for m := range t.missing {
+		names = append(names, m.ID)
+	}
+	slices.Sort(names)
+	return "; without the evidence of " + strings.Join(names, ", ")
+}
+
 func (c *Core) sweepTakeover() {
 	t := &c.takeover
 	old := c.now - c.settings.KeyRetention
