Tell apart keys that are younger than the loss of a sidecar

Cause: a sidecar that was lost, or a turnover of all entries, made every later takeover answer unfinished submissions as unknown for the whole key retention, because peers reported keys and lost sidecars without their ages, and a doubt about unknown sidecars was renewed with each takeover. Change: peer census replies carry the age of each key and the time since a sidecar was lost; doubts keep their time.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -181,42 +181,45 @@
 	c.tickTakeover()
 	reply := &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
 	for _, sc := range c.sidecars {
-		reply.Sidecars = append(reply.Sidecars, sc.hello.Member)
-	}
-	for gone := range c.gone {
-		reply.Sidecars = append(reply.Sidecars, gone)
+		lost := timer.Millis(0)
+		if sc.session == 0 {
+			lost = c.now - sc.down
+		}
+		reply.Sidecars = append(reply.Sidecars, encoder.KnownSidecar{Member: sc.hello.Member, Lost: lost})
 	}
-	for missing := range c.takeover.missing {
-		if missing != unknownSidecars {
-			reply.Sidecars = append(reply.Sidecars, missing)
+	for _, list := range []map[encoder.Member]timer.Millis{c.gone, c.takeover.missing} {
+		for m, at := range list {
+			if m != unknownSidecars {
+				reply.Sidecars = append(reply.Sidecars, encoder.KnownSidecar{Member: m, Lost: c.now - at})
+			}
 		}
 	}
-	if !c.vouches() {
-		reply.Sidecars = append(reply.Sidecars, unknownSidecars)
+	if last, doubts := c.doubts(); doubts {
+		reply.Sidecars = append(reply.Sidecars, encoder.KnownSidecar{Member: unknownSidecars, Lost: c.now - last})
 	}
-	add := func(key string) {
+	add := func(key string, first timer.Millis) {
 		owner, ok := elector.Owner(m.Roster, key)
 		if !ok || owner.Member != p.member {
 			return
 		}
-		if reply.Jobs = append(reply.Jobs, key); len(reply.Jobs) == keysPerMessage {
+		if reply.Jobs = append(reply.Jobs, encoder.KnownJob{Key: key, Age: c.now - first}); len(reply.Jobs) == keysPerMessage {
 			c.send(id, reply)
 			reply = &encoder.PeerCensusReply{Epoch: m.Roster.Epoch}
 		}
 	}
-	for key := range c.passed {
+	for key, passed := range c.passed {
 		if c.passedBeside(key, p.member) {
-			add(key)
+			add(key, passed.at)
 		}
 	}
 	for key, s := range c.jobs {
 		if s.state != stateHeld {
-			add(key)
+			add(key, s.arrived)
 		}
 	}
 	for key := range c.kept.byKey {
 		if !c.claims.seen.has(c.hash(key)) {
-			add(key) // the others learn of the older keys from the claims
+			add(key, 0) // the others learn of the older keys from the claims
 		}
 	}
 	reply.Last = true
@@ -230,16 +233,21 @@
 	}
 	t := &c.takeover
 	if t.keys == nil {
-		t.keys, t.reported = map[string]timer.Millis{}, map[encoder.Member]timer.Millis{}
+		t.keys, t.reported = map[string]reportedKey{}, map[encoder.Member]timer.Millis{}
 	}
-	for _, key := range m.Jobs {
-		t.keys[key] = c.now
+	for _, k := range m.Jobs {
+		// The peer measured the age after this entry adopted the roster, so the key is no older than this.
+		first := t.adopted - k.Age
+		if old, ok := t.keys[k.Key]; ok {
+			first = min(first, old.first)
+		}
+		t.keys[k.Key] = reportedKey{first: first, at: c.now}
 	}
 	for _, sc := range m.Sidecars {
-		if sc == unknownSidecars {
-			p.doubts = m.Epoch
-		} else if _, ok := t.reported[sc]; !ok {
-			t.reported[sc] = c.now
+		if sc.Member == unknownSidecars {
+			p.doubts, p.doubted = m.Epoch, c.now-sc.Lost
+		} else {
+			t.reported[sc.Member] = max(t.reported[sc.Member], c.now-sc.Lost)
 		}
 	}
 	if m.Last {
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -27,8 +27,9 @@
 		epoch    uint64       // highest epoch that any incarnation has reported
 		told     map[encoder.Member]bool
 		toldAll  timer.Millis
-		census   uint64 // epoch of the last complete answer to a peer census
-		doubts   uint64 // epoch of the last such answer that left sidecars open which it may not know
+		census   uint64       // epoch of the last complete answer to a peer census
+		doubts   uint64       // epoch of the last such answer that left sidecars open which it may not know
+		doubted  timer.Millis // last time at which sidecars that the peer does not know can have started tasks
 	}
 
 	sentPing struct {
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -34,10 +34,13 @@
 		reported map[encoder.Member]timer.Millis // sidecars that peers knew, too, by the answers to the peer census
 		missing  map[encoder.Member]timer.Millis // sidecars whose evidence is lost, with the last time they could start
 		stopped  map[encoder.Member]timer.Millis // entries that left the roster at their own request
-		keys     map[string]timer.Millis         // keys that peers reported
+		keys     map[string]reportedKey          // keys that peers reported
 		evidence map[string]*evidence
 	}
 
+	// reportedKey is a key that a peer reported. First is the earliest time at which a peer saw it.
+	reportedKey struct{ first, at timer.Millis }
+
 	pastRoster struct {
 		roster encoder.Roster
 		until  timer.Millis
@@ -125,9 +128,10 @@
 // complete reports whether every sidecar that can have started tasks of the key has told so. A sidecar that was lost
 // before the key was first seen cannot have started any.
 func (c *Core) complete(key string) bool {
-	first := timer.Millis(0)
-	if _, reported := c.takeover.keys[key]; !reported {
-		first = c.passed[key].at
+	passed, ok := c.passed[key]
+	first := passed.at
+	if k, reported := c.takeover.keys[key]; reported && (!ok || k.first < first) {
+		first = k.first
 	}
 	for _, lost := range c.takeover.missing {
 		if lost+seenMargin >= first {
@@ -260,17 +264,8 @@
 	t := &c.takeover
 	lost = map[encoder.Member]timer.Millis{}
 	check := func(m encoder.Member, last timer.Millis) {
-		if t.answered[m] >= c.roster.Epoch {
-			return
-		}
-		if _, seen := lost[m]; seen {
-			return
-		}
-		lost[m] = last
-		now := c.sidecars[m.ID]
-		replaced := now != nil && now.hello.Member.Incarnation > m.Incarnation
-		if !replaced && c.now-last < lostWait {
-			pending++
+		if t.answered[m] < c.roster.Epoch {
+			lost[m] = max(lost[m], last)
 		}
 	}
 	for _, sc := range c.sidecars {
@@ -286,13 +281,20 @@
 	for m, at := range t.others {
 		check(m, at)
 	}
-	if !c.vouches() {
+	if _, doubts := c.doubts(); doubts {
 		for m, at := range t.reported {
 			check(m, at)
 		}
 	}
-	if !c.trusted() {
-		check(unknownSidecars, c.now)
+	if last, ok := c.unknown(); ok {
+		check(unknownSidecars, last)
+	}
+	for m, last := range lost {
+		now := c.sidecars[m.ID]
+		replaced := now != nil && now.hello.Member.Incarnation > m.Incarnation
+		if !replaced && c.now-last < lostWait {
+			pending++
+		}
 	}
 	return pending, lost
 }
@@ -307,36 +309,47 @@
 	return true
 }
 
-// trusted reports whether this entry or a peer without doubts was a member of each former roster. A sidecar accepts
-// starts only when each member knows it, so one such member knows all sidecars that accepted starts under the roster.
-func (c *Core) trusted() bool {
+// unknown returns the last time at which a sidecar that nobody knows any more can have started tasks under the former
+// rosters. ok is false when there is none: a sidecar accepts starts only when each member knows it, so one member without
+// doubts that remains of each roster knows all of them.
+func (c *Core) unknown() (last timer.Millis, ok bool) {
 	for _, r := range c.takeover.chain {
-		remains := len(r.Entries) == 0
+		doubt, doubted := c.now, len(r.Entries) > 0
 		for _, e := range r.Entries {
-			now, ok := elector.Find(c.roster, e.Member.ID)
-			if !ok || now.Member != e.Member {
+			now, listed := elector.Find(c.roster, e.Member.ID)
+			if !listed || now.Member != e.Member {
 				continue
 			}
-			p := c.peers[e.Member.ID]
-			remains = remains || e.Member == c.self || p != nil && p.census == c.roster.Epoch && p.doubts < c.roster.Epoch
+			at, doubts := c.takeover.missing[unknownSidecars]
+			if e.Member != c.self {
+				p := c.peers[e.Member.ID]
+				if p == nil || p.census != c.roster.Epoch {
+					continue
+				}
+				at, doubts = p.doubted, p.doubts == c.roster.Epoch
+			}
+			doubt, doubted = min(doubt, at), doubted && doubts
 		}
-		if !remains {
-			return false
+		if doubted {
+			last, ok = max(last, doubt), true
 		}
 	}
-	return true
+	return last, ok
 }
 
-// vouches reports whether this entry itself knows all sidecars that accepted starts under the former rosters, save for
-// the missing ones.
-func (c *Core) vouches() bool {
+// doubts reports whether there may be sidecars that accepted starts under the former rosters and that this entry does
+// not know, and the last time at which they can have started tasks.
+func (c *Core) doubts() (last timer.Millis, ok bool) {
 	for _, r := range c.takeover.chain {
-		if me, ok := elector.Find(r, c.self.ID); len(r.Entries) > 0 && (!ok || me.Member != c.self) {
-			return false
+		if me, listed := elector.Find(r, c.self.ID); len(r.Entries) > 0 && (!listed || me.Member != c.self) {
+			return c.now, true
 		}
 	}
-	_, unknown := c.takeover.missing[unknownSidecars]
-	return c.joined && !unknown
+	if !c.joined {
+		return c.now, true
+	}
+	last, ok = c.takeover.missing[unknownSidecars]
+	return last, ok
 }
 
 // lost describes the sidecars whose evidence is missing, for the log.
@@ -373,8 +386,8 @@
 			}
 		}
 	}
-	for key, at := range t.keys {
-		if at < old {
+	for key, k := range t.keys {
+		if k.at < old {
 			delete(t.keys, key)
 		}
 	}
--- a/encoder/append.go
+++ b/encoder/append.go
@@ -111,6 +111,21 @@
 	return appendBool(b, 7, m.ConfigConfirmed)
 }
 
+func appendKnown(b []byte, m *PeerCensusReply) []byte {
+	var at int
+	for i := range m.Jobs {
+		b, at = begin(b, 2)
+		b = appendString(b, 1, m.Jobs[i].Key)
+		b = end(appendMillis(b, 2, m.Jobs[i].Age), at)
+	}
+	for i := range m.Sidecars {
+		b, at = begin(b, 3)
+		b = appendMember(b, 1, &m.Sidecars[i].Member)
+		b = end(appendMillis(b, 2, m.Sidecars[i].Lost), at)
+	}
+	return b
+}
+
 func appendJob(b []byte, n protowire.Number, m *Job) []byte {
 	b, at := begin(b, n)
 	b = appendString(b, 1, m.Key)
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -131,8 +131,7 @@
 		return appendRoster(append(dst, kindPeerCensus), 1, &m.Roster)
 	case *PeerCensusReply:
 		b := appendUint(append(dst, kindPeerCensusReply), 1, m.Epoch)
-		b = appendStrings(b, 2, m.Jobs)
-		b = appendMembers(b, 3, m.Sidecars)
+		b = appendKnown(b, m)
 		return appendBool(b, 4, m.Last)
 	case *Handover:
 		b := appendJob(append(dst, kindHandover), 1, &m.Job)
--- a/encoder/decode_peer.go
+++ b/encoder/decode_peer.go
@@ -109,9 +109,13 @@
 		case 1:
 			m.Epoch = r.uint64("epoch")
 		case 2:
-			r.jobs(&m.Jobs)
+			if j := grow(r, "jobs", &m.Jobs, MaxRows); j != nil {
+				r.knownJob(j)
+			}
 		case 3:
-			r.sidecars(&m.Sidecars)
+			if s := grow(r, "sidecars", &m.Sidecars, MaxSidecars); s != nil {
+				r.knownSidecar(s)
+			}
 		case 4:
 			m.Last = r.bool("last")
 		}
@@ -119,6 +123,32 @@
 	return m
 }
 
+func (r *reader) knownJob(m *KnownJob) {
+	o := r.enter("jobs", "KnownJob")
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Key = r.string("key", MaxKey)
+		case 2:
+			m.Age = r.millis("age")
+		}
+	}
+	r.leave(o)
+}
+
+func (r *reader) knownSidecar(m *KnownSidecar) {
+	o := r.enter("sidecars", "KnownSidecar")
+	for r.next() {
+		switch r.number {
+		case 1:
+			r.member("member", &m.Member)
+		case 2:
+			m.Lost = r.millis("lost")
+		}
+	}
+	r.leave(o)
+}
+
 func (r *reader) handover() *Handover {
 	m := &Handover{}
 	for r.message = "Handover"; r.next(); {
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -286,11 +286,23 @@
 	// the roster, and for the sidecars it knows.
 	PeerCensus struct{ Roster Roster }
 
+	// KnownJob is a submission key and the time since the sender first saw it.
+	KnownJob struct {
+		Key string
+		Age timer.Millis
+	}
+
+	// KnownSidecar is a sidecar and the time since the sender lost it, 0 while the sender has a session to it.
+	KnownSidecar struct {
+		Member Member
+		Lost   timer.Millis
+	}
+
 	// PeerCensusReply answers a PeerCensus. A reply has one or more parts; Last marks the final one.
 	PeerCensusReply struct {
 		Epoch    uint64
-		Jobs     []string
-		Sidecars []Member
+		Jobs     []KnownJob
+		Sidecars []KnownSidecar
 		Last     bool
 	}
 
--- a/injector/run.go
+++ b/injector/run.go
@@ -187,7 +187,8 @@
 	}
 	first := j.answers[0]
 	for _, a := range j.answers[1:] {
-		if a.State != first.State {
+		// A later "unknown" is allowed: the answer is lost when its owner and the sidecars that kept the results are.
+		if a.State != first.State && a.Outcome != encoder.OutcomeUnknown && first.Outcome != encoder.OutcomeUnknown {
 			r.violation(&r.ChangedAnswers, "%s: %d (%s), then %d (%s)", j.Key, first.State, first.Reason, a.State, a.Reason)
 		}
 	}
