--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -28,6 +28,7 @@
 	// claimsHistory is the number of claims records that a new entry reads.
 	claimsHistory = 50_000
 	historyKept   = 1000
+	teamPrefix    = "team/"
 )
 
 type (
@@ -50,6 +51,7 @@
 		requests atomic.Uint64
 		member   atomic.Pointer[encoder.Member]
 		roster   atomic.Pointer[encoder.Roster]
+		takeover string // last logged state
 		address  string
 
 		// The fields below belong to the control goroutine.
@@ -269,6 +271,10 @@
 		e.Logger.Infof("entry: roster has epoch %d and %d members", r.Epoch, len(r.Entries))
 		e.roster.Store(&r)
 	}
+	if state := e.core.takeover.state; state != e.takeover {
+		e.takeover = state
+		e.Logger.Infof("entry: takeover is %s%s", state, e.core.takeover.lost())
+	}
 	if e.drained != nil && !e.core.joined && e.core.Idle() {
 		close(e.drained)
 		e.drained = nil
@@ -381,12 +387,15 @@
 }
 
 func (e *Entry) setConfiguration(now timer.Millis, s configurer.Snapshot) {
+	old := e.snapshot
 	e.snapshot = s
-	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
-	for _, key := range s.Keys("team/") {
-		t := s.Team(key[len("team/"):])
-		e.core.queue.SetTeam(key[len("team/"):], t.Weight, t.Quota)
+	for _, key := range append(old.Keys(teamPrefix), s.Keys(teamPrefix)...) {
+		name := key[len(teamPrefix):]
+		if t := s.Team(name); t != old.Team(name) {
+			e.core.queue.SetTeam(name, t.Weight, t.Quota)
+		}
 	}
+	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
 }
 
 // read handles the end of a read of the log.
--- a/dispatcher/property_test.go
+++ b/dispatcher/property_test.go
@@ -124,14 +124,14 @@
 }
 
 func (w *world) finishOne(s *fake, status encoder.Status) {
-	tasks := slices.SortedFunc(maps.Keys(s.table), func(a, b encoder.TaskKey) int {
+	tasks := slices.SortedFunc(maps.Keys(s.ran), func(a, b encoder.TaskKey) int {
 		if a.Job != b.Job {
 			return strings.Compare(a.Job, b.Job)
 		}
 		return int(a.Index) - int(b.Index)
 	})
 	for _, k := range tasks {
-		if s.alive && s.table[k].status == encoder.StatusRunning {
+		if s.alive && s.ran[k] {
 			w.finish(s, k, status)
 			return
 		}
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocuslb/crocuslb/elector"
 	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/starter"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -44,23 +45,13 @@
 		read        map[string]int
 	}
 
-	// fake is a sidecar: a table of started tasks behind a start gate.
+	// fake is a sidecar's core with a backend server whose runs end when the test says so.
 	fake struct {
 		id          string
 		incarnation uint64
 		alive       bool
-		table       map[encoder.TaskKey]*ranTask
-		roster      encoder.Roster
-		lease       timer.Millis
-		acked       map[encoder.Member]bool
-		pings       map[uint64]timer.Millis
-		sequence    uint64
-	}
-
-	ranTask struct {
-		status encoder.Status
-		once   bool
-		from   SessionID
+		core        *starter.Core
+		ran         map[encoder.TaskKey]bool // the started tasks; true while they run
 	}
 
 	// link is a session. Messages wait in order, per direction; the first end is the dialing one.
@@ -139,8 +130,8 @@
 func (w *world) bootSidecar(s *fake) {
 	s.incarnation++
 	w.logf("boot %s/%d", s.id, s.incarnation)
-	s.alive, s.table, s.acked = true, map[encoder.TaskKey]*ranTask{}, map[encoder.Member]bool{}
-	s.roster, s.lease, s.pings = encoder.Roster{}, 0, map[uint64]timer.Millis{}
+	s.alive, s.ran = true, map[encoder.TaskKey]bool{}
+	s.core = &starter.Core{ID: s.id, Slots: 2}
 }
 
 func (w *world) logf(format string, args ...any) {
@@ -170,6 +161,8 @@
 	for _, id := range l.ends {
 		if n := w.entries[id]; n != nil && n.alive {
 			n.core.Down(w.now, l.id)
+		} else if s := w.sidecars[id]; s != nil && s.alive {
+			w.performSidecar(s, s.core.Disconnected(w.now, uint64(l.id)))
 		}
 	}
 }
@@ -188,9 +181,9 @@
 			if s.alive && n.alive && !n.paused && w.reaches(s.id, n.id) {
 				l := w.link(s.id, n.id)
 				n.core.Announce(w.now, encoder.Member{ID: s.id, Incarnation: s.incarnation})
-				s.acked[n.core.Self()] = true
 				n.core.Up(w.now, l.id, hello(s.id, s.incarnation))
-				w.push(l, 0, &encoder.Grant{Credits: 2})
+				ack := encoder.HelloAck{Member: n.core.Self(), Roster: n.core.Roster()}
+				w.performSidecar(s, s.core.Connected(w.now, uint64(l.id), &ack))
 			}
 		}
 	}
@@ -289,78 +282,38 @@
 			n.core.Message(w.now, l.id, m)
 			w.perform(n)
 		} else {
-			w.toSidecar(s, l, m)
+			w.performSidecar(s, s.core.Receive(w.now, uint64(l.id), m))
 		}
 	}
 }
 
-func (w *world) toSidecar(s *fake, l *link, m encoder.Message) {
-	switch m := m.(type) {
-	case *encoder.Pong:
-		if m.Confirmed {
-			s.lease = max(s.lease, s.pings[m.Sequence]-m.Age+leaseTime)
-		}
-		if m.Roster.Epoch > s.roster.Epoch {
-			s.roster = m.Roster
-		}
-	case *encoder.Census:
-		if m.Roster.Epoch < s.roster.Epoch {
-			return
-		}
-		s.roster = m.Roster
-		reply := &encoder.CensusReply{Epoch: m.Roster.Epoch, Last: true}
-		for task, r := range s.table {
-			if owner, ok := elector.Owner(m.Roster, task.Job); ok && owner.Member.ID == l.ends[1] {
-				started := encoder.StartedTask{Task: task, Status: r.status}
-				if r.status == encoder.StatusDone {
-					started.Body = resultOf(task)
-				}
-				reply.Started = append(reply.Started, started)
+// performSidecar carries out the effects of a sidecar's core. It checks that no task starts twice.
+func (w *world) performSidecar(s *fake, effects []starter.Effect) {
+	for _, f := range slices.Clone(effects) {
+		switch l := w.find(SessionID(f.Session)); f.Kind {
+		case starter.EffectSend:
+			if l != nil {
+				w.push(l, 0, f.Message)
 			}
+		case starter.EffectReset:
+			if l != nil {
+				w.breakLink(l)
+			}
+		case starter.EffectRun:
+			task := f.Run.Task
+			s.ran[task] = true
+			w.starts[task]++
+			w.logf("start of %v at %s in epoch %d", task, s.id, s.core.Roster().Epoch)
+			if w.starts[task] > 1 {
+				w.t.Fatalf("task %v started twice", task)
+			}
+			c := w.jobs[task.Job]
+			if c.refused && c.open == 0 {
+				w.t.Fatalf("task %v started after the answer \"not run\"", task)
+			}
+			owner, _ := elector.Owner(s.core.Roster(), task.Job)
+			c.starter = owner.Member
 		}
-		w.push(l, 0, reply)
-	case *encoder.Start:
-		w.start(s, l, m)
-	}
-}
-
-func (w *world) start(s *fake, l *link, m *encoder.Start) {
-	refuse := func(r encoder.RefusalReason) {
-		w.push(l, 0, &encoder.Refusal{Task: m.Task, Reason: r, Epoch: s.roster.Epoch, Credits: 1})
-	}
-	if r := s.table[m.Task]; r != nil {
-		r.from = l.id
-		if r.status == encoder.StatusRunning {
-			refuse(encoder.RefusalDuplicate)
-		} else {
-			w.push(l, 0, &encoder.Result{Task: m.Task, Status: r.status, Body: resultOf(m.Task), Credits: 1})
-		}
-		return
-	}
-	owner, ok := elector.Owner(s.roster, m.Task.Job)
-	switch {
-	case m.Epoch < s.roster.Epoch:
-		refuse(encoder.RefusalStaleEpoch)
-		return
-	case !ok || owner.Member != m.Owner:
-		refuse(encoder.RefusalNotOwner)
-		return
-	case s.lease < w.now:
-		refuse(encoder.RefusalLeaseExpired)
-		return
-	case slices.ContainsFunc(s.roster.Entries, func(e encoder.RosterEntry) bool { return !s.acked[e.Member] }):
-		refuse(encoder.RefusalNotAnnounced)
-		return
-	}
-	s.table[m.Task] = &ranTask{status: encoder.StatusRunning, once: m.Once, from: l.id}
-	w.starts[m.Task]++
-	w.logf("start of %v by %v in epoch %d at %s", m.Task, m.Owner, m.Epoch, s.id)
-	if w.starts[m.Task] > 1 {
-		w.t.Fatalf("task %v started twice", m.Task)
-	}
-	w.jobs[m.Task.Job].starter = m.Owner
-	if c := w.jobs[m.Task.Job]; c.refused && c.open == 0 {
-		w.t.Fatalf("task %v started after the answer \"not run\"", m.Task)
 	}
 }
 
@@ -396,7 +349,8 @@
 		held := known[task.Job] || count == 0
 		for _, s := range w.sidecars {
 			apart := slices.ContainsFunc(w.nodes(), func(n *node) bool { return w.far[n.id] != w.far[s.id] })
-			held = held || s.alive && !apart && s.id != without && s.table[task] != nil
+			_, ran := s.ran[task]
+			held = held || s.alive && !apart && s.id != without && ran
 		}
 		if !held {
 			return false
@@ -407,15 +361,12 @@
 
 // finish ends a running task.
 func (w *world) finish(s *fake, task encoder.TaskKey, status encoder.Status) {
-	r := s.table[task]
+	s.ran[task] = false
 	if status == encoder.StatusNotStarted {
-		delete(s.table, task)
+		delete(s.ran, task)
 		w.starts[task]--
 	}
-	r.status = status
-	if l := w.find(r.from); l != nil {
-		w.push(l, 0, &encoder.Result{Task: task, Status: status, Body: resultOf(task), Ran: 1, Credits: 1})
-	}
+	w.performSidecar(s, s.core.Ended(w.now, task, starter.Outcome{Status: status, Body: resultOf(task), Ran: 1}))
 }
 
 func (w *world) submit(n *node, key string) {
@@ -519,12 +470,8 @@
 	w.links = slices.DeleteFunc(w.links, func(l *link) bool { return l.down })
 	w.connect()
 	for _, s := range w.fakes() {
-		for _, l := range w.links {
-			if s.alive && l.ends[0] == s.id && w.now/300 != (w.now-d)/300 {
-				s.sequence++
-				s.pings[s.sequence] = w.now
-				w.push(l, 0, &encoder.Ping{Sequence: s.sequence})
-			}
+		if s.alive {
+			w.performSidecar(s, s.core.Tick(w.now))
 		}
 	}
 	for _, n := range w.nodes() {
