--- a/dispatcher/property_test.go
+++ b/dispatcher/property_test.go
@@ -57,7 +57,7 @@
 	nodes, fakes := w.nodes(), w.fakes()
 	n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(w.t, "entry")]
 	s := fakes[rapid.IntRange(0, len(fakes)-1).Draw(w.t, "sidecar")]
-	switch rapid.IntRange(0, 29).Draw(w.t, "event") {
+	switch rapid.IntRange(0, 31).Draw(w.t, "event") {
 	case 0:
 		w.outage = !w.outage
 		w.logf("outage %v", w.outage)
@@ -107,6 +107,11 @@
 		if len(w.appends) > 0 {
 			w.resolve(rapid.IntRange(0, len(w.appends)-1).Draw(w.t, "append"), rapid.IntRange(0, 3).Draw(w.t, "lost") == 0)
 		}
+	case 20:
+		if n.alive && !n.paused {
+			out := rapid.IntRange(0, 3).Draw(w.t, "withdraw") > 0
+			w.publish(n, out)
+		}
 	default:
 		for _, l := range slices.Clone(w.links) {
 			if k := rapid.IntRange(-1, 6).Draw(w.t, "messages"); k > 0 {
@@ -138,7 +143,17 @@
 	}
 }
 
-// heal ends all failures.
+// publish withdraws the domain of the first sidecar or returns it.
+func (w *world) publish(n *node, out bool) {
+	if out {
+		n.core.Publish(w.now, 1, []byte{1}, "s0", "ann")
+	} else {
+		n.core.Publish(w.now, 1, []byte{0}, "", "ann")
+	}
+	w.perform(n)
+}
+
+// heal ends all failures, lets provisional withdrawals be recorded, and returns the domain.
 func (w *world) heal() {
 	w.outage = false
 	clear(w.far)
@@ -153,6 +168,9 @@
 			w.bootSidecar(s)
 		}
 	}
+	w.settle(500)
+	w.log[StreamConfiguration] = append(w.log[StreamConfiguration], logRecord{})
+	w.accepted = 0
 }
 
 // settle lets everything run without failures for a number of steps of 10 ms.
@@ -222,3 +240,45 @@
 	})
 	t.Log("tasks started:", starts)
 }
+
+// TestWithdrawal guards the bound of 3 s between the acceptance of a withdrawal and the last start in the domain, while
+// entries are paused, cut off from the log or partitioned.
+func TestWithdrawal(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3, 2)
+		for i := range 60 {
+			w.jobs["k"+strconv.Itoa(i)] = &caller{job: job("k"+strconv.Itoa(i), 2)}
+		}
+		w.settle(40)
+		w.outage = rapid.IntRange(0, 9).Draw(t, "outage") == 0
+		for _, id := range []string{"e0", "e1", "e2", "s0"} {
+			if rapid.Bool().Draw(t, "far") {
+				w.cross(id)
+			}
+		}
+		for _, n := range w.nodes() {
+			n.cut = w.far[n.id] || rapid.IntRange(0, 9).Draw(t, "cut") == 0
+		}
+		w.settle(rapid.SampledFrom([]int{0, 10, 60, 200}).Draw(t, "before"))
+		if rapid.IntRange(0, 3).Draw(t, "pause") == 0 {
+			w.nodes()[rapid.IntRange(0, 2).Draw(t, "entry")].paused = true
+		}
+		w.publish(w.nodes()[rapid.IntRange(0, 2).Draw(t, "at")], true)
+		for i := range 60 {
+			if n := w.nodes()[i%3]; !n.paused {
+				w.submit(n, "k"+strconv.Itoa(i))
+			}
+			w.settle(10)
+			if rapid.IntRange(0, 149).Draw(t, "heal") == 0 {
+				w.outage = false
+				clear(w.far)
+				for _, n := range w.nodes() {
+					n.cut, n.paused = false, false
+				}
+			}
+		}
+		accepted += w.outcomes["withdrawals"]
+	})
+	t.Log("withdrawals accepted:", accepted)
+}
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -72,8 +72,17 @@
 	return e.publish(ctx, func() (configurer.Note, string) { return e.domainNote(domain, author, false), domain }, false)
 }
 
-// Return puts a failure domain back into service.
+// Return puts a failure domain back into service. A withdrawal that is not recorded yet has to be recorded first.
 func (e *Entry) Return(ctx context.Context, domain, author string) (Publication, error) {
+	var provisional bool
+	if err := e.call(ctx, func() { _, provisional = e.core.domains.provisional[domain] }); err != nil {
+		return Publication{State: PublicationUnknown}, err
+	}
+	if provisional {
+		return Publication{State: PublicationRefused, Findings: []configurer.Finding{{
+			Place: "domain/" + domain, Text: "the withdrawal of the domain is not recorded in the log yet",
+		}}}, nil
+	}
 	return e.publish(ctx, func() (configurer.Note, string) { return e.domainNote(domain, author, true), "" }, false)
 }
 
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -14,6 +14,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// withdrawalBound is the requirement for the last start after a withdrawal was accepted.
+const withdrawalBound = 3 * timer.Second
+
 type (
 	// world holds entry cores, fake sidecars and a log in virtual time. rapid draws what happens next.
 	world struct {
@@ -30,6 +33,7 @@
 		starts   map[encoder.TaskKey]int
 		jobs     map[string]*caller
 		request  uint64
+		accepted timer.Millis // when the withdrawal of the first sidecar's domain was accepted; 0 while it is in force
 		asked    map[uint64]string
 		outcomes map[string]int
 	}
@@ -66,6 +70,7 @@
 	logRecord struct {
 		change elector.Change
 		claims elector.Claims
+		out    bool // configuration: the domain of the first sidecar is withdrawn
 	}
 
 	pendingAppend struct {
@@ -124,7 +129,10 @@
 	n.incarnation += 1000
 	w.logf("boot %s/%d", n.id, n.incarnation)
 	n.alive, n.paused, n.dials, n.read = true, false, map[string]bool{}, map[string]int{}
-	n.core = New(Settings{Member: encoder.Member{ID: n.id, Incarnation: n.incarnation}, Address: n.id})
+	n.core = New(Settings{
+		Member: encoder.Member{ID: n.id, Incarnation: n.incarnation}, Address: n.id,
+		WithdrawRecord: func(string, string) []byte { return []byte{1} },
+	})
 }
 
 func (w *world) bootSidecar(s *fake) {
@@ -181,7 +189,9 @@
 			if s.alive && n.alive && !n.paused && w.reaches(s.id, n.id) {
 				l := w.link(s.id, n.id)
 				n.core.Announce(w.now, encoder.Member{ID: s.id, Incarnation: s.incarnation})
-				n.core.Up(w.now, l.id, hello(s.id, s.incarnation))
+				h := hello(s.id, s.incarnation)
+				h.Domain = s.id
+				n.core.Up(w.now, l.id, h)
 				ack := encoder.HelloAck{Member: n.core.Self(), Roster: n.core.Roster()}
 				w.performSidecar(s, s.core.Connected(w.now, uint64(l.id), &ack))
 			}
@@ -231,6 +241,14 @@
 
 // perform carries out the effects of a core.
 func (w *world) perform(n *node) {
+	for _, p := range n.core.Published() {
+		log := w.log[StreamConfiguration]
+		w.logf("publication of %s: %+v", n.id, p.Publication)
+		if p.Publication.State == PublicationAccepted && p.Publication.Offset+1 == uint64(len(log)) && log[len(log)-1].out {
+			w.accepted = w.now
+			w.outcomes["withdrawals"]++
+		}
+	}
 	for effects := slices.Clone(n.core.Take()); len(effects) > 0; effects = slices.Clone(n.core.Take()) {
 		for _, f := range effects {
 			switch f.Kind {
@@ -304,6 +322,9 @@
 			s.ran[task] = true
 			w.starts[task]++
 			w.logf("start of %v at %s in epoch %d", task, s.id, s.core.Roster().Epoch)
+			if s.id == "s0" && w.accepted != 0 && w.now-w.accepted > withdrawalBound {
+				w.t.Fatalf("start of %v %v after the withdrawal was accepted", task, w.now-w.accepted)
+			}
 			if w.starts[task] > 1 {
 				w.t.Fatalf("task %v started twice", task)
 			}
@@ -415,50 +436,6 @@
 	}
 }
 
-// resolve ends an append: it takes effect or not, and the entry learns so or not.
-func (w *world) resolve(i int, lost bool) {
-	p := w.appends[i]
-	w.appends = slices.Delete(w.appends, i, i+1)
-	var offset uint64
-	cut := w.outage || p.by.cut
-	var r logRecord
-	switch p.f.Stream {
-	case StreamRoster:
-		r.change, _ = elector.DecodeChange(p.f.Body)
-		cut = cut || r.change.Kind == elector.ChangeRemove && !w.spared(r.change.Entry.Member.ID)
-	case StreamClaims:
-		r.claims, _ = elector.DecodeClaims(p.f.Body)
-	}
-	if !cut {
-		offset = uint64(len(w.log[p.f.Stream]))
-		w.log[p.f.Stream] = append(w.log[p.f.Stream], r)
-		w.logf("%s record %d of %s: %+v", p.f.Stream, offset, p.by.id, r)
-	}
-	if p.by.core == p.core && p.by.alive {
-		p.core.Appended(w.now, p.f.Tag, offset, !cut && !lost, lost)
-		w.perform(p.by)
-	}
-}
-
-// readLog brings an entry up to the head of the log.
-func (w *world) readLog(n *node) {
-	if w.outage || n.cut {
-		return
-	}
-	for _, stream := range []string{StreamConfiguration, StreamRoster, StreamClaims} {
-		for ; n.read[stream] < len(w.log[stream]); n.read[stream]++ {
-			r := w.log[stream][n.read[stream]]
-			if stream == StreamRoster {
-				n.core.RosterRecord(w.now, uint64(n.read[stream]), r.change)
-			} else {
-				n.core.ClaimsRecord(w.now, r.claims)
-			}
-		}
-		n.core.Confirmed(w.now, stream, w.now)
-	}
-	w.perform(n)
-}
-
 // pass lets time pass. Processes that are not paused do what time brings about.
 func (w *world) pass(d timer.Millis) {
 	w.now += d
