Answer waiting requests before the drain time ends

Cause: a request that still waited at the end of the drain time was cut off, and a panic in a handler left no trace. Change: when four fifths of the drain time have passed, waiting submissions are answered with running. Faults of the HTTP server go to the log.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -43,6 +43,8 @@
 	listener server.Listener
 	leaving  atomic.Bool
 	watchers chan struct{}
+	hurry    context.Context // ends when the drain time is nearly over
+	hurryUp  context.CancelFunc
 }
 
 func runEntry(ctx context.Context, c call) int {
@@ -101,6 +103,7 @@
 // start binds the HTTP listener and returns its address.
 func (p *entryProcess) start(ctx context.Context) (string, error) {
 	p.watchers = make(chan struct{}, obeyWatchers)
+	p.hurry, p.hurryUp = context.WithCancel(context.WithoutCancel(ctx))
 	p.metrics.Burn(&p.Reporter, p.Entry.Clock)
 	s := &server.Server{
 		Submit: p.submit, Get: p.Entry.Get, Cancel: p.Entry.Cancel,
@@ -114,12 +117,16 @@
 	if err != nil {
 		return "", err
 	}
-	p.listener = server.Listener{Handler: h, Connections: p.Connections, Guarded: p.Guarded}
+	p.listener = server.Listener{
+		Handler: h, Connections: p.Connections, Guarded: p.Guarded,
+		Report: func(text string) { p.Entry.Logger.Warn("entry: HTTP server: " + text) },
+	}
 	return p.listener.Listen(ctx, p.Address)
 }
 
 // serve runs the entry until ctx ends, and then drains it: new jobs are refused, submissions are handed over, and
-// requests in flight are answered, all within the drain time.
+// requests in flight are answered, all within the drain time. Requests that still wait when four fifths of it have passed
+// are answered with "running" rather than cut off.
 func (p *entryProcess) serve(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -136,18 +143,24 @@
 		p.leaving.Store(true)
 		p.Entry.Logger.Info("entry: draining")
 	}
-	draining, cancel := context.WithTimeout(running, p.Drain.Duration())
+	closing, cancel := context.WithTimeout(running, p.Drain.Duration())
+	defer cancel()
+	draining, cancel := context.WithTimeout(closing, (p.Drain * 4 / 5).Duration())
 	defer cancel()
 	errs := []error{err}
 	if err == nil {
 		errs = append(errs, p.Entry.Drain(draining))
 	}
-	errs = append(errs, p.listener.Shutdown(draining))
+	p.hurryUp()
+	errs = append(errs, p.listener.Shutdown(closing))
 	stop()
 	return trace.NewAggregate(append(errs, <-entry, <-web)...)
 }
 
 func (p *entryProcess) submit(ctx context.Context, j encoder.Job) encoder.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.hurry, cancel)()
 	begun := p.Entry.Clock.Now()
 	a := p.Entry.Submit(ctx, j)
 	now := p.Entry.Clock.Now()
--- a/server/listener.go
+++ b/server/listener.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/netutil"
@@ -30,12 +30,16 @@
 		Handler http.Handler
 		// Connections bounds the open connections; 0 means 4,096.
 		Connections int
+		// Report is told about faults of the HTTP server itself, such as panics in handlers. It may be nil.
+		Report func(text string)
 		// Guarded says that the process has keys. Without keys only loopback addresses are accepted.
 		Guarded bool
 
 		server *http.Server
 		bound  net.Listener
 	}
+
+	reportWriter func(text string)
 )
 
 // Listen binds the address and returns the bound one. Nothing is served before Serve.
@@ -61,12 +65,23 @@
 		Handler: l.Handler, MaxHeaderBytes: maxHeader,
 		ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(),
 		WriteTimeout: writeTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
-		// Faults of single connections are the callers' and would flood the log.
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog: log.New(reportWriter(l.report), "", 0),
 	}
 	return bound.Addr().String(), nil
 }
 
+func (l *Listener) report(text string) {
+	if l.Report != nil {
+		l.Report(text)
+	}
+}
+
+// Write implements io.Writer.
+func (w reportWriter) Write(line []byte) (int, error) {
+	w(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // Serve serves until Shutdown is called. It must follow a successful Listen.
 func (l *Listener) Serve() error {
 	if err := l.server.Serve(l.bound); !errors.Is(err, http.ErrServerClosed) {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -106,6 +106,51 @@
 	}
 }
 
+// Headers that contradict each other or the body make the request malformed as well.
+func TestMalformedHeaders(t *testing.T) {
+	for _, tc := range []struct {
+		headers []string
+		status  int
+	}{
+		{[]string{"Idempotency-Key", "a", "Idempotency-Key", "a"}, 400},
+		{[]string{"Idempotency-Key", "a", "Content-Type", "text/plain"}, 415},
+		{[]string{"Idempotency-Key", "a", "Content-Type", "application/json; charset"}, 415},
+	} {
+		w := request(t, &Server{}, "POST", "/v1/jobs", `{"tasks":[{"kind":"k"}]}`, tc.headers...)
+		if w.Code != tc.status || !strings.Contains(w.Body.String(), `"outcome":"notRun"`) {
+			t.Errorf("%q: got %d %s, want %d and not run", tc.headers, w.Code, w.Body, tc.status)
+		}
+	}
+}
+
+// deadlineRecorder records what the server does to the deadline of the connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (d *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+// The read timeout of the listener is shorter than the longest wait. If it stayed in force after the body was read, it
+// would end the request's context, and the caller would get "running" early.
+func TestReadTimeoutEndsWithTheBody(t *testing.T) {
+	s := &Server{Submit: func(context.Context, encoder.Job) encoder.Answer { return encoder.Answer{State: encoder.JobRunning} }}
+	h, err := s.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(`{"tasks":[{"kind":"k"}]}`))
+	r.Header.Set("Idempotency-Key", "k")
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: time.Now()}
+	h.ServeHTTP(w, r)
+	if w.Code != 202 || !w.deadline.IsZero() {
+		t.Errorf("got %d and read deadline %v, want 202 and none", w.Code, w.deadline)
+	}
+}
+
 func TestJobReachesSubmit(t *testing.T) {
 	var got encoder.Job
 	s := &Server{Submit: func(ctx context.Context, j encoder.Job) encoder.Answer {
