--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/crocuslb/crocuslb/elector"
 	"github.com/crocuslb/crocuslb/encoder"
 	"github.com/crocuslb/crocuslb/timer"
@@ -40,15 +43,16 @@
 		until  timer.Millis
 	}
 
-	// evidence lists the started tasks of a submission, by index.
+	// evidence lists the started tasks of a submission.
 	evidence struct {
 		at    timer.Millis
-		tasks map[uint32]started
+		tasks []started
 	}
 
 	started struct {
-		sidecar encoder.Member
+		index   uint32
 		status  encoder.Status
+		sidecar *encoder.Member // nil when the former owner told of it
 		body    []byte
 		reason  string
 	}
@@ -179,6 +183,9 @@
 func (c *Core) tickTakeover() {
 	t := &c.takeover
 	c.sweepTakeover()
+	if t.state == takeoverPartial && len(t.missing) == 0 {
+		step(takeoverChart, &t.state, eventAnswered)
+	}
 	if len(t.chain) == 0 || !c.joined {
 		return
 	}
@@ -332,6 +339,19 @@
 	return c.joined && !unknown
 }
 
+// lost describes the sidecars whose evidence is missing, for the log.
+func (t *takeover) lost() string {
+	if len(t.missing) == 0 {
+		return ""
+	}
+	names := make([]string, 0, len(t.missing))
+	for m := range t.missing {
+		names = append(names, m.ID)
+	}
+	slices.Sort(names)
+	return "; without the evidence of " + strings.Join(names, ", ")
+}
+
 func (c *Core) sweepTakeover() {
 	t := &c.takeover
 	old := c.now - c.settings.KeyRetention
--- a/injector/run.go
+++ b/injector/run.go
@@ -31,6 +31,8 @@
 		JobsPerSecond int          // default 20
 		FaultEvery    timer.Millis // mean time between faults; default 1 s
 		Faults        []string     // names of the faults to draw from; default all
+		Patience      timer.Millis // how long callers resubmit; default 40 s
+		Logs          string       // directory for the output of the processes; none when empty
 	}
 
 	run struct {
@@ -67,6 +69,11 @@
 	}
 	u.work(ctx)
 	u.check()
+	if p.Logs != "" {
+		if err := u.fleet.WriteLogs(p.Logs); err != nil {
+			return nil, err
+		}
+	}
 	return &u.report, nil
 }
 
@@ -77,6 +84,9 @@
 	if p.JobsPerSecond == 0 {
 		p.JobsPerSecond = 20
 	}
+	if p.Patience == 0 {
+		p.Patience = defaultPatience
+	}
 	if p.FaultEvery == 0 {
 		p.FaultEvery = timer.Second
 	}
@@ -172,6 +182,7 @@
 	r := &u.report
 	if len(j.answers) == 0 {
 		r.NoAnswer++
+		u.detail("%s: no answer after %d calls and %d starts; last: %s", j.Key, j.calls, starts, j.last)
 		return
 	}
 	first := j.answers[0]
@@ -270,6 +281,11 @@
 func (u *run) note(format string, args ...any) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.detail(format, args...)
+}
+
+// detail adds a line to the report. The caller holds the lock.
+func (u *run) detail(format string, args ...any) {
 	if len(u.report.Details) < maxDetails {
 		u.report.Details = append(u.report.Details, fmt.Sprintf(format, args...))
 	}
