--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/messenger"
 )
 
 const (
@@ -150,6 +153,12 @@
 // EntryURL returns the base URL of entry i.
 func (f *Fleet) EntryURL(i int) string { return "http://" + f.http[i] }
 
+// EntryAddress returns the address at which sidecars reach entry i.
+func (f *Fleet) EntryAddress(i int) string { return f.quic[i] }
+
+// Keys returns the keys of the sessions between the processes.
+func (f *Fleet) Keys() (*tls.Config, error) { return messenger.Keys(secret) }
+
 // BackendURL returns the base URL of backend server i.
 func (f *Fleet) BackendURL(i int) string { return f.backends[i] }
 
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -124,6 +124,9 @@
 	return strings.Join(p.lines[max(0, len(p.lines)-n):], "\n")
 }
 
+// PID returns the identifier that the operating system gave to the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Kill ends the process at once.
 func (p *Process) Kill() { p.signal(syscall.SIGKILL) }
 
