Trust the arrival time of a submission only while claims are readable

Cause: a submission that was first forwarded by an entry that died counted as new at the entry where the caller submitted it again, so a task could start twice when its sidecar, its owner and the first entry had all failed. Change: an arrival counts as the first one only when the claims were read within the last second, hold no such key, and the log was reachable for 10 s; the margin to the loss of the sidecar is 5 s, before 1 s. Conclusion: more answers are "unknown" after losses during a log outage; starts stay single while a claim or a trace is left.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -13,6 +13,9 @@
 	keysPerMessage   = 500
 	// passKept is how long a forwarded key is remembered beyond its claim, which may still be on its way.
 	passKept = 10 * timer.Second
+	// claimSettled is how long after an outage of the log every claim made before its end is in the log: an append is
+	// given up after 3 s and repeated.
+	claimSettled = 10 * timer.Second
 )
 
 // claims are the submission keys that are or will be in the claims stream.
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -95,6 +95,7 @@
 		decisions    decisions
 		lastPeers    timer.Millis
 		lastTick     timer.Millis
+		lastOutage   timer.Millis // when the log was last unreachable from here
 		lastForwards timer.Millis
 		lastSweep    timer.Millis
 		demanded     int
@@ -206,6 +207,9 @@
 // Tick does what time alone brings about. It is to be called every few milliseconds.
 func (c *Core) Tick(now timer.Millis) {
 	c.now = now
+	if !c.logReachable() {
+		c.lastOutage = now
+	}
 	c.out = append(c.out, c.unsent...)
 	c.unsent = nil
 	c.expire()
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -24,14 +24,20 @@
 	pass struct {
 		owner   encoder.Member
 		several bool         // there were other owners before
-		at      timer.Millis // the first time
+		since   timer.Millis // when it came here first
+		at      timer.Millis // since when the submission exists; 0 when it may be older than its arrival here
 	}
 )
 
 func (c *Core) pass(key string, owner encoder.Member) {
 	p, ok := c.passed[key]
 	if !ok {
-		p = pass{owner: owner, at: c.now}
+		p = pass{owner: owner, since: c.now}
+		// A submission that came to another entry before has left a claim, unless the log was hard to reach.
+		fresh := c.now-c.confirmed[StreamClaims] <= logSilence && c.now-c.lastOutage > claimSettled
+		if fresh && !c.claims.seen.has(c.hash(key)) {
+			p.at = c.now
+		}
 	}
 	p.several = p.several || p.owner != owner
 	p.owner = owner
@@ -164,7 +170,7 @@
 
 func (c *Core) sweepForwards() {
 	for key, p := range c.passed {
-		if p.at+c.settings.KeyRetention < c.now || p.at+passKept < c.now && c.claims.seen.has(c.hash(key)) {
+		if p.since+c.settings.KeyRetention < c.now || p.since+passKept < c.now && c.claims.seen.has(c.hash(key)) {
 			delete(c.passed, key)
 		}
 	}
--- a/dispatcher/freshness_test.go
+++ b/dispatcher/freshness_test.go
@@ -204,3 +204,45 @@
 		t.Errorf("after the removal: %v, incarnation %d", got, b.core.Self().Incarnation)
 	}
 }
+
+// TestComplete guards against a second start after the first one's sidecar, owner and receiving entry were all lost: a
+// submission counts as newer than a loss only when an earlier arrival elsewhere would have left a claim.
+func TestComplete(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(b *bench) // before the submission passes through this entry
+		after  func(b *bench)
+		lost   timer.Millis // how long before the submission the sidecar was lost
+		want   bool
+	}{
+		{"came after the loss", nil, nil, 20 * timer.Second, true},
+		{"came shortly after the loss", nil, nil, 4 * timer.Second, false},
+		{"came before the loss", nil, nil, -timer.Second, false},
+		{"claimed before", func(b *bench) {
+			b.core.ClaimsRecord(b.now, elector.Claims{Member: encoder.Member{ID: "b"}, Keys: []string{"k"}})
+		}, nil, 20 * timer.Second, false},
+		{"claims not read", func(b *bench) { b.now += 2 * timer.Second }, nil, 20 * timer.Second, false},
+		{"log was down", func(b *bench) { b.now += 2 * timer.Second; b.tick(1); b.confirm() }, nil, 20 * timer.Second, false},
+		{"another peer had it", nil, func(b *bench) {
+			b.core.Message(b.now, 1, &encoder.PeerCensusReply{Epoch: b.core.roster.Epoch, Jobs: []string{"k"}})
+		}, 20 * timer.Second, false},
+	}
+	for _, tt := range tests {
+		b := group(t, "b", "c")
+		b.tick(1)
+		b.now += timer.Minute
+		b.confirm()
+		if tt.before != nil {
+			tt.before(b)
+		}
+		b.core.now = b.now
+		b.core.pass("k", encoder.Member{ID: "b", Incarnation: 1})
+		b.core.takeover.missing = map[encoder.Member]timer.Millis{{ID: "s9"}: b.now - tt.lost}
+		if tt.after != nil {
+			tt.after(b)
+		}
+		if got := b.core.complete("k"); got != tt.want {
+			t.Errorf("%s: complete is %v", tt.name, got)
+		}
+	}
+}
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -14,7 +14,8 @@
 	// the validity of a peer's report, the freshness lease and a margin.
 	takeoverWait = reportValid + leaseTime + leaseMargin
 	askAgain     = timer.Second
-	seenMargin   = timer.Second
+	// seenMargin is longer than a claim takes to reach the other entries while the log is reachable.
+	seenMargin = 5 * timer.Second
 )
 
 // unknownSidecars stands for sidecars that started tasks and that no remaining member of the roster may know.
