Take the time of the return from its answer

Cause: the demo counted the failure domain as returned only when the answer came, which waits until it is in force. Change: the time of acceptance comes from the answer, as for the withdrawal.

--- a/commander/demo.go
+++ b/commander/demo.go
@@ -121,8 +121,9 @@
 	if r, err = d.layout.client(1).Return(ctx, demoDomain, "demo"); err != nil {
 		return err
 	}
-	d.returned = d.clock.Now()
-	if p, err := server.DecodePublication(r.Body); err != nil || !p.Accepted {
+	p, err = server.DecodePublication(r.Body)
+	d.returned = d.returning + p.Took
+	if err != nil || !p.Accepted {
 		return trace.Errorf("the return was not accepted: status %d, %s", r.Status, r.Body)
 	}
 	return nil
