Do not move the list of collected tasks in each tick

Cause: a profile of BenchmarkEntry/saturated showed 29% of the control goroutine in Core.Tick. flushCollected copied the whole list of tasks that wait for collection, one second of them, in every tick. Change: a head index; the list moves when half of it was sent. Stand-ins of the load generator can also run tasks for a time.

--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -82,3 +82,17 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkCollected measures a tick at 100,000 tasks a second, all of which wait until the sidecars may drop them.
+func BenchmarkCollected(b *testing.B) {
+	const perTick = 500
+	c, sc := New(Settings{}), &sidecar{session: sidecarSession}
+	for b.Loop() {
+		for i := range perTick {
+			c.collect.add(sc, encoder.TaskKey{Job: "job", Index: uint32(i)}, c.now+collectDelay)
+		}
+		c.now += 5
+		c.flushCollected()
+		c.Take()
+	}
+}
--- a/dispatcher/collect.go
+++ b/dispatcher/collect.go
@@ -10,7 +10,10 @@
 type (
 	// collection lists results that the sidecars may drop. They stay there for a while after the answer, as evidence
 	// for the next owner.
-	collection struct{ waiting []collected }
+	collection struct {
+		waiting []collected // in order of time; the entries before head were sent
+		head    int
+	}
 
 	collected struct {
 		sidecar *sidecar
@@ -23,21 +26,30 @@
 	l.waiting = append(l.waiting, collected{sc, task, at})
 }
 
-func (c *Core) flushCollected() {
-	n := 0
+// due removes the tasks that are due and returns them by sidecar. The list moves only when half of it was sent:
+// at 100,000 tasks a second, a move in each tick took 0.3 ms of every 5 ms.
+func (l *collection) due(now timer.Millis) map[*sidecar][]encoder.TaskKey {
+	if l.head == len(l.waiting) || l.waiting[l.head].at > now {
+		return nil
+	}
 	lists := map[*sidecar][]encoder.TaskKey{}
-	for _, e := range c.collect.waiting {
-		if e.at > c.now {
-			break
-		}
-		n++
+	first := l.head
+	for l.head < len(l.waiting) && l.waiting[l.head].at <= now {
+		e := &l.waiting[l.head]
 		lists[e.sidecar] = append(lists[e.sidecar], e.task)
+		l.head++
 	}
-	if n == 0 {
-		return
+	clear(l.waiting[first:l.head])
+	if 2*l.head >= len(l.waiting) {
+		n := copy(l.waiting, l.waiting[l.head:])
+		clear(l.waiting[n:])
+		l.waiting, l.head = l.waiting[:n], 0
 	}
-	c.collect.waiting = append(c.collect.waiting[:0], c.collect.waiting[n:]...)
-	for sc, tasks := range lists {
+	return lists
+}
+
+func (c *Core) flushCollected() {
+	for sc, tasks := range c.collect.due(c.now) {
 		for len(tasks) > 0 && sc.session != 0 {
 			k := min(len(tasks), tasksPerMessage)
 			c.send(sc.session, &encoder.Collected{Tasks: tasks[:k:k]})
--- a/driver/run.go
+++ b/driver/run.go
@@ -64,9 +64,6 @@
 	if p.Backends > 0 && p.StandIns > 0 {
 		errs = append(errs, trace.BadParameter("backends and stand-ins cannot be mixed"))
 	}
-	if p.StandIns > 0 && p.RunTime > 0 {
-		errs = append(errs, trace.BadParameter("stand-ins end tasks at once, so the run time must be 0"))
-	}
 	if p.Other && p.Entries == 1 {
 		errs = append(errs, trace.BadParameter("a single entry is the owner of every key"))
 	}
@@ -133,7 +130,7 @@
 		entries = append(entries, f.EntryAddress(i))
 	}
 	for i := range p.StandIns {
-		s := &StandIn{ID: standInName(i), Slots: uint32(p.Slots), TLS: keys}
+		s := &StandIn{ID: standInName(i), Slots: uint32(p.Slots), RunTime: p.RunTime, TLS: keys}
 		s.Connect(ctx, entries)
 	}
 	return nil
--- a/driver/standin.go
+++ b/driver/standin.go
@@ -16,13 +16,14 @@
 const standInTick = 50 * time.Millisecond
 
 type (
-	// StandIn is a sidecar without a backend server: the real core and real sessions, but each task ends as soon as the
-	// start gate opens, with its payload as the result. Set the exported fields before Connect.
+	// StandIn is a sidecar without a backend server: the real core and real sessions, but each task ends RunTime
+	// after the start gate opens, with its payload as the result. Set the exported fields before Connect.
 	StandIn struct {
-		ID    string
-		Slots uint32
-		TLS   *tls.Config
-		Clock timer.Clock
+		ID      string
+		Slots   uint32
+		RunTime timer.Millis // 0 means that tasks end at once
+		TLS     *tls.Config
+		Clock   timer.Clock
 
 		node messenger.Node
 
@@ -106,8 +107,20 @@
 		}
 	}
 	for _, r := range runs {
-		s.perform(s.core.Ended(s.Clock.Now(), r.Task, starter.Outcome{Status: encoder.StatusDone, Body: r.Payload}))
+		if s.RunTime > 0 {
+			time.AfterFunc(s.RunTime.Duration(), func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.end(r)
+			})
+			continue
+		}
+		s.end(r)
 	}
 }
 
+func (s *StandIn) end(r starter.Run) {
+	s.perform(s.core.Ended(s.Clock.Now(), r.Task, starter.Outcome{Status: encoder.StatusDone, Body: r.Payload}))
+}
+
 func standInName(i int) string { return "stand-in-" + strconv.Itoa(i) }
