Cut the control traffic of a sidecar

Cause: each pong carried the whole roster and each entry was pinged every 300 ms. With 12 entries that is 40 pongs of over 500 B a second for one sidecar, over the 6 KB/s that control may use.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -213,8 +213,12 @@
 		}
 	}
 	for key, s := range c.jobs {
+		first := s.arrived
+		if s.regained {
+			first = 0
+		}
 		if s.state != stateHeld {
-			add(key, s.arrived)
+			add(key, first)
 		}
 	}
 	for key := range c.kept.byKey {
--- a/dispatcher/freshness.go
+++ b/dispatcher/freshness.go
@@ -128,6 +128,9 @@
 		Sequence: m.Sequence, Roster: c.roster, ConfigOffset: c.domains.offset,
 		DomainInForce: c.inForce(sc.hello.Domain), LogReachable: true,
 	}
+	if m.Epoch == c.roster.Epoch {
+		p.Roster.Entries = nil // the sidecar has them; with 12 entries they would be most of its control traffic
+	}
 	age := c.now - c.confirmedAt()
 	switch {
 	case c.attests():
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -73,7 +73,8 @@
 	case *Ping:
 		b := appendUint(append(dst, kindPing), 1, m.Sequence)
 		b = appendUint(b, 2, uint64(m.Running))
-		return appendBool(b, 3, m.Leaving)
+		b = appendBool(b, 3, m.Leaving)
+		return appendUint(b, 4, m.Epoch)
 	case *Pong:
 		return appendPong(append(dst, kindPong), m)
 	case *Start:
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -15,7 +15,7 @@
 var examples = []Message{
 	&Hello{Role: RoleSidecar, Member: Member{"s1", 7}, Address: "10.0.0.1:7", Domain: "a", Worker: "w", Slots: 8, Kinds: []string{"", "x"}},
 	&HelloAck{Member: Member{"e1", 1}, Roster: Roster{3, []RosterEntry{{Member{"e1", 1}, "10.0.0.2:7"}, {}}}},
-	&Ping{Sequence: 1 << 40, Running: 3, Leaving: true},
+	&Ping{Sequence: 1 << 40, Running: 3, Leaving: true, Epoch: 7},
 	&Pong{Sequence: 4, Confirmed: true, Age: -5, Roster: Roster{Epoch: 1}, ConfigOffset: 9, DomainInForce: true, LogReachable: true},
 	&Start{Task: TaskKey{"j", 879}, Epoch: 2, Owner: Member{"e", 1}, Kind: "k", Payload: make([]byte, 300), Deadline: 100, RunLimit: 5, Once: true, Claimed: true},
 	&Claimed{"j"},
--- a/encoder/decode.go
+++ b/encoder/decode.go
@@ -202,6 +202,8 @@
 			m.Running = r.uint32("running")
 		case 3:
 			m.Leaving = r.bool("leaving")
+		case 4:
+			m.Epoch = r.uint64("epoch")
 		}
 	}
 	return m
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -109,15 +109,18 @@
 		Roster Roster
 	}
 
-	// Ping is the heartbeat of a sidecar. Entries answer it from their control goroutine.
+	// Ping is the heartbeat of a sidecar. Entries answer it from their control goroutine. Epoch is that of the roster
+	// that the sidecar knows.
 	Ping struct {
 		Sequence uint64
 		Running  uint32
 		Leaving  bool
+		Epoch    uint64
 	}
 
 	// Pong answers a Ping and renews the sidecar's freshness lease. Age is the time since the entry began the
-	// exchange with the log that confirmed Roster and ConfigOffset. Confirmed is false when the entry has nothing to
+	// exchange with the log that confirmed Roster and ConfigOffset. Roster has no entries when the ping named its epoch.
+	// Confirmed is false when the entry has nothing to
 	// attest; the lease is then not renewed.
 	Pong struct {
 		Sequence      uint64
@@ -178,8 +181,8 @@
 	// Cancel asks a sidecar not to start tasks that it has not started, and to stop running ones where possible.
 	Cancel struct{ Tasks []TaskKey }
 
-	// Collected tells a sidecar that the owner has the results, so their bodies may be dropped. The task keys stay
-	// in the started table.
+	// Collected tells a sidecar that the owner has the results. The sidecar keeps them while it has room, and the task
+	// keys stay in the started-task table.
 	Collected struct{ Tasks []TaskKey }
 
 	// Census asks a sidecar to promise the roster's epoch and to list the started tasks that the sender owns under it.
--- a/starter/core.go
+++ b/starter/core.go
@@ -34,7 +34,9 @@
 	defaultClaimWait = 3 * timer.Second
 
 	pingPeriod = 300 * timer.Millis(1)
-	leaseTime  = 2 * timer.Second
+	// maxPingPeriod leaves time for a pong within the lease of the one before.
+	maxPingPeriod = 1500 * timer.Millis(1)
+	leaseTime     = 2 * timer.Second
 )
 
 type (
@@ -97,8 +99,6 @@
 		offset     uint64
 		leaving    bool
 
-		nextPing timer.Millis
-
 		started  table
 		canceled canceledKeys
 		running  map[encoder.TaskKey]*attempt
@@ -126,6 +126,7 @@
 		idle     bool   // it gave credits back of its own accord
 		sequence uint64 // of the newest ping
 		pings    [16]sentPing
+		nextPing timer.Millis
 
 		statement statement
 		outage    timer.Millis // until when its attestation of a log outage holds
@@ -196,9 +197,9 @@
 // and forgets old task keys. Call it every few tens of milliseconds.
 func (c *Core) Tick(now timer.Millis) []Effect {
 	c.begin(now)
-	if now >= c.nextPing {
-		c.nextPing = now + pingPeriod
-		for _, e := range c.entries {
+	for _, e := range c.entries {
+		if now >= e.nextPing {
+			e.nextPing = now + c.pingPeriodOf(e)
 			c.ping(now, e)
 		}
 	}
--- a/starter/core_test.go
+++ b/starter/core_test.go
@@ -82,7 +82,9 @@
 // pongAt answers a ping of the session at the time, after a change.
 func pongAt(c *Core, at timer.Millis, session uint64, change func(p *encoder.Pong)) []Effect {
 	p := goodPong(0, c.roster)
-	c.nextPing = 0
+	for _, e := range c.entries {
+		e.nextPing = 0
+	}
 	for _, e := range c.Tick(at) {
 		if m, ok := e.Message.(*encoder.Ping); ok && e.Session == session {
 			p.Sequence = m.Sequence
