Forward large answers in parts

Change: a complete answer goes to the forwarding entry in parts of at most 2 MiB of results, which may come in any order. Conclusion: the size of an answer is bounded by the bounds on tasks and results only.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -8,6 +8,12 @@
 // answerOverhead is the assumed size of a kept answer beside its key and bodies, in bytes.
 const answerOverhead = 300
 
+const (
+	// maxAnswerPart leaves room in a frame for the answer's other fields.
+	maxAnswerPart  = encoder.MaxFrame / 2
+	resultOverhead = 16 // encoding of a result besides its body
+)
+
 type (
 	// kept holds the answers of ended submissions in the order of their ends. When a bound is reached, the oldest
 	// answers shrink to hashes of their keys, so that their tasks cannot start again.
@@ -54,8 +60,37 @@
 		return
 	}
 	if c.sessions[w.session] != nil {
+		c.sendAnswer(w, a)
+	}
+}
+
+// sendAnswer sends an answer to the entry that forwarded the request, in parts when its results are too large for a frame.
+func (c *Core) sendAnswer(w waiter, a encoder.Answer) {
+	if resultBytes(a.Results) <= maxAnswerPart {
 		c.send(w.session, &encoder.ForwardAnswer{ID: w.forward, Answer: a})
+		return
+	}
+	for first := 0; first < len(a.Results); {
+		part, size := a, 0
+		end := first
+		for end < len(a.Results) && (end == first || size+len(a.Results[end].Body) <= maxAnswerPart) {
+			size += len(a.Results[end].Body)
+			end++
+		}
+		part.Results = a.Results[first:end]
+		c.send(w.session, &encoder.ForwardAnswer{
+			ID: w.forward, Answer: part, First: uint32(first), Total: uint32(len(a.Results)),
+		})
+		first = end
+	}
+}
+
+func resultBytes(results []encoder.TaskResult) int {
+	n := 0
+	for i := range results {
+		n += len(results[i].Body) + resultOverhead
 	}
+	return n
 }
 
 // stateOf answers for a key that this entry owns.
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -18,6 +18,10 @@
 		hops     uint32
 		session  SessionID // 0 while it waits for a session to the owner
 		retry    timer.Millis
+		// Parts of an answer that does not fit a frame.
+		results []encoder.TaskResult
+		have    []bool
+		missing int
 	}
 
 	// pass remembers to whom a submission was forwarded, or who owned it when this entry was its witness.
@@ -107,10 +111,37 @@
 		c.counters.Ignored++ // an answer that came before, or to another request
 		return
 	}
+	if m.Total != 0 && !f.collect(m) {
+		return
+	}
 	delete(c.forwards, f.id)
 	c.answer(f.waiter, m.Answer)
 }
 
+// collect stores a part of an answer. When all parts are there it puts the results into m and returns true. Parts may come
+// in any order, and again after a lost session.
+func (f *forward) collect(m *encoder.ForwardAnswer) bool {
+	if m.Total > encoder.MaxTasks || int(m.First)+len(m.Answer.Results) > int(m.Total) {
+		return false // not an answer that this version sends
+	}
+	if len(f.results) != int(m.Total) {
+		f.results, f.have, f.missing = make([]encoder.TaskResult, m.Total), make([]bool, m.Total), int(m.Total)
+	}
+	for i, r := range m.Answer.Results {
+		at := int(m.First) + i
+		if !f.have[at] {
+			f.have[at] = true
+			f.missing--
+		}
+		f.results[at] = r
+	}
+	if f.missing > 0 {
+		return false
+	}
+	m.Answer.Results = f.results
+	return true
+}
+
 // forwardsLost takes back the requests that were sent on a session that ended.
 func (c *Core) forwardsLost(id SessionID) {
 	for _, f := range c.forwards {
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -125,7 +125,9 @@
 		return appendJob(b, 4, &m.Job)
 	case *ForwardAnswer:
 		b := appendUint(append(dst, kindForwardAnswer), 1, m.ID)
-		return appendAnswer(b, 2, &m.Answer)
+		b = appendAnswer(b, 2, &m.Answer)
+		b = appendUint(b, 3, uint64(m.First))
+		return appendUint(b, 4, uint64(m.Total))
 	case *Witness:
 		return appendStrings(append(dst, kindWitness), 1, m.Jobs)
 	case *PeerCensus:
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -30,7 +30,7 @@
 	&PeerPing{1, 2, 3, true, []string{"a"}, []Member{{"s", 1}}, true},
 	&PeerPong{1, PeerPing{Sequence: 9, Sidecars: make([]Member, 1700)}},
 	&Forward{1, RequestCancel, 2, Job{"k", "t", []JobTask{{"x", []byte("p"), 50, 64}, {}}, 1000, true}},
-	&ForwardAnswer{1, Answer{"k", JobFailed, OutcomeUnknown, CodeInvalid, "why", []TaskResult{{}, {[]byte("b")}}, 250}},
+	&ForwardAnswer{1, Answer{"k", JobFailed, OutcomeUnknown, CodeInvalid, "why", []TaskResult{{}, {[]byte("b")}}, 250}, 3, 5},
 	&Witness{[]string{"a", "", "b"}},
 	&PeerCensus{Roster{Epoch: 7}},
 	&PeerCensusReply{1, []KnownJob{{"a", 5}}, []KnownSidecar{{Member{"s", 2}, 7}}, true},
--- a/encoder/decode_peer.go
+++ b/encoder/decode_peer.go
@@ -97,6 +97,10 @@
 			m.ID = r.uint64("id")
 		case 2:
 			r.answer("answer", &m.Answer)
+		case 3:
+			m.First = r.uint32("first")
+		case 4:
+			m.Total = r.uint32("total")
 		}
 	}
 	return m
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -276,10 +276,13 @@
 		Job     Job
 	}
 
-	// ForwardAnswer answers a Forward of the same ID.
+	// ForwardAnswer answers a Forward of the same ID. A complete answer that would not fit a frame comes in parts: Total
+	// is then the number of its results, and Answer holds those from index First on. Total is 0 for a whole answer.
 	ForwardAnswer struct {
 		ID     uint64
 		Answer Answer
+		First  uint32
+		Total  uint32
 	}
 
 	// Witness tells a peer about submission keys that the sender owns.
