Test the frame reader with random frames and interruptions

Cause: frames were only tested through sockets, where reads are seldom short or stopped by a deadline. Change: the reader takes its source as a function; a property covers fragments between other frames, short reads, deadlines and a stream that ends early.

--- a/messenger/reader.go
+++ b/messenger/reader.go
@@ -35,7 +35,7 @@
 
 // frameReader splits a stream into frames. After a read deadline, next continues where it stopped.
 type frameReader struct {
-	source   *quic.Stream
+	source   func(p []byte) (int, error) // reads from the stream
 	received *atomic.Bool
 	buffer   []byte // bytes read and not yet returned are buffer[start:]
 	start    int
@@ -96,7 +96,7 @@
 		if len(r.buffer) == cap(r.buffer) {
 			r.buffer = append(make([]byte, 0, 2*cap(r.buffer)), r.buffer...)
 		}
-		n, err := r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+		n, err := r.source(r.buffer[len(r.buffer):cap(r.buffer)])
 		r.buffer = r.buffer[:len(r.buffer)+n]
 		if n > 0 {
 			r.received.Store(true)
--- /dev/null
+++ b/messenger/reader_test.go
@@ -0,0 +1,69 @@
+package messenger
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"slices"
+	"sync/atomic"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against frames that are lost, mixed up or cut when reads return any number of bytes, stop at deadlines, and
+// fragments of a long message lie between other frames.
+func TestFrameReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		var want [][]byte
+		long := bytes.Repeat([]byte{7}, rapid.IntRange(1, 200_000).Draw(t, "long"))
+		rest := long
+		sizes := rapid.SliceOfN(rapid.OneOf(rapid.IntRange(1, 300), rapid.IntRange(1, 20_000)), 0, 20).Draw(t, "sizes")
+		for i, size := range sizes {
+			want = append(want, bytes.Repeat([]byte{byte(i)}, size))
+			stream = slices.Concat(stream, framed(want[i]), header(headerAnswer))
+			if n := min(size, len(rest)-1); n > 0 {
+				stream = slices.Concat(stream, header(fragmentFlag|uint32(n)), rest[:n])
+				rest = rest[n:]
+			}
+		}
+		want = append(want, long)
+		stream = slices.Concat(stream, header(fragmentFlag|lastFlag|uint32(len(rest))), rest)
+		cut := rapid.IntRange(0, len(stream)).Draw(t, "cut")
+		chunks := rapid.SliceOfN(rapid.IntRange(0, 5000), 1, 20).Draw(t, "chunks")
+		reads := 0
+		source := bytes.NewReader(stream[:cut])
+		r := frameReader{received: &atomic.Bool{}, source: func(p []byte) (int, error) {
+			reads++
+			if n := chunks[reads%len(chunks)]; n > 0 {
+				return source.Read(p[:min(n, len(p))])
+			}
+			if source.Len() == 0 {
+				return 0, io.EOF
+			}
+			if reads%2 == 0 {
+				return source.Read(p[:1])
+			}
+			return 0, os.ErrDeadlineExceeded
+		}}
+		for got := 0; ; {
+			frame, control, err := r.next()
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded):
+			case errors.Is(err, errEnd) && (cut == len(stream)) != (got == len(want)):
+				t.Fatalf("end after %d of %d frames and %d of %d bytes", got, len(want), cut, len(stream))
+			case errors.Is(err, errEnd), errors.Is(err, errFrame) && cut < len(stream):
+				return
+			case err != nil:
+				t.Fatal(err)
+			case control == 0:
+				if got == len(want) || !bytes.Equal(frame, want[got]) {
+					t.Fatalf("frame %d is wrong", got)
+				}
+				got++
+			}
+		}
+	})
+}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -67,7 +67,7 @@
 	// The dialing end sends heartbeats first, so that an idle session carries those of one end only. At least half of
 	// the silence is left for the answer. The accepting end sets a longer patience.
 	s.patience = max(1, min(2, n.ticks()/2))
-	s.reader.source = stream
+	s.reader.source = stream.Read
 	s.reader.received = &s.received
 	return s
 }
