Report the age of a submission only as far as it is known

Cause: with ages in the peer census, an owner reported a submission's arrival here as its age, though it can have started tasks under an earlier owner or at an entry that died. Change: one rule for the first time of a submission, for passed and for owned ones; TestComplete follows the new message. Conclusion: an age is either exact or counts as unlimited.

--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -214,7 +214,7 @@
 	}
 	for key, s := range c.jobs {
 		if s.state != stateHeld {
-			add(key, s.arrived)
+			add(key, s.first)
 		}
 	}
 	for key := range c.kept.byKey {
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -32,18 +32,32 @@
 func (c *Core) pass(key string, owner encoder.Member) {
 	p, ok := c.passed[key]
 	if !ok {
-		p = pass{owner: owner, since: c.now}
-		// A submission that came to another entry before has left a claim, unless the log was hard to reach.
-		fresh := c.now-c.confirmed[StreamClaims] <= logSilence && c.now-c.lastOutage > claimSettled
-		if fresh && !c.claims.seen.has(c.hash(key)) {
-			p.at = c.now
-		}
+		p = pass{owner: owner, since: c.now, at: c.firstSeen(key)}
 	}
 	p.several = p.several || p.owner != owner
 	p.owner = owner
 	c.passed[key] = p
 }
 
+// firstSeen returns the time since which a submission that arrives now exists, or 0 when it may be older. A submission
+// that came to another entry before has left a claim, unless the log was hard to reach.
+func (c *Core) firstSeen(key string) timer.Millis {
+	if s := c.jobs[key]; s != nil {
+		return s.first
+	}
+	if k, ok := c.takeover.keys[key]; ok {
+		return min(k.first, c.now)
+	}
+	if _, ok := c.kept.byKey[key]; ok || c.takeover.evidence[key] != nil {
+		return 0
+	}
+	readable := c.now-c.confirmed[StreamClaims] <= logSilence && c.now-c.lastOutage > claimSettled
+	if !readable || c.claims.seen.has(c.hash(key)) {
+		return 0
+	}
+	return c.now
+}
+
 // passedBeside reports whether an owner other than m may have got the submission from here.
 func (c *Core) passedBeside(key string, m encoder.Member) bool {
 	p, ok := c.passed[key]
--- a/dispatcher/freshness_test.go
+++ b/dispatcher/freshness_test.go
@@ -224,7 +224,7 @@
 		{"claims not read", func(b *bench) { b.now += 2 * timer.Second }, nil, 20 * timer.Second, false},
 		{"log was down", func(b *bench) { b.now += 2 * timer.Second; b.tick(1); b.confirm() }, nil, 20 * timer.Second, false},
 		{"another peer had it", nil, func(b *bench) {
-			b.core.Message(b.now, 1, &encoder.PeerCensusReply{Epoch: b.core.roster.Epoch, Jobs: []string{"k"}})
+			b.core.Message(b.now, 1, &encoder.PeerCensusReply{Epoch: b.core.roster.Epoch, Jobs: []encoder.KnownJob{{Key: "k", Age: timer.Minute}}})
 		}, 20 * timer.Second, false},
 	}
 	for _, tt := range tests {
--- a/dispatcher/submission.go
+++ b/dispatcher/submission.go
@@ -19,6 +19,7 @@
 		specs     []encoder.JobTask
 		waiters   []waiter
 		arrived   timer.Millis
+		first     timer.Millis // since when the submission exists; 0 when it may be older than its arrival here
 		deadline  timer.Millis // 0 for none
 		lastStart timer.Millis
 		moved     timer.Millis
@@ -134,7 +135,7 @@
 	s := &submission{
 		key: job.Key, team: job.Team, digest: digest, state: submissionChart.Start(),
 		tasks: make([]task, len(job.Tasks)), specs: job.Tasks, waiters: []waiter{w},
-		arrived: c.now, left: uint32(len(job.Tasks)), once: job.Once, local: w.session == 0,
+		arrived: c.now, first: c.firstSeen(job.Key), left: uint32(len(job.Tasks)), once: job.Once, local: w.session == 0,
 	}
 	for i := range s.tasks {
 		s.tasks[i].state = taskChart.Start()
