--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -73,7 +73,8 @@
 	case *Ping:
 		b := appendUint(append(dst, kindPing), 1, m.Sequence)
 		b = appendUint(b, 2, uint64(m.Running))
-		return appendBool(b, 3, m.Leaving)
+		b = appendBool(b, 3, m.Leaving)
+		return appendUint(b, 4, m.Epoch)
 	case *Pong:
 		return appendPong(append(dst, kindPong), m)
 	case *Start:
@@ -124,7 +125,9 @@
 		return appendJob(b, 4, &m.Job)
 	case *ForwardAnswer:
 		b := appendUint(append(dst, kindForwardAnswer), 1, m.ID)
-		return appendAnswer(b, 2, &m.Answer)
+		b = appendAnswer(b, 2, &m.Answer)
+		b = appendUint(b, 3, uint64(m.First))
+		return appendUint(b, 4, uint64(m.Total))
 	case *Witness:
 		return appendStrings(append(dst, kindWitness), 1, m.Jobs)
 	case *PeerCensus:
