Count messages by type

Cause: the entry counted starts and refusals only, so control messages per started task could not be read, and the demo's messages per task left out grants, heartbeats and census messages. Change: encoder.TypeOf numbers the message types; the entry counts in arrays what it sent, and what its sidecars sent to it. /metrics has crocuslb_sent_messages_total and crocuslb_received_messages_total by type. The demo prints all messages per task (JSON: messagesPerTask) beside the former figure.

--- a/commander/demo.go
+++ b/commander/demo.go
@@ -40,7 +40,8 @@
 		withdrawn, accepted timer.Millis
 		returning, returned timer.Millis
 		inForce             timer.Millis // from the request to withdraw until all processes obeyed
-		messages, wasted    float64      // per task
+		messages, wasted    float64      // starts, results and refusals per task
+		allMessages         float64      // per task
 	}
 
 	// demoCall is one submission of a job and what came back.
--- a/commander/demoreport.go
+++ b/commander/demoreport.go
@@ -21,7 +21,7 @@
 		Accepted                               timer.Millis // time to accept the withdrawal
 		InForce                                timer.Millis // time until all processes obeyed it
 		FirstStart                             timer.Millis // from the acceptance of the return to the first start
-		Messages, Wasted                       float64
+		AllMessages, Messages, Wasted          float64
 		Broken                                 []string
 	}
 
@@ -46,6 +46,7 @@
 		InForceMs    int64    `json:"withdrawalInForceMs"`
 		LastStartMs  int64    `json:"lastStartAfterWithdrawalMs"`
 		FirstStartMs int64    `json:"firstStartAfterReturnMs"`
+		AllMessages  float64  `json:"messagesPerTask"`
 		Messages     float64  `json:"taskMessagesPerTask"`
 		Wasted       float64  `json:"wastedTaskMessagesPerTask"`
 		Broken       []string `json:"broken"`
@@ -54,7 +55,8 @@
 
 // report compares what the callers got with what the backend servers saw.
 func (d *demo) report() demoReport {
-	r := demoReport{Jobs: len(d.jobs), Accepted: d.accepted - d.withdrawn, InForce: d.inForce, Messages: d.messages, Wasted: d.wasted}
+	r := demoReport{Jobs: len(d.jobs), Accepted: d.accepted - d.withdrawn, InForce: d.inForce}
+	r.AllMessages, r.Messages, r.Wasted = d.allMessages, d.messages, d.wasted
 	starts := d.layout.recorder.list()
 	r.Starts = len(starts)
 	perTask, perJob := map[string]int{}, map[string]int{}
@@ -176,16 +178,18 @@
 	}
 }
 
-// countMessages counts the messages that belong to tasks: each start and its result or refusal. Grants and heartbeats
-// are not in it, because the processes do not count them. It is called before the first entry stops.
+// countMessages counts all messages that the entries sent or got from sidecars, and of these the ones that belong to
+// tasks: each start and its result or refusal. It is called before the first entry stops.
 func (d *demo) countMessages(ctx context.Context) {
-	var started, refused uint64
+	var started, refused, all uint64
 	for _, e := range d.layout.entries {
-		n := e.process.Entry.Status(ctx).Counters
-		started += n.Started
-		refused += n.Refused
+		s := e.process.Entry.Status(ctx)
+		started += s.Counters.Started
+		refused += s.Counters.Refused
+		all += s.Sent.Sum() + s.Received.Sum()
 	}
 	if starts := len(d.layout.recorder.list()); starts > 0 {
+		d.allMessages = float64(all) / float64(starts)
 		d.messages, d.wasted = 2*float64(started)/float64(starts), 2*float64(refused)/float64(starts)
 	}
 }
@@ -208,8 +212,9 @@
 		{"last start in the withdrawn domain after that", r.LastStart.String()},
 		{"starts in it more than " + demoBound.String() + " after that", strconv.Itoa(r.Late)},
 		{"first start in it after its return", r.FirstStart.String()},
-		{"start, result and refusal messages per task", fmt.Sprintf("%.3f", r.Messages)},
-		{"of these wasted per task", fmt.Sprintf("%.3f", r.Wasted)},
+		{"messages per task, of all types", fmt.Sprintf("%.3f", r.AllMessages)},
+		{"of these starts, results and refusals per task", fmt.Sprintf("%.3f", r.Messages)},
+		{"of the latter wasted per task", fmt.Sprintf("%.3f", r.Wasted)},
 		{"promises broken", strconv.Itoa(len(r.Broken))},
 	}
 }
@@ -220,7 +225,7 @@
 		Starts: r.Starts, StartedTwice: r.Twice, LateStarts: r.Late, OnceTasks: r.OnceTasks, OnceStarts: r.OnceStarts,
 		RatioP50: r.RatioP50, RatioP99: r.RatioP99, RatioMax: r.RatioMax, ResponseMs: r.ResponseP50, IdealMs: r.IdealP50,
 		AcceptedMs: int64(r.Accepted), InForceMs: int64(r.InForce), LastStartMs: int64(r.LastStart), FirstStartMs: int64(r.FirstStart),
-		Messages: r.Messages, Wasted: r.Wasted, Broken: r.Broken,
+		AllMessages: r.AllMessages, Messages: r.Messages, Wasted: r.Wasted, Broken: r.Broken,
 	}
 	if w.Broken == nil {
 		w.Broken = []string{}
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -239,6 +240,11 @@
 	} {
 		p.metrics.SetTotal(name, value)
 	}
+	for i := 1; i < encoder.MessageTypes; i++ {
+		label := fmt.Sprintf("{type=%q}", encoder.Type(i))
+		p.metrics.SetTotal("crocuslb_sent_messages_total"+label, s.Sent[i])
+		p.metrics.SetTotal("crocuslb_received_messages_total"+label, s.Received[i])
+	}
 	p.metrics.SetTotal("crocuslb_unobserved_tasks_total", p.unseen.Load())
 	p.metrics.Write(w)
 }
--- a/commander/entry_test.go
+++ b/commander/entry_test.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// startSidecar runs a sidecar until ctx ends, and waits until the entry knows it.
+func startSidecar(ctx context.Context, p *entryProcess, backend string) {
+	s := &starter.Sidecar{ID: "s1", Domain: "d", Worker: "w", Backend: backend, Entries: []string{p.Entry.Listen}, Log: p.Entry.Logger}
+	go func() { _ = s.Run(ctx) }()
+	for len(p.Entry.Status(ctx).Sidecars) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // A caller whose job outlasts the drain time must get an answer that is true, not a broken connection.
 func TestDrainAnswersEveryRequest(t *testing.T) {
 	p, c, stop := startEntry(t, timer.Second)
@@ -64,11 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &starter.Sidecar{ID: "s1", Domain: "d", Worker: "w", Backend: url, Entries: []string{p.Entry.Listen}, Log: p.Entry.Logger}
-	go func() { _ = s.Run(ctx) }()
-	for len(p.Entry.Status(ctx).Sidecars) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	startSidecar(ctx, p, url)
 	body, err := server.EncodeJob(encoder.Job{Tasks: []encoder.JobTask{{Kind: "k", Payload: []byte(`{"runMs":30000}`)}}}, timer.Minute)
 	if err != nil {
 		t.Fatal(err)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -100,6 +100,7 @@
 		lastSweep    timer.Millis
 		demanded     int
 		counters     Counters
+		received     MessageCounts
 	}
 
 	// Counters count events since the start of the process.
@@ -107,6 +108,9 @@
 		Submitted, Complete, Failed, Started, Refused, Requeued, Ignored, Forwarded, Takeovers uint64
 	}
 
+	// MessageCounts counts messages by their type.
+	MessageCounts [encoder.MessageTypes]uint64
+
 	// session is an open session to a sidecar or to a peer.
 	session struct {
 		id      SessionID
@@ -154,6 +158,7 @@
 	case s == nil:
 		c.counters.Ignored++ // the session ended before the message was handled
 	case s.sidecar != nil:
+		c.received[encoder.TypeOf(m)]++
 		c.fromSidecar(s.sidecar, m)
 		c.place()
 	default:
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -77,6 +77,7 @@
 
 		history []Change
 		drained chan struct{}
+		sent    MessageCounts
 	}
 
 	// Change is an operator's change in the log. Findings is empty when it is in force.
@@ -256,6 +257,8 @@
 			if f.Kind == EffectSend {
 				if s := e.sessions[f.Session]; s == nil || !s.Send(f.Message) {
 					unsent = append(unsent, *f)
+				} else {
+					e.sent[encoder.TypeOf(f.Message)]++
 				}
 				continue
 			}
--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -28,6 +28,8 @@
 		KeptBytes    int
 		Lagging      int // processes that are not known to have the configuration
 		Counters     Counters
+		Sent         MessageCounts // to sidecars and entries, without the handshake of sessions
+		Received     MessageCounts // from sidecars
 	}
 
 	// SidecarStatus describes a sidecar.
@@ -56,7 +58,10 @@
 // Status returns the state of the entry. It is zero when ctx ends first.
 func (e *Entry) Status(ctx context.Context) Status {
 	var s Status
-	_ = e.call(ctx, func() { s = e.core.Status(e.Clock.Now()) })
+	_ = e.call(ctx, func() {
+		s = e.core.Status(e.Clock.Now())
+		s.Sent = e.sent
+	})
 	return s
 }
 
@@ -67,7 +72,7 @@
 		Entry: c.self, Joined: c.joined, Draining: c.draining, LogReachable: c.logReachable(), Attests: c.attests(),
 		Takeover: c.takeover.state, Roster: c.roster, ConfigOffset: c.domains.offset, Queued: c.queue.Queued(),
 		Jobs: len(c.jobs), Kept: len(c.kept.byKey), KeptBytes: c.kept.bytes, Lagging: c.lagging(c.domains.offset),
-		Counters: c.counters,
+		Counters: c.counters, Received: c.received,
 	}
 	domains := map[string]int{}
 	for _, sc := range c.sidecars {
@@ -93,3 +98,12 @@
 	slices.SortFunc(s.Domains, func(a, b DomainStatus) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
+
+// Sum returns the number of messages of all types.
+func (n *MessageCounts) Sum() uint64 {
+	var sum uint64
+	for _, k := range n {
+		sum += k
+	}
+	return sum
+}
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Guards against messages that are counted as another type, and against types without a name.
+func TestTypeOf(t *testing.T) {
+	seen := map[string]bool{"": true}
+	for _, m := range examples {
+		got, want := TypeOf(m), Type(Append(nil, m)[0])
+		if got != want || !strings.EqualFold(got.String(), reflect.TypeOf(m).Elem().Name()) {
+			t.Errorf("got type %d %s of %T, want %d", got, got, m, want)
+		}
+		seen[got.String()] = true
+	}
+	if len(seen) != MessageTypes || TypeOf(nil) != 0 {
+		t.Errorf("got %d types, want %d", len(seen), MessageTypes)
+	}
+}
+
 // Guards against values that only a few encodings lose: the fields are filled by reflection, so new ones are covered.
 func TestRoundTripProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
