Let a leaving entry say what it did not start

Change: a handover also names the tasks that may have been started, and says that there are no others; the next owner may then start the rest whatever evidence is missing. The list is dropped when it is used or when the key moves on.

--- a/dispatcher/answer_test.go
+++ b/dispatcher/answer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 // TestLargeAnswer guards against an answer that never reaches its caller because it does not fit a frame. The parts must
@@ -50,3 +51,43 @@
 		}
 	}
 }
+
+// TestHandover guards against "unknown" answers after a planned stop: the former owner knows which tasks it started, so
+// the others may start even when the evidence of a sidecar is missing.
+func TestHandover(t *testing.T) {
+	const unknownAnswer = "failed, outcome unknown"
+	tests := []struct {
+		name    string
+		certain bool
+		running []uint32
+		want    string // states of the tasks, or that of the answer
+	}{
+		{"nothing started", true, nil, taskQueued + taskQueued},
+		{"one may have been started", true, []uint32{1}, unknownAnswer},
+		{"sender was not certain", false, nil, unknownAnswer},
+	}
+	for _, tt := range tests {
+		c := group(t).core
+		c.takeover.past = append(c.takeover.past, pastRoster{encoder.Roster{}, c.now})
+		c.takeover.keys = map[string]reportedKey{"k": {at: c.now}}
+		c.takeover.missing = map[encoder.Member]timer.Millis{{ID: "s9"}: c.now}
+		m := &encoder.Handover{Certain: tt.certain, Job: encoder.Job{Key: "k", Tasks: make([]encoder.JobTask, 2)}}
+		for _, i := range tt.running {
+			m.Started = append(m.Started, encoder.StartedTask{
+				Task: encoder.TaskKey{Job: "k", Index: i}, Status: encoder.StatusRunning,
+			})
+		}
+		var got string
+		c.takeHandover(m)
+		if s := c.jobs["k"]; s != nil {
+			for i := range s.tasks {
+				got += s.tasks[i].state
+			}
+		} else if k, ok := c.kept.byKey["k"]; ok && k.answer.Outcome == encoder.OutcomeUnknown {
+			got = unknownAnswer
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"github.com/crocuslb/crocuslb/elector"
 	"github.com/crocuslb/crocuslb/encoder"
 	"github.com/crocuslb/crocuslb/timer"
@@ -105,10 +107,12 @@
 				reason = "the worker that had started the task was lost"
 			}
 			c.taskEnded(s, i, c.sidecarOf(e.sidecar), encoder.StatusUnknown, nil, reason, 0)
-		case e == nil && !complete:
+		case e == nil && !complete && c.takeover.maybeStarted(s.key, uint32(i)):
 			c.taskEnded(s, i, nil, encoder.StatusUnknown, nil, "it is not known whether the task was started before", 0)
 		}
 	}
+	// From here on this entry starts tasks itself, so the list of the former owner is out of date.
+	delete(c.takeover.handed, s.key)
 	switch {
 	case s.state != stateOpen:
 		return
@@ -126,6 +130,12 @@
 	}
 }
 
+// maybeStarted reports whether a former owner may have started the task, going by what it handed over.
+func (t *takeover) maybeStarted(key string, index uint32) bool {
+	h, ok := t.handed[key]
+	return !ok || slices.Contains(h.started, index)
+}
+
 // rewind forgets which starts this entry made itself before it lost the key. All sidecars that made them have answered
 // the census or count as missing, so their evidence decides.
 func (c *Core) rewind(s *submission) {
@@ -267,7 +277,7 @@
 }
 
 // handOver gives a submission of this leaving entry to its next owner.
-func (c *Core) handOver(s *submission, job encoder.Job) {
+func (c *Core) handOver(s *submission, job encoder.Job, certain bool) {
 	owner, ok := elector.Owner(c.roster, s.key)
 	if !ok {
 		return
@@ -276,14 +286,18 @@
 	if p == nil || p.session() == 0 {
 		return
 	}
-	m := &encoder.Handover{Job: job}
+	m := &encoder.Handover{Job: job, Certain: certain}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state == taskDone {
-			m.Started = append(m.Started, encoder.StartedTask{
-				Task: encoder.TaskKey{Job: s.key, Index: uint32(i)}, Status: encoder.StatusDone, Body: t.body,
-			})
+		started := encoder.StartedTask{Task: encoder.TaskKey{Job: s.key, Index: uint32(i)}, Status: encoder.StatusRunning}
+		switch t.state {
+		case taskDone:
+			started.Status, started.Body = encoder.StatusDone, t.body
+		case taskStarted, taskDoubt:
+		default:
+			continue
 		}
+		m.Started = append(m.Started, started)
 	}
 	c.send(p.session(), m)
 }
@@ -315,8 +329,20 @@
 		return
 	}
 	if c.jobs[key] == nil {
+		h := handed{at: c.now}
 		for i := range m.Started {
-			c.takeover.add(&m.Started[i], nil, c.now)
+			if m.Started[i].Status == encoder.StatusRunning {
+				h.started = append(h.started, m.Started[i].Task.Index)
+			} else {
+				c.takeover.add(&m.Started[i], nil, c.now)
+			}
+		}
+		certain := m.Certain && c.owns(c.roster, key)
+		if certain && c.takeover.handed == nil {
+			c.takeover.handed = map[string]handed{}
+		}
+		if certain {
+			c.takeover.handed[key] = h
 		}
 	}
 	c.route(waiter{}, encoder.RequestSubmit, m.Job, 0)
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -36,12 +36,19 @@
 		missing  map[encoder.Member]timer.Millis // sidecars whose evidence is lost, with the last time they could start
 		stopped  map[encoder.Member]timer.Millis // entries that left the roster at their own request
 		keys     map[string]reportedKey          // keys that peers reported
+		handed   map[string]handed               // submissions that leaving entries handed over
 		evidence map[string]*evidence
 	}
 
 	// reportedKey is a key that a peer reported. First is the earliest time at which a peer saw it.
 	reportedKey struct{ first, at timer.Millis }
 
+	// handed lists the tasks of a submission that its former owner may have started, by index. It started no others.
+	handed struct {
+		at      timer.Millis
+		started []uint32
+	}
+
 	pastRoster struct {
 		roster encoder.Roster
 		until  timer.Millis
@@ -74,6 +81,11 @@
 	if c.draining && !c.joined {
 		c.handOverAnswers()
 	}
+	for key := range t.handed {
+		if !c.owns(c.roster, key) {
+			delete(t.handed, key)
+		}
+	}
 	for _, s := range c.jobs {
 		mine := c.owns(c.roster, s.key)
 		if (!mine || c.gained(s.key)) && s.state != stateEnded {
@@ -145,6 +157,7 @@
 // move hands the callers of a submission over to its owner. The tasks stay as evidence for the case that the key comes
 // back.
 func (c *Core) move(s *submission) {
+	held := s.state == stateHeld
 	if !step(submissionChart, &s.state, eventMove) {
 		return
 	}
@@ -157,7 +170,7 @@
 		job.Deadline = max(1, s.deadline-c.now)
 	}
 	if c.draining && !c.joined {
-		c.handOver(s, job)
+		c.handOver(s, job, !held)
 	}
 	if len(waiters) == 0 && c.owns(c.roster, s.key) {
 		waiters = []waiter{{}} // nobody waits, but the job goes on
@@ -393,6 +406,11 @@
 			delete(t.keys, key)
 		}
 	}
+	for key, h := range t.handed {
+		if h.at < old {
+			delete(t.handed, key)
+		}
+	}
 	for key, e := range t.evidence {
 		if e.at < old {
 			delete(t.evidence, key)
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -139,7 +139,8 @@
 	case *Handover:
 		b := appendJob(append(dst, kindHandover), 1, &m.Job)
 		b = appendStarted(b, 2, m.Started)
-		return appendAnswer(b, 3, &m.Answer)
+		b = appendAnswer(b, 3, &m.Answer)
+		return appendBool(b, 4, m.Certain)
 	}
 	panic(fmt.Sprintf("encoder: unknown message type %T", m))
 }
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -34,7 +34,7 @@
 	&Witness{[]string{"a", "", "b"}},
 	&PeerCensus{Roster{Epoch: 7}},
 	&PeerCensusReply{1, []KnownJob{{"a", 5}}, []KnownSidecar{{Member{"s", 2}, 7}}, true},
-	&Handover{Job{Key: "k", Tasks: make([]JobTask, 880)}, []StartedTask{{Status: StatusFailed, Reason: "r"}}, Answer{Key: "k"}},
+	&Handover{Job{Key: "k", Tasks: make([]JobTask, 880)}, []StartedTask{{Status: StatusFailed, Reason: "r"}}, Answer{Key: "k"}, true},
 }
 
 // Guards against fields that are lost or mixed up between Append and Decode.
--- a/encoder/decode_peer.go
+++ b/encoder/decode_peer.go
@@ -165,6 +165,8 @@
 			}
 		case 3:
 			r.answer("answer", &m.Answer)
+		case 4:
+			m.Certain = r.bool("certain")
 		}
 	}
 	return m
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -312,11 +312,13 @@
 		Last     bool
 	}
 
-	// Handover gives submissions of a leaving entry to their next owner.
+	// Handover gives submissions of a leaving entry to their next owner. Started lists tasks that are done, and tasks that
+	// may have been started as running. Certain means that no other task of the job was started.
 	Handover struct {
 		Job     Job
 		Started []StartedTask
 		Answer  Answer
+		Certain bool
 	}
 )
 
