--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -15,7 +15,7 @@
 var examples = []Message{
 	&Hello{Role: RoleSidecar, Member: Member{"s1", 7}, Address: "10.0.0.1:7", Domain: "a", Worker: "w", Slots: 8, Kinds: []string{"", "x"}},
 	&HelloAck{Member: Member{"e1", 1}, Roster: Roster{3, []RosterEntry{{Member{"e1", 1}, "10.0.0.2:7"}, {}}}},
-	&Ping{Sequence: 1 << 40, Running: 3, Leaving: true},
+	&Ping{Sequence: 1 << 40, Running: 3, Leaving: true, Epoch: 7},
 	&Pong{Sequence: 4, Confirmed: true, Age: -5, Roster: Roster{Epoch: 1}, ConfigOffset: 9, DomainInForce: true, LogReachable: true},
 	&Start{Task: TaskKey{"j", 879}, Epoch: 2, Owner: Member{"e", 1}, Kind: "k", Payload: make([]byte, 300), Deadline: 100, RunLimit: 5, Once: true, Claimed: true},
 	&Claimed{"j"},
@@ -30,7 +30,7 @@
 	&PeerPing{1, 2, 3, true, []string{"a"}, []Member{{"s", 1}}, true},
 	&PeerPong{1, PeerPing{Sequence: 9, Sidecars: make([]Member, 1700)}},
 	&Forward{1, RequestCancel, 2, Job{"k", "t", []JobTask{{"x", []byte("p"), 50, 64}, {}}, 1000, true}},
-	&ForwardAnswer{1, Answer{"k", JobFailed, OutcomeUnknown, CodeInvalid, "why", []TaskResult{{}, {[]byte("b")}}, 250}},
+	&ForwardAnswer{1, Answer{"k", JobFailed, OutcomeUnknown, CodeInvalid, "why", []TaskResult{{}, {[]byte("b")}}, 250}, 3, 5},
 	&Witness{[]string{"a", "", "b"}},
 	&PeerCensus{Roster{Epoch: 7}},
 	&PeerCensusReply{1, []KnownJob{{"a", 5}}, []KnownSidecar{{Member{"s", 2}, 7}}, true},
