--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -151,6 +151,7 @@
 				continue
 			}
 			t.sidecar, t.resent = sc, true
+			sc.hold(s)
 			s.started++
 			if sc.session == 0 {
 				step(taskChart, &t.state, eventLose)
@@ -213,12 +214,8 @@
 		}
 	}
 	for key, s := range c.jobs {
-		first := s.first
-		if s.regained {
-			first = 0
-		}
 		if s.state != stateHeld {
-			add(key, first)
+			add(key, s.first)
 		}
 	}
 	for key := range c.kept.byKey {
