Give a peer without the log the later configuration; write checkpoints each hour

Cause: an entry that could not read the log and had an older configuration than its peers only stopped attesting; and no checkpoint was written before the first record of a stream was gone, so a restart of all entries at that moment lost the state. Change: PeerConfiguration carries a checkpoint to such a peer, which adopts it when it is later; each stream gets a checkpoint at least each hour. Conclusion: not run with separate processes, because the fault runner cannot cut one entry off from the log.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -26,6 +26,8 @@
 	EffectClose
 	// EffectIncarnation says that the entry has a new incarnation, Member.
 	EffectIncarnation
+	// EffectConfiguration sends the configuration as a PeerConfiguration on Session.
+	EffectConfiguration
 )
 
 const (
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -212,7 +212,9 @@
 			e.core.Down(now, id)
 		}
 	case eventMessage:
-		if id, ok := e.ids[ev.session]; ok {
+		if m, ok := ev.message.(*encoder.PeerConfiguration); ok {
+			e.adoptConfiguration(now, m)
+		} else if id, ok := e.ids[ev.session]; ok {
 			e.core.Message(now, id, ev.message)
 		}
 	case eventSubmit:
@@ -314,6 +316,8 @@
 		if s := e.sessions[f.Session]; s != nil {
 			s.Close()
 		}
+	case EffectConfiguration:
+		e.sendConfiguration(e.sessions[f.Session])
 	case EffectIncarnation:
 		member := f.Member
 		e.member.Store(&member)
@@ -367,7 +371,10 @@
 	switch stream {
 	case StreamConfiguration:
 		findings := e.replay.Add(r)
-		e.core.ConfigurationRecord(now, r.Offset, findings)
+		if r.Offset >= e.snapshot.Offset() {
+			// The outcome of a record that came with a peer's configuration is not known; its decision stays unknown.
+			e.core.ConfigurationRecord(now, r.Offset, findings)
+		}
 		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindNote {
 			e.history = append(e.history, Change{Offset: r.Offset, Note: d.Note, Findings: findings})
 			if len(e.history) > 2*historyKept {
@@ -403,6 +410,28 @@
 	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
 }
 
+// sendConfiguration gives a peer the configuration.
+func (e *Entry) sendConfiguration(s *messenger.Session) {
+	body, err := configurer.AppendCheckpoint(nil, e.snapshot)
+	if s == nil || err != nil {
+		return
+	}
+	s.Send(&encoder.PeerConfiguration{Checkpoint: body}) // offered again when it is lost
+}
+
+// adoptConfiguration takes over a later configuration from a peer. Records of the log that it includes are skipped when
+// the log can be read again.
+func (e *Entry) adoptConfiguration(now timer.Millis, m *encoder.PeerConfiguration) {
+	r, err := configurer.DecodeRecord(m.Checkpoint)
+	if err != nil || r.Kind != configurer.KindCheckpoint || !e.replay.Adopt(r.Checkpoint) {
+		return
+	}
+	if s, ok := e.replay.Snapshot(); ok {
+		e.Logger.Infof("entry: adopted the configuration at offset %d from a peer", s.Offset())
+		e.setConfiguration(now, s)
+	}
+}
+
 // read handles the end of a read of the log.
 func (e *Entry) read(now timer.Millis, stream string, p appender.Progress) {
 	if p.Err != nil || !p.Head {
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -13,7 +13,10 @@
 const (
 	followRetry     = 200 * time.Millisecond
 	checkpointRetry = 10 * timer.Second
-	maxHeldChanges  = 10_000
+	// checkpointEach bounds the age of the last checkpoint. The log's retention is not known until records are gone, so a
+	// retention of two hours or more always holds a checkpoint.
+	checkpointEach = 60 * timer.Minute
+	maxHeldChanges = 10_000
 )
 
 type (
@@ -107,21 +110,20 @@
 // roster does so.
 func (e *Entry) checkpoint(stream string, p appender.Progress) {
 	r := e.core.roster
-	if p.First == 0 || !e.core.joined || r.Entries[0].Member != e.core.self || !e.core.mayDecide() {
+	if p.Next == 0 || !e.core.joined || r.Entries[0].Member != e.core.self || !e.core.mayDecide() {
 		return
 	}
 	now := e.Clock.Now()
-	half := p.First + (p.Next-p.First)/2
 	switch stream {
 	case StreamRoster:
-		if e.rosters.checkpoint < half && now-e.rosters.tried > checkpointRetry {
+		if checkpointDue(p, e.rosters.checkpoint, now-e.rosters.tried) {
 			e.rosters.tried = now
 			e.core.appendRecord(stream, elector.AppendChange(nil, elector.Change{
 				Kind: elector.ChangeCheckpoint, Roster: e.core.folded,
 			}))
 		}
 	case StreamConfiguration:
-		if e.checkpointed < half && now-e.checkpointTried > checkpointRetry {
+		if checkpointDue(p, e.checkpointed, now-e.checkpointTried) {
 			e.checkpointTried = now
 			if body, err := configurer.AppendCheckpoint(nil, e.snapshot); err == nil {
 				e.core.appendRecord(stream, body)
@@ -129,3 +131,12 @@
 		}
 	}
 }
+
+// checkpointDue reports whether a stream needs a checkpoint: when records have gone and the last checkpoint, at the given
+// offset, is in the older half of the rest, or when the last one was tried long ago.
+func checkpointDue(p appender.Progress, last uint64, since timer.Millis) bool {
+	if since <= checkpointRetry {
+		return false
+	}
+	return p.First > 0 && last < p.First+(p.Next-p.First)/2 || since > checkpointEach
+}
--- a/dispatcher/freshness_test.go
+++ b/dispatcher/freshness_test.go
@@ -246,3 +246,35 @@
 		}
 	}
 }
+
+// TestOfferConfiguration guards against an entry that serves an older configuration than its peers because it cannot
+// read the log.
+func TestOfferConfiguration(t *testing.T) {
+	tests := []struct {
+		name   string
+		report encoder.PeerPing
+		want   int // offers after two reports in a row
+	}{
+		{"older without the log", encoder.PeerPing{ConfigOffset: 3}, 1},
+		{"older, reads the log", encoder.PeerPing{ConfigOffset: 3, LogReachable: true}, 0},
+		{"the same", encoder.PeerPing{ConfigOffset: 7}, 0},
+		{"later", encoder.PeerPing{ConfigOffset: 9}, 0},
+	}
+	for _, tt := range tests {
+		b := group(t, "b")
+		b.core.SetConfiguration(b.now, 7, nil)
+		b.core.out = nil
+		for range 2 {
+			b.core.Message(b.now, 1, &tt.report)
+		}
+		got := 0
+		for i := range b.core.out {
+			if b.core.out[i].Kind == EffectConfiguration {
+				got++
+			}
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %d offers, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/dispatcher/peer.go
+++ b/dispatcher/peer.go
@@ -10,6 +10,7 @@
 	pingsKept    = 8
 	firstContact = 3 * timer.Second // time that a new member has to be heard for the first time
 	fullListEach = 10 * timer.Second
+	offerAgain   = timer.Second // time until a configuration that was not adopted is sent again
 )
 
 type (
@@ -24,6 +25,8 @@
 		pings    [pingsKept]sentPing
 		report   encoder.PeerPing
 		begun    timer.Millis // begin of the exchange that brought the report; 0 for none
+		offset   uint64       // configuration offset that was sent to the peer
+		offered  timer.Millis // when it was sent
 		epoch    uint64       // highest epoch that any incarnation has reported
 		told     map[encoder.Member]bool
 		toldAll  timer.Millis
@@ -139,6 +142,17 @@
 	for _, d := range s.Domains {
 		c.adoptProvisional(d, s.ConfigOffset)
 	}
+	c.offerConfiguration(p, s)
+}
+
+// offerConfiguration sends the configuration to a peer that has an older one and cannot read the log.
+func (c *Core) offerConfiguration(p *peer, s *encoder.PeerPing) {
+	id, offset := p.session(), c.domains.offset
+	if id == 0 || s.LogReachable || s.ConfigOffset >= offset || p.offset == offset && c.now-p.offered < offerAgain {
+		return
+	}
+	p.offset, p.offered = offset, c.now
+	c.out = append(c.out, Effect{Kind: EffectConfiguration, Session: id})
 }
 
 // state is the entry's own report to p.
--- a/encoder/codec.go
+++ b/encoder/codec.go
@@ -59,6 +59,7 @@
 	kindPeerCensus
 	kindPeerCensusReply
 	kindHandover
+	kindPeerConfiguration
 )
 
 // Append appends the encoding of m to dst. It panics when m is not a pointer to a message type of this package. It does
@@ -136,6 +137,8 @@
 		b := appendUint(append(dst, kindPeerCensusReply), 1, m.Epoch)
 		b = appendKnown(b, m)
 		return appendBool(b, 4, m.Last)
+	case *PeerConfiguration:
+		return appendBytes(append(dst, kindPeerConfiguration), 1, m.Checkpoint)
 	case *Handover:
 		b := appendJob(append(dst, kindHandover), 1, &m.Job)
 		b = appendStarted(b, 2, m.Started)
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -34,6 +34,7 @@
 	&Witness{[]string{"a", "", "b"}},
 	&PeerCensus{Roster{Epoch: 7}},
 	&PeerCensusReply{1, []KnownJob{{"a", 5}}, []KnownSidecar{{Member{"s", 2}, 7}}, true},
+	&PeerConfiguration{[]byte("c")},
 	&Handover{Job{Key: "k", Tasks: make([]JobTask, 880)}, []StartedTask{{Status: StatusFailed, Reason: "r"}}, Answer{Key: "k"}, true},
 }
 
--- a/encoder/decode_peer.go
+++ b/encoder/decode_peer.go
@@ -28,6 +28,8 @@
 		return m
 	case kindPeerCensusReply:
 		return r.peerCensusReply()
+	case kindPeerConfiguration:
+		return r.peerConfiguration()
 	case kindHandover:
 		return r.handover()
 	}
@@ -153,6 +155,16 @@
 	r.leave(o)
 }
 
+func (r *reader) peerConfiguration() *PeerConfiguration {
+	m := &PeerConfiguration{}
+	for r.message = "PeerConfiguration"; r.next(); {
+		if r.number == 1 {
+			m.Checkpoint = r.bytes("checkpoint")
+		}
+	}
+	return m
+}
+
 func (r *reader) handover() *Handover {
 	m := &Handover{}
 	for r.message = "Handover"; r.next(); {
--- a/encoder/messages.go
+++ b/encoder/messages.go
@@ -312,6 +312,9 @@
 		Last     bool
 	}
 
+	// PeerConfiguration gives a peer that cannot read the log a later configuration, as a checkpoint record.
+	PeerConfiguration struct{ Checkpoint []byte }
+
 	// Handover gives submissions of a leaving entry to their next owner. Started lists tasks that are done, and tasks that
 	// may have been started as running. Certain means that no other task of the job was started.
 	Handover struct {
