Count the configuration message between peers

Change: the type has a number and a name, and the length of the counters follows the list of names. Conclusion: a message type that is added without a counter fails the test.

--- a/encoder/type.go
+++ b/encoder/type.go
@@ -1,19 +1,19 @@
 package encoder
 
 // MessageTypes is the length of an array that is indexed by Type.
-const MessageTypes = kindHandover + 1
+const MessageTypes = len(typeNames)
 
 // Type numbers the message types as on the wire. 0 is none.
 type Type uint8
 
-var typeNames = []string{
+var typeNames = [...]string{
 	"", "hello", "helloAck", "ping", "pong", "start", "claimed", "result", "refusal", "grant", "recall", "release", "demand",
 	"cancel", "collected", "census", "censusReply", "leaving", "peerPing", "peerPong", "forward", "forwardAnswer", "witness",
-	"peerCensus", "peerCensusReply", "handover",
+	"peerCensus", "peerCensusReply", "handover", "peerConfiguration",
 }
 
 // String returns the type in camelCase, for example "censusReply".
-func (t Type) String() string { return name(typeNames, uint8(t)) }
+func (t Type) String() string { return name(typeNames[:], uint8(t)) }
 
 // TypeOf returns the type of m, and 0 when m is not a pointer to a message type of this package.
 func TypeOf(m Message) Type {
@@ -75,6 +75,8 @@
 		return kindPeerCensusReply
 	case *Handover:
 		return kindHandover
+	case *PeerConfiguration:
+		return kindPeerConfiguration
 	}
 	return 0
 }
