--- a/commander/entry_test.go
+++ b/commander/entry_test.go
@@ -1,7 +1,13 @@
 package commander
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,8 +60,13 @@
 }
 
 // startSidecar runs a sidecar until ctx ends, and waits until the entry knows it.
-func startSidecar(ctx context.Context, p *entryProcess, backend string) {
-	s := &starter.Sidecar{ID: "s1", Domain: "d", Worker: "w", Backend: backend, Entries: []string{p.Entry.Listen}, Log: p.Entry.Logger}
+func startSidecar(ctx context.Context, t *testing.T, p *entryProcess, backend *emulator.Backend) {
+	t.Helper()
+	url, err := backend.Serve(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &starter.Sidecar{ID: "s1", Domain: "d", Worker: "w", Backend: url, Entries: []string{p.Entry.Listen}, Log: p.Entry.Logger}
 	go func() { _ = s.Run(ctx) }()
 	for len(p.Entry.Status(ctx).Sidecars) == 0 {
 		time.Sleep(time.Millisecond)
@@ -68,12 +79,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	started := make(chan string, 1)
-	backend := &emulator.Backend{OnStart: func(task string) { started <- task }}
-	url, err := backend.Serve(ctx, "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	startSidecar(ctx, p, url)
+	startSidecar(ctx, t, p, &emulator.Backend{OnStart: func(task string) { started <- task }})
 	body, err := server.EncodeJob(encoder.Job{Tasks: []encoder.JobTask{{Kind: "k", Payload: []byte(`{"runMs":30000}`)}}}, timer.Minute)
 	if err != nil {
 		t.Fatal(err)
@@ -130,3 +136,68 @@
 		t.Errorf("got %v from an entry that has stopped, want unavailable", a)
 	}
 }
+
+// Messages per task are a target, so each message must be counted under its own type, tasks' messages exactly once.
+func TestMessageCounters(t *testing.T) {
+	p, _, stop := startEntry(t, timer.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	startSidecar(ctx, t, p, &emulator.Backend{})
+	task := encoder.JobTask{Kind: "k", Payload: []byte(`{"runMs":1}`)}
+	if a := p.Entry.Submit(ctx, encoder.Job{Key: "k", Tasks: []encoder.JobTask{task, task, task}}); a.State != encoder.JobComplete {
+		t.Fatalf("got %v %s, want a complete job", a.State, a.Reason)
+	}
+	var b bytes.Buffer
+	p.writeMetrics(&b)
+	refused := 0 // a slow machine may let the lease expire
+	_, rest, _ := strings.Cut(b.String(), `crocuslb_received_messages_total{type="refusal"} `)
+	_, err := fmt.Sscan(rest, &refused)
+	const some = `[1-9]\d*`
+	for _, tc := range []struct{ series, want string }{
+		{`sent_messages_total{type="start"}`, strconv.Itoa(3 + refused)}, {`received_messages_total{type="result"}`, "3"},
+		{`sent_messages_total{type="census"}`, some}, {`received_messages_total{type="censusReply"}`, some},
+		{`received_messages_total{type="ping"}`, some}, {`sent_messages_total{type="pong"}`, some},
+		{`received_messages_total{type="grant"}`, some}, {`sent_messages_total{type="recall"}`, "0"},
+		{`sent_messages_total{type="result"}`, "0"}, {`sent_messages_total{type="handover"}`, "0"},
+	} {
+		if !regexp.MustCompile("crocuslb_"+regexp.QuoteMeta(tc.series)+" "+tc.want+"\n").Match(b.Bytes()) || err != nil {
+			t.Errorf("%s is not %s, or refusals are not counted (%v):\n%s", tc.series, tc.want, err, b.String())
+		}
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Task ends must blame the worker and the failure domain that burn, and must not change the objectives, which count jobs.
+func TestTaskReportsBlameWorkers(t *testing.T) {
+	const done, failed, unknown = encoder.StatusDone, encoder.StatusFailed, encoder.StatusUnknown
+	tests := []struct {
+		name string
+		r    dispatcher.TaskReport
+		want string // culprits of response and success
+	}{
+		{"good", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: done, Ran: 112, Expected: 100}, "[] [] [] []"},
+		{"slow", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: done, Ran: 113, Expected: 100}, "[{d 1 1 1}] [{w 1 1 1}] [] []"},
+		{"no expectation", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: done, Ran: 113}, "[] [] [] []"},
+		{"failed", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: failed, Ran: 9}, "[] [] [{d 1 1 1}] [{w 1 1 1}]"},
+		{"unknown", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: unknown}, "[] [] [{d 1 1 1}] [{w 1 1 1}]"},
+		{"asked to stop", dispatcher.TaskReport{Domain: "d", Worker: "w", Status: failed, Canceled: true}, "[] [] [] []"},
+		{"unknown place", dispatcher.TaskReport{Status: unknown}, "[] [] [] []"},
+	}
+	for _, tc := range tests {
+		p := entryProcess{Entry: &dispatcher.Entry{}, tasks: make(chan dispatcher.TaskReport)}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { p.observeTasks(ctx) })
+		p.tasks <- tc.r // it is unbuffered, so the report is observed before ctx is read again
+		cancel()
+		running.Wait()
+		p.reportTask(tc.r)
+		rows := p.Reporter.Report(p.Entry.Clock.Now()).Rows
+		got := fmt.Sprint(rows[0].Domains, rows[0].Workers, rows[1].Domains, rows[1].Workers)
+		if got != tc.want || rows[0].Total+rows[1].Total != 0 || p.unseen.Load() != 1 {
+			t.Errorf("%s: got %s, %d jobs, %d dropped; want %s, none, 1", tc.name, got, rows[0].Total+rows[1].Total, p.unseen.Load(), tc.want)
+		}
+	}
+}
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/crocuslb/crocuslb/elector"
@@ -158,3 +159,47 @@
 		}
 	}
 }
+
+// TestOnTask guards against ends that blame no worker, blame one twice, or blame one for a task that was asked to stop.
+func TestOnTask(t *testing.T) {
+	end := func(i uint32, s encoder.Status) *encoder.Result {
+		return &encoder.Result{Task: encoder.TaskKey{Job: "k", Index: i}, Status: s, Ran: 70, Credits: 1}
+	}
+	tests := []struct {
+		name     string
+		declared timer.Millis
+		learnt   int // tasks of 100 ms that ended before
+		ends     []*encoder.Result
+		restart  bool // of the sidecar
+		want     []string
+	}{
+		{"done", 50, 0, []*encoder.Result{end(0, encoder.StatusDone)}, false, []string{"{north w done 70ms 50ms false}"}},
+		{"no run time is known", 0, 0, []*encoder.Result{end(0, encoder.StatusDone)}, false, []string{"{north w done 70ms 0ms false}"}},
+		{"learnt run time", 0, 9, []*encoder.Result{end(0, encoder.StatusDone)}, false, []string{"{north w done 70ms 112ms false}"}},
+		{"declared goes before learnt", 50, 9, []*encoder.Result{end(0, encoder.StatusDone)}, false, []string{"{north w done 70ms 50ms false}"}},
+		{"counted once", 0, 0, []*encoder.Result{end(0, encoder.StatusDone), end(0, encoder.StatusDone)}, false, []string{"{north w done 70ms 0ms false}"}},
+		{"not started", 0, 0, []*encoder.Result{end(0, encoder.StatusNotStarted)}, false, nil},
+		{"stopped after a failure", 0, 0, []*encoder.Result{end(0, encoder.StatusFailed), end(1, encoder.StatusFailed)}, false, []string{"{north w failed 70ms 0ms false}", "{north w failed 70ms 0ms true}"}},
+		{"worker lost", 0, 0, []*encoder.Result{end(1, encoder.StatusDone)}, true, []string{"{north w done 70ms 0ms false}", "{north w unknown 0ms 0ms false}"}},
+	}
+	for _, tt := range tests {
+		var got []string
+		b := newBench(t, Settings{OnTask: func(r TaskReport) { got = append(got, fmt.Sprint(r)) }})
+		b.core.sidecars["s"].hello.Worker = "w"
+		for range tt.learnt {
+			b.core.queue.Finished("s", b.core.queued(&submission{specs: job("", 1).Tasks}, 0), encoder.StatusDone, 100)
+		}
+		j := job("k", 2)
+		j.Tasks[0].RunTime = tt.declared
+		b.core.Submit(b.now, 1, j)
+		for _, m := range tt.ends {
+			b.message(m)
+		}
+		if tt.restart {
+			b.core.Up(b.now, 101, hello("s", 2))
+		}
+		if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -38,26 +38,19 @@
 	&Handover{Job{Key: "k", Tasks: make([]JobTask, 880)}, []StartedTask{{Status: StatusFailed, Reason: "r"}}, Answer{Key: "k"}, true},
 }
 
-// Guards against fields that are lost or mixed up between Append and Decode.
+// Guards against fields that are lost or mixed up between Append and Decode, and messages counted as another type.
 func TestRoundTrip(t *testing.T) {
+	seen := map[Type]bool{0: true}
 	for _, want := range examples {
 		frame := Append([]byte("prefix"), want)[len("prefix"):]
 		got, err := Decode(frame)
 		if err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("got %+v, %v, want %+v", got, err, want)
 		}
-	}
-}
-
-// Guards against messages that are counted as another type, and against types without a name.
-func TestTypeOf(t *testing.T) {
-	seen := map[string]bool{"": true}
-	for _, m := range examples {
-		got, want := TypeOf(m), Type(Append(nil, m)[0])
-		if got != want || !strings.EqualFold(got.String(), reflect.TypeOf(m).Elem().Name()) {
-			t.Errorf("got type %d %s of %T, want %d", got, got, m, want)
+		n := TypeOf(want)
+		if seen[n] = true; n != Type(frame[0]) || !strings.EqualFold(n.String(), reflect.TypeOf(want).Elem().Name()) {
+			t.Errorf("got type %d %s of %T, want %d", n, n, want, frame[0])
 		}
-		seen[got.String()] = true
 	}
 	if len(seen) != MessageTypes || TypeOf(nil) != 0 {
 		t.Errorf("got %d types, want %d", len(seen), MessageTypes)
