Ping entries that do not own the cell once a second

Cause: the demo, with 140 tasks/s, sent 5.24 messages of all types per task; two of them are starts and results, most of the rest heartbeats, which cost the same at any load. Change: a sidecar pings the owner of its cell every 300 ms and each other entry every second or less often.

--- a/starter/core.go
+++ b/starter/core.go
@@ -34,6 +34,9 @@
 	defaultClaimWait = 3 * timer.Second
 
 	pingPeriod = 300 * timer.Millis(1)
+	// otherPingPeriod is for entries that do not own the cell. With 300 ms for them, too, heartbeats were more messages
+	// than the starts and results of the demo.
+	otherPingPeriod = timer.Second
 	// maxPingPeriod leaves time for a pong within the lease of the one before.
 	maxPingPeriod = 1500 * timer.Millis(1)
 	leaseTime     = 2 * timer.Second
--- a/starter/freshness.go
+++ b/starter/freshness.go
@@ -30,13 +30,14 @@
 	c.send(e, &encoder.Ping{Sequence: e.sequence, Running: uint32(len(c.running)), Leaving: c.leaving, Epoch: c.roster.Epoch})
 }
 
-// pingPeriodOf returns the time between two pings to e. The owner of the cell is pinged at the full rate; the others
-// together get about two pings a period, so that a larger roster does not cost a sidecar more.
+// pingPeriodOf returns the time between two pings to e. The owner of the cell is pinged at the full rate. The others
+// renew the lease when the owner cannot; together they get about two pings a period, so that a larger roster does not cost a
+// sidecar more.
 func (c *Core) pingPeriodOf(e *entry) timer.Millis {
 	if e.member == c.home {
 		return pingPeriod
 	}
-	return min(pingPeriod*timer.Millis(max(1, len(c.roster.Entries)/2)), maxPingPeriod)
+	return min(max(pingPeriod*timer.Millis(len(c.roster.Entries)/2), otherPingPeriod), maxPingPeriod)
 }
 
 // pong takes over newer state and extends the freshness lease.
