--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -60,9 +60,9 @@
 		t.Errorf("got %v, want no error", err)
 	}
 	bad := good
-	bad.Backends, bad.Connections, bad.RunTime, bad.Other = 1, 5000, 6000, true
+	bad.Rate, bad.Backends, bad.Connections, bad.RunTime, bad.Other = -1, 1, 5000, 6000, true
 	err := bad.Check()
-	for _, want := range []string{"mixed", "connections: got 5000", "run time: got 6000", "single entry"} {
+	for _, want := range []string{"rate: got -1", "mixed", "connections: got 5000", "run time: got 6000", "single entry"} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("got %v, want %q in it", err, want)
 		}
--- a/driver/run.go
+++ b/driver/run.go
@@ -24,6 +24,7 @@
 	readyPause   = 100 * time.Millisecond
 	// directCalls is the number of calls that are sent straight to a backend server for comparison.
 	directCalls  = 100
+	maxRate      = 1e6
 	startedTotal = "crocuslb_started_tasks_total "
 )
 
@@ -33,10 +34,10 @@
 
 	Directory string // holds the built programs
 	Entries   int
-	Backends  int // backend servers with real sidecars
-	StandIns  int // sidecars in this process, without backend servers; at most one of the two may be set
-	Slots     int // of each sidecar
-	Other     bool
+	Backends  int  // backend servers with real sidecars
+	StandIns  int  // sidecars in this process, without backend servers; at most one of the two may be set
+	Slots     int  // of each sidecar
+	Other     bool // send the jobs to an entry that is not the owner
 }
 
 // Check returns an error that lists what is wrong with the plan.
@@ -61,6 +62,9 @@
 			errs = append(errs, trace.BadParameter("%s: got %d, want %d to %d", c.name, c.value, c.lowest, c.highest))
 		}
 	}
+	if p.Rate < 0 || p.Rate > maxRate {
+		errs = append(errs, trace.BadParameter("rate: got %g, want 0 to %g", p.Rate, float64(maxRate)))
+	}
 	if p.Backends > 0 && p.StandIns > 0 {
 		errs = append(errs, trace.BadParameter("backends and stand-ins cannot be mixed"))
 	}
