Gather collected tasks for a second

Cause: in the demo the owner sent 898 Collected messages for 1,839 starts. Change: tasks that were collected are told to the sidecars once a second.

--- a/dispatcher/collect.go
+++ b/dispatcher/collect.go
@@ -5,7 +5,12 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-const tasksPerMessage = 1000
+const (
+	tasksPerMessage = 1000
+	// collectPeriod gathers collected tasks, which are not urgent. Sent as soon as they were due, there was one message
+	// for two tasks in the demo.
+	collectPeriod = timer.Second
+)
 
 type (
 	// collection lists results that the sidecars may drop. They stay there for a while after the answer, as evidence
@@ -13,6 +18,7 @@
 	collection struct {
 		waiting []collected // in order of time; the entries before head were sent
 		head    int
+		next    timer.Millis
 	}
 
 	collected struct {
@@ -29,9 +35,10 @@
 // due removes the tasks that are due and returns them by sidecar. The list moves only when half of it was sent:
 // at 100,000 tasks a second, a move in each tick took 0.3 ms of every 5 ms.
 func (l *collection) due(now timer.Millis) map[*sidecar][]encoder.TaskKey {
-	if l.head == len(l.waiting) || l.waiting[l.head].at > now {
+	if now < l.next || l.head == len(l.waiting) || l.waiting[l.head].at > now {
 		return nil
 	}
+	l.next = now + collectPeriod
 	lists := map[*sidecar][]encoder.TaskKey{}
 	first := l.head
 	for l.head < len(l.waiting) && l.waiting[l.head].at <= now {
