Let entries and sidecars take part in membership when it is set

Cause: package watcher was complete, but no process used it. Change: -memberAddress and -memberSeeds for entry and sidecar, off by default, keyed from -secret and refused beyond loopback without it. Changes are logged with the prefix "member: "; the status of an entry and its metrics show the other members. Other processes are told of the leave when the drain begins. watcher.Process gains Members. The identifier of a member includes the role. Ownership and placement do not use it. Conclusion: the watcher joins one random seed, and the next one only after a minute once any member is known, so processes that start together probably form separate groups for that long.

--- a/commander/commands.go
+++ b/commander/commands.go
@@ -12,8 +12,8 @@
 	format := loader.Setting{Name: "format", Default: "text", Meaning: "format of the report: text, json or html", Check: oneOf("text", "json", "html")}
 	entryRules := append(guarded("httpAddress", "address", "advertise"),
 		loader.Rule{Names: []string{"advertise", "address"}, Check: reachable},
-		loader.Rule{Names: []string{"burnShortMs", "burnLongMs"}, Check: windows})
-	sidecarRules := []loader.Rule{{Names: []string{"entries", secret.Name}, Check: remote}}
+		loader.Rule{Names: []string{"burnShortMs", "burnLongMs"}, Check: windows}, memberRule)
+	sidecarRules := []loader.Rule{{Names: []string{"entries", secret.Name}, Check: remote}, memberRule}
 	return []command{
 		{name: "entry", summary: "Run an entry, which accepts jobs and places their tasks", settings: entrySettings,
 			rules: entryRules, run: runEntry},
--- a/commander/decision.go
+++ b/commander/decision.go
@@ -210,5 +210,6 @@
 	for _, d := range s.Domains {
 		out.Domains = append(out.Domains, server.DomainState{Name: d.Name, InForce: d.InForce, Provisional: d.Provisional})
 	}
+	out.Members = p.members.states()
 	return out, nil
 }
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -39,6 +39,7 @@
 	Drain       timer.Millis
 	Reporter    reporter.Reporter
 
+	members  *membership
 	metrics  reporter.Metrics
 	listener server.Listener
 	leaving  atomic.Bool
@@ -55,7 +56,7 @@
 	}
 	p := &entryProcess{
 		Entry: &dispatcher.Entry{
-			ID: identifier(v.Text("id"), "entry"), Listen: v.Text("address"), Advertise: v.Text("advertise"), Domain: v.Text(domain.Name),
+			ID: identifier(v.Text("id"), roleEntry), Incarnation: uint64(time.Now().UnixMilli()), Listen: v.Text("address"), Advertise: v.Text("advertise"), Domain: v.Text(domain.Name),
 			Log: &appender.Client{URL: v.Text("logUrl"), Timeout: v.Millis("logTimeoutMs")},
 			TLS: keys, Logger: logger,
 		},
@@ -63,6 +64,10 @@
 		Connections: int(v.Count("connections")), Drain: v.Millis(drain.Name),
 		Reporter: reporter.Reporter{Objectives: objectives(v)},
 	}
+	if p.members, err = c.startMember(ctx, logger, roleEntry, p.Entry.ID, p.Entry.Incarnation); err != nil {
+		return c.fail(err)
+	}
+	defer p.members.stop()
 	address, err := p.start(ctx)
 	if err != nil {
 		return c.fail(err)
@@ -233,5 +238,6 @@
 	} {
 		p.metrics.SetTotal(name, value)
 	}
+	p.members.measure(&p.metrics)
 	p.metrics.Write(w)
 }
--- /dev/null
+++ b/commander/member.go
@@ -0,0 +1,132 @@
+package commander
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/loader"
+	"github.com/crocuslb/crocuslb/reporter"
+	"github.com/crocuslb/crocuslb/server"
+	"github.com/crocuslb/crocuslb/watcher"
+)
+
+const (
+	roleEntry   = "entry"
+	roleSidecar = "sidecar"
+)
+
+var (
+	memberAddress = loader.Setting{Name: "memberAddress", Unit: loader.UnitAddress, Meaning: "address at which the process takes part in membership (UDP), reached by all other members; membership is off when empty"}
+	memberSeeds   = loader.Setting{Name: "memberSeeds", Unit: loader.UnitAddresses, Meaning: "member addresses of other processes, from which the process learns the others"}
+
+	memberRule = loader.Rule{Names: []string{memberAddress.Name, memberSeeds.Name, secret.Name}, Check: checkMember}
+)
+
+// membership is the failure detection among entries and sidecars; nil when it is off. It is for observation only. An
+// entry must not use it for ownership or placement: the census counts the sidecars by their sessions and waits for the
+// freshness leases of those that do not answer. A member that is dead to the watcher may still hold a lease, and one
+// that is alive to it may have no session, so a decision based on it could start a task twice.
+type membership struct {
+	process watcher.Process
+	cancel  context.CancelFunc
+}
+
+// startMember starts membership if its address is set. Other processes are told of the leave when ctx ends, which is the
+// beginning of the drain, or when stop is called. The incarnation is the one at the start of the process; an entry that
+// rejoins the roster as a newer one stays the same member. The identifier includes the role, because an entry and a
+// sidecar may have the same one.
+func (c call) startMember(ctx context.Context, logger *log.Logger, role, id string, incarnation uint64) (*membership, error) {
+	address := c.values.Text(memberAddress.Name)
+	if address == "" {
+		return nil, nil //nolint:nilnil // no membership is a valid result: it is off
+	}
+	m := &membership{process: watcher.Process{
+		Core:   watcher.Core{Self: watcher.Member{ID: role + "/" + id, Incarnation: incarnation}, Seed: rand.Uint64()},
+		Secret: c.values.Text(secret.Name), Seeds: c.values.List(memberSeeds.Name),
+		OnChange: func(m watcher.Member, s watcher.State) {
+			logger.Infof("member: %s is %s, incarnation %d at %s", m.ID, s, m.Incarnation, m.Address)
+		},
+	}}
+	ctx, m.cancel = context.WithCancel(ctx)
+	bound, err := m.process.Start(ctx, address)
+	if err != nil {
+		m.cancel()
+		return nil, err
+	}
+	logger.Infof("member: listening on %s", bound)
+	return m, nil
+}
+
+// stop tells other processes of the leave, unless that has happened, and waits for the end.
+func (m *membership) stop() {
+	if m != nil {
+		m.cancel()
+		m.process.Wait()
+	}
+}
+
+// states returns the other members in the order of their identifiers, or nil when membership is off.
+func (m *membership) states() []server.MemberState {
+	if m == nil {
+		return nil
+	}
+	updates := m.process.Members()
+	out := make([]server.MemberState, 0, len(updates))
+	for _, u := range updates {
+		role, id, _ := strings.Cut(u.Member.ID, "/")
+		out = append(out, server.MemberState{
+			Role: role, ID: id, Incarnation: u.Member.Incarnation, Address: u.Member.Address, State: u.State.String(),
+		})
+	}
+	slices.SortFunc(out, func(a, b server.MemberState) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// measure sets the metrics of membership; there are none when it is off.
+func (m *membership) measure(to *reporter.Metrics) {
+	if m == nil {
+		return
+	}
+	counts := map[watcher.State]int{watcher.StateAlive: 0, watcher.StateSuspect: 0, watcher.StateDead: 0}
+	for _, u := range m.process.Members() {
+		counts[u.State]++
+	}
+	for s, n := range counts {
+		to.Set(`crocuslb_members{state="`+s.String()+`"}`, float64(n))
+	}
+	to.SetTotal("crocuslb_refused_member_datagrams_total", m.process.Refused())
+}
+
+// checkMember refuses addresses beyond loopback without the secret, and an unspecified address, because the others
+// could not reach it.
+func checkMember(v loader.Values) []loader.Finding {
+	var out []loader.Finding
+	add := func(s loader.Setting, reason string) {
+		out = append(out, loader.Finding{Place: "-" + s.Name, Reason: reason})
+	}
+	keyed := v.Text(secret.Name) != ""
+	if !keyed && !v.Loopback(memberAddress.Name) {
+		add(memberAddress, "an address beyond loopback needs -secret")
+	}
+	if a, err := netip.ParseAddrPort(v.Text(memberAddress.Name)); err == nil && a.Addr().Unmap().IsUnspecified() {
+		add(memberAddress, "must name a single interface, so that other members reach it")
+	}
+	seeds := v.List(memberSeeds.Name)
+	if len(seeds) > 0 && v.Text(memberAddress.Name) == "" {
+		add(memberSeeds, "needs -memberAddress")
+	}
+	for _, text := range seeds {
+		if a, err := netip.ParseAddrPort(text); !keyed && (err != nil || !a.Addr().Unmap().IsLoopback()) {
+			add(memberSeeds, text+" is beyond loopback and needs -secret")
+		}
+	}
+	return out
+}
--- a/commander/operator.go
+++ b/commander/operator.go
@@ -171,6 +171,9 @@
 			_, _ = fmt.Fprintf(w, "sidecar\t%s\t%s\t%s\t%d slots\t%d running\tconnected %t\tleaving %t\n",
 				k.ID, k.Domain, k.Worker, k.Slots, k.Running, k.Connected, k.Leaving)
 		}
+		for _, m := range s.Members {
+			_, _ = fmt.Fprintf(w, "member\t%s\t%s\t%s\tincarnation %d\t%s\n", m.Role, m.ID, m.Address, m.Incarnation, m.State)
+		}
 		return trace.Wrap(w.Flush())
 	})
 }
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -39,7 +39,7 @@
 		{Name: "logTimeoutMs", Unit: loader.UnitMillis, Default: "1000", Min: 10, Max: 60_000, Meaning: "time after which a call to the log counts as failed"},
 		{Name: domain.Name, Meaning: "failure domain of the entry, for the choice of near sidecars; not known when empty", Check: word},
 		{Name: "connections", Unit: loader.UnitCount, Default: "4096", Min: 1, Max: 1_000_000, Meaning: "open HTTP connections at most"},
-		drain, secret, token, logLevel, logFormat,
+		memberAddress, memberSeeds, drain, secret, token, logLevel, logFormat,
 		{Name: "responseRatio", Unit: loader.UnitRatio, Default: "1.10", Min: 1, Max: 1000, Meaning: "objective: response time over ideal at which a job counts as slow"},
 		{Name: "responseTarget", Unit: loader.UnitShare, Default: "0.99", Min: 0.5, Max: 1, Meaning: "objective: share of complete jobs that are not slow"},
 		{Name: "successTarget", Unit: loader.UnitShare, Default: "0.999", Min: 0.5, Max: 1, Meaning: "objective: share of jobs that do not fail"},
@@ -58,7 +58,7 @@
 		{Name: "kinds", Unit: loader.UnitList, Meaning: "kinds of task that the backend server runs; all when empty"},
 		{Name: "backendUrl", Unit: loader.UnitURL, Required: true, Meaning: "base URL of the backend server"},
 		{Name: "entries", Unit: loader.UnitAddresses, Required: true, Meaning: "QUIC addresses of entries, one at least; the others are learnt from them"},
-		drain, secret, logLevel, logFormat,
+		memberAddress, memberSeeds, drain, secret, logLevel, logFormat,
 	}
 
 	clientSettings = []loader.Setting{entryURL, token, timeout, asJSON}
--- a/commander/sidecar.go
+++ b/commander/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
@@ -17,10 +18,15 @@
 		return c.fail(err)
 	}
 	s := &starter.Sidecar{
-		ID: identifier(v.Text("id"), "sidecar"), Domain: v.Text(domain.Name), Worker: v.Text("worker"),
+		ID: identifier(v.Text("id"), roleSidecar), Incarnation: uint64(time.Now().UnixMicro()), Domain: v.Text(domain.Name), Worker: v.Text("worker"),
 		Slots: uint32(v.Count("slots")), MemoryMB: uint64(v.Count("memoryMb")), Kinds: v.List("kinds"),
 		Backend: v.Text("backendUrl"), Entries: v.List("entries"), TLS: keys, Log: logger,
 	}
+	members, err := c.startMember(ctx, logger, roleSidecar, s.ID, s.Incarnation)
+	if err != nil {
+		return c.fail(err)
+	}
+	defer members.stop()
 	logger.WithFields(log.Fields{"id": s.ID, "backend": s.Backend}).Info("sidecar: started")
 	if err := serveSidecar(ctx, s, v.Millis(drain.Name)); err != nil {
 		logger.WithError(err).Error("sidecar: ended with an error")
--- a/server/client.go
+++ b/server/client.go
@@ -240,5 +240,8 @@
 	for _, d := range w.Domains {
 		s.Domains = append(s.Domains, DomainState(d))
 	}
+	for _, m := range w.Members {
+		s.Members = append(s.Members, MemberState(m))
+	}
 	return s, nil
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -407,3 +408,17 @@
 		}
 	})
 }
+
+// Operators must be able to tell membership that is off from membership that knows no other process.
+func TestStateMembers(t *testing.T) {
+	one := MemberState{Role: "entry", ID: "e1", Incarnation: 7, Address: "127.0.0.1:1", State: "suspect"}
+	for _, want := range [][]MemberState{nil, {}, {one}} {
+		body, err := EncodeState(State{Members: want})
+		if err != nil || strings.Contains(string(body), `"members":`) != (want != nil) {
+			t.Errorf("got %s, %v, want members %v", body, err, want)
+		}
+		if got, err := DecodeState(body); err != nil || !slices.Equal(got.Members, want) {
+			t.Errorf("got %+v, %v, want %+v", got.Members, err, want)
+		}
+	}
+}
--- a/server/state.go
+++ b/server/state.go
@@ -26,6 +26,7 @@
 		Entries      []EntryState
 		Sidecars     []SidecarState
 		Domains      []DomainState
+		Members      []MemberState // nil when membership is off
 	}
 
 	// Counters count events since the start of the entry.
@@ -57,6 +58,14 @@
 		Provisional bool // withdrawn, not recorded in the log yet
 	}
 
+	// MemberState is another process as failure detection sees it. State is "alive", "suspect" or "dead".
+	MemberState struct {
+		Role, ID    string
+		Incarnation uint64
+		Address     string
+		State       string
+	}
+
 	stateWire struct {
 		ID           string             `json:"id"`
 		Incarnation  uint64             `json:"incarnation"`
@@ -75,6 +84,7 @@
 		Entries      []entryStateWire   `json:"entries"`
 		Sidecars     []sidecarStateWire `json:"sidecars"`
 		Domains      []domainStateWire  `json:"domains"`
+		Members      []memberStateWire  `json:"members,omitzero"`
 	}
 
 	entryStateWire struct {
@@ -112,6 +122,14 @@
 		InForce     bool   `json:"inForce"`
 		Provisional bool   `json:"provisional"`
 	}
+
+	memberStateWire struct {
+		Role        string `json:"role"`
+		ID          string `json:"id"`
+		Incarnation uint64 `json:"incarnation"`
+		Address     string `json:"address"`
+		State       string `json:"state"`
+	}
 )
 
 // EncodeState maps a state to JSON.
@@ -134,5 +152,11 @@
 	for _, d := range s.Domains {
 		w.Domains = append(w.Domains, domainStateWire(d))
 	}
+	if s.Members != nil {
+		w.Members = make([]memberStateWire, 0, len(s.Members))
+	}
+	for _, m := range s.Members {
+		w.Members = append(w.Members, memberStateWire(m))
+	}
 	return json.Marshal(w)
 }
--- a/watcher/process.go
+++ b/watcher/process.go
@@ -44,6 +44,8 @@
 		sealer  sealer
 		socket  *net.UDPConn
 		refused atomic.Uint64
+		asks    chan chan<- []Update
+		ended   chan struct{} // closed when no ask is answered any more
 		wait    sync.WaitGroup
 	}
 
@@ -84,6 +86,7 @@
 		return "", trace.BadParameter("identifier %q and address %q need 1 to %d bytes", s.ID, s.Address, MaxName)
 	}
 	arrivals := make(chan arrival, maxWaiting)
+	p.asks, p.ended = make(chan chan<- []Update), make(chan struct{})
 	p.wait.Go(func() { p.read(arrivals) })
 	p.wait.Go(func() { p.run(ctx, arrivals) })
 	return bound, nil
@@ -92,6 +95,18 @@
 // Wait blocks until the process has ended after its context.
 func (p *Process) Wait() { p.wait.Wait() }
 
+// Members returns the records of all other members, in no order, and nothing after the end. Start must have succeeded.
+// It must not be called from OnChange, because the goroutine that answers is the one that calls OnChange.
+func (p *Process) Members() []Update {
+	answer := make(chan []Update, 1)
+	select {
+	case p.asks <- answer:
+		return <-answer
+	case <-p.ended:
+		return nil
+	}
+}
+
 // Refused returns the number of datagrams that were malformed, had a wrong seal, or came too fast.
 func (p *Process) Refused() uint64 { return p.refused.Load() }
 
@@ -121,6 +136,7 @@
 
 // run owns the core.
 func (p *Process) run(ctx context.Context, arrivals <-chan arrival) {
+	defer close(p.ended)
 	defer p.socket.Close() //nolint:errcheck // nothing is left to do with the socket
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -132,6 +148,8 @@
 			return
 		case a := <-arrivals:
 			p.perform(p.Core.Receive(p.Clock.Now(), a.from, &a.packet))
+		case answer := <-p.asks:
+			answer <- p.Core.Members()
 		case <-alarm.C:
 			now := p.Clock.Now()
 			p.perform(p.Core.Tick(now))
