Let the fleet of package launcher run with membership

Cause: the fleet could not start its processes with -memberAddress. Change: Fleet.Members, off by default, gives each entry a fixed member address and names these as the seeds of all processes. Conclusion: no caller switches it on yet.

--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -43,6 +43,7 @@
 		Backends  int
 		Domains   int
 		Slots     int
+		Members   bool // the entries and sidecars take part in membership
 
 		ctx       context.Context
 		mu        sync.Mutex
@@ -53,6 +54,7 @@
 		backends  []string
 		quic      []string
 		http      []string
+		members   []string // member addresses of the entries
 	}
 )
 
@@ -82,6 +84,13 @@
 			return err
 		}
 		f.quic, f.http = append(f.quic, quic), append(f.http, web)
+		if f.Members {
+			member, err := freePort("udp")
+			if err != nil {
+				return err
+			}
+			f.members = append(f.members, member)
+		}
 	}
 	if err := f.StartLog(); err != nil {
 		return err
@@ -129,15 +138,30 @@
 
 // StartEntry starts entry i, or starts it again on the same addresses.
 func (f *Fleet) StartEntry(i int) error {
-	return f.start(EntryName(i), nil, "crocuslb", "entry", "-id", EntryName(i), "-httpAddress", f.http[i],
-		"-address", f.quic[i], "-logUrl", f.logURL, "-secret", secret, "-token", Token)
+	args := []string{
+		"entry", "-id", EntryName(i), "-httpAddress", f.http[i], "-address", f.quic[i], "-logUrl", f.logURL, "-secret", secret,
+		"-token", Token,
+	}
+	if f.Members {
+		args = append(args, f.memberArgs(f.members[i])...)
+	}
+	return f.start(EntryName(i), nil, "crocuslb", args...)
 }
 
 // StartSidecar starts the sidecar beside backend server i.
 func (f *Fleet) StartSidecar(i int) error {
-	return f.start(SidecarName(i), nil, "crocuslb", "sidecar", "-id", SidecarName(i), "-domain", f.Domain(i),
-		"-worker", "worker-"+strconv.Itoa(i), "-slots", strconv.Itoa(f.Slots), "-backendUrl", f.backends[i],
-		"-entries", strings.Join(f.quic, ","), "-secret", secret)
+	args := []string{
+		"sidecar", "-id", SidecarName(i), "-domain", f.Domain(i), "-worker", "worker-" + strconv.Itoa(i),
+		"-slots", strconv.Itoa(f.Slots), "-backendUrl", f.backends[i], "-entries", strings.Join(f.quic, ","), "-secret", secret,
+	}
+	if f.Members {
+		args = append(args, f.memberArgs("127.0.0.1:0")...)
+	}
+	return f.start(SidecarName(i), nil, "crocuslb", args...)
+}
+
+func (f *Fleet) memberArgs(address string) []string {
+	return []string{"-memberAddress", address, "-memberSeeds", strings.Join(f.members, ",")}
 }
 
 // Process returns the running process of a name, or nil.
