--- a/commander/entry.go
+++ b/commander/entry.go
@@ -41,6 +41,7 @@
 	Drain       timer.Millis
 	Reporter    reporter.Reporter
 
+	members  *membership
 	tasks    chan dispatcher.TaskReport
 	unseen   atomic.Uint64 // task reports that found the queue full
 	metrics  reporter.Metrics
@@ -59,7 +60,7 @@
 	}
 	p := &entryProcess{
 		Entry: &dispatcher.Entry{
-			ID: identifier(v.Text("id"), "entry"), Listen: v.Text("address"), Advertise: v.Text("advertise"), Domain: v.Text(domain.Name),
+			ID: identifier(v.Text("id"), roleEntry), Incarnation: uint64(time.Now().UnixMilli()), Listen: v.Text("address"), Advertise: v.Text("advertise"), Domain: v.Text(domain.Name),
 			Log: &appender.Client{URL: v.Text("logUrl"), Timeout: v.Millis("logTimeoutMs")},
 			TLS: keys, Logger: logger,
 		},
@@ -67,6 +68,10 @@
 		Connections: int(v.Count("connections")), Drain: v.Millis(drain.Name),
 		Reporter: reporter.Reporter{Objectives: objectives(v)},
 	}
+	if p.members, err = c.startMember(ctx, logger, roleEntry, p.Entry.ID, p.Entry.Incarnation); err != nil {
+		return c.fail(err)
+	}
+	defer p.members.stop()
 	address, err := p.start(ctx)
 	if err != nil {
 		return c.fail(err)
@@ -240,6 +245,7 @@
 	} {
 		p.metrics.SetTotal(name, value)
 	}
+	p.members.measure(&p.metrics)
 	for i := 1; i < encoder.MessageTypes; i++ {
 		label := fmt.Sprintf("{type=%q}", encoder.Type(i))
 		p.metrics.SetTotal("crocuslb_sent_messages_total"+label, s.Sent[i])
