--- /dev/null
+++ b/injector/run_test.go
@@ -0,0 +1,32 @@
+package injector
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/launcher"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// TestRun is the short fixed part of the fault runner: separate processes under kills, pauses, planned stops, log outages
+// and a withdrawal. It guards every promise that the runner counts; how many jobs complete is no part of the verdict.
+func TestRun(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	defer cancel()
+	directory := t.TempDir()
+	if err := launcher.Build(ctx, directory); err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(ctx, Plan{Directory: directory, Seed: 1, Length: 8 * timer.Second, FaultEvery: 700})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("\n%s", report)
+	if got := report.Violations(); got != 0 {
+		t.Errorf("got %d violations, want 0:\n%s", got, report)
+	}
+	if report.Complete == 0 {
+		t.Error("no job was complete, so nothing was tried")
+	}
+}
--- a/watcher/process.go
+++ b/watcher/process.go
@@ -22,8 +22,11 @@
 	developmentSecret = "insecure development secret of crocuslb"
 	// maxWaiting bounds the datagrams that were received and not yet handled; later ones are dropped.
 	maxWaiting = 256
-	// rejoinPeriod is the time between two attempts to join while no member is known.
+	// rejoinPeriod is the time between two attempts to join at first, and while no member is known.
 	rejoinPeriod = timer.Second
+	// firstJoins is the number of attempts at first. Processes that start together join seeds that know nobody yet; with
+	// one attempt they found each other only after reseedPeriod.
+	firstJoins = 10
 	// reseedPeriod is the time between two attempts to join otherwise. They unite groups that do not know each other
 	// because their members started while they were separated.
 	reseedPeriod = timer.Minute
@@ -140,7 +143,7 @@
 	defer p.socket.Close() //nolint:errcheck // nothing is left to do with the socket
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
-	joined := p.Clock.Now() - reseedPeriod
+	joined, joins, first := p.Clock.Now()-reseedPeriod, 0, rand.IntN(max(len(p.Seeds), 1))
 	for {
 		select {
 		case <-ctx.Done():
@@ -153,10 +156,13 @@
 		case <-alarm.C:
 			now := p.Clock.Now()
 			p.perform(p.Core.Tick(now))
-			since := now - joined
-			if len(p.Seeds) > 0 && (since >= reseedPeriod || len(p.Core.order) == 0 && since >= rejoinPeriod) {
-				joined = now
-				p.perform(p.Core.Join(p.Seeds[rand.IntN(len(p.Seeds))]))
+			period := reseedPeriod
+			if joins < firstJoins || len(p.Core.order) == 0 {
+				period = rejoinPeriod
+			}
+			if len(p.Seeds) > 0 && now-joined >= period {
+				p.perform(p.Core.Join(p.Seeds[(first+joins)%len(p.Seeds)]))
+				joined, joins = now, joins+1
 			}
 			alarm.Reset(max(1, p.Core.Next()-now).Duration())
 		}
