Name the unit of durations

Cause: durations were written as "250 * timer.Millis(1)" in some files and "timer.Millis(300)" in others. Change: timer.Millisecond, used in constants throughout. Measured: the tests of the changed packages pass. Conclusion: no change of behaviour.

--- a/commander/demolayout.go
+++ b/commander/demolayout.go
@@ -29,7 +29,7 @@
 	demoSlots    = 8
 	demoKind     = "sleep"
 	demoDrain    = 4 * timer.Second
-	demoAppend   = 4 * timer.Millis(1) // a synced write of the log takes several ms
+	demoAppend   = 4 * timer.Millisecond // a synced write of the log takes several ms
 	demoPeriod   = 10 * time.Millisecond
 )
 
--- a/commander/demomix.go
+++ b/commander/demomix.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	demoShortest = 50 * timer.Millis(1)
+	demoShortest = 50 * timer.Millisecond
 	demoLongest  = timer.Second
 	demoMaxTasks = 20
 	// demoAgain is the share of jobs that are submitted again, to another entry.
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -9,7 +9,7 @@
 const (
 	maxClaimAppends  = 4
 	maxPendingClaims = 500_000
-	claimRetry       = 250 * timer.Millis(1)
+	claimRetry       = 250 * timer.Millisecond
 	keysPerMessage   = 500
 	// passKept is how long a forwarded key is remembered beyond its claim, which may still be on its way.
 	passKept = 10 * timer.Second
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -24,7 +24,7 @@
 	// eventBatch bounds the events that are handled before their effects are performed.
 	eventBatch = 256
 	// tailWait bounds the age of a confirmation: a read at the head waits that long for a record.
-	tailWait = 150 * timer.Millis(1)
+	tailWait = 150 * timer.Millisecond
 	// claimsHistory is the number of claims records that a new entry reads.
 	claimsHistory = 50_000
 	historyKept   = 1000
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	refusalDelay    = 5 * timer.Millis(1)
-	maxRefusalDelay = 200 * timer.Millis(1)
+	refusalDelay    = 5 * timer.Millisecond
+	maxRefusalDelay = 200 * timer.Millisecond
 	// runMargin is added to the run limit before a started task without a result counts as lost.
 	runMargin = 10 * timer.Second
 )
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	claimPeriod   = 25 * timer.Millis(1)
-	peerPeriod    = 100 * timer.Millis(1)
-	reportValid   = 500 * timer.Millis(1)
+	claimPeriod   = 25 * timer.Millisecond
+	peerPeriod    = 100 * timer.Millisecond
+	reportValid   = 500 * timer.Millisecond
 	leaseTime     = 2 * timer.Second
-	leaseMargin   = 500 * timer.Millis(1)
+	leaseMargin   = 500 * timer.Millisecond
 	sweepPeriod   = timer.Second
-	joinPeriod    = 500 * timer.Millis(1)
+	joinPeriod    = 500 * timer.Millisecond
 	collectDelay  = timer.Second
-	forwardPeriod = 100 * timer.Millis(1)
+	forwardPeriod = 100 * timer.Millisecond
 	maxHops       = 4
 
 	maxProvisional  = 64
@@ -26,11 +26,11 @@
 
 	// redialAfter and silentAfter bound the detection of a dead peer: a new connection is tried after a missed
 	// heartbeat, and the peer is held for dead 0.3 s beyond its heartbeat.
-	redialAfter = 200 * timer.Millis(1)
-	silentAfter = peerPeriod + 300*timer.Millis(1)
+	redialAfter = 200 * timer.Millisecond
+	silentAfter = peerPeriod + 300*timer.Millisecond
 
 	// ownPause is the time between two ticks from which on the entry itself was paused.
-	ownPause = 200 * timer.Millis(1)
+	ownPause = 200 * timer.Millisecond
 
 	// lostWait is how long after its last sign of life a sidecar delays takeovers. Beyond it no entry has a session
 	// to the sidecar, so its lease has expired.
--- a/scheduler/breaker.go
+++ b/scheduler/breaker.go
@@ -26,7 +26,7 @@
 	firstSlowProbe = 5 * timer.Second
 	lastSlowProbe  = timer.Minute
 	// holdMillis is how long a sidecar is left out after it refused a task for a reason of its own.
-	holdMillis = timer.Millis(100)
+	holdMillis = 100 * timer.Millisecond
 
 	retryShare = 0.1 // retries that one placement earns
 	retryMax   = 100 // retries that can be saved up
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	defaultRunTime = timer.Millis(300)
+	defaultRunTime = 300 * timer.Millisecond
 	// observationsToTrust is the number of ends after which a kind's learnt run time goes before declared ones.
 	observationsToTrust = 5
 	// runTimeWeight is the weight of the newest observation in a kind's smoothed run time.
--- a/starter/core.go
+++ b/starter/core.go
@@ -33,12 +33,12 @@
 	defaultMaxBodies = 8 << 20
 	defaultClaimWait = 3 * timer.Second
 
-	pingPeriod = 300 * timer.Millis(1)
+	pingPeriod = 300 * timer.Millisecond
 	// otherPingPeriod is for entries that do not own the cell. With 300 ms for them, too, heartbeats were more messages
 	// than the starts and results of the demo.
 	otherPingPeriod = timer.Second
 	// maxPingPeriod leaves time for a pong within the lease of the one before.
-	maxPingPeriod = 1500 * timer.Millis(1)
+	maxPingPeriod = 1500 * timer.Millisecond
 	leaseTime     = 2 * timer.Second
 )
 
--- a/starter/runner.go
+++ b/starter/runner.go
@@ -30,7 +30,7 @@
 	dialLimit       = 500 * time.Millisecond
 	// A connection is used again only within this time after its last response. An idle one may have gone silent,
 	// which a POST would find out only by a lost task; a new one costs a round trip on the same worker.
-	maxIdle = 100 * timer.Millis(1)
+	maxIdle = 100 * timer.Millisecond
 	// maxReason bounds the part of a failed response that is reported.
 	maxReason = 256
 )
--- a/starter/sidecar_test.go
+++ b/starter/sidecar_test.go
@@ -182,7 +182,7 @@
 	server.Start()
 	defer server.Close()
 	base, _ := url.Parse(server.URL)
-	now := timer.Millis(1000)
+	now := 1000 * timer.Millisecond
 	r := newRunner(base, timer.Clock{NowFunc: func() timer.Millis { return now }}, 0)
 	defer r.close()
 	for _, tt := range []struct {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// Millisecond is the unit of Millis.
+	Millisecond Millis = 1
 	// Second is one second in Millis.
 	Second Millis = 1000
 	// Minute is one minute in Millis.
