--- a/scheduler/policies_test.go
+++ b/scheduler/policies_test.go
@@ -31,8 +31,7 @@
 
 // runQueues is the common part of the simple policies: choose names a sidecar for each task, which queues there in order.
 func runQueues(w *world, choose func(entry int, send func(host int))) {
-	var send func(j *jobSpec, run int64)
-	send = func(j *jobSpec, run int64) {
+	send := func(j *jobSpec, run int64) {
 		choose(j.entry, func(h int) {
 			net := w.delay(w.entryDomain(j.entry), w.hosts[h].domain)
 			w.messages++
