--- a/dispatcher/property_test.go
+++ b/dispatcher/property_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"flag"
 	"maps"
 	"slices"
 	"strconv"
@@ -13,6 +14,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 const (
 	worldSteps = 150
 	worldKeys  = 4
--- a/encoder/codec_test.go
+++ b/encoder/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"reflect"
 	"strings"
 	"testing"
@@ -12,6 +13,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 var examples = []Message{
 	&Hello{Role: RoleSidecar, Member: Member{"s1", 7}, Address: "10.0.0.1:7", Domain: "a", Worker: "w", Slots: 8, Kinds: []string{"", "x"}},
 	&HelloAck{Member: Member{"e1", 1}, Roster: Roster{3, []RosterEntry{{Member{"e1", 1}, "10.0.0.2:7"}, {}}}},
--- a/messenger/reader_test.go
+++ b/messenger/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"io"
 	"os"
 	"slices"
@@ -12,6 +13,9 @@
 	"pgregory.net/rapid"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 // Guards against frames that are lost, mixed up or cut when reads return any number of bytes, stop at deadlines, and
 // fragments of a long message lie between other frames.
 func TestFrameReader(t *testing.T) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -10,6 +11,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 func task(job string, index uint32, team string, arrived timer.Millis) Task {
 	return Task{Key: encoder.TaskKey{Job: job, Index: index}, Team: team, Kind: "quote", Arrived: arrived}
 }
--- a/starter/property_test.go
+++ b/starter/property_test.go
@@ -14,6 +14,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 // world feeds a core with drawn messages and keeps its own account of what the core may do.
 type world struct {
 	*rapid.T
--- a/watcher/core_test.go
+++ b/watcher/core_test.go
@@ -1,6 +1,7 @@
 package watcher
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed tries others.
+var _ = flag.Set("rapid.seed", "1")
+
 // network connects cores in memory, in virtual time. It delivers packets after a delay, or drops them.
 type network struct {
 	t      testing.TB
