Replay the roster with the tested type

Cause: the entry had its own replay of the roster stream beside elector.Replay, which has the property tests; the own one took a checkpoint without a look at the records between, and dropped the newest held records when it was full. Change: the entry uses elector.Replay and elector.NewCheckpoint; after a gap the core takes the whole roster and treats the rosters between as missed. Measured: dispatcher and commander tests pass. Conclusion: one replay for each stream, both with properties.

--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -70,10 +70,10 @@
 		changes  map[uint64]chan Publication
 		replay   configurer.Replay
 		snapshot configurer.Snapshot
-		rosters  rosterReplay
+		rosters  elector.Replay
 
-		checkpointed    uint64 // offset of the last checkpoint of the configuration
-		checkpointTried timer.Millis
+		configurationCheckpoints checkpoints
+		rosterCheckpoints        checkpoints
 
 		history []Change
 		drained chan struct{}
@@ -385,15 +385,13 @@
 			}
 		}
 		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindCheckpoint {
-			e.checkpointed = r.Offset
+			e.configurationCheckpoints.last = r.Offset
 		}
 		if s, ok := e.replay.Snapshot(); ok && e.core.confirmed[StreamConfiguration] != 0 {
 			e.setConfiguration(now, s)
 		}
 	case StreamRoster:
-		for _, c := range e.rosters.add(r) {
-			e.core.RosterRecord(now, c.offset, c.change)
-		}
+		e.rosterRecord(now, r)
 	case StreamClaims:
 		if claims, err := elector.DecodeClaims(r.Body); err == nil {
 			e.core.ClaimsRecord(now, claims)
@@ -401,6 +399,23 @@
 	}
 }
 
+// rosterRecord folds a record of the roster stream. The core sees each change, or the whole roster after a gap.
+func (e *Entry) rosterRecord(now timer.Millis, r appender.Record) {
+	_, whole := e.rosters.Roster()
+	_ = e.rosters.Add(r) // every reader refuses the same record
+	roster, ok := e.rosters.Roster()
+	change, err := elector.DecodeChange(r.Body)
+	if err == nil && change.Kind == elector.ChangeCheckpoint {
+		e.rosterCheckpoints.last = r.Offset
+	}
+	switch {
+	case ok && !whole:
+		e.core.RosterGap(now, roster)
+	case ok && err == nil:
+		e.core.RosterRecord(now, r.Offset, change)
+	}
+}
+
 func (e *Entry) setConfiguration(now timer.Millis, s configurer.Snapshot) {
 	old := e.snapshot
 	e.snapshot = s
@@ -450,7 +465,7 @@
 			e.setConfiguration(now, s)
 		}
 	case StreamRoster:
-		if !e.rosters.ready() {
+		if _, ok := e.rosters.Roster(); !ok {
 			return
 		}
 	}
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -19,21 +19,11 @@
 	maxHeldChanges = 10_000
 )
 
-type (
-	// rosterReplay holds back the records of a stream that lost its beginning until a checkpoint closes the gap.
-	rosterReplay struct {
-		started    bool
-		gap        bool
-		held       []rosterChange
-		checkpoint uint64 // offset of the last checkpoint
-		tried      timer.Millis
-	}
-
-	rosterChange struct {
-		offset uint64
-		change elector.Change
-	}
-)
+// checkpoints is the state of a stream's checkpoints.
+type checkpoints struct {
+	last  uint64 // offset of the newest one
+	tried timer.Millis
+}
 
 // follow reads a stream until ctx ends.
 func (e *Entry) follow(ctx context.Context, stream string) {
@@ -71,41 +61,6 @@
 	}
 }
 
-// add returns the changes that may be folded now.
-func (p *rosterReplay) add(r appender.Record) []rosterChange {
-	if !p.started {
-		p.started, p.gap = true, r.Offset > 0
-	}
-	change, err := elector.DecodeChange(r.Body)
-	if err != nil {
-		return nil
-	}
-	c := rosterChange{r.Offset, change}
-	if change.Kind == elector.ChangeCheckpoint {
-		p.checkpoint = r.Offset
-	}
-	if !p.gap {
-		return []rosterChange{c}
-	}
-	if change.Kind != elector.ChangeCheckpoint {
-		if len(p.held) < maxHeldChanges {
-			p.held = append(p.held, c)
-		}
-		return nil
-	}
-	// The checkpoint states the roster at its epoch; the changes since then follow it.
-	out := []rosterChange{c}
-	for _, h := range p.held {
-		if h.offset >= change.Roster.Epoch {
-			out = append(out, h)
-		}
-	}
-	p.gap, p.held = false, nil
-	return out
-}
-
-func (p *rosterReplay) ready() bool { return !p.gap }
-
 // checkpoint restates the state of a stream before half of its retained records have passed. The first member of the
 // roster does so.
 func (e *Entry) checkpoint(stream string, p appender.Progress) {
@@ -114,20 +69,21 @@
 		return
 	}
 	now := e.Clock.Now()
+	state := &e.configurationCheckpoints
+	if stream == StreamRoster {
+		state = &e.rosterCheckpoints
+	}
+	if !checkpointDue(p, state.last, now-state.tried) {
+		return
+	}
+	state.tried = now
 	switch stream {
 	case StreamRoster:
-		if checkpointDue(p, e.rosters.checkpoint, now-e.rosters.tried) {
-			e.rosters.tried = now
-			e.core.appendRecord(stream, elector.AppendChange(nil, elector.Change{
-				Kind: elector.ChangeCheckpoint, Roster: e.core.folded,
-			}))
-		}
+		c := elector.NewCheckpoint(e.core.folded, e.rosters.Offset())
+		e.core.appendRecord(stream, elector.AppendChange(nil, c))
 	case StreamConfiguration:
-		if checkpointDue(p, e.checkpointed, now-e.checkpointTried) {
-			e.checkpointTried = now
-			if body, err := configurer.AppendCheckpoint(nil, e.snapshot); err == nil {
-				e.core.appendRecord(stream, body)
-			}
+		if body, err := configurer.AppendCheckpoint(nil, e.snapshot); err == nil {
+			e.core.appendRecord(stream, body)
 		}
 	}
 }
--- a/dispatcher/roster.go
+++ b/dispatcher/roster.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// RosterGap takes the roster after records of the stream were missed.
+func (c *Core) RosterGap(now timer.Millis, r encoder.Roster) {
+	c.now = now
+	if r.Epoch <= c.folded.Epoch {
+		return
+	}
+	if c.confirmed[StreamRoster] != 0 {
+		c.adoptFromPeer(r)
+	}
+	c.folded = r
+}
+
 // adopt makes r the roster that the entry works under.
 func (c *Core) adopt(r encoder.Roster) {
 	if r.Epoch <= c.roster.Epoch {
