Trust a handover only after a leave

Cause: found in the read-through: an entry that was removed while it was paused and then asked to stop would hand its submissions over as certain, though the owner after it may have started their tasks; with that owner and a sidecar lost, too, a task could start twice. A handover that was kept while rosters were missed was out of date in the same way. Change: a handover is certain only when the entry's own leave took it out of the roster; kept handovers are dropped when rosters were missed.

--- a/dispatcher/answer_test.go
+++ b/dispatcher/answer_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/crocuslb/crocuslb/elector"
 	"github.com/crocuslb/crocuslb/encoder"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -91,3 +92,44 @@
 		}
 	}
 }
+
+// TestHandoverAfterRemoval guards against a second start: an entry that was removed before its leave cannot know what the
+// owner after it has started.
+func TestHandoverAfterRemoval(t *testing.T) {
+	tests := []struct {
+		name string
+		kind elector.ChangeKind
+		want bool
+	}{
+		{"leave", elector.ChangeLeave, true},
+		{"removal", elector.ChangeRemove, false},
+	}
+	for _, tt := range tests {
+		b := owner(t, "k")
+		b.core.Submit(b.now, 1, encoder.Job{Key: "k", Tasks: make([]encoder.JobTask, 3)})
+		b.core.draining = true
+		b.core.RosterRecord(b.now, 9, elector.Change{Kind: tt.kind, Base: 9, Entry: encoder.RosterEntry{Member: b.core.self}})
+		b.sent = nil
+		b.take()
+		i := slices.IndexFunc(b.sent, func(m encoder.Message) bool { _, ok := m.(*encoder.Handover); return ok })
+		if i < 0 {
+			t.Fatalf("%s: got no handover", tt.name)
+		}
+		if got := b.sent[i].(*encoder.Handover).Certain; got != tt.want {
+			t.Errorf("%s: got certain %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// owner returns a group of two in which the entry under test owns the key and has settled it.
+func owner(t *testing.T, key string) *bench {
+	for _, peer := range []string{"b", "c", "d", "e", "f", "g"} {
+		b := group(t, peer)
+		b.core.takeover.chain = nil
+		if b.core.owns(b.core.roster, key) {
+			return b
+		}
+	}
+	t.Fatal("the entry owns the key beside no peer")
+	return nil
+}
--- a/dispatcher/census.go
+++ b/dispatcher/census.go
@@ -272,6 +272,7 @@
 func (c *Core) adoptFromPeer(r encoder.Roster) {
 	c.takeover.past = append(c.takeover.past, pastRoster{encoder.Roster{}, c.now})
 	c.takeover.chain = append(c.takeover.chain, encoder.Roster{Epoch: c.roster.Epoch})
+	c.takeover.handed = nil
 	c.folded = r
 	c.adopt(r)
 }
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -75,6 +75,7 @@
 		folded       encoder.Roster // fold of the roster stream; ahead of roster before the first confirmation
 		joined       bool
 		draining     bool
+		left         bool // this entry's own leave, and no removal, took it out of the roster
 		joinTried    timer.Millis
 		removals     map[encoder.Member]timer.Millis
 		lastTag      uint64
--- a/dispatcher/roster.go
+++ b/dispatcher/roster.go
@@ -19,6 +19,7 @@
 	c.folded = next
 	if change.Kind == elector.ChangeLeave {
 		c.takeover.left(change.Entry.Member, now)
+		c.left = c.left || change.Entry.Member == c.self
 	}
 	if c.confirmed[StreamRoster] != 0 {
 		c.adopt(next)
@@ -69,6 +70,7 @@
 // renew gives the entry a new incarnation after it was removed. All sessions start anew, so that every process sees it.
 func (c *Core) renew(incarnation uint64) {
 	c.self.Incarnation = incarnation
+	c.left = false
 	c.joinTried = 0
 	c.out = append(c.out, Effect{Kind: EffectIncarnation, Member: c.self})
 	for id := range c.sessions {
--- a/dispatcher/takeover.go
+++ b/dispatcher/takeover.go
@@ -170,7 +170,8 @@
 		job.Deadline = max(1, s.deadline-c.now)
 	}
 	if c.draining && !c.joined {
-		c.handOver(s, job, !held)
+		// After a removal another entry may have started tasks since, so only a leaver can be certain.
+		c.handOver(s, job, !held && c.left)
 	}
 	if len(waiters) == 0 && c.owns(c.roster, s.key) {
 		waiters = []waiter{{}} // nobody waits, but the job goes on
