End all processes of a test fleet

Cause: 123 doubles of earlier runs were still alive: the programs exited right after they canceled the context, before the processes were killed. Measured: no process is left after the launcher, injector and driver tests, a fault run and a load run.

--- a/driver/run.go
+++ b/driver/run.go
@@ -82,6 +82,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := &launcher.Fleet{Directory: p.Directory, Entries: p.Entries, Backends: p.Backends, Domains: 1, Slots: p.Slots}
+	defer f.Close()
 	if err := f.Launch(ctx); err != nil {
 		return nil, err
 	}
--- a/injector/run.go
+++ b/injector/run.go
@@ -64,6 +64,7 @@
 		},
 		claimed: map[string]bool{}, stops: map[int]int64{},
 	}
+	defer u.fleet.Close()
 	if err := u.fleet.Launch(ctx); err != nil {
 		return nil, err
 	}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -113,6 +113,20 @@
 	return nil
 }
 
+// Close kills all processes and waits until they have ended. Without the wait, a program that exits right after it canceled
+// the context would leave processes behind.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	running := slices.Concat(f.ended, slices.Collect(maps.Values(f.processes)))
+	f.mu.Unlock()
+	for _, p := range running {
+		p.Kill()
+	}
+	for _, p := range running {
+		<-p.done
+	}
+}
+
 // StartLog starts the log double, or starts it again empty on the same address.
 func (f *Fleet) StartLog() error {
 	address := strings.TrimPrefix(f.logURL, "http://")
