Share the writers of record fields

Cause: configurer and elector each had the same two functions that append protobuf fields; the reader for them is in appender. Change: appender.AppendText and AppendUint stand beside appender.Fields and serve both. The tests call them by the new name; no case changed.

--- a/appender/fields.go
+++ b/appender/fields.go
@@ -71,3 +71,19 @@
 
 // Unknown returns the error for a field that the format does not have.
 func (f Field) Unknown() error { return trace.BadParameter("field %d is unknown", f.Tag) }
+
+// AppendText appends a text field. Empty texts are left out, as Fields leaves their destination empty.
+func AppendText(dst []byte, tag protowire.Number, s string) []byte {
+	if s == "" {
+		return dst
+	}
+	return protowire.AppendString(protowire.AppendTag(dst, tag, protowire.BytesType), s)
+}
+
+// AppendUint appends a number field. Zeros are left out, as Fields leaves their destination zero.
+func AppendUint(dst []byte, tag protowire.Number, n uint64) []byte {
+	if n == 0 {
+		return dst
+	}
+	return protowire.AppendVarint(protowire.AppendTag(dst, tag, protowire.VarintType), n)
+}
--- a/configurer/codec.go
+++ b/configurer/codec.go
@@ -35,10 +35,10 @@
 // AppendNote appends the record of a note to dst.
 func AppendNote(dst []byte, n Note) []byte {
 	var b []byte
-	b = appendText(b, tagID, n.ID)
-	b = appendText(b, tagAuthor, n.Author)
-	b = appendText(b, tagComment, n.Comment)
-	b = appendUint(b, tagBase, n.Base)
+	b = appender.AppendText(b, tagID, n.ID)
+	b = appender.AppendText(b, tagAuthor, n.Author)
+	b = appender.AppendText(b, tagComment, n.Comment)
+	b = appender.AppendUint(b, tagBase, n.Base)
 	for _, e := range n.Added {
 		b = appendItem(b, tagAdded, item{key: e.Key, value: e.Value})
 	}
@@ -60,7 +60,7 @@
 		return dst, trace.BadParameter("snapshot has local edits and is no state of the log")
 	}
 	b := make([]byte, 0, s.size)
-	b = appendUint(b, tagOffset, s.offset)
+	b = appender.AppendUint(b, tagOffset, s.offset)
 	for _, i := range s.entries {
 		b = appendItem(b, tagEntries, i)
 	}
@@ -230,23 +230,9 @@
 	}
 	b = protowire.AppendTag(b, tag, protowire.BytesType)
 	b = protowire.AppendVarint(b, uint64(size))
-	b = appendText(b, tagKey, i.key)
-	b = appendText(b, tagValue, i.value)
-	return appendUint(b, tagChangedAt, i.changedAt)
-}
-
-func appendText(b []byte, tag protowire.Number, s string) []byte {
-	if s == "" {
-		return b
-	}
-	return protowire.AppendString(protowire.AppendTag(b, tag, protowire.BytesType), s)
-}
-
-func appendUint(b []byte, tag protowire.Number, n uint64) []byte {
-	if n == 0 {
-		return b
-	}
-	return protowire.AppendVarint(protowire.AppendTag(b, tag, protowire.VarintType), n)
+	b = appender.AppendText(b, tagKey, i.key)
+	b = appender.AppendText(b, tagValue, i.value)
+	return appender.AppendUint(b, tagChangedAt, i.changedAt)
 }
 
 func sizeText(tag protowire.Number, s string) int {
--- a/elector/codec.go
+++ b/elector/codec.go
@@ -38,13 +38,13 @@
 
 // AppendChange appends the record of a roster change to dst.
 func AppendChange(dst []byte, c Change) []byte {
-	dst = appendUint(dst, tagKind, uint64(c.Kind))
-	dst = appendUint(dst, tagBase, c.Base)
+	dst = appender.AppendUint(dst, tagKind, uint64(c.Kind))
+	dst = appender.AppendUint(dst, tagBase, c.Base)
 	if c.Entry != (encoder.RosterEntry{}) {
 		dst = appendMessage(dst, tagEntry, appendEntry(nil, c.Entry))
 	}
 	if c.Kind == ChangeCheckpoint {
-		b := appendUint(nil, tagEpoch, c.Roster.Epoch)
+		b := appender.AppendUint(nil, tagEpoch, c.Roster.Epoch)
 		for _, e := range c.Roster.Entries {
 			b = appendMessage(b, tagEntries, appendEntry(nil, e))
 		}
@@ -159,12 +159,12 @@
 
 func appendEntry(dst []byte, e encoder.RosterEntry) []byte {
 	dst = appendMessage(dst, tagMember, appendMember(nil, e.Member))
-	return appendText(dst, tagAddress, e.Address)
+	return appender.AppendText(dst, tagAddress, e.Address)
 }
 
 func appendMember(dst []byte, m encoder.Member) []byte {
-	dst = appendText(dst, tagMemberID, m.ID)
-	return appendUint(dst, tagIncarnation, m.Incarnation)
+	dst = appender.AppendText(dst, tagMemberID, m.ID)
+	return appender.AppendUint(dst, tagIncarnation, m.Incarnation)
 }
 
 func decodeRoster(f appender.Field, r *encoder.Roster) error {
@@ -230,17 +230,3 @@
 func appendMessage(dst []byte, tag protowire.Number, b []byte) []byte {
 	return protowire.AppendBytes(protowire.AppendTag(dst, tag, protowire.BytesType), b)
 }
-
-func appendText(dst []byte, tag protowire.Number, s string) []byte {
-	if s == "" {
-		return dst
-	}
-	return protowire.AppendString(protowire.AppendTag(dst, tag, protowire.BytesType), s)
-}
-
-func appendUint(dst []byte, tag protowire.Number, n uint64) []byte {
-	if n == 0 {
-		return dst
-	}
-	return protowire.AppendVarint(protowire.AppendTag(dst, tag, protowire.VarintType), n)
-}
--- a/elector/codec_test.go
+++ b/elector/codec_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
+	"github.com/crocuslb/crocuslb/appender"
 	"github.com/crocuslb/crocuslb/encoder"
 )
 
@@ -64,7 +65,7 @@
 		}
 		return b
 	}
-	unknown := appendUint(nil, 9, 1)
+	unknown := appender.AppendUint(nil, 9, 1)
 	decodeChange := func(b []byte) error { _, err := DecodeChange(b); return err }
 	decodeClaims := func(b []byte) error { _, err := DecodeClaims(b); return err }
 	for _, c := range []struct {
@@ -85,12 +86,12 @@
 		{"leave without entry", decodeChange, AppendChange(nil, Change{Kind: ChangeLeave}), false},
 		{"empty", decodeChange, nil, false},
 		{"unknown kind", decodeChange, AppendChange(nil, Change{Kind: 9}), false},
-		{"kind beyond a byte", decodeChange, appendUint(nil, tagKind, 1<<8+1), false},
+		{"kind beyond a byte", decodeChange, appender.AppendUint(nil, tagKind, 1<<8+1), false},
 		{"long identifier", decodeChange, AppendChange(nil, Change{Kind: ChangeJoin, Entry: entry(long)}), false},
 		{"unknown field", decodeChange, append(unknown, join...), false},
 		{"truncated", decodeChange, join[:len(join)-1], false},
-		{"kind as text", decodeChange, appendText(nil, tagKind, "x"), false},
-		{"entry as number", decodeChange, appendUint(appendUint(nil, tagKind, 1), tagEntry, 1), false},
+		{"kind as text", decodeChange, appender.AppendText(nil, tagKind, "x"), false},
+		{"entry as number", decodeChange, appender.AppendUint(appender.AppendUint(nil, tagKind, 1), tagEntry, 1), false},
 		{"claims", decodeClaims, keys("a", "k", "k"), true},
 		{"claims without member", decodeClaims, keys("", "k"), false},
 		{"empty key", decodeClaims, keys("a", ""), false},
