--- /dev/null
+++ b/carrier/node.go
@@ -0,0 +1,127 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Addresses without power do not answer.
+	dialTimeout = 400 * time.Millisecond
+	// helloTimeout bounds the wait for the other end's opening message.
+	helloTimeout = time.Second
+	// firstRetry and lastRetry bound the pause between attempts to connect; the pause doubles.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+)
+
+type (
+	// Node is one process's end of all its sessions. Set the fields before Listen or Connect is called. The functions
+	// are called from a session's reader goroutine, in order for one session.
+	Node struct {
+		Hello     func() marshaler.Hello
+		OnUp      func(s *Session)
+		OnMessage func(s *Session, batch []marshaler.Message)
+		OnDown    func(s *Session, cause error)
+		// OnFail is called when a connection could not be opened. It may be nil.
+		OnFail func(address string, err error)
+
+		running sync.WaitGroup
+	}
+)
+
+// Listen accepts sessions on a TCP address until ctx ends, and returns the bound address.
+func (n *Node) Listen(ctx context.Context, address string) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return "", trace.ConnectionProblem(err, "cannot listen on %q: %v", address, err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() }) // Accept returns whether or not the close succeeds
+	n.running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				n.fail(address, err)
+				time.Sleep(firstRetry)
+				continue
+			}
+			n.running.Go(func() { _ = n.serve(ctx, newSession(conn, false)) }) // OnDown reports the cause
+		}
+	})
+	return listener.Addr().String(), nil
+}
+
+// Connect keeps a session to an address open until ctx ends.
+func (n *Node) Connect(ctx context.Context, address string) {
+	n.running.Go(func() {
+		pause := firstRetry
+		dialer := net.Dialer{Timeout: dialTimeout}
+		for ctx.Err() == nil {
+			conn, err := dialer.DialContext(ctx, "tcp", address)
+			if err == nil && n.serve(ctx, newSession(conn, true)) {
+				pause = firstRetry
+			}
+			if err != nil {
+				n.fail(address, err)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, lastRetry)
+		}
+	})
+}
+
+// Wait blocks until all goroutines of the Node have ended. The contexts given to Listen and Connect must end first.
+func (n *Node) Wait() { n.running.Wait() }
+
+func (n *Node) fail(address string, err error) {
+	if n.OnFail != nil {
+		n.OnFail(address, err)
+	}
+}
+
+// serve runs a connection to its end and reports whether the session was opened.
+func (n *Node) serve(ctx context.Context, s *Session) bool {
+	defer context.AfterFunc(ctx, func() { s.Close(ctx.Err()) })()
+	hello := n.Hello()
+	s.Send(&hello)
+	n.running.Go(s.write)
+	r := bufio.NewReaderSize(s.conn, readBuffer)
+	if err := s.greet(r); err != nil {
+		s.Close(err)
+		n.fail(s.conn.RemoteAddr().String(), err)
+		return false
+	}
+	n.OnUp(s)
+	err := s.read(r, func(batch []marshaler.Message) { n.OnMessage(s, batch) })
+	s.Close(err)
+	n.OnDown(s, s.cause)
+	return true
+}
+
+// greet reads the other end's opening message.
+func (s *Session) greet(r *bufio.Reader) error {
+	_ = s.conn.SetReadDeadline(time.Now().Add(helloTimeout)) // a failure shows in the read
+	m, err := readMessage(r)
+	if err != nil {
+		return err
+	}
+	h, ok := m.(*marshaler.Hello)
+	if !ok || h.Name == "" {
+		return trace.BadParameter("the session opens with %T, want Hello with a name", m)
+	}
+	s.Remote = *h
+	return s.conn.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/carrier/session.go
@@ -0,0 +1,168 @@
+// Package carrier keeps sessions between processes over TCP: frames with a length, batched writes that never block the
+// sender, and an opening message in both directions.
+package carrier
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+const (
+	// maxFrame is the largest encoded message in bytes.
+	maxFrame = 4 << 20
+	// maxQueued is the number of unsent bytes at which a session is ended: the other end does not read.
+	maxQueued = 8 << 20
+	// writeTimeout ends a session whose other end accepts no bytes.
+	writeTimeout = 2 * time.Second
+	readBuffer   = 8 << 10
+	headerSize   = 4
+	maxBatch     = 256
+)
+
+type (
+	// Session is an open connection to another process. Its methods may be called concurrently.
+	Session struct {
+		// Remote is the opening message of the other end.
+		Remote marshaler.Hello
+		// Dialed says that this process opened the connection.
+		Dialed bool
+
+		conn   net.Conn
+		mu     sync.Mutex
+		queued []byte
+		wake   chan struct{}
+		done   chan struct{}
+		once   sync.Once
+		cause  error
+	}
+)
+
+func newSession(conn net.Conn, dialed bool) *Session {
+	return &Session{conn: conn, Dialed: dialed, wake: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// Send queues a message. It never blocks. Messages to an ended session are dropped; OnDown reports its end.
+func (s *Session) Send(m marshaler.Message) {
+	s.mu.Lock()
+	start := len(s.queued)
+	s.queued = append(s.queued, 0, 0, 0, 0)
+	s.queued = marshaler.Append(s.queued, m)
+	binary.BigEndian.PutUint32(s.queued[start:], uint32(len(s.queued)-start-headerSize))
+	full := len(s.queued) > maxQueued
+	s.mu.Unlock()
+	if full {
+		s.Close(trace.LimitExceeded("the other end does not read: %d bytes are queued", maxQueued))
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the session. Only the first cause is kept.
+func (s *Session) Close(cause error) {
+	s.once.Do(func() {
+		s.cause = cause
+		close(s.done)
+		if c, ok := s.conn.(*net.TCPConn); ok {
+			// A reset drops what the system still holds: messages must not arrive after the session ended.
+			_ = c.SetLinger(0) // without it the close below is a plain one
+		}
+		_ = s.conn.Close() // the session is over whether or not the close succeeds
+	})
+}
+
+// write sends what is queued until the session ends.
+func (s *Session) write() {
+	var spare []byte
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-s.wake:
+		}
+		s.mu.Lock()
+		batch := s.queued
+		s.queued = spare[:0]
+		s.mu.Unlock()
+		if len(batch) == 0 {
+			spare = batch
+			continue
+		}
+		_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows in Write
+		if _, err := s.conn.Write(batch); err != nil {
+			s.Close(trace.ConnectionProblem(err, "write: %v", err))
+			return
+		}
+		spare = batch
+		if cap(spare) > 1<<16 {
+			spare = nil
+		}
+	}
+}
+
+// read delivers messages in batches until the session ends.
+func (s *Session) read(r *bufio.Reader, deliver func(batch []marshaler.Message)) error {
+	var batch []marshaler.Message
+	for {
+		m, err := readMessage(r)
+		switch {
+		case trace.IsNotImplemented(err): // a message of a newer version
+		case err != nil:
+			if len(batch) > 0 {
+				deliver(batch)
+			}
+			return err
+		default:
+			batch = append(batch, m)
+		}
+		if len(batch) > 0 && (len(batch) >= maxBatch || !frameBuffered(r)) {
+			deliver(batch)
+			batch = nil
+		}
+	}
+}
+
+// frameBuffered reports whether a whole frame can be read without waiting.
+func frameBuffered(r *bufio.Reader) bool {
+	if r.Buffered() < headerSize {
+		return false
+	}
+	head, err := r.Peek(headerSize)
+	return err == nil && r.Buffered()-headerSize >= int(binary.BigEndian.Uint32(head))
+}
+
+func readMessage(r *bufio.Reader) (marshaler.Message, error) {
+	head, err := r.Peek(headerSize)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "read: %v", err)
+	}
+	size := int(binary.BigEndian.Uint32(head))
+	if size == 0 || size > maxFrame {
+		return nil, trace.BadParameter("a frame has %d bytes, want 1 to %d", size, maxFrame)
+	}
+	_, _ = r.Discard(headerSize) // the bytes are buffered
+	if size <= r.Size() {
+		frame, err := r.Peek(size)
+		if err != nil {
+			return nil, trace.ConnectionProblem(err, "read: %v", err)
+		}
+		m, err := marshaler.Decode(frame)
+		_, _ = r.Discard(size) // the bytes are buffered
+		return m, err
+	}
+	frame := make([]byte, size)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return nil, trace.ConnectionProblem(err, "read: %v", err)
+	}
+	return marshaler.Decode(frame)
+}
--- /dev/null
+++ b/cmd/platformnode/main.go
@@ -0,0 +1,19 @@
+// Command platformnode runs an entry or a sidecar of crocuslb on the users' platform.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/crocuslb/crocuslb/conductor"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	p := conductor.Program{Args: os.Args[1:], Environ: os.Environ(), Stdout: os.Stdout}
+	status := p.Run(ctx)
+	stop()
+	os.Exit(status)
+}
--- /dev/null
+++ b/conductor/configuration.go
@@ -0,0 +1,84 @@
+package conductor
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/follower"
+	"github.com/crocuslb/crocuslb/platform"
+	"github.com/crocuslb/crocuslb/router"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// configuration keeps the configuration in force. It comes from the store or from another process, whichever is later.
+// Its methods are called by the loop, except current and follow.
+type configuration struct {
+	logger log.Interface
+	// changed is called with each later configuration.
+	changed func(now timer.Millis, s router.Snapshot)
+
+	folded  router.Snapshot // from the store alone
+	inForce router.Snapshot
+	shared  atomic.Pointer[router.Snapshot]
+}
+
+// current returns the configuration in force. It may be called by any goroutine.
+func (c *configuration) current() *router.Snapshot {
+	if s := c.shared.Load(); s != nil {
+		return s
+	}
+	return &router.Snapshot{}
+}
+
+// fold applies records of the store.
+func (c *configuration) fold(now timer.Millis, p follower.Page, whole bool) {
+	next, err := platform.Fold(c.folded, p, whole)
+	if err != nil {
+		c.logger.WithError(err).Warn("config: unreadable records are left out")
+	}
+	c.folded = next
+	c.adopt(now, next, "store")
+}
+
+// receive takes the encoding of a configuration from another process.
+func (c *configuration) receive(now timer.Millis, body []byte, from string) {
+	s, err := router.Decode(body)
+	if err != nil {
+		c.logger.WithError(err).WithField("from", from).Warn("config: unreadable configuration of another process")
+		return
+	}
+	c.adopt(now, s, from)
+}
+
+// adopt puts a later configuration into force.
+func (c *configuration) adopt(now timer.Millis, s router.Snapshot, source string) {
+	if s.Offset <= c.inForce.Offset || s.Version < c.inForce.Version {
+		return
+	}
+	change := s.Since(&c.inForce)
+	c.logger.WithFields(log.Fields{
+		"version": s.Version, "offset": s.Offset, "source": source, "added": len(change.Added), "changed": change.Changed,
+		"withdrawn": change.Withdrawn, "domainsOut": s.WithdrawnDomains(),
+	}).Info("config: in force")
+	c.inForce = s
+	c.shared.Store(&s)
+	c.changed(now, s)
+}
+
+// follow reads the operator's topic of the store until ctx ends.
+func (c *configuration) follow(ctx context.Context, l *loop, store *platform.Store) {
+	f := &follower.Follower{
+		Newest: func(ctx context.Context) (follower.Page, error) { return store.Newest(ctx, platform.TopicOperator) },
+		Read: func(ctx context.Context, from uint64) (follower.Page, error) {
+			return store.Read(ctx, platform.TopicOperator, from)
+		},
+		Apply: func(p follower.Page, whole bool) {
+			l.do(ctx, func(now timer.Millis) { c.fold(now, p, whole) })
+		},
+		Lost:     func(err error) { c.logger.WithError(err).Warn("store: lost") },
+		Regained: func() { c.logger.Info("store: regained") },
+	}
+	f.Run(ctx)
+}
--- /dev/null
+++ b/conductor/entry.go
@@ -0,0 +1,260 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/platform"
+	"github.com/crocuslb/crocuslb/submitter"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// lingerTime is how long an entry that stops still takes requests on open connections, so that the load balancer
+	// and callers can turn away first.
+	lingerTime = 2500 * time.Millisecond
+	// closeTime is the part of the drain time that is left for answers after the last jobs were given up.
+	closeTime = 300 * time.Millisecond
+)
+
+// Entry is an entry process on the users' platform.
+type Entry struct {
+	Options
+
+	loop    *loop
+	core    submitter.Submitter
+	config  configuration
+	members directory
+	node    carrier.Node
+	monitor monitor
+	links   sync.Map // *carrier.Session to *marshaler.Link
+	ready   atomic.Bool
+	closing atomic.Bool
+}
+
+// Run serves until ctx ends, then finishes the work in flight within Options.Drain.
+func (e *Entry) Run(ctx context.Context) error {
+	incarnation := uint64(time.Now().UnixMilli())
+	e.loop = newLoop()
+	e.monitor.logger = e.Logger
+	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report}
+	e.config = configuration{logger: e.Logger, changed: e.core.SetSnapshot}
+	e.node = carrier.Node{
+		Hello: func() marshaler.Hello {
+			return marshaler.Hello{Role: marshaler.RoleEntry, Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Address: e.Address, Weight: e.Weight}
+		},
+	}
+	e.members = directory{
+		logger: e.Logger, store: newStore(e.Store, entriesWait), connect: e.node.Connect,
+		self:   marshaler.Peer{Name: e.Name, Address: e.Address, Incarnation: incarnation},
+		wanted: func(p marshaler.Peer) bool { return p.Name < e.Name },
+	}
+	// The process outlives ctx by its drain time.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	e.wire(life)
+	e.loop.flush = e.core.Flush
+	e.loop.tick = func(now timer.Millis) {
+		e.core.Tick(now)
+		e.ready.Store(e.core.Ready())
+	}
+	if _, err := e.node.Listen(life, e.Address); err != nil {
+		return err
+	}
+	servers, err := e.listen(life)
+	if err != nil {
+		return err
+	}
+	store := newStore(e.Store, configurationWait)
+	go e.config.follow(life, e.loop, store)
+	go e.members.follow(life, func() { e.sendPeers() })
+	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.Callers}).Info("entry: started")
+	go e.loop.run(life)
+	<-ctx.Done()
+	e.drain(life, servers)
+	e.Logger.WithField("name", e.Name).Info("entry: stopped")
+	return nil
+}
+
+// wire connects the sessions to the core.
+func (e *Entry) wire(ctx context.Context) {
+	e.node.OnUp = func(s *carrier.Session) {
+		link := &marshaler.Link{Remote: s.Remote, Send: s.Send, Close: s.Close}
+		e.links.Store(s, link)
+		e.loop.do(ctx, func(now timer.Millis) { e.core.OnUp(now, link) })
+		s.Send(&marshaler.Peers{Peers: e.members.list()})
+	}
+	e.node.OnMessage = func(s *carrier.Session, batch []marshaler.Message) {
+		v, _ := e.links.Load(s)
+		link, _ := v.(*marshaler.Link)
+		e.loop.do(ctx, func(now timer.Millis) {
+			for _, m := range batch {
+				switch m := m.(type) {
+				case *marshaler.Peers:
+					e.members.add(ctx, m.Peers)
+				case *marshaler.Configuration:
+					e.config.receive(now, m.Body, link.Remote.Name)
+				default:
+					e.core.OnMessage(now, link, m)
+				}
+			}
+		})
+	}
+	e.node.OnDown = func(s *carrier.Session, cause error) {
+		v, _ := e.links.LoadAndDelete(s)
+		link, _ := v.(*marshaler.Link)
+		e.loop.do(ctx, func(now timer.Millis) { e.core.OnDown(now, link, cause) })
+	}
+}
+
+// sendPeers passes the known entries on to all sessions.
+func (e *Entry) sendPeers() {
+	m := &marshaler.Peers{Peers: e.members.list()}
+	e.links.Range(func(s, _ any) bool {
+		if session, ok := s.(*carrier.Session); ok {
+			session.Send(m)
+		}
+		return true
+	})
+}
+
+// listen starts the HTTP servers. The first one serves callers.
+func (e *Entry) listen(ctx context.Context) ([]*http.Server, error) {
+	callers := &platform.Callers{
+		Snapshot: e.config.current,
+		Submit:   func(j submitter.Job, gone <-chan struct{}) submitter.Answer { return e.submit(ctx, j, gone) },
+		Cancel: func(id string) bool {
+			return e.ask(ctx, func(now timer.Millis) bool { return e.core.Drop(now, id, "cancelled by the caller") })
+		},
+		Waiting: func(queue string) (waiting int) {
+			e.ask(ctx, func(timer.Millis) bool { waiting = e.core.Waiting(queue); return true })
+			return waiting
+		},
+		Refused: func(id, queue, reason string, status int) {
+			e.report(submitter.Event{Kind: "refuse", Job: id, Queue: queue, Detail: "callers " + reason, Value: int64(status)})
+		},
+		Closing: e.closing.Load,
+	}
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready.Load() || e.closing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serveAll(ctx, e.Logger, []endpoint{
+		{e.Callers, callers}, {e.Ready, ready}, {e.Metrics, e.monitor.handler()},
+	})
+}
+
+// ask calls f in the loop and waits for its result.
+func (e *Entry) ask(ctx context.Context, f func(now timer.Millis) bool) bool {
+	result := make(chan bool, 1)
+	e.loop.do(ctx, func(now timer.Millis) { result <- f(now) })
+	select {
+	case ok := <-result:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// submit passes a job to the core and waits for its answer.
+func (e *Entry) submit(ctx context.Context, j submitter.Job, gone <-chan struct{}) submitter.Answer {
+	answer := make(chan submitter.Answer, 1)
+	j.Answer = func(a submitter.Answer) { answer <- a }
+	e.loop.do(ctx, func(now timer.Millis) { e.core.Submit(now, j) })
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "the entry ended"}
+	case <-gone:
+	}
+	e.loop.do(ctx, func(now timer.Millis) { e.core.Drop(now, j.ID, "caller left") })
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "the entry ended"}
+	}
+}
+
+// drain ends the process: callers are turned away first, then the jobs in work end, then what is left is given up.
+func (e *Entry) drain(ctx context.Context, servers []*http.Server) {
+	e.closing.Store(true)
+	e.loop.do(ctx, e.core.Leave)
+	e.Logger.WithField("drain", e.Drain.String()).Info("entry: stopping")
+	started := time.Now()
+	limit := e.Drain.Duration()
+	time.Sleep(min(lingerTime, limit))
+	finish, cancel := context.WithTimeout(ctx, limit-time.Since(started)-closeTime)
+	defer cancel()
+	err := servers[0].Shutdown(finish)
+	if errors.Is(err, context.DeadlineExceeded) {
+		e.ask(ctx, func(now timer.Millis) bool { e.core.DropAll(now, "the entry ends"); return true })
+		time.Sleep(closeTime) // the answers are on their way
+	}
+}
+
+func (e *Entry) report(v submitter.Event) {
+	detail, _, _ := strings.Cut(v.Detail, " ")
+	if v.Kind == "reject" || v.Kind == "sidecarLost" || v.Kind == "entryLost" {
+		detail = ""
+	}
+	e.monitor.count(v.Kind, detail)
+	if v.Kind == "answer" {
+		e.monitor.metrics.Observe(`crocuslb_job_response_seconds{answer="`+detail+`"}`, v.Took)
+	}
+	fields := log.Fields{"detail": v.Detail, "value": v.Value}
+	if v.Job != "" {
+		fields["job"], fields["queue"] = v.Job, v.Queue
+	}
+	if v.Peer != "" {
+		fields["peer"] = v.Peer
+	}
+	if v.Took != 0 {
+		fields["tookMs"] = int64(v.Took)
+	}
+	s := e.config.current()
+	fields["version"] = s.Version
+	e.Logger.WithFields(fields).Info("entry: " + v.Kind)
+}
+
+// endpoint is a listen address with its handler.
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
+// serveAll starts a server for each endpoint with an address.
+func serveAll(ctx context.Context, logger log.Interface, endpoints []endpoint) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, p := range endpoints {
+		if p.address == "" {
+			continue
+		}
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.address)
+		if err != nil {
+			return servers, trace.ConnectionProblem(err, "cannot listen on %q: %v", p.address, err)
+		}
+		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				logger.WithError(err).WithField("address", p.address).Error("http: listener ended")
+			}
+		}()
+	}
+	return servers, nil
+}
+
--- /dev/null
+++ b/conductor/options.go
@@ -0,0 +1,79 @@
+package conductor
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/platform"
+	"github.com/crocuslb/crocuslb/reporter"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// configurationWait is how long a read of the configuration waits for a change. A connection that went silent is
+	// noticed after this and storeTimeout, within the time in which a configuration has to be in force.
+	configurationWait = 1500 * time.Millisecond
+	// entriesWait is how long a read of the entries' addresses waits for a change.
+	entriesWait  = 10 * time.Second
+	storeTimeout = 800 * time.Millisecond
+	// backendTimeout bounds a call to the backend server on the same machine.
+	backendTimeout = 250 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers' connections without a request.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Options are the settings of a process.
+type Options struct {
+	Name    string
+	Domain  string
+	Address string // at which other processes reach this one, ip:port; entries only
+	Store   string // address of the platform's store
+	// Callers, Ready and Announcements are listen addresses. An empty one is not served.
+	Callers       string
+	Ready         string
+	Announcements string
+	Metrics       string
+	// Backend is the address of the backend server beside a sidecar.
+	Backend string
+	// Seeds are addresses of entries that may be out of date, for times in which the store does not answer.
+	Seeds []string
+	// Weight is the share of a processor that the process may use, in thousandths.
+	Weight uint64
+	// Drain bounds the time to finish the work in flight after SIGTERM.
+	Drain  timer.Millis
+	Logger log.Interface
+	// Dropped counts log lines that were not written.
+	Dropped func() uint64
+}
+
+// newClient returns an HTTP client that keeps connections open.
+func newClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections, DisableCompression: true,
+		DialContext:     (&net.Dialer{Timeout: storeTimeout}).DialContext,
+		WriteBufferSize: 2 << 10, ReadBufferSize: 2 << 10,
+	}}
+}
+
+func newStore(address string, wait time.Duration) *platform.Store {
+	return &platform.Store{Address: address, Timeout: storeTimeout, Wait: wait, Client: newClient(2)}
+}
+
+// monitor counts events and serves the counters.
+type monitor struct {
+	metrics reporter.Metrics
+	logger  log.Interface
+}
+
+func (m *monitor) count(kind, detail string) {
+	m.metrics.Count("crocuslb_events_total{kind=" + strconv.Quote(kind) + ",detail=" + strconv.Quote(detail) + "}")
+}
+
+func (m *monitor) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { m.metrics.Write(w) })
+}
--- /dev/null
+++ b/conductor/program.go
@@ -0,0 +1,87 @@
+package conductor
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/recorder"
+)
+
+const (
+	exitSuccess = 0
+	exitFailure = 1
+	exitUsage   = 2
+	// collectPercent lets the heap grow to a multiple of what is in use before it is collected. Little is in use, so the
+	// memory stays small and collections stay rare.
+	collectPercent = 400
+)
+
+// Program is one run of a process on the users' platform.
+type Program struct {
+	Args    []string // without the program's name; the first one is the role
+	Environ []string
+	Stdout  io.Writer
+}
+
+// Run runs the role that the first argument names until ctx ends, and returns the exit status.
+func (p *Program) Run(ctx context.Context) int {
+	debug.SetGCPercent(collectPercent)
+	r := &recorder.Recorder{Writer: p.Stdout}
+	logger := &log.Logger{Handler: r, Level: log.InfoLevel}
+	done, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		r.Run(done)
+		close(written)
+	}()
+	defer func() {
+		close(done)
+		<-written
+	}()
+	role, args := "", p.Args
+	if len(args) > 0 {
+		role, args = args[0], args[1:]
+	}
+	o, lines, err := Load(role, args, p.Environ)
+	if err != nil {
+		logger.WithError(err).Error("settings: cannot start")
+		return exitUsage
+	}
+	r.Rate = lines
+	o.Logger, o.Dropped = logger, r.Dropped
+	go p.reload(ctx, logger, role, args)
+	if role == roleEntry {
+		err = (&Entry{Options: o}).Run(ctx)
+	} else {
+		err = (&Sidecar{Options: o}).Run(ctx)
+	}
+	if err != nil {
+		logger.WithError(err).Error(role + ": ended with an error")
+		return exitFailure
+	}
+	return exitSuccess
+}
+
+// reload checks the settings again at SIGHUP. All of them need a restart, so a change is only reported.
+func (p *Program) reload(ctx context.Context, logger *log.Logger, role string, args []string) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if _, _, err := Load(role, args, p.Environ); err != nil {
+			logger.WithError(err).Error("settings: reload found faults; the earlier ones stay in force")
+			continue
+		}
+		logger.Info("settings: reloaded; addresses and names change at the next start only")
+	}
+}
--- /dev/null
+++ b/conductor/settings.go
@@ -0,0 +1,92 @@
+package conductor
+
+import (
+	"net"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/loader"
+)
+
+const (
+	roleEntry   = "entry"
+	roleSidecar = "sidecar"
+	// metricsPort is the port of the metrics on the process's own address.
+	metricsPort = "9464"
+	// coreThousandths is the number of thousandths in a core.
+	coreThousandths = 1000
+)
+
+// Settings declares the settings of both roles. Names of variables in a settings file are the same as in the
+// environment; the file goes first.
+var Settings = loader.Set{Settings: []loader.Setting{
+	{Name: "config", Meaning: "path of a settings file with NAME=value lines; read again at SIGHUP"},
+	{Name: "name", Required: true, Meaning: "name of the process, unique in the installation"},
+	{Name: "domain", Required: true, Meaning: "failure domain of the process"},
+	{Name: "ip", Required: true, Meaning: "IP address at which other processes reach this one"},
+	{Name: "internalPort", Unit: loader.UnitCount, Default: "7720", Min: 1, Max: 65535, Meaning: "TCP port of the sessions between processes, the same on all machines"},
+	{Name: "storeAddress", Unit: loader.UnitAddress, Required: true, Meaning: "address of the platform's store"},
+	{Name: "callersAddress", Unit: loader.UnitAddress, Meaning: "listen address for callers; entries only"},
+	{Name: "readyAddress", Unit: loader.UnitAddress, Meaning: "listen address for the load balancer's readiness checks; entries only"},
+	{Name: "announceAddress", Unit: loader.UnitAddress, Meaning: "listen address for the backend server's announcements; sidecars only"},
+	{Name: "backendAddress", Unit: loader.UnitAddress, Meaning: "address of the backend server; sidecars only"},
+	{Name: "seeds", Unit: loader.UnitAddresses, Meaning: "addresses on machines that may run an entry; only their IP addresses are used"},
+	{Name: "cores", Unit: loader.UnitRatio, Default: "1", Meaning: "share of a processor that the process may use"},
+	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Meaning: "longest time to finish the work in flight after SIGTERM"},
+	{Name: "metricsPort", Unit: loader.UnitCount, Default: metricsPort, Min: 0, Max: 65535, Meaning: "port of the metrics; 0 for none"},
+	{Name: "logLines", Unit: loader.UnitCount, Default: "4000", Min: 1, Max: 1_000_000, Meaning: "log lines a second at most; further ones are counted and dropped"},
+}}
+
+// Load reads the settings from flags, environment and settings file. The error lists every finding.
+func Load(role string, args, environ []string) (Options, int, error) {
+	loaded := Settings.Load(args, environ)
+	if path := loaded.Values.Text("config"); path != "" {
+		pairs, err := loader.ReadFile(path)
+		if err != nil {
+			return Options{}, 0, trace.Wrap(err)
+		}
+		loaded = Settings.Load(args, append(environ, pairs...))
+	}
+	if len(loaded.Findings) > 0 {
+		var all []error
+		for _, f := range loaded.Findings {
+			all = append(all, trace.BadParameter("%s", f.String()))
+		}
+		return Options{}, 0, trace.NewAggregate(all...)
+	}
+	v := loaded.Values
+	o := Options{
+		Name: v.Text("name"), Domain: v.Text("domain"), Store: v.Text("storeAddress"),
+		Address: net.JoinHostPort(v.Text("ip"), v.Text("internalPort")),
+		Weight:  uint64(v.Number("cores") * coreThousandths), Drain: v.Millis("drainMs"),
+	}
+	if v.Count("metricsPort") != 0 {
+		o.Metrics = net.JoinHostPort(v.Text("ip"), v.Text("metricsPort"))
+	}
+	for _, seed := range strings.Split(v.Text("seeds"), ",") {
+		if host, _, err := net.SplitHostPort(strings.TrimSpace(seed)); err == nil {
+			o.Seeds = append(o.Seeds, net.JoinHostPort(host, v.Text("internalPort")))
+		}
+	}
+	var missing string
+	switch role {
+	case roleEntry:
+		o.Callers, o.Ready = v.Text("callersAddress"), v.Text("readyAddress")
+		if o.Callers == "" {
+			missing = "callersAddress"
+		}
+	case roleSidecar:
+		o.Announcements, o.Backend = v.Text("announceAddress"), v.Text("backendAddress")
+		if o.Announcements == "" || o.Backend == "" {
+			missing = "announceAddress and backendAddress"
+		}
+	default:
+		return o, 0, trace.BadParameter("role %q: want %s or %s", role, roleEntry, roleSidecar)
+	}
+	if missing != "" {
+		return o, 0, trace.BadParameter("role %s needs %s", role, missing)
+	}
+	return o, int(v.Count("logLines")), nil
+}
+
--- /dev/null
+++ b/conductor/sidecar.go
@@ -0,0 +1,239 @@
+package conductor
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/keeper"
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/platform"
+	"github.com/crocuslb/crocuslb/router"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// busyWait and idleWait are how long a hold waits for an end. The progress of runs is seen every busyWait.
+	busyWait = 60 * time.Millisecond
+	idleWait = 250 * time.Millisecond
+	// holdPause is the pause after a failed hold.
+	holdPause = 50 * time.Millisecond
+	// backendConnections bounds the connections to the backend server.
+	backendConnections = 24
+	// flushTime is left for the last messages of a process that ends.
+	flushTime = 100 * time.Millisecond
+	// drainCheck is the period in which a stopping sidecar looks whether its runs have ended.
+	drainCheck = 20 * time.Millisecond
+)
+
+// Sidecar is the process beside a backend server on the users' platform.
+type Sidecar struct {
+	Options
+
+	loop    *loop
+	core    keeper.Keeper
+	config  configuration
+	members directory
+	node    carrier.Node
+	monitor monitor
+	backend platform.Backend
+	links   sync.Map // *carrier.Session to *marshaler.Link
+	holds   chan keeper.HoldRequest
+	holding bool // a hold is under way or about to be; owned by the loop
+}
+
+// Run serves until ctx ends, then lets the runs end within Options.Drain.
+func (s *Sidecar) Run(ctx context.Context) error {
+	incarnation := uint64(time.Now().UnixMilli())
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	s.loop = newLoop()
+	s.monitor.logger = s.Logger
+	s.backend = platform.Backend{Address: s.Backend, Client: newClient(backendConnections), Timeout: backendTimeout}
+	s.holds = make(chan keeper.HoldRequest, 1)
+	s.core = keeper.Keeper{
+		Domain: s.Domain, Report: s.report,
+		Start: func(m marshaler.Start) { s.start(life, m) },
+		Stop:  func(r marshaler.RunKey) { s.stop(life, r) },
+	}
+	s.config = configuration{logger: s.Logger, changed: func(now timer.Millis, c router.Snapshot) {
+		s.core.SetOffset(now, c.Offset, c.Withdrawn(s.Domain))
+	}}
+	s.node = carrier.Node{
+		Hello: func() marshaler.Hello {
+			return marshaler.Hello{Role: marshaler.RoleSidecar, Name: s.Name, Incarnation: incarnation, Domain: s.Domain, Weight: s.Weight}
+		},
+	}
+	s.wire(life)
+	s.loop.flush, s.loop.tick = func(timer.Millis) {}, s.core.Tick
+	announcements := platform.Announcements{
+		Announce: func(b keeper.Backend) { s.announce(life, b) },
+		Leaves:   func(id string) { s.loop.do(life, func(now timer.Millis) { s.core.Leaves(now, id) }) },
+		Refused:  func(err error) { s.Logger.WithError(err).Warn("sidecar: announcement refused") },
+	}
+	if _, err := serveAll(life, s.Logger, []endpoint{{s.Announcements, announcements.Handler()}, {s.Metrics, s.monitor.handler()}}); err != nil {
+		return err
+	}
+	go s.config.follow(life, s.loop, newStore(s.Store, configurationWait))
+	s.members = directory{
+		logger: s.Logger, store: newStore(s.Store, entriesWait), connect: s.node.Connect,
+		wanted: func(marshaler.Peer) bool { return true },
+	}
+	var seeds []marshaler.Peer
+	for _, address := range s.Seeds {
+		seeds = append(seeds, marshaler.Peer{Address: address})
+	}
+	s.members.add(life, seeds)
+	go s.members.follow(life, func() {})
+	s.Logger.WithFields(log.Fields{"name": s.Name, "domain": s.Domain, "backend": s.Backend}).Info("sidecar: started")
+	go s.hold(life)
+	go s.loop.run(life)
+	<-ctx.Done()
+	s.drain(life)
+	s.Logger.WithField("name", s.Name).Info("sidecar: stopped")
+	return nil
+}
+
+func (s *Sidecar) wire(ctx context.Context) {
+	s.node.OnUp = func(c *carrier.Session) {
+		link := &marshaler.Link{Remote: c.Remote, Send: c.Send, Close: c.Close}
+		s.links.Store(c, link)
+		s.loop.do(ctx, func(now timer.Millis) {
+			s.Logger.WithField("entry", c.Remote.Name).Info("sidecar: entry connected")
+			s.core.OnUp(now, link)
+		})
+	}
+	s.node.OnMessage = func(c *carrier.Session, batch []marshaler.Message) {
+		v, _ := s.links.Load(c)
+		link, _ := v.(*marshaler.Link)
+		s.loop.do(ctx, func(now timer.Millis) {
+			for _, m := range batch {
+				switch m := m.(type) {
+				case *marshaler.Peers:
+					s.members.add(ctx, m.Peers)
+				case *marshaler.Configuration:
+					s.config.receive(now, m.Body, link.Remote.Name)
+				default:
+					s.core.OnMessage(now, link, m)
+				}
+			}
+		})
+	}
+	s.node.OnDown = func(c *carrier.Session, cause error) {
+		v, _ := s.links.LoadAndDelete(c)
+		link, _ := v.(*marshaler.Link)
+		s.loop.do(ctx, func(timer.Millis) {
+			s.Logger.WithError(cause).WithField("entry", c.Remote.Name).Info("sidecar: entry disconnected")
+			s.core.OnDown(link)
+		})
+	}
+}
+
+// announce passes on what the backend server says of itself. It returns once that is in force.
+func (s *Sidecar) announce(ctx context.Context, b keeper.Backend) {
+	done := make(chan struct{})
+	s.loop.do(ctx, func(now timer.Millis) {
+		s.core.Announce(now, b)
+		s.nextHold(now)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// nextHold hands the next hold to its goroutine, unless one is under way. It is called by the loop.
+func (s *Sidecar) nextHold(now timer.Millis) {
+	if s.holding {
+		return
+	}
+	if h, ok := s.core.BeginHold(now); ok {
+		s.holding = true
+		s.holds <- h
+	}
+}
+
+// hold keeps the lease of all runs and waits for their ends.
+func (s *Sidecar) hold(ctx context.Context) {
+	for {
+		var h keeper.HoldRequest
+		select {
+		case h = <-s.holds:
+		case <-ctx.Done():
+			return
+		}
+		wait := idleWait
+		if h.Busy {
+			wait = busyWait
+		}
+		l, err := s.backend.Hold(ctx, h, wait)
+		if err != nil {
+			time.Sleep(holdPause)
+		}
+		s.loop.do(ctx, func(now timer.Millis) {
+			s.holding = false
+			if err != nil {
+				s.core.OnHoldFailed(now, platform.Gone(err), err.Error())
+			} else {
+				s.core.OnListing(now, l)
+			}
+			s.nextHold(now)
+		})
+	}
+}
+
+func (s *Sidecar) start(ctx context.Context, m marshaler.Start) {
+	instance := s.core.Known()
+	go func() {
+		started := s.backend.Start(ctx, instance, m)
+		s.loop.do(ctx, func(now timer.Millis) { s.core.OnStarted(now, started) })
+	}()
+}
+
+func (s *Sidecar) stop(ctx context.Context, r marshaler.RunKey) {
+	instance := s.core.Known()
+	go func() {
+		ok, err := s.backend.Stop(ctx, instance, r)
+		if err != nil {
+			s.Logger.WithError(err).WithField("job", r.Job).Warn("sidecar: no answer to a stop")
+		}
+		s.loop.do(ctx, func(timer.Millis) { s.core.OnStopped(r, ok) })
+	}()
+}
+
+// drain refuses new starts and waits until the runs have ended.
+func (s *Sidecar) drain(ctx context.Context) {
+	s.Logger.WithField("drain", s.Drain.String()).Info("sidecar: stopping")
+	s.loop.do(ctx, s.core.Leave)
+	left := make(chan int, 1)
+	for started := time.Now(); time.Since(started) < s.Drain.Duration(); time.Sleep(drainCheck) {
+		s.loop.do(ctx, func(timer.Millis) { left <- s.core.Running() })
+		if <-left == 0 {
+			break
+		}
+	}
+	time.Sleep(flushTime)
+}
+
+func (s *Sidecar) report(e keeper.Event) {
+	detail, _, _ := strings.Cut(e.Detail, " ")
+	if e.Kind == "backend" || e.Kind == "backendSilent" || e.Kind == "backendRestarted" || e.Kind == "deregistered" {
+		detail = ""
+	}
+	s.monitor.count(e.Kind, detail)
+	fields := log.Fields{"detail": e.Detail, "value": e.Value}
+	if e.Run.Job != "" {
+		fields["job"], fields["task"], fields["attempt"] = e.Run.Job, e.Run.Index, e.Run.Attempt
+	}
+	if e.Entry != "" {
+		fields["entry"] = e.Entry
+	}
+	fields["offset"] = s.config.current().Offset
+	s.Logger.WithFields(fields).Info("sidecar: " + e.Kind)
+}
+
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,410 @@
+// Package keeper is the core of a sidecar on the path of restartable jobs. It decides which starts its backend server
+// gets, keeps account of the room, and makes sure that a run ends when its entry is lost. It is pure: it has no clock and
+// no I/O, and one goroutine calls it.
+package keeper
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// VouchLimit is how long runs go on without a sign of life of the entry that ordered them.
+	VouchLimit = 450 * timer.Millisecond
+	// LeaseTerm is the length of the lease that each hold asks for. VouchLimit, LeaseTerm on the backend server's slow
+	// clock and the time for a stop add up to less than the time after which a caller sends a job again.
+	LeaseTerm = 700 * timer.Millisecond
+	// BeatPeriod is the time between two Loads to an entry without news.
+	BeatPeriod = 150 * timer.Millisecond
+	// outcomeMemory is how long ended runs are kept for an entry whose session broke before it got the outcome.
+	outcomeMemory = 2 * timer.Second
+	// stopRetry is the pause before a stop is sent again while the run has not ended.
+	stopRetry = 100 * timer.Millisecond
+	// NormalSpeed is the speed, in thousandths, of a backend server whose runs take as long as estimated.
+	NormalSpeed = 1000
+)
+
+const (
+	stateStarting = iota + 1 // the backend server has not answered the start
+	stateRunning
+	stateStopping // a stop was sent
+)
+
+type (
+	// Backend is what the backend server says of itself.
+	Backend struct {
+		ID       string
+		Born     uint64 // start of the backend server, Unix milliseconds
+		Sequence uint64 // rises with each announcement in one life
+		Service  string
+		Labels   []string
+		Total    marshaler.Room
+		Draining bool
+	}
+
+	// Started is the backend server's answer to a start.
+	Started struct {
+		Run    marshaler.RunKey
+		Status StartStatus
+		Reason string
+	}
+
+	// StartStatus says what became of a start.
+	StartStatus uint8
+
+	// Row is a run in the backend server's list of runs.
+	Row struct {
+		Run     marshaler.RunKey
+		Percent int // of its work that is done
+	}
+
+	// End is an ended run in the backend server's list of ends.
+	End struct {
+		Number uint64 // rises by one with each end in one life of the backend server
+		Run    marshaler.RunKey
+		Status marshaler.Status
+	}
+
+	// Listing is the answer to a hold: what runs, and what has ended since the last one.
+	Listing struct {
+		Number  uint64 // of the hold, as BeginHold returned it
+		Born    uint64
+		Clock   int64 // the backend server's clock in milliseconds, when it answered
+		Running []Row
+		Ended   []End
+	}
+
+	// Keeper is the state of a sidecar. Set the exported fields before the first call.
+	Keeper struct {
+		Domain string
+		// Start, Stop and Report only queue what they are given.
+		Start  func(s marshaler.Start)
+		Stop   func(r marshaler.RunKey)
+		Report func(e Event)
+
+		backend   Backend
+		known     bool // the backend server has announced itself
+		clean     bool // a listing showed that nothing runs that this process did not start
+		silent    bool // the last hold failed
+		withdrawn bool
+		leaving   bool
+		offset    uint64
+
+		runs     map[task]*run
+		entries  map[string]*entry
+		free     marshaler.Room
+		holds    uint64 // number of the latest hold
+		lastSeen uint64 // number of the latest end that was processed
+		clock    int64  // the backend server's clock at clockAt
+		clockAt  timer.Millis
+		speed    float64
+		listedAt timer.Millis
+	}
+
+	// Event is a decision, for logs and counters.
+	Event struct {
+		Kind   string
+		Run    marshaler.RunKey
+		Entry  string
+		Detail string
+		Value  int64
+	}
+
+	task struct {
+		job   string
+		index uint64
+	}
+
+	// run is an attempt that may hold room on the backend server.
+	run struct {
+		key      marshaler.RunKey
+		entry    *entry
+		room     marshaler.Room
+		estimate timer.Millis
+		state    int
+		since    timer.Millis // of the order, then of the start
+		startsAt uint64       // a later hold lists the run if it runs
+		stopsAt  uint64       // a later hold does not list the run if the stop was effective; 0 while none was answered
+		stopSent timer.Millis
+		status   marshaler.Status // reported instead of StatusStopped after a stop
+		reason   string
+		listed   bool
+		percent  int
+		progress timer.Millis // time of the latest rise of percent
+	}
+
+	// entry is one life of an entry process.
+	entry struct {
+		name        string
+		incarnation uint64
+		link        *marshaler.Link // nil while there is no session
+		heard       timer.Millis
+		sent        timer.Millis
+		greeted     bool // Held was sent on this session
+		subscribed  bool
+		seen        []string
+		settled     []marshaler.Settled
+		outcomes    []sentOutcome
+	}
+
+	sentOutcome struct {
+		at timer.Millis
+		m  marshaler.Outcome
+	}
+)
+
+const (
+	// StartDone means that the run is there.
+	StartDone StartStatus = iota + 1
+	// StartRefused means that the backend server surely did not start the run and never will by this order.
+	StartRefused
+	// StartOld means that the backend server knows this or a later attempt.
+	StartOld
+	// StartUnknown means that there was no answer.
+	StartUnknown
+)
+
+// SetOffset sets the position of the configuration and whether the sidecar's failure domain is withdrawn.
+func (k *Keeper) SetOffset(now timer.Millis, offset uint64, withdrawn bool) {
+	k.offset = offset
+	if k.withdrawn != withdrawn {
+		k.withdrawn = withdrawn
+		k.sendLoads(now)
+	}
+}
+
+// Leave makes the sidecar refuse all starts. What runs goes on.
+func (k *Keeper) Leave(now timer.Millis) {
+	k.leaving = true
+	k.sendLoads(now)
+}
+
+// Running returns the number of runs that may hold room.
+func (k *Keeper) Running() int { return len(k.runs) }
+
+// Known returns the backend server's identifier, empty before it has announced itself.
+func (k *Keeper) Known() string { return k.backend.ID }
+
+// Announce takes an announcement of the backend server. It returns false for one that is older than what is known.
+func (k *Keeper) Announce(now timer.Millis, b Backend) bool {
+	if k.known {
+		if b.Born < k.backend.Born || b.Born == k.backend.Born && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
+			return false
+		}
+	}
+	restarted := !k.known || b.ID != k.backend.ID || b.Born != k.backend.Born
+	changed := restarted || b.Draining != k.backend.Draining || b.Total != k.backend.Total || b.Service != k.backend.Service
+	k.backend, k.known = b, true
+	if restarted {
+		k.restart(now, b.Born)
+	}
+	k.account()
+	if changed {
+		k.report(Event{Kind: "backend", Detail: b.ID, Value: b.Total.CPU})
+		for _, e := range k.entries {
+			k.sendBackend(e)
+		}
+		k.sendLoads(now)
+	}
+	return true
+}
+
+// Leaves takes the backend server's message that it ends.
+func (k *Keeper) Leaves(now timer.Millis, id string) {
+	if k.known && k.backend.ID == id {
+		k.backend.Draining = true
+		k.report(Event{Kind: "deregistered", Detail: id})
+		k.sendLoads(now)
+	}
+}
+
+// restart forgets everything about an earlier life of the backend server, whose runs have ended with it.
+func (k *Keeper) restart(now timer.Millis, born uint64) {
+	k.backend.Born = born
+	k.lastSeen, k.clean, k.clock, k.clockAt, k.speed = 0, false, 0, 0, NormalSpeed
+	for _, r := range k.sorted() {
+		k.end(now, r, marshaler.StatusLost, "backend server restarted")
+	}
+}
+
+// Accepting reports whether starts are taken, and why not.
+func (k *Keeper) Accepting() (bool, string) {
+	switch {
+	case !k.known:
+		return false, "backend server not announced"
+	case !k.clean:
+		return false, "backend server not listed"
+	case k.silent:
+		return false, "backend server does not answer"
+	case k.leaving:
+		return false, "sidecar is stopping"
+	case k.backend.Draining:
+		return false, "backend server is draining"
+	case k.withdrawn:
+		return false, "failure domain is withdrawn"
+	}
+	return true, ""
+}
+
+// order handles a start.
+func (k *Keeper) order(now timer.Millis, e *entry, m *marshaler.Start) {
+	e.seen = append(e.seen, m.Run.Job)
+	ok, reason := k.Accepting()
+	at := task{m.Run.Job, m.Run.Index}
+	switch {
+	case !ok:
+	case k.runs[at] != nil:
+		ok, reason = false, "task runs already"
+	case !k.free.Holds(m.Room):
+		ok, reason = false, "no room"
+	case m.NotAfter <= k.Clock(now):
+		ok, reason = false, "start is late"
+	}
+	if !ok {
+		k.send(now, e, marshaler.Outcome{Run: m.Run, Status: marshaler.StatusRefused, Reason: reason})
+		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
+		return
+	}
+	r := &run{key: m.Run, entry: e, room: m.Room, estimate: m.Estimate, state: stateStarting, since: now, progress: now, startsAt: k.holds}
+	if k.runs == nil {
+		k.runs = map[task]*run{}
+	}
+	k.runs[at] = r
+	k.free = k.free.Sub(r.room)
+	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
+	k.Start(*m)
+}
+
+// OnStarted takes the backend server's answer to a start.
+func (k *Keeper) OnStarted(now timer.Millis, s Started) {
+	r := k.find(s.Run)
+	if r == nil {
+		return
+	}
+	switch s.Status {
+	case StartDone:
+		r.startsAt = k.holds
+		if r.state == stateStarting {
+			r.state, r.since, r.progress = stateRunning, now, now
+		}
+	case StartRefused:
+		k.end(now, r, marshaler.StatusRefused, s.Reason)
+	case StartOld:
+		k.end(now, r, marshaler.StatusOld, s.Reason)
+	default:
+		// The order may still be carried out. A stop that the backend server answers makes sure that it never is.
+		k.stop(now, r, marshaler.StatusRefused, "no answer to the start: "+s.Reason)
+	}
+}
+
+// stop asks the backend server to end a run. The run keeps its room until a listing shows that it is gone.
+func (k *Keeper) stop(now timer.Millis, r *run, status marshaler.Status, reason string) {
+	if r.state == stateStopping {
+		return
+	}
+	r.state, r.status, r.reason = stateStopping, status, reason
+	k.sendStop(now, r)
+	k.report(Event{Kind: "stop", Run: r.key, Entry: r.entry.name, Detail: reason})
+}
+
+func (k *Keeper) sendStop(now timer.Millis, r *run) {
+	r.stopSent = now
+	k.Stop(r.key)
+}
+
+// OnStopped takes the backend server's answer to a stop. ok is false when there was none.
+func (k *Keeper) OnStopped(key marshaler.RunKey, ok bool) {
+	if r := k.find(key); r != nil && ok && r.stopsAt == 0 {
+		r.stopsAt = k.holds
+	}
+}
+
+// Tick sends heartbeats, repeats stops, and ends the runs of lost entries. It is called several times in each BeatPeriod.
+func (k *Keeper) Tick(now timer.Millis) {
+	for _, r := range k.sorted() {
+		if r.state == stateStopping && now-r.stopSent >= stopRetry {
+			k.sendStop(now, r)
+		}
+	}
+	for name, e := range k.entries {
+		if now-e.heard >= VouchLimit {
+			k.loseEntry(now, name, e)
+			continue
+		}
+		e.outcomes = slices.DeleteFunc(e.outcomes, func(o sentOutcome) bool { return now-o.at > outcomeMemory })
+		if e.link != nil && now-e.sent >= BeatPeriod {
+			k.sendLoad(now, e)
+		}
+	}
+}
+
+func (k *Keeper) loseEntry(now timer.Millis, name string, e *entry) {
+	delete(k.entries, name)
+	stopped := 0
+	for _, r := range k.sorted() {
+		if r.entry == e {
+			k.stop(now, r, marshaler.StatusStopped, "entry is lost")
+			stopped++
+		}
+	}
+	if e.link != nil {
+		e.link.Close(errSilent)
+		e.link = nil
+	}
+	k.report(Event{Kind: "entryLost", Entry: name, Value: int64(stopped)})
+}
+
+func (k *Keeper) find(key marshaler.RunKey) *run {
+	if r := k.runs[task{key.Job, key.Index}]; r != nil && r.key.Attempt == key.Attempt {
+		return r
+	}
+	return nil
+}
+
+// sorted returns the runs in an order that does not depend on the map, so that tests repeat.
+func (k *Keeper) sorted() []*run {
+	return slices.SortedFunc(maps.Values(k.runs), func(a, b *run) int {
+		if a.key.Job != b.key.Job {
+			if a.key.Job < b.key.Job {
+				return -1
+			}
+			return 1
+		}
+		return int(a.key.Index) - int(b.key.Index)
+	})
+}
+
+// account computes the free room anew.
+func (k *Keeper) account() {
+	k.free = k.backend.Total
+	for _, r := range k.runs {
+		k.free = k.free.Sub(r.room)
+	}
+}
+
+// end removes a run that has surely ended and reports it.
+func (k *Keeper) end(now timer.Millis, r *run, status marshaler.Status, reason string) {
+	delete(k.runs, task{r.key.Job, r.key.Index})
+	k.free = k.free.Add(r.room)
+	ran := now - r.since
+	if status == marshaler.StatusRefused || status == marshaler.StatusOld {
+		ran = 0
+	}
+	k.send(now, r.entry, marshaler.Outcome{Run: r.key, Status: status, Reason: reason, Ran: ran})
+	settled := marshaler.Settled{Job: r.key.Job, Status: status, Ran: ran, Estimate: r.estimate, Room: r.room}
+	for _, e := range k.entries {
+		if e.subscribed {
+			e.settled = append(e.settled, settled)
+		}
+	}
+	k.report(Event{Kind: "end", Run: r.key, Entry: r.entry.name, Detail: status.String() + " " + reason, Value: int64(ran)})
+}
+
+func (k *Keeper) report(e Event) {
+	if k.Report != nil {
+		k.Report(e)
+	}
+}
--- /dev/null
+++ b/keeper/listing.go
@@ -0,0 +1,182 @@
+package keeper
+
+import (
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// stallBase and stallShare of the estimate are the time without progress after which a run counts as stalled. A
+	// backend server at a sixth of its usual speed still makes a percent of progress in stallShare.
+	stallBase  = 100 * timer.Millisecond
+	stallShare = 0.10
+	// speedSpan is the time in which the smoothed speed follows a change.
+	speedSpan = 150.0 // ms
+	// minSample is the shortest time between two listings from which a speed is computed.
+	minSample = 20 * timer.Millisecond
+	// maxSpeed bounds one observation, because estimates of run times are rough.
+	maxSpeed = 4 * NormalSpeed
+)
+
+// HoldRequest is what the next hold carries.
+type HoldRequest struct {
+	Number   uint64 // to be returned in Listing
+	LastSeen uint64
+	// Until is the end of the lease on the backend server's clock; 0 before that clock is known.
+	Until int64
+	// Busy says that something runs, so that progress is of interest.
+	Busy bool
+	ID   string // of the backend server that is meant
+	Born uint64
+}
+
+// BeginHold returns what the next hold carries. ok is false before the backend server has announced itself.
+func (k *Keeper) BeginHold(now timer.Millis) (HoldRequest, bool) {
+	if !k.known {
+		return HoldRequest{}, false
+	}
+	k.holds++
+	h := HoldRequest{Number: k.holds, LastSeen: k.lastSeen, Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
+	if k.clockAt != 0 {
+		h.Until = k.Clock(now) + int64(LeaseTerm)
+	}
+	return h, true
+}
+
+// Clock estimates the backend server's clock. It returns 0 before the first listing.
+func (k *Keeper) Clock(now timer.Millis) int64 {
+	if k.clockAt == 0 {
+		return 0
+	}
+	return k.clock + int64(now-k.clockAt)
+}
+
+// OnHoldFailed takes the failure of a hold. gone says that the backend server has no listener, so nothing runs on it.
+func (k *Keeper) OnHoldFailed(now timer.Millis, gone bool, reason string) {
+	if gone {
+		for _, r := range k.sorted() {
+			k.end(now, r, marshaler.StatusLost, "backend server is gone")
+		}
+	}
+	if !k.silent {
+		k.silent = true
+		k.report(Event{Kind: "backendSilent", Detail: reason})
+		k.sendLoads(now)
+	}
+}
+
+// OnListing takes the answer to a hold.
+func (k *Keeper) OnListing(now timer.Millis, l Listing) {
+	if !k.known || l.Born < k.backend.Born {
+		return
+	}
+	if l.Born > k.backend.Born {
+		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
+		k.restart(now, l.Born)
+	}
+	if at := l.Clock; k.clockAt == 0 || at >= k.clock {
+		k.clock, k.clockAt = at, now
+	}
+	was, _ := k.Accepting()
+	k.silent = false
+	ended := k.onEnds(now, l.Ended)
+	k.onRunning(now, l)
+	ended = k.onMissing(now, l) || ended
+	is, reason := k.Accepting()
+	switch {
+	case was != is:
+		k.report(Event{Kind: "accepting", Detail: reason, Value: k.free.CPU})
+		k.greetAll()
+		k.sendLoads(now)
+	case ended:
+		k.sendSubscribed(now)
+	}
+	k.listedAt = now
+}
+
+func (k *Keeper) onEnds(now timer.Millis, ends []End) (ended bool) {
+	for _, e := range ends {
+		if e.Number <= k.lastSeen {
+			continue
+		}
+		k.lastSeen = e.Number
+		r := k.find(e.Run)
+		if r == nil {
+			continue
+		}
+		status, reason := e.Status, r.reason
+		if status == marshaler.StatusStopped && r.state == stateStopping {
+			status = r.status
+			if status == marshaler.StatusRefused { // it did run for a moment
+				status = marshaler.StatusStopped
+			}
+		}
+		k.end(now, r, status, reason)
+		ended = true
+	}
+	return ended
+}
+
+// onRunning stops what this process did not start, and follows the progress of its runs.
+func (k *Keeper) onRunning(now timer.Millis, l Listing) {
+	strangers := 0
+	var done float64
+	samples := 0
+	for _, row := range l.Running {
+		r := k.find(row.Run)
+		if r == nil {
+			strangers++
+			k.Stop(row.Run)
+			continue
+		}
+		if gained := row.Percent - r.percent; r.listed && r.state == stateRunning && gained >= 0 {
+			done += float64(gained) / 100 * float64(r.estimate)
+			samples++
+		}
+		if row.Percent > r.percent || !r.listed {
+			r.percent, r.progress = row.Percent, now
+		}
+		r.listed = true
+		k.checkStalled(now, r)
+	}
+	if strangers == 0 {
+		k.clean = true
+	} else {
+		k.report(Event{Kind: "strangers", Value: int64(strangers)})
+	}
+	if span := now - k.listedAt; samples > 0 && span >= minSample {
+		speed := min(done/float64(samples)/float64(span)*NormalSpeed, maxSpeed)
+		k.speed += (speed - k.speed) * min(1, float64(span)/speedSpan)
+	}
+}
+
+// checkStalled stops a run without progress, so that its entry can start the task elsewhere.
+func (k *Keeper) checkStalled(now timer.Millis, r *run) {
+	limit := stallBase + timer.Millis(stallShare*float64(r.estimate))
+	if r.state == stateRunning && r.percent < 100 && now-r.progress > limit {
+		k.stop(now, r, marshaler.StatusStalled, "no progress")
+	}
+}
+
+// onMissing ends the runs that a listing should show and does not.
+func (k *Keeper) onMissing(now timer.Millis, l Listing) (ended bool) {
+	here := make(map[marshaler.RunKey]bool, len(l.Running))
+	for _, row := range l.Running {
+		here[row.Run] = true
+	}
+	for _, r := range k.sorted() {
+		if here[r.key] {
+			continue
+		}
+		switch {
+		case r.state == stateStopping && r.stopsAt != 0 && l.Number > r.stopsAt:
+			k.end(now, r, r.status, r.reason)
+			ended = true
+		case r.state == stateRunning && l.Number > r.startsAt && len(l.Ended) == 0:
+			// A list of ends may be cut off, so only an empty one shows that the end is not on its way.
+			k.end(now, r, marshaler.StatusLost, "not listed")
+			ended = true
+		}
+	}
+	return ended
+}
--- /dev/null
+++ b/marshaler/append.go
@@ -0,0 +1,191 @@
+package marshaler
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/crocuslb/crocuslb/appender"
+)
+
+// Numbers of the message types on the wire.
+const (
+	kindHello = iota + 1
+	kindBeat
+	kindPeers
+	kindConfiguration
+	kindBackend
+	kindLoad
+	kindStart
+	kindStop
+	kindOutcome
+	kindHeld
+	kindSubscribe
+	kindAsk
+	kindWithdraw
+	kindGrant
+	kindReject
+)
+
+// Append appends the encoding of m to dst. It panics when m is not a pointer to a message type of this package.
+func Append(dst []byte, m Message) []byte {
+	switch m := m.(type) {
+	case *Hello:
+		dst = appender.AppendUint(append(dst, kindHello), 1, uint64(m.Role))
+		dst = appender.AppendText(dst, 2, m.Name)
+		dst = appender.AppendUint(dst, 3, m.Incarnation)
+		dst = appender.AppendText(dst, 4, m.Domain)
+		dst = appender.AppendText(dst, 5, m.Address)
+		return appender.AppendUint(dst, 6, m.Weight)
+	case *Beat:
+		dst = appender.AppendUint(append(dst, kindBeat), 1, m.Offset)
+		return appendBool(dst, 2, m.Leaving)
+	case *Peers:
+		dst = append(dst, kindPeers)
+		for i := range m.Peers {
+			dst = appendNested(dst, 1, func(b []byte) []byte { return appendPeer(b, &m.Peers[i]) })
+		}
+		return dst
+	case *Configuration:
+		return appendBytes(append(dst, kindConfiguration), 1, m.Body)
+	case *Start:
+		return appendStart(append(dst, kindStart), m)
+	case *Stop:
+		return appendRun(append(dst, kindStop), 1, &m.Run)
+	case *Outcome:
+		dst = appendRun(append(dst, kindOutcome), 1, &m.Run)
+		dst = appender.AppendUint(dst, 2, uint64(m.Status))
+		dst = appender.AppendText(dst, 3, m.Reason)
+		return appendInt(dst, 4, int64(m.Ran))
+	case *Held:
+		dst = append(dst, kindHeld)
+		for i := range m.Runs {
+			dst = appendRun(dst, 1, &m.Runs[i])
+		}
+		return dst
+	case *Subscribe:
+		return appendBool(append(dst, kindSubscribe), 1, m.On)
+	}
+	return appendPlacement(dst, m)
+}
+
+// appendPlacement appends the messages that carry rooms and requests for them.
+func appendPlacement(dst []byte, m Message) []byte {
+	switch m := m.(type) {
+	case *Backend:
+		dst = appender.AppendText(append(dst, kindBackend), 1, m.ID)
+		dst = appender.AppendUint(dst, 2, m.Born)
+		dst = appender.AppendText(dst, 3, m.Service)
+		for _, l := range m.Labels {
+			dst = appendBytes(dst, 4, []byte(l))
+		}
+		return appendRoom(dst, 5, m.Total)
+	case *Load:
+		return appendLoad(append(dst, kindLoad), m)
+	case *Ask:
+		return appendAsk(append(dst, kindAsk), m)
+	case *Withdraw:
+		return appender.AppendText(append(dst, kindWithdraw), 1, m.Job)
+	case *Grant:
+		dst = appender.AppendText(append(dst, kindGrant), 1, m.Job)
+		for _, s := range m.Sidecars {
+			dst = appendBytes(dst, 2, []byte(s))
+		}
+		return dst
+	case *Reject:
+		dst = appender.AppendText(append(dst, kindReject), 1, m.Job)
+		dst = appender.AppendText(dst, 2, m.Reason)
+		return appendInt(dst, 3, int64(m.RetryAfter))
+	}
+	panic(fmt.Sprintf("marshaler: unknown message type %T", m))
+}
+
+func appendStart(dst []byte, m *Start) []byte {
+	dst = appendRun(dst, 1, &m.Run)
+	dst = appender.AppendText(dst, 2, m.Spec)
+	dst = appendRoom(dst, 3, m.Room)
+	dst = appendInt(dst, 4, int64(m.Estimate))
+	return appendInt(dst, 5, m.NotAfter)
+}
+
+func appendAsk(dst []byte, m *Ask) []byte {
+	dst = appender.AppendText(dst, 1, m.Job)
+	dst = appender.AppendText(dst, 2, m.Service)
+	dst = appender.AppendText(dst, 3, m.Queue)
+	dst = appender.AppendUint(dst, 4, m.Tasks)
+	dst = appendRoom(dst, 5, m.Room)
+	dst = appendInt(dst, 6, int64(m.Estimate))
+	dst = appendInt(dst, 7, int64(m.Slack))
+	dst = appender.AppendUint(dst, 8, m.Priority)
+	return appendBool(dst, 9, m.Started)
+}
+
+func appendLoad(dst []byte, m *Load) []byte {
+	dst = appender.AppendUint(dst, 1, m.Offset)
+	dst = appendBool(dst, 2, m.Accepting)
+	dst = appendRoom(dst, 3, m.Free)
+	dst = appendInt(dst, 4, m.Clock)
+	dst = appender.AppendUint(dst, 5, m.Speed)
+	for _, job := range m.Seen {
+		dst = appendBytes(dst, 6, []byte(job))
+	}
+	for i := range m.Settled {
+		s := &m.Settled[i]
+		dst = appendNested(dst, 7, func(b []byte) []byte {
+			b = appender.AppendText(b, 1, s.Job)
+			b = appender.AppendUint(b, 2, uint64(s.Status))
+			b = appendInt(b, 3, int64(s.Ran))
+			b = appendInt(b, 4, int64(s.Estimate))
+			return appendRoom(b, 5, s.Room)
+		})
+	}
+	return dst
+}
+
+func appendPeer(b []byte, p *Peer) []byte {
+	b = appender.AppendText(b, 1, p.Name)
+	b = appender.AppendText(b, 2, p.Address)
+	return appender.AppendUint(b, 3, p.Incarnation)
+}
+
+func appendRun(dst []byte, tag protowire.Number, r *RunKey) []byte {
+	return appendNested(dst, tag, func(b []byte) []byte {
+		b = appender.AppendText(b, 1, r.Job)
+		b = appender.AppendUint(b, 2, r.Index)
+		return appender.AppendUint(b, 3, r.Attempt)
+	})
+}
+
+func appendRoom(dst []byte, tag protowire.Number, r Room) []byte {
+	return appendNested(dst, tag, func(b []byte) []byte {
+		b = appendInt(b, 1, r.CPU)
+		b = appendInt(b, 2, r.MemoryMB)
+		return appendInt(b, 3, r.Accelerators)
+	})
+}
+
+// appendNested appends a nested message. Content of 128 bytes or more is moved to make room for its length.
+func appendNested(dst []byte, tag protowire.Number, content func(b []byte) []byte) []byte {
+	dst = protowire.AppendTag(dst, tag, protowire.BytesType)
+	start := len(dst) + 1
+	dst = content(append(dst, 0))
+	size := len(dst) - start
+	if size < 1<<7 {
+		dst[start-1] = byte(size)
+		return dst
+	}
+	body := append([]byte(nil), dst[start:]...)
+	return protowire.AppendBytes(dst[:start-1], body)
+}
+
+func appendBytes(dst []byte, tag protowire.Number, b []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(dst, tag, protowire.BytesType), b)
+}
+
+func appendBool(dst []byte, tag protowire.Number, v bool) []byte {
+	return appender.AppendUint(dst, tag, protowire.EncodeBool(v))
+}
+
+func appendInt(dst []byte, tag protowire.Number, v int64) []byte {
+	return appender.AppendUint(dst, tag, protowire.EncodeZigZag(v))
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,341 @@
+// Package placer decides which queued job gets room next, on which worker, and which jobs are refused because they
+// cannot be served in time. It is pure: it has no clock and no I/O, and one goroutine calls it.
+package placer
+
+import (
+	"slices"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// maxBlocked is the number of requests without fitting room after which placing gives up for now. Requests differ
+	// little in size, so the ones behind them rarely fit.
+	maxBlocked = 8
+	// maxQueued bounds the queue.
+	maxQueued = 20_000
+	// ReasonMoved is the reason of a Reject that only sends the request to another placing entry.
+	ReasonMoved = "moved"
+)
+
+type (
+	// Placer is the state of a placing entry. Set the exported fields before the first call; they only queue what they
+	// are given. The zero value of the rest is ready to use.
+	Placer struct {
+		Grant  func(entry string, g marshaler.Grant)
+		Reject func(entry string, r marshaler.Reject)
+		Report func(e Event)
+
+		workers map[string]*worker
+		order   []*worker // by name
+		queue   []*request
+		byKey   map[requestKey]*request
+	}
+
+	// Event is a decision, for logs and counters.
+	Event struct {
+		Kind   string
+		Job    string
+		Entry  string
+		Worker string
+		Detail string
+		Value  int64
+	}
+
+	requestKey struct{ entry, job string }
+
+	// request is what is left of a request for room.
+	request struct {
+		key      requestKey
+		domain   string
+		service  string
+		room     marshaler.Room
+		estimate timer.Millis
+		left     uint64 // tasks without a grant
+		latest   timer.Millis
+		started  bool
+		arrived  timer.Millis
+		granted  []string
+	}
+)
+
+// SetWorker adds a worker or replaces its description.
+func (p *Placer) SetWorker(name, domain string, b *marshaler.Backend) {
+	if p.workers == nil {
+		p.workers = map[string]*worker{}
+	}
+	w := p.workers[name]
+	if w == nil {
+		w = &worker{name: name, speed: 1000}
+		p.workers[name] = w
+		i, _ := slices.BinarySearchFunc(p.order, name, func(w *worker, n string) int {
+			if w.name < n {
+				return -1
+			}
+			return 1
+		})
+		p.order = slices.Insert(p.order, i, w)
+	}
+	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Total
+}
+
+// RemoveWorker forgets a worker.
+func (p *Placer) RemoveWorker(name string) {
+	delete(p.workers, name)
+	p.order = slices.DeleteFunc(p.order, func(w *worker) bool { return w.name == name })
+}
+
+// SetAccepting says whether a worker takes starts, until its next Load.
+func (p *Placer) SetAccepting(name string, accepting bool) {
+	if w := p.workers[name]; w != nil {
+		w.accepting = accepting
+	}
+}
+
+// OnLoad takes a worker's report.
+func (p *Placer) OnLoad(now timer.Millis, name string, l *marshaler.Load) {
+	w := p.workers[name]
+	if w == nil {
+		return
+	}
+	for _, job := range l.Seen {
+		w.seen(job)
+	}
+	w.reported, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
+	w.account()
+	for _, s := range l.Settled {
+		p.settle(now, w, s)
+	}
+}
+
+// Ask queues a request for room or refuses it.
+func (p *Placer) Ask(now timer.Millis, entry, domain string, a *marshaler.Ask) {
+	key := requestKey{entry, a.Job}
+	if r := p.byKey[key]; r != nil {
+		r.left += a.Tasks
+		r.started = r.started || a.Started
+		return
+	}
+	r := &request{
+		key: key, domain: domain, service: a.Service, room: a.Room, estimate: a.Estimate, left: a.Tasks,
+		latest: now + a.Slack, started: a.Started, arrived: now,
+	}
+	if reason, wait := p.hopeless(now, r); reason != "" && !r.started {
+		p.reject(r, reason, wait)
+		return
+	}
+	if p.byKey == nil {
+		p.byKey = map[requestKey]*request{}
+	}
+	p.byKey[key] = r
+	i, _ := slices.BinarySearchFunc(p.queue, r, compare)
+	p.queue = slices.Insert(p.queue, i, r)
+}
+
+// compare orders requests: those that have started, then by the latest useful start.
+func compare(a, b *request) int {
+	switch {
+	case a.started != b.started && a.started:
+		return -1
+	case a.started != b.started:
+		return 1
+	}
+	return int(a.latest - b.latest)
+}
+
+// Withdraw drops what is left of a request.
+func (p *Placer) Withdraw(entry, job string) {
+	if r := p.byKey[requestKey{entry, job}]; r != nil {
+		p.drop(r)
+	}
+}
+
+// Forget drops all requests of an entry.
+func (p *Placer) Forget(entry string) {
+	for _, r := range slices.Clone(p.queue) {
+		if r.key.entry == entry {
+			p.drop(r)
+		}
+	}
+}
+
+// Leave sends all queued requests to another placing entry.
+func (p *Placer) Leave() {
+	for _, r := range slices.Clone(p.queue) {
+		p.drop(r)
+		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Reason: ReasonMoved})
+	}
+}
+
+// Queued returns the number of requests that wait for room.
+func (p *Placer) Queued() int { return len(p.queue) }
+
+func (p *Placer) drop(r *request) {
+	delete(p.byKey, r.key)
+	p.queue = slices.DeleteFunc(p.queue, func(o *request) bool { return o == r })
+}
+
+// reject refuses a request of which nothing was granted.
+func (p *Placer) reject(r *request, reason string, wait timer.Millis) {
+	p.report(Event{Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason, Value: int64(wait)})
+	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Reason: reason, RetryAfter: wait})
+}
+
+// Place refuses what can no longer be served in time and grants the free room.
+func (p *Placer) Place(now timer.Millis) {
+	for _, w := range p.order {
+		w.expire(now)
+	}
+	p.expire(now)
+	if len(p.queue) == 0 {
+		return
+	}
+	blocked := 0
+	var served []*request
+	for _, r := range p.queue {
+		for r.left > 0 {
+			w := p.pick(now, r)
+			if w == nil {
+				blocked++
+				break
+			}
+			w.reserve(now, r.key.job, r.room)
+			if w.breaker.open {
+				w.breaker.probing = true
+				w.breaker.probeAt = now + lastProbe
+			}
+			r.left--
+			r.granted = append(r.granted, w.name)
+		}
+		if len(r.granted) > 0 {
+			served = append(served, r)
+		}
+		if blocked >= maxBlocked {
+			break
+		}
+	}
+	p.send(served)
+}
+
+// send tells the entries what was granted.
+func (p *Placer) send(served []*request) {
+	resort := false
+	for _, r := range served {
+		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Sidecars: r.granted})
+		r.granted = nil
+		if r.left == 0 {
+			p.drop(r)
+		} else if !r.started {
+			r.started, resort = true, true
+		}
+	}
+	if resort {
+		slices.SortStableFunc(p.queue, compare)
+	}
+}
+
+// expire refuses requests whose latest useful start has passed.
+func (p *Placer) expire(now timer.Millis) {
+	var late []*request
+	for _, r := range p.queue {
+		if !r.started && r.latest <= now {
+			late = append(late, r)
+		}
+	}
+	for _, r := range late {
+		p.drop(r)
+		p.reject(r, "no room in time", p.backlog(r))
+	}
+}
+
+// pick returns the best worker with room for a task of r, or nil.
+func (p *Placer) pick(now timer.Millis, r *request) *worker {
+	var best *worker
+	var bestScore float64
+	usual := p.usualSpeed()
+	for _, w := range p.order {
+		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) {
+			continue
+		}
+		score := w.speed / usual
+		if w.domain == r.domain {
+			score += nearBonus
+		}
+		if score < slowShare && w.busy() {
+			continue
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// usualSpeed returns the median speed of the workers.
+func (p *Placer) usualSpeed() float64 {
+	var speeds []float64
+	for _, w := range p.order {
+		if w.accepting {
+			speeds = append(speeds, w.speed)
+		}
+	}
+	if len(speeds) == 0 {
+		return 1000
+	}
+	slices.Sort(speeds)
+	return max(speeds[len(speeds)/2], 1)
+}
+
+// hopeless returns why a request cannot be served in time, and after how long a later one may be. The reason is empty
+// when it can be.
+func (p *Placer) hopeless(now timer.Millis, r *request) (reason string, wait timer.Millis) {
+	if len(p.queue) >= maxQueued {
+		return "queue is full", p.backlog(r)
+	}
+	service, fits := false, false
+	for _, w := range p.order {
+		if w.service == r.service {
+			service = true
+			fits = fits || w.total.Holds(r.room)
+		}
+	}
+	switch {
+	case !service:
+		return "no backend server of the service is known", timer.Second
+	case !fits:
+		return "no worker is large enough", timer.Minute
+	}
+	if wait = p.backlog(r); now+wait > r.latest {
+		return "queue is too long", wait
+	}
+	return "", 0
+}
+
+// backlog estimates how long it takes until the requests that come before r have got their room.
+func (p *Placer) backlog(r *request) timer.Millis {
+	var capacity, work float64 // thousandths of a core; times milliseconds
+	for _, w := range p.order {
+		if w.accepting && w.service == r.service && !w.breaker.open {
+			capacity += float64(w.total.CPU) * max(w.speed, 1) / 1000
+		}
+	}
+	for _, q := range p.queue {
+		if q.service == r.service && compare(q, r) <= 0 {
+			work += float64(q.left) * float64(q.room.CPU) * float64(q.estimate)
+		}
+	}
+	if work == 0 {
+		return 0
+	}
+	if capacity == 0 {
+		return timer.Minute
+	}
+	return timer.Millis(work / capacity)
+}
+
+func (p *Placer) report(e Event) {
+	if p.Report != nil {
+		p.Report(e)
+	}
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,169 @@
+// Package recorder writes structured log lines without ever blocking its caller: lines that find the buffer full, and
+// lines beyond the allowed rate, are counted and dropped.
+package recorder
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	// defaultBuffer is the number of bytes that wait for a slow reader before lines are dropped.
+	defaultBuffer = 256 << 10
+	// defaultRate is the number of lines a second that are written on average; a burst of twice as many is allowed.
+	defaultRate = 4000
+	// flushPeriod is how long lines are gathered, so that each write carries many.
+	flushPeriod = 20 * time.Millisecond
+)
+
+// Recorder is a log handler. Set the exported fields before Run; the zero values of Buffer and Rate mean 256 KiB and
+// 4,000 lines a second.
+type Recorder struct {
+	Writer io.Writer
+	Buffer int // bytes
+	Rate   int // lines a second
+
+	mu      sync.Mutex
+	pending []byte
+	tokens  float64
+	filled  time.Time
+	wake    chan struct{}
+	once    sync.Once
+	dropped atomic.Uint64
+}
+
+// HandleLog implements log.Handler. It never blocks on the writer.
+func (r *Recorder) HandleLog(e *log.Entry) error {
+	line := encode(e)
+	r.mu.Lock()
+	if !r.admit(e.Timestamp, len(line)) {
+		r.mu.Unlock()
+		r.dropped.Add(1)
+		return nil
+	}
+	first := len(r.pending) == 0
+	r.pending = append(r.pending, line...)
+	r.mu.Unlock()
+	if first {
+		select {
+		case r.waker() <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+// admit takes a token for a line, of which Rate a second are added.
+func (r *Recorder) admit(now time.Time, size int) bool {
+	rate, buffer := float64(r.Rate), r.Buffer
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	if buffer <= 0 {
+		buffer = defaultBuffer
+	}
+	if passed := now.Sub(r.filled).Seconds(); passed > 0 || r.filled.IsZero() {
+		r.tokens = min(2*rate, r.tokens+min(passed, 2)*rate)
+		r.filled = now
+	} else if passed < -1 { // the time of day was set back
+		r.filled = now
+	}
+	if r.tokens < 1 || len(r.pending)+size > buffer {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// Dropped returns the number of lines that were not written.
+func (r *Recorder) Dropped() uint64 { return r.dropped.Load() }
+
+// Run writes lines until done is closed, then what is left.
+func (r *Recorder) Run(done <-chan struct{}) {
+	for {
+		select {
+		case <-r.waker():
+			time.Sleep(flushPeriod)
+			r.flush()
+		case <-done:
+			r.flush()
+			return
+		}
+	}
+}
+
+func (r *Recorder) flush() {
+	r.mu.Lock()
+	batch := r.pending
+	r.pending = nil
+	r.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	if _, err := r.Writer.Write(batch); err != nil {
+		r.dropped.Add(uint64(bytes.Count(batch, []byte{'\n'}))) // there is nowhere else to report it
+	}
+}
+
+func (r *Recorder) waker() chan struct{} {
+	r.once.Do(func() { r.wake = make(chan struct{}, 1) })
+	return r.wake
+}
+
+// encode returns an entry as one line of JSON with its fields in order.
+func encode(e *log.Entry) []byte {
+	b := append(make([]byte, 0, 256), `{"time":"`...)
+	b = e.Timestamp.UTC().AppendFormat(b, "2006-01-02T15:04:05.000Z")
+	b = append(b, `","level":"`...)
+	b = append(b, e.Level.String()...)
+	b = append(b, `","message":`...)
+	b = appendValue(b, e.Message)
+	for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
+		b = append(b, ',')
+		b = appendValue(b, name)
+		b = append(b, ':')
+		b = appendValue(b, e.Fields[name])
+	}
+	return append(b, '}', '\n')
+}
+
+func appendValue(b []byte, v any) []byte {
+	switch v := v.(type) {
+	case string:
+		if plain(v) {
+			b = append(b, '"')
+			b = append(b, v...)
+			return append(b, '"')
+		}
+	case int64:
+		return strconv.AppendInt(b, v, 10)
+	case int:
+		return strconv.AppendInt(b, int64(v), 10)
+	case uint64:
+		return strconv.AppendUint(b, v, 10)
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		text, _ = json.Marshal(err.Error()) // a string always has an encoding
+	}
+	return append(b, text...)
+}
+
+// plain reports whether a text needs no escapes.
+func plain(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+			return false
+		}
+	}
+	return true
+}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -34,6 +34,14 @@
 	s.GetOrCreateHistogram(fmt.Sprintf(`crocuslb_job_response_seconds{state=%q}`, state)).Update(took.Duration().Seconds())
 }
 
+// Count adds one to a counter. The name may carry labels.
+func (m *Metrics) Count(name string) { m.init().GetOrCreateCounter(name).Inc() }
+
+// Observe adds a duration to a histogram. The name ends in _seconds and may carry labels.
+func (m *Metrics) Observe(name string, took timer.Millis) {
+	m.init().GetOrCreateHistogram(name).Update(took.Duration().Seconds())
+}
+
 // Gauge adds a gauge that is read at each Write. The name carries its unit as a suffix and may carry labels. A name
 // that exists already is kept.
 func (m *Metrics) Gauge(name string, read func() float64) { m.init().GetOrCreateGauge(name, read) }
--- /dev/null
+++ b/router/codec.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	maxText = 4096
+	maxBody = 4 << 20 // bytes of one encoded snapshot
+)
+
+// Append appends the encoding of s, by which processes pass a configuration on to each other.
+func (s *Snapshot) Append(b []byte) []byte {
+	b = appender.AppendUint(b, 1, s.Offset)
+	b = appender.AppendUint(b, 2, s.Version)
+	b = appender.AppendUint(b, 3, s.Limits.HeaderBytes)
+	b = appender.AppendUint(b, 4, s.Limits.BodyBytes)
+	for i := range s.queues {
+		b = appendMessage(b, 5, s.queues[i].append(nil))
+	}
+	for _, v := range s.services {
+		body := appender.AppendText(nil, 1, v.Name)
+		body = appender.AppendUint(body, 2, protowire.EncodeBool(v.Guarded))
+		body = appender.AppendUint(body, 3, protowire.EncodeBool(v.Standby))
+		b = appendMessage(b, 6, body)
+	}
+	for domain := range s.withdrawn {
+		b = appendMessage(b, 7, []byte(domain))
+	}
+	return b
+}
+
+// Decode reads the encoding of a snapshot.
+func Decode(b []byte) (Snapshot, error) {
+	var (
+		s        Snapshot
+		queues   []Queue
+		services []Service
+	)
+	err := appender.Fields(b, func(f appender.Field) error {
+		switch f.Tag {
+		case 1:
+			return f.Uint(&s.Offset)
+		case 2:
+			return f.Uint(&s.Version)
+		case 3:
+			return f.Uint(&s.Limits.HeaderBytes)
+		case 4:
+			return f.Uint(&s.Limits.BodyBytes)
+		case 5:
+			q, err := decodeQueue(f)
+			queues = append(queues, q)
+			return err
+		case 6:
+			v, err := decodeService(f)
+			services = append(services, v)
+			return err
+		case 7:
+			var domain string
+			err := f.Text(&domain, maxText)
+			s = s.WithDomain(domain, true)
+			return err
+		}
+		return nil
+	})
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return s.WithConfiguration(s.Version, queues, services, s.Limits), nil
+}
+
+func (q *Queue) append(b []byte) []byte {
+	b = appender.AppendText(b, 1, q.Name)
+	b = appender.AppendText(b, 2, q.Host)
+	b = appender.AppendText(b, 3, q.Prefix)
+	b = appender.AppendText(b, 4, q.Service)
+	b = appender.AppendUint(b, 5, q.Priority)
+	b = appender.AppendUint(b, 6, q.Attempts)
+	b = appender.AppendUint(b, 7, math.Float64bits(q.Stretch))
+	b = appender.AppendUint(b, 8, uint64(q.Target))
+	return appender.AppendUint(b, 9, protowire.EncodeBool(q.Advised))
+}
+
+func decodeQueue(f appender.Field) (q Queue, err error) {
+	body, err := f.Message(maxBody)
+	if err != nil {
+		return q, err
+	}
+	var stretch, target, advised uint64
+	err = appender.Fields(body, func(f appender.Field) error {
+		switch f.Tag {
+		case 1:
+			return f.Text(&q.Name, maxText)
+		case 2:
+			return f.Text(&q.Host, maxText)
+		case 3:
+			return f.Text(&q.Prefix, maxText)
+		case 4:
+			return f.Text(&q.Service, maxText)
+		case 5:
+			return f.Uint(&q.Priority)
+		case 6:
+			return f.Uint(&q.Attempts)
+		case 7:
+			return f.Uint(&stretch)
+		case 8:
+			return f.Uint(&target)
+		case 9:
+			return f.Uint(&advised)
+		}
+		return nil
+	})
+	q.Stretch, q.Target, q.Advised = math.Float64frombits(stretch), timer.Millis(target), advised != 0
+	return q, err
+}
+
+func decodeService(f appender.Field) (v Service, err error) {
+	body, err := f.Message(maxBody)
+	if err != nil {
+		return v, err
+	}
+	var guarded, standby uint64
+	err = appender.Fields(body, func(f appender.Field) error {
+		switch f.Tag {
+		case 1:
+			return f.Text(&v.Name, maxText)
+		case 2:
+			return f.Uint(&guarded)
+		case 3:
+			return f.Uint(&standby)
+		}
+		return nil
+	})
+	v.Guarded, v.Standby = guarded != 0, standby != 0
+	return v, err
+}
+
+func appendMessage(b []byte, tag protowire.Number, body []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(b, tag, protowire.BytesType), body)
+}
--- /dev/null
+++ b/submitter/placing.go
@@ -0,0 +1,201 @@
+package submitter
+
+import (
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/placer"
+)
+
+// placing returns the name of the entry that places jobs at present: of the live entries the one with the most
+// processor, then the oldest. Entries may disagree for a moment; sidecars refuse what has no room.
+func (s *Submitter) placing() string {
+	best := marshaler.Hello{Name: s.Name, Incarnation: s.Incarnation, Weight: s.Weight}
+	found := !s.leaving
+	for _, p := range s.peers {
+		if p.link == nil || p.leaving || s.now-p.heard >= SilenceLimit {
+			continue
+		}
+		if !found || before(&p.hello, &best) {
+			best, found = p.hello, true
+		}
+	}
+	return best.Name
+}
+
+func before(a, b *marshaler.Hello) bool {
+	switch {
+	case a.Weight != b.Weight:
+		return a.Weight > b.Weight
+	case a.Incarnation != b.Incarnation:
+		return a.Incarnation < b.Incarnation
+	}
+	return a.Name < b.Name
+}
+
+// ask requests room for more tasks of a job.
+func (s *Submitter) ask(j *job, tasks int) {
+	m := &marshaler.Ask{
+		Job: j.ID, Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: j.Room, Estimate: j.Estimate,
+		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.begun(),
+	}
+	at := s.placing()
+	if j.asked > 0 && at != j.askedAt {
+		// The earlier placing entry may still grant what it was asked for, so the new one is asked only for the rest.
+		s.report(Event{Kind: "askElsewhere", Job: j.ID, Peer: at, Value: int64(tasks)})
+	}
+	j.asked += tasks
+	j.askedAt = at
+	if at == s.Name {
+		s.subscribeAll()
+		s.placer.Ask(s.now, s.Name, s.Domain, m)
+		return
+	}
+	s.peers[at].send(s.now, m)
+}
+
+// withdraw takes back the open requests of a job.
+func (s *Submitter) withdraw(j *job) {
+	j.asked = 0
+	if j.askedAt == s.Name {
+		s.placer.Withdraw(s.Name, j.ID)
+	} else if p := s.peers[j.askedAt]; p != nil && p.link != nil {
+		p.send(s.now, &marshaler.Withdraw{Job: j.ID})
+	}
+}
+
+// askAgain repeats the open requests that went to a placing entry that is lost.
+func (s *Submitter) askAgain(lost string) {
+	for _, j := range s.jobs {
+		if j.asked > 0 && j.askedAt == lost {
+			j.asked = 0
+			s.ask(j, j.queued())
+		}
+	}
+}
+
+func (j *job) queued() (n int) {
+	for i := range j.tasks {
+		if j.tasks[i].state == taskQueued {
+			n++
+		}
+	}
+	return n
+}
+
+// sendGrant delivers a grant of this entry's placer.
+func (s *Submitter) sendGrant(entry string, g marshaler.Grant) {
+	if entry == s.Name {
+		s.onGrant(&g)
+	} else if p := s.peers[entry]; p != nil && p.link != nil {
+		p.send(s.now, &g)
+	}
+}
+
+// sendReject delivers a refusal of this entry's placer.
+func (s *Submitter) sendReject(entry string, r marshaler.Reject) {
+	if entry == s.Name {
+		s.onReject(&r)
+	} else if p := s.peers[entry]; p != nil && p.link != nil {
+		p.send(s.now, &r)
+	}
+}
+
+// onGrant starts a queued task on each granted sidecar.
+func (s *Submitter) onGrant(g *marshaler.Grant) {
+	j := s.jobs[g.Job]
+	if j == nil {
+		return
+	}
+	if j.granted == 0 {
+		j.granted = s.now
+		s.report(Event{Kind: "grant", Job: j.ID, Queue: j.Queue.Name, Peer: g.Sidecars[0], Value: int64(len(g.Sidecars)), Took: s.now - j.arrived})
+	}
+	again, next := 0, 0
+	for _, name := range g.Sidecars {
+		for next < len(j.tasks) && j.tasks[next].state != taskQueued {
+			next++
+		}
+		if next == len(j.tasks) {
+			break // more was granted than is needed, after a request was repeated
+		}
+		j.asked = max(j.asked-1, 0)
+		if !s.start(j, next, name) {
+			again++
+		}
+	}
+	if again > 0 {
+		s.ask(j, again)
+	}
+}
+
+// start orders a task on a sidecar. It returns false when the sidecar cannot be reached.
+func (s *Submitter) start(j *job, index int, name string) bool {
+	sc := s.sidecars[name]
+	if sc == nil || sc.link == nil || sc.clockAt == 0 {
+		s.report(Event{Kind: "unreachable", Job: j.ID, Peer: name})
+		return false
+	}
+	t := &j.tasks[index]
+	t.attempt++
+	t.state, t.sidecar, t.sidecarN = taskPlaced, name, sc.incarnation
+	j.unsettled++
+	key := marshaler.RunKey{Job: j.ID, Index: uint64(index), Attempt: t.attempt}
+	sc.placed[key] = true
+	sc.link.Send(&marshaler.Start{
+		Run: key, Spec: j.Spec, Room: j.Room, Estimate: j.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
+	})
+	return true
+}
+
+// onReject answers a refused job, or asks again when it cannot be refused any more.
+func (s *Submitter) onReject(r *marshaler.Reject) {
+	j := s.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	j.asked = 0
+	if r.Reason == placer.ReasonMoved || j.begun() {
+		if n := j.queued(); n > 0 {
+			s.ask(j, n)
+		}
+		return
+	}
+	s.finish(j, Answer{Kind: AnswerNotRun, Reason: r.Reason, RetryAfter: r.RetryAfter})
+}
+
+// onOutcome takes the certain end of an attempt.
+func (s *Submitter) onOutcome(sc *sidecar, o *marshaler.Outcome) {
+	delete(sc.placed, o.Run)
+	j := s.jobs[o.Run.Job]
+	if j == nil || int(o.Run.Index) >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[o.Run.Index]
+	if t.state != taskPlaced || t.attempt != o.Run.Attempt || t.sidecar != sc.name {
+		return
+	}
+	j.unsettled--
+	j.ran = j.ran || o.Status != marshaler.StatusRefused && o.Status != marshaler.StatusOld
+	switch o.Status {
+	case marshaler.StatusDone:
+		t.state = taskDone
+		if j.done++; j.done == len(j.tasks) {
+			s.finish(j, Answer{Kind: AnswerDone})
+		}
+		return
+	case marshaler.StatusFailed:
+		t.failures++
+		if t.failures >= j.Queue.Attempts {
+			t.state = taskDone
+			s.finish(j, Answer{Kind: AnswerFailed, Reason: "a task failed as often as its queue allows"})
+			return
+		}
+	case marshaler.StatusOld:
+		t.attempt += attemptGap
+	}
+	t.state = taskQueued
+	s.report(Event{
+		Kind: "requeue", Job: j.ID, Queue: j.Queue.Name, Peer: sc.name, Detail: o.Status.String() + " " + o.Reason,
+		Value: int64(o.Run.Index), Took: o.Ran,
+	})
+	s.ask(j, 1)
+}
--- /dev/null
+++ b/submitter/submitter.go
@@ -0,0 +1,313 @@
+// Package submitter is the core of an entry on the path of restartable jobs. It owns the jobs of its callers, starts
+// their tasks on the workers that a placing entry grants, and answers once each task has ended for certain. It is pure:
+// it has no clock and no I/O, and one goroutine calls it.
+package submitter
+
+import (
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/placer"
+	"github.com/crocuslb/crocuslb/router"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// SilenceLimit is the time without a sign of life after which a process is held for lost. It equals the sidecar's
+	// limit, so that both ends give up at about the same time.
+	SilenceLimit = 450 * timer.Millisecond
+	// beatPeriod is the time between two heartbeats on a session without other messages.
+	beatPeriod = 150 * timer.Millisecond
+	// certainAfter is the time since a sidecar's last sign of life after which its runs have surely ended. The sidecar may
+	// hear the entry for SilenceLimit longer, then stops them within its own limit and one tick; if it is suspended, their
+	// lease of 700 ms on a clock that is 2% slow ends them.
+	certainAfter = 1750 * timer.Millisecond
+	// startLife is how long after its sending a start may still be carried out.
+	startLife = 400 * timer.Millisecond
+	// attemptGap separates the attempt numbers of this entry from those of another one that ran the task before.
+	attemptGap = 16
+	// placerWait is how long after a request's latest useful start an answer of the placing entry is awaited.
+	placerWait = 100 * timer.Millisecond
+	// startMargin is the part of the caller's expected response time that messages take.
+	startMargin = 10 * timer.Millisecond
+	// defaultDeadline bounds jobs whose callers state no deadline.
+	defaultDeadline = 30 * timer.Second
+)
+
+const (
+	// AnswerDone means that all tasks ended with success.
+	AnswerDone AnswerKind = iota + 1
+	// AnswerFailed means that a task failed as often as its queue allows.
+	AnswerFailed
+	// AnswerNotRun means that nothing of the job ran or will run.
+	AnswerNotRun
+	// AnswerNoQueue means that the configuration has no such queue; nothing ran.
+	AnswerNoQueue
+	// AnswerGaveUp means that the job did not end in time. All its runs are being stopped.
+	AnswerGaveUp
+)
+
+const (
+	taskQueued = iota + 1 // waits for a grant
+	taskPlaced            // ordered on a sidecar, without an outcome
+	taskDone
+)
+
+type (
+	// AnswerKind is the kind of an answer.
+	AnswerKind uint8
+
+	// Answer is the final answer to a job.
+	Answer struct {
+		Kind       AnswerKind
+		Reason     string
+		RetryAfter timer.Millis // with AnswerNotRun
+	}
+
+	// Job is a restartable job of one step: nothing of it is kept, and a task may run again once its earlier attempt
+	// has surely ended.
+	Job struct {
+		ID       string
+		Queue    router.Queue
+		Spec     string
+		Tasks    int
+		Room     marshaler.Room // of each task
+		Estimate timer.Millis   // of each task's run time
+		Deadline timer.Millis   // time for which the caller waits; 0 for none stated
+		// Answer is called once.
+		Answer func(a Answer)
+	}
+
+	// Submitter is the state of an entry. Set the exported fields before the first call.
+	Submitter struct {
+		Name        string
+		Incarnation uint64
+		Domain      string
+		Weight      uint64
+		Report      func(e Event)
+
+		snapshot router.Snapshot
+		placer   placer.Placer
+		now      timer.Millis // of the current call
+		leaving  bool
+		jobs     map[string]*job
+		sidecars map[string]*sidecar
+		peers    map[string]*peer
+		ticked   timer.Millis
+	}
+
+	// Event is a decision, for logs and counters.
+	Event struct {
+		Kind   string
+		Job    string
+		Queue  string
+		Peer   string
+		Detail string
+		Value  int64
+		Took   timer.Millis
+	}
+
+	// job is a job in work.
+	job struct {
+		Job
+		waiters   []func(a Answer)
+		arrived   timer.Millis
+		latest    timer.Millis // latest useful start
+		until     timer.Millis // deadline
+		tasks     []task
+		done      int
+		unsettled int  // tasks in taskPlaced
+		ran       bool // some run began
+		asked     int  // tasks with an open request
+		askedAt   string
+		granted   timer.Millis // of the first grant
+	}
+
+	task struct {
+		state    int
+		attempt  uint64
+		failures uint64
+		sidecar  string
+		sidecarN uint64 // incarnation of the sidecar
+	}
+
+	// sidecar is a sidecar process as this entry sees it.
+	sidecar struct {
+		name        string
+		incarnation uint64
+		link        *marshaler.Link
+		domain      string
+		heard       timer.Millis
+		sent        timer.Millis
+		backend     *marshaler.Backend
+		clock       int64
+		clockAt     timer.Millis
+		offset      uint64
+		subscribed  bool
+		placed      map[marshaler.RunKey]bool
+		doubtful    bool // no session: placed runs end for certain at certainAt
+		certainAt   timer.Millis
+	}
+
+	// peer is another entry.
+	peer struct {
+		hello   marshaler.Hello
+		link    *marshaler.Link
+		heard   timer.Millis
+		sent    timer.Millis
+		offset  uint64
+		leaving bool
+	}
+)
+
+// at sets the time of the current call and, at the first one, the functions of the placer.
+func (s *Submitter) at(now timer.Millis) {
+	s.now = now
+	if s.jobs != nil {
+		return
+	}
+	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
+	s.placer.Grant = s.sendGrant
+	s.placer.Reject = s.sendReject
+	s.placer.Report = func(e placer.Event) {
+		s.report(Event{Kind: e.Kind, Job: e.Job, Peer: e.Entry + e.Worker, Detail: e.Detail, Value: e.Value})
+	}
+}
+
+// Snapshot returns the configuration in force.
+func (s *Submitter) Snapshot() router.Snapshot { return s.snapshot }
+
+// SetSnapshot puts a configuration into force and passes it on. The caller makes sure that it is not older.
+func (s *Submitter) SetSnapshot(now timer.Millis, snapshot router.Snapshot) {
+	s.at(now)
+	s.snapshot = snapshot
+	s.beatAll()
+}
+
+// Ready reports whether the entry can serve callers.
+func (s *Submitter) Ready() bool { return s.snapshot.Version > 0 && !s.leaving && len(s.sidecars) > 0 }
+
+// Active returns the number of jobs in work.
+func (s *Submitter) Active() int { return len(s.jobs) }
+
+// Submit takes a job. A job that is in work already gets one more caller.
+func (s *Submitter) Submit(now timer.Millis, j Job) {
+	s.at(now)
+	if old := s.jobs[j.ID]; old != nil {
+		old.waiters = append(old.waiters, j.Answer)
+		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
+		return
+	}
+	wait := j.Deadline
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	slack := timer.Millis((j.Queue.Stretch-1)*float64(j.Estimate)) + j.Queue.Target - startMargin
+	n := &job{
+		Job: j, waiters: []func(a Answer){j.Answer}, arrived: now, latest: now + max(slack, startMargin), until: now + wait,
+		tasks: make([]task, j.Tasks),
+	}
+	for i := range n.tasks {
+		n.tasks[i].state = taskQueued
+	}
+	s.jobs[j.ID] = n
+	s.ask(n, j.Tasks)
+}
+
+// Drop ends a job whose caller left or cancelled it.
+func (s *Submitter) Drop(now timer.Millis, id, reason string) bool {
+	s.at(now)
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	s.finish(j, Answer{Kind: AnswerGaveUp, Reason: reason})
+	return true
+}
+
+// Waiting returns the number of the queue's jobs of which no task has started.
+func (s *Submitter) Waiting(queue string) (waiting int) {
+	for _, j := range s.jobs {
+		if j.Queue.Name == queue && !j.ran && j.unsettled == 0 {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// Tick handles what depends on the time. It is called several times in each beatPeriod.
+func (s *Submitter) Tick(now timer.Millis) {
+	s.at(now)
+	s.checkSilence()
+	for _, j := range s.jobs {
+		switch {
+		case now >= j.until:
+			s.finish(j, Answer{Kind: AnswerGaveUp, Reason: "deadline passed"})
+		case j.asked > 0 && !j.begun() && now >= j.latest+placerWait:
+			s.finish(j, Answer{Kind: AnswerNotRun, Reason: "no answer from the placing entry", RetryAfter: timer.Second})
+		}
+	}
+	s.beat()
+	s.Flush(now)
+}
+
+// Flush grants the free room. It is called after each batch of events.
+func (s *Submitter) Flush(now timer.Millis) {
+	s.at(now)
+	s.placer.Place(now)
+}
+
+// begun reports whether a run of the job began or may have begun.
+func (j *job) begun() bool { return j.ran || j.unsettled > 0 }
+
+// finish answers a job and stops what runs of it.
+func (s *Submitter) finish(j *job, a Answer) {
+	delete(s.jobs, j.ID)
+	if j.asked > 0 {
+		s.withdraw(j)
+	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskPlaced {
+			s.stop(marshaler.RunKey{Job: j.ID, Index: uint64(i), Attempt: t.attempt}, t.sidecar)
+		}
+	}
+	s.report(Event{
+		Kind: "answer", Job: j.ID, Queue: j.Queue.Name, Detail: a.Kind.String() + " " + a.Reason, Value: int64(j.done),
+		Took: s.now - j.arrived,
+	})
+	for _, answer := range j.waiters {
+		answer(a)
+	}
+}
+
+// stop orders the end of a run whose job is over.
+func (s *Submitter) stop(key marshaler.RunKey, name string) {
+	sc := s.sidecars[name]
+	if sc == nil {
+		return
+	}
+	delete(sc.placed, key)
+	if sc.link != nil {
+		sc.link.Send(&marshaler.Stop{Run: key})
+	}
+}
+
+func (s *Submitter) report(e Event) {
+	if s.Report != nil {
+		s.Report(e)
+	}
+}
+
+// String names the kind as logs show it.
+func (k AnswerKind) String() string {
+	names := [...]string{"none", "done", "failed", "notRun", "noQueue", "gaveUp"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return "unknown"
+}
+
+// DropAll ends all jobs, because the entry ends.
+func (s *Submitter) DropAll(now timer.Millis, reason string) {
+	for id := range s.jobs {
+		s.Drop(now, id, reason)
+	}
+}
