Count each start in the reports to all entries

Cause: a sidecar told only the ordering entry which starts it had handled, so the placing entry kept reservations on top of the reported room: its log showed free cpu down to -40,550 thousandths while jobs were refused. Change: every entry's next Load names the handled starts; refusals log the rooms that decided them.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -251,7 +251,9 @@
 
 // order handles a start.
 func (k *Keeper) order(now timer.Millis, e *entry, m *marshaler.Start) {
-	e.seen = append(e.seen, m.Run.Job)
+	for _, other := range k.entries {
+		other.seen = append(other.seen, m.Run.Job)
+	}
 	ok, reason := k.Accepting()
 	at := task{m.Run.Job, m.Run.Index}
 	switch {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,6 +3,7 @@
 package placer
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -178,7 +179,7 @@
 
 // reject refuses a request of which nothing was granted.
 func (p *Placer) reject(r *request, reason string, wait timer.Millis) {
-	p.report(Event{Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason, Value: int64(wait)})
+	p.report(Event{Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.inputs(r), Value: int64(wait)})
 	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Reason: reason, RetryAfter: wait})
 }
 
@@ -334,6 +335,33 @@
 	return timer.Millis(work / capacity)
 }
 
+// inputs describes the workers of a request's service as they stand, for logs.
+func (p *Placer) inputs(r *request) string {
+	var workers, accepting, open, slow, fit int
+	var free int64
+	usual := p.usualSpeed()
+	for _, w := range p.order {
+		if w.service != r.service {
+			continue
+		}
+		workers++
+		switch {
+		case !w.accepting:
+			continue
+		case w.breaker.open:
+			open++
+		case w.speed/usual < slowShare:
+			slow++
+		case w.free.Holds(r.room):
+			fit++
+		}
+		accepting++
+		free += w.free.CPU
+	}
+	return fmt.Sprintf(" (workers %d, accepting %d, breaker open %d, slow %d, with room %d, free cpu %d, wanted %d, queue %d)",
+		workers, accepting, open, slow, fit, free, r.room.CPU, len(p.queue))
+}
+
 func (p *Placer) report(e Event) {
 	if p.Report != nil {
 		p.Report(e)
