Find orders that get no answer within 40 ms

Change: calls are bounded at 40 ms; a start without an answer counts as running when a listing shows it, else it is stopped and a hold that does not wait confirms it; starts are refused only after 400 ms without a listing.

--- a/conductor/options.go
+++ b/conductor/options.go
@@ -20,8 +20,9 @@
 	// entriesWait is how long a read of the entries' addresses waits for a change.
 	entriesWait  = 10 * time.Second
 	storeTimeout = 800 * time.Millisecond
-	// backendTimeout bounds a call to the backend server on the same machine.
-	backendTimeout = 250 * time.Millisecond
+	// backendTimeout bounds a call to the backend server on the same machine, which answers within a few milliseconds.
+	// It leaves a task of 60 ms, whose start is lost, time to start elsewhere.
+	backendTimeout = 40 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections without a request.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 	// busyWait and idleWait are how long a hold waits for an end. The progress of runs is seen every busyWait.
 	busyWait = 60 * time.Millisecond
 	idleWait = 250 * time.Millisecond
-	// holdPause is the pause after a failed hold.
-	holdPause = 50 * time.Millisecond
+	// holdPause is the pause after a hold that failed at once.
+	holdPause = 20 * time.Millisecond
 	// backendConnections bounds the connections to the backend server.
 	backendConnections = 24
 	// flushTime is left for the last messages of a process that ends.
@@ -59,6 +60,7 @@
 		Domain: s.Domain, Report: s.report,
 		Start: func(m marshaler.Start) { s.start(life, m) },
 		Stop:  func(r marshaler.RunKey) { s.stop(life, r) },
+		Look:  func() { s.look(life) },
 	}
 	s.config = configuration{logger: s.Logger, changed: func(now timer.Millis, c router.Snapshot) {
 		s.core.SetOffset(now, c.Offset, c.Withdrawn(s.Domain))
@@ -172,7 +174,7 @@
 			wait = busyWait
 		}
 		l, err := s.backend.Hold(ctx, h, wait)
-		if err != nil {
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			time.Sleep(holdPause)
 		}
 		s.loop.do(ctx, func(now timer.Millis) {
@@ -187,6 +189,21 @@
 	}
 }
 
+// look asks for the lists of runs and ends at once, beside a hold that waits. It is called by the loop.
+func (s *Sidecar) look(ctx context.Context) {
+	h, ok := s.core.BeginHold(s.loop.clock.Now())
+	if !ok {
+		return
+	}
+	go func() {
+		l, err := s.backend.Hold(ctx, h, 0)
+		if err != nil {
+			return // the next hold tells the same
+		}
+		s.loop.do(ctx, func(now timer.Millis) { s.core.OnListing(now, l) })
+	}()
+}
+
 func (s *Sidecar) start(ctx context.Context, m marshaler.Start) {
 	instance := s.core.Known()
 	go func() {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -22,7 +22,9 @@
 	// outcomeMemory is how long ended runs are kept for an entry whose session broke before it got the outcome.
 	outcomeMemory = 2 * timer.Second
 	// stopRetry is the pause before a stop is sent again while the run has not ended.
-	stopRetry = 100 * timer.Millisecond
+	stopRetry = 40 * timer.Millisecond
+	// silenceLimit is the time without a listing after which no starts are taken. Single answers may get lost.
+	silenceLimit = 400 * timer.Millisecond
 	// NormalSpeed is the speed, in thousandths, of a backend server whose runs take as long as estimated.
 	NormalSpeed = 1000
 )
@@ -80,9 +82,10 @@
 	// Keeper is the state of a sidecar. Set the exported fields before the first call.
 	Keeper struct {
 		Domain string
-		// Start, Stop and Report only queue what they are given.
+		// Start, Stop, Look and Report only queue what they are given. Look asks for a hold that does not wait.
 		Start  func(s marshaler.Start)
 		Stop   func(r marshaler.RunKey)
+		Look   func()
 		Report func(e Event)
 
 		backend   Backend
@@ -297,6 +300,13 @@
 	case StartOld:
 		k.end(now, r, marshaler.StatusOld, s.Reason)
 	default:
+		if r.listed {
+			r.startsAt = k.holds
+			if r.state == stateStarting {
+				r.state = stateRunning
+			}
+			return
+		}
 		// The order may still be carried out. A stop that the backend server answers makes sure that it never is.
 		k.stop(now, r, marshaler.StatusRefused, "no answer to the start: "+s.Reason)
 	}
@@ -321,6 +331,7 @@
 func (k *Keeper) OnStopped(key marshaler.RunKey, ok bool) {
 	if r := k.find(key); r != nil && ok && r.stopsAt == 0 {
 		r.stopsAt = k.holds
+		k.Look()
 	}
 }
 
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -58,7 +58,7 @@
 			k.end(now, r, marshaler.StatusLost, "backend server is gone")
 		}
 	}
-	if !k.silent {
+	if !k.silent && (gone || now-k.listedAt > silenceLimit) {
 		k.silent = true
 		k.report(Event{Kind: "backendSilent", Detail: reason})
 		k.sendLoads(now)
