Settle runs only by what a sidecar held before the order was sent

A sidecar that restarts lists its runs when a session opens; an order of that session that was still on its way was missing from the list, and the entry started the task elsewhere. The virtual-time tests then showed three more ways: the reader of an earlier session overtaking that of a later one, a start answered by the next life of a backend server, and a start without an answer that reaches that life.

--- a/carrier/node.go
+++ b/carrier/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,7 +34,8 @@
 		// OnFail is called when a connection could not be opened. It may be nil.
 		OnFail func(address string, err error)
 
-		running sync.WaitGroup
+		running  sync.WaitGroup
+		sessions atomic.Uint64
 	}
 )
 
@@ -96,6 +98,7 @@
 func (n *Node) serve(ctx context.Context, s *Session) bool {
 	defer context.AfterFunc(ctx, func() { s.Close(ctx.Err()) })()
 	hello := n.Hello()
+	hello.Session = n.sessions.Add(1)
 	s.Send(&hello)
 	n.running.Go(s.write)
 	r := bufio.NewReaderSize(s.conn, readBuffer)
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -219,7 +219,7 @@
 		if err != nil {
 			s.Logger.WithError(err).WithField("job", r.Job).Warn("sidecar: no answer to a stop")
 		}
-		s.loop.do(ctx, func(timer.Millis) { s.core.OnStopped(r, ok) })
+		s.loop.do(ctx, func(now timer.Millis) { s.core.OnStopped(now, r, ok, platform.Gone(err)) })
 	}()
 }
 
--- a/keeper/entries.go
+++ b/keeper/entries.go
@@ -128,13 +128,13 @@
 }
 
 func (k *Keeper) sendLoads(now timer.Millis) {
-	for _, e := range k.entries {
+	for _, e := range marshaler.InOrder(k.entries) {
 		k.sendLoad(now, e)
 	}
 }
 
 func (k *Keeper) sendSubscribed(now timer.Millis) {
-	for _, e := range k.entries {
+	for _, e := range marshaler.InOrder(k.entries) {
 		if e.subscribed {
 			k.sendLoad(now, e)
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,6 +19,8 @@
 	LeaseTerm = 700 * timer.Millisecond
 	// BeatPeriod is the time between two Loads to an entry without news.
 	BeatPeriod = 150 * timer.Millisecond
+	// lateOrders is the longest time after which an order without an answer is carried out.
+	lateOrders = 15 * timer.Second
 	// outcomeMemory is how long ended runs are kept for an entry whose session broke before it got the outcome.
 	outcomeMemory = 2 * timer.Second
 	// stopRetry is the pause before a stop is sent again while the run has not ended.
@@ -105,6 +107,14 @@
 		clockAt  timer.Millis
 		speed    float64
 		listedAt timer.Millis
+		doubtful []doubtfulStart
+	}
+
+	// doubtfulStart is a start without an answer. A later life of the backend server under the same identifier might
+	// still carry it out, so it is told not to.
+	doubtfulStart struct {
+		key marshaler.RunKey
+		at  timer.Millis
 	}
 
 	// Event is a decision, for logs and counters.
@@ -207,7 +217,7 @@
 	k.account()
 	if changed {
 		k.report(Event{Kind: "backend", Detail: b.ID, Value: b.Total.CPU})
-		for _, e := range k.entries {
+		for _, e := range marshaler.InOrder(k.entries) {
 			k.sendBackend(e)
 		}
 		k.sendLoads(now)
@@ -228,8 +238,25 @@
 func (k *Keeper) restart(now timer.Millis, born uint64) {
 	k.backend.Born = born
 	k.lastSeen, k.clean, k.clock, k.clockAt, k.speed = 0, false, 0, 0, NormalSpeed
+	k.endAll(now, "backend server restarted")
+	k.doubtful = slices.DeleteFunc(k.doubtful, func(d doubtfulStart) bool { return now-d.at > lateOrders })
+	for _, d := range k.doubtful {
+		k.Stop(d.key)
+	}
+}
+
+// endAll ends the runs that the backend server listed, because it is gone. Other starts may reach its next life; those
+// runs end when a stop was answered.
+func (k *Keeper) endAll(now timer.Millis, reason string) {
 	for _, r := range k.sorted() {
-		k.end(now, r, marshaler.StatusLost, "backend server restarted")
+		switch {
+		case r.listed:
+			k.end(now, r, marshaler.StatusLost, reason)
+		case r.state == stateStopping:
+			r.stopsAt = 0 // the answer was that of the earlier life
+		case r.state == stateRunning: // perhaps it was the next life that answered the start
+			k.stop(now, r, marshaler.StatusLost, reason)
+		}
 	}
 }
 
@@ -254,7 +281,7 @@
 
 // order handles a start.
 func (k *Keeper) order(now timer.Millis, e *entry, m *marshaler.Start) {
-	for _, other := range k.entries {
+	for _, other := range marshaler.InOrder(k.entries) {
 		other.seen = append(other.seen, m.Run.Job)
 	}
 	ok, reason := k.Accepting()
@@ -308,6 +335,7 @@
 			return
 		}
 		// The order may still be carried out. A stop that the backend server answers makes sure that it never is.
+		k.doubtful = append(k.doubtful, doubtfulStart{s.Run, now})
 		k.stop(now, r, marshaler.StatusRefused, "no answer to the start: "+s.Reason)
 	}
 }
@@ -327,8 +355,13 @@
 	k.Stop(r.key)
 }
 
-// OnStopped takes the backend server's answer to a stop. ok is false when there was none.
-func (k *Keeper) OnStopped(key marshaler.RunKey, ok bool) {
+// OnStopped takes the backend server's answer to a stop. ok is false when there was none; gone says that it has no
+// listener.
+func (k *Keeper) OnStopped(now timer.Millis, key marshaler.RunKey, ok, gone bool) {
+	if r := k.find(key); r != nil && gone {
+		k.end(now, r, marshaler.StatusLost, "backend server is gone")
+		return
+	}
 	if r := k.find(key); r != nil && ok && r.stopsAt == 0 {
 		r.stopsAt = k.holds
 		k.Look()
@@ -342,7 +375,10 @@
 			k.sendStop(now, r)
 		}
 	}
-	for name, e := range k.entries {
+	for len(k.doubtful) > 0 && now-k.doubtful[0].at > lateOrders {
+		k.doubtful = k.doubtful[1:]
+	}
+	for name, e := range marshaler.InOrder(k.entries) {
 		if now-e.heard >= VouchLimit {
 			k.loseEntry(now, name, e)
 			continue
@@ -379,15 +415,7 @@
 
 // sorted returns the runs in an order that does not depend on the map, so that tests repeat.
 func (k *Keeper) sorted() []*run {
-	return slices.SortedFunc(maps.Values(k.runs), func(a, b *run) int {
-		if a.key.Job != b.key.Job {
-			if a.key.Job < b.key.Job {
-				return -1
-			}
-			return 1
-		}
-		return int(a.key.Index) - int(b.key.Index)
-	})
+	return slices.SortedFunc(maps.Values(k.runs), func(a, b *run) int { return a.key.Compare(b.key) })
 }
 
 // account computes the free room anew.
@@ -408,7 +436,7 @@
 	}
 	k.send(now, r.entry, marshaler.Outcome{Run: r.key, Status: status, Reason: reason, Ran: ran})
 	settled := marshaler.Settled{Job: r.key.Job, Status: status, Ran: ran, Estimate: r.estimate, Room: r.room}
-	for _, e := range k.entries {
+	for _, e := range marshaler.InOrder(k.entries) {
 		if e.subscribed {
 			e.settled = append(e.settled, settled)
 		}
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -12,6 +12,8 @@
 	stallShare = 0.10
 	// speedSpan is the time in which the smoothed speed follows a change.
 	speedSpan = 150.0 // ms
+	// forgetSpan is the time in which a backend server without runs regains its usual speed, so that it is tried again.
+	forgetSpan = 1000.0 // ms
 	// minSample is the shortest time between two listings from which a speed is computed.
 	minSample = 20 * timer.Millisecond
 	// maxSpeed bounds one observation, because estimates of run times are rough.
@@ -54,9 +56,7 @@
 // OnHoldFailed takes the failure of a hold. gone says that the backend server has no listener, so nothing runs on it.
 func (k *Keeper) OnHoldFailed(now timer.Millis, gone bool, reason string) {
 	if gone {
-		for _, r := range k.sorted() {
-			k.end(now, r, marshaler.StatusLost, "backend server is gone")
-		}
+		k.endAll(now, "backend server is gone")
 	}
 	if !k.silent && (gone || now-k.listedAt > silenceLimit) {
 		k.silent = true
@@ -144,7 +144,11 @@
 	} else {
 		k.report(Event{Kind: "strangers", Value: int64(strangers)})
 	}
-	if span := now - k.listedAt; samples > 0 && span >= minSample {
+	span := now - k.listedAt
+	if len(k.runs) == 0 {
+		k.speed += (NormalSpeed - k.speed) * min(1, float64(span)/forgetSpan)
+	}
+	if samples > 0 && span >= minSample {
 		speed := min(done/float64(samples)/float64(span)*NormalSpeed, maxSpeed)
 		k.speed += (speed - k.speed) * min(1, float64(span)/speedSpan)
 	}
--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -36,7 +36,8 @@
 		dst = appender.AppendUint(dst, 3, m.Incarnation)
 		dst = appender.AppendText(dst, 4, m.Domain)
 		dst = appender.AppendText(dst, 5, m.Address)
-		return appender.AppendUint(dst, 6, m.Weight)
+		dst = appender.AppendUint(dst, 6, m.Weight)
+		return appender.AppendUint(dst, 7, m.Session)
 	case *Beat:
 		dst = appender.AppendUint(append(dst, kindBeat), 1, m.Offset)
 		return appendBool(dst, 2, m.Leaving)
@@ -117,7 +118,11 @@
 	dst = appendInt(dst, 6, int64(m.Estimate))
 	dst = appendInt(dst, 7, int64(m.Slack))
 	dst = appender.AppendUint(dst, 8, m.Priority)
-	return appendBool(dst, 9, m.Started)
+	dst = appendBool(dst, 9, m.Started)
+	for _, name := range m.Avoid {
+		dst = appendBytes(dst, 10, []byte(name))
+	}
+	return dst
 }
 
 func appendLoad(dst []byte, m *Load) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -90,6 +90,8 @@
 		return f.Text(&m.Address, MaxName)
 	case 6:
 		return f.Uint(&m.Weight)
+	case 7:
+		return f.Uint(&m.Session)
 	}
 	return nil
 }
@@ -251,6 +253,8 @@
 		return f.Uint(&m.Priority)
 	case 9:
 		return setBool(f, &m.Started)
+	case 10:
+		return addText(f, &m.Avoid)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -77,6 +77,7 @@
 		Domain      string
 		Address     string // of an entry's listener; empty for sidecars
 		Weight      uint64 // thousandths of a core that the process may use
+		Session     uint64 // rises with each session that the process opens
 	}
 
 	// Beat shows that the sender is alive.
@@ -158,7 +159,8 @@
 		Estimate timer.Millis
 		Slack    timer.Millis // time left until the latest useful start
 		Priority uint64
-		Started  bool // some of the job has started, so the request is not refused
+		Started  bool     // some of the job has started, so the request is not refused
+		Avoid    []string // sidecars that the asking entry does not reach
 	}
 
 	// Withdraw takes back what is left of a request for room.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -58,6 +58,7 @@
 		started  bool
 		arrived  timer.Millis
 		granted  []string
+		avoid    []string // sidecars that the entry does not reach
 	}
 )
 
@@ -116,11 +117,12 @@
 	if r := p.byKey[key]; r != nil {
 		r.left += a.Tasks
 		r.started = r.started || a.Started
+		r.avoid = a.Avoid
 		return
 	}
 	r := &request{
 		key: key, domain: domain, service: a.Service, room: a.Room, estimate: a.Estimate, left: a.Tasks,
-		latest: now + a.Slack, started: a.Started, arrived: now,
+		latest: now + a.Slack, started: a.Started, arrived: now, avoid: a.Avoid,
 	}
 	if reason, wait := p.hopeless(now, r); reason != "" && !r.started {
 		p.reject(r, reason, wait)
@@ -256,7 +258,7 @@
 	var bestScore float64
 	usual := p.usualSpeed()
 	for _, w := range p.order {
-		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) {
+		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || slices.Contains(r.avoid, w.name) {
 			continue
 		}
 		score := w.speed / usual
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -1,6 +1,8 @@
 package submitter
 
 import (
+	"slices"
+
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/placer"
 )
@@ -10,7 +12,7 @@
 func (s *Submitter) placing() string {
 	best := marshaler.Hello{Name: s.Name, Incarnation: s.Incarnation, Weight: s.Weight}
 	found := !s.leaving
-	for _, p := range s.peers {
+	for _, p := range marshaler.InOrder(s.peers) {
 		if p.link == nil || p.leaving || s.now-p.heard >= SilenceLimit {
 			continue
 		}
@@ -35,7 +37,7 @@
 func (s *Submitter) ask(j *job, tasks int) {
 	m := &marshaler.Ask{
 		Job: j.ID, Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: j.Room, Estimate: j.Estimate,
-		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.begun(),
+		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.begun(), Avoid: j.avoid,
 	}
 	at := s.placing()
 	if j.asked > 0 && at != j.askedAt {
@@ -64,7 +66,7 @@
 
 // askAgain repeats the open requests that went to a placing entry that is lost.
 func (s *Submitter) askAgain(lost string) {
-	for _, j := range s.jobs {
+	for _, j := range marshaler.InOrder(s.jobs) {
 		if j.asked > 0 && j.askedAt == lost {
 			j.asked = 0
 			s.ask(j, j.queued())
@@ -132,6 +134,9 @@
 	sc := s.sidecars[name]
 	if sc == nil || sc.link == nil || sc.clockAt == 0 {
 		s.report(Event{Kind: "unreachable", Job: j.ID, Peer: name})
+		if !slices.Contains(j.avoid, name) {
+			j.avoid = append(j.avoid, name)
+		}
 		return false
 	}
 	t := &j.tasks[index]
@@ -139,7 +144,7 @@
 	t.state, t.sidecar, t.sidecarN = taskPlaced, name, sc.incarnation
 	j.unsettled++
 	key := marshaler.RunKey{Job: j.ID, Index: uint64(index), Attempt: t.attempt}
-	sc.placed[key] = true
+	sc.placed[key] = sc.session
 	sc.link.Send(&marshaler.Start{
 		Run: key, Spec: j.Spec, Room: j.Room, Estimate: j.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
 	})
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -19,12 +19,18 @@
 	h := link.Remote
 	sc := s.sidecars[h.Name]
 	if sc == nil {
-		sc = &sidecar{name: h.Name, placed: map[marshaler.RunKey]bool{}}
+		sc = &sidecar{name: h.Name, placed: map[marshaler.RunKey]uint64{}}
 		s.sidecars[h.Name] = sc
 	}
+	if sc.incarnation == h.Incarnation && h.Session < sc.remote {
+		link.Close(trace.CompareFailed("a later session of %s is known", h.Name))
+		return
+	}
+	sc.remote = h.Session
 	if sc.link != nil {
 		sc.link.Close(trace.ConnectionProblem(nil, "replaced by a newer session"))
 	}
+	sc.session++
 	sc.link, sc.incarnation, sc.domain, sc.heard, sc.clockAt, sc.subscribed = link, h.Incarnation, h.Domain, now, 0, false
 	s.report(Event{Kind: "sidecarUp", Peer: h.Name})
 	if s.placing() == s.Name {
@@ -87,14 +93,14 @@
 
 // checkSilence ends sessions without a sign of life, and settles runs on lost sidecars.
 func (s *Submitter) checkSilence() {
-	for _, p := range s.peers {
+	for _, p := range marshaler.InOrder(s.peers) {
 		if p.link != nil && s.now-p.heard >= SilenceLimit {
 			link := p.link
 			s.losePeer(p, "silent")
 			link.Close(errSilent)
 		}
 	}
-	for name, sc := range s.sidecars {
+	for name, sc := range marshaler.InOrder(s.sidecars) {
 		if sc.link != nil && s.now-sc.heard >= SilenceLimit {
 			link := sc.link
 			s.loseSidecar(sc, "silent")
@@ -110,7 +116,7 @@
 
 // settle ends all attempts on a sidecar that surely do not run any more.
 func (s *Submitter) settle(sc *sidecar, reason string) {
-	for key := range sc.placed {
+	for _, key := range marshaler.RunsInOrder(sc.placed) {
 		s.onOutcome(sc, &marshaler.Outcome{Run: key, Status: marshaler.StatusLost, Reason: reason})
 	}
 }
@@ -174,18 +180,19 @@
 	}
 }
 
-// onHeld compares what a sidecar has with what was ordered there, on a new session.
+// onHeld compares what a sidecar has with what was ordered there on earlier sessions. Orders of this session may be on
+// their way.
 func (s *Submitter) onHeld(sc *sidecar, m *marshaler.Held) {
 	sc.doubtful = false
 	held := map[marshaler.RunKey]bool{}
 	for _, key := range m.Runs {
 		held[key] = true
-		if !sc.placed[key] {
+		if sc.placed[key] == 0 {
 			sc.link.Send(&marshaler.Stop{Run: key})
 		}
 	}
-	for key := range sc.placed {
-		if !held[key] {
+	for _, key := range marshaler.RunsInOrder(sc.placed) {
+		if !held[key] && sc.placed[key] < sc.session {
 			s.onOutcome(sc, &marshaler.Outcome{Run: key, Status: marshaler.StatusLost, Reason: "not held by the sidecar"})
 		}
 	}
@@ -193,7 +200,7 @@
 
 // subscribeAll asks all sidecars for prompt reports, because this entry places.
 func (s *Submitter) subscribeAll() {
-	for _, sc := range s.sidecars {
+	for _, sc := range marshaler.InOrder(s.sidecars) {
 		s.subscribe(sc)
 	}
 }
@@ -207,7 +214,7 @@
 
 // unsubscribe ends prompt reports once another entry places and nothing is queued here.
 func (s *Submitter) unsubscribe() {
-	for _, sc := range s.sidecars {
+	for _, sc := range marshaler.InOrder(s.sidecars) {
 		if sc.link != nil && sc.subscribed {
 			sc.subscribed = false
 			sc.link.Send(&marshaler.Subscribe{})
@@ -228,12 +235,12 @@
 		s.ticked = s.now
 		s.unsubscribe()
 	}
-	for _, sc := range s.sidecars {
+	for _, sc := range marshaler.InOrder(s.sidecars) {
 		if sc.link != nil && s.now-sc.sent >= beatPeriod {
 			s.beatSidecar(sc)
 		}
 	}
-	for _, p := range s.peers {
+	for _, p := range marshaler.InOrder(s.peers) {
 		if p.link != nil && s.now-p.sent >= beatPeriod {
 			s.beatPeer(p)
 		}
@@ -241,12 +248,12 @@
 }
 
 func (s *Submitter) beatAll() {
-	for _, sc := range s.sidecars {
+	for _, sc := range marshaler.InOrder(s.sidecars) {
 		if sc.link != nil {
 			s.beatSidecar(sc)
 		}
 	}
-	for _, p := range s.peers {
+	for _, p := range marshaler.InOrder(s.peers) {
 		if p.link != nil {
 			s.beatPeer(p)
 		}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -119,6 +119,7 @@
 		asked     int  // tasks with an open request
 		askedAt   string
 		granted   timer.Millis // of the first grant
+		avoid     []string     // granted sidecars that could not be reached
 	}
 
 	task struct {
@@ -142,8 +143,10 @@
 		clockAt     timer.Millis
 		offset      uint64
 		subscribed  bool
-		placed      map[marshaler.RunKey]bool
-		doubtful    bool // no session: placed runs end for certain at certainAt
+		session     uint64                      // number of the current session at this entry
+		remote      uint64                      // number that the sidecar gave it; readers of two sessions may overtake each other
+		placed      map[marshaler.RunKey]uint64 // ordered runs, with the session that carried the order
+		doubtful    bool                        // no session: placed runs end for certain at certainAt
 		certainAt   timer.Millis
 	}
 
@@ -237,7 +240,7 @@
 func (s *Submitter) Tick(now timer.Millis) {
 	s.at(now)
 	s.checkSilence()
-	for _, j := range s.jobs {
+	for _, j := range marshaler.InOrder(s.jobs) {
 		switch {
 		case now >= j.until:
 			s.finish(j, Answer{Kind: AnswerGaveUp, Reason: "deadline passed"})
@@ -307,7 +310,7 @@
 
 // DropAll ends all jobs, because the entry ends.
 func (s *Submitter) DropAll(now timer.Millis, reason string) {
-	for id := range s.jobs {
+	for id := range marshaler.InOrder(s.jobs) {
 		s.Drop(now, id, reason)
 	}
 }
