Let jobs wait for 0.35 of their expected response time

Change: the latest start is a share of the expected response time instead of all that an exact estimate would leave.

--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -26,8 +26,9 @@
 	attemptGap = 16
 	// placerWait is how long after a request's latest useful start an answer of the placing entry is awaited.
 	placerWait = 100 * timer.Millisecond
-	// startMargin is the part of the caller's expected response time that messages take.
-	startMargin = 10 * timer.Millisecond
+	// waitShare is the part of the expected response time that a job may wait for its first start. The rest covers its
+	// run and estimates that are off by 40%; a caller that is refused within it can still go elsewhere.
+	waitShare = 0.35
 	// defaultDeadline bounds jobs whose callers state no deadline.
 	defaultDeadline = 30 * timer.Second
 )
@@ -203,9 +204,9 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	slack := timer.Millis((j.Queue.Stretch-1)*float64(j.Estimate)) + j.Queue.Target - startMargin
+	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.Estimate) + float64(j.Queue.Target)))
 	n := &job{
-		Job: j, waiters: []func(a Answer){j.Answer}, arrived: now, latest: now + max(slack, startMargin), until: now + wait,
+		Job: j, waiters: []func(a Answer){j.Answer}, arrived: now, latest: now + slack, until: now + wait,
 		tasks: make([]task, j.Tasks),
 	}
 	for i := range n.tasks {
