--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -24,7 +23,7 @@
 	// holdPause is the pause after a hold that failed at once.
 	holdPause = 20 * time.Millisecond
 	// backendConnections bounds the connections to the backend server.
-	backendConnections = 24
+	backendConnections = 10
 	// flushTime is left for the last messages of a process that ends.
 	flushTime = 100 * time.Millisecond
 	// drainCheck is the period in which a stopping sidecar looks whether its runs have ended.
@@ -54,7 +53,7 @@
 	defer end()
 	s.loop = newLoop()
 	s.monitor.logger = s.Logger
-	s.backend = platform.Backend{Address: s.Backend, Client: newClient(backendConnections), Timeout: backendTimeout}
+	s.backend = platform.NewBackend(s.Backend, backendConnections, backendTimeout)
 	s.holds = make(chan keeper.HoldRequest, 1)
 	s.core = keeper.Keeper{
 		Domain: s.Domain, Report: s.report,
@@ -173,8 +172,8 @@
 		if h.Busy {
 			wait = busyWait
 		}
-		l, err := s.backend.Hold(ctx, h, wait)
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		l, err := s.backend.Hold(h, wait)
+		if err != nil && !platform.TimedOut(err) {
 			time.Sleep(holdPause)
 		}
 		s.loop.do(ctx, func(now timer.Millis) {
@@ -196,7 +195,7 @@
 		return
 	}
 	go func() {
-		l, err := s.backend.Hold(ctx, h, 0)
+		l, err := s.backend.Hold(h, 0)
 		if err != nil {
 			return // the next hold tells the same
 		}
@@ -207,7 +206,7 @@
 func (s *Sidecar) start(ctx context.Context, m marshaler.Start) {
 	instance := s.core.Known()
 	go func() {
-		started := s.backend.Start(ctx, instance, m)
+		started := s.backend.Start(instance, m)
 		s.loop.do(ctx, func(now timer.Millis) { s.core.OnStarted(now, started) })
 	}()
 }
@@ -215,7 +214,7 @@
 func (s *Sidecar) stop(ctx context.Context, r marshaler.RunKey) {
 	instance := s.core.Known()
 	go func() {
-		ok, err := s.backend.Stop(ctx, instance, r)
+		ok, err := s.backend.Stop(instance, r)
 		if err != nil {
 			s.Logger.WithError(err).WithField("job", r.Job).Warn("sidecar: no answer to a stop")
 		}
