--- /dev/null
+++ b/carrier/node_test.go
@@ -0,0 +1,130 @@
+package carrier
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+type end struct {
+	Node
+	up, down, messages atomic.Int64
+	latest             atomic.Pointer[Session]
+}
+
+func newEnd(name string) *end {
+	e := &end{}
+	e.Hello = func() marshaler.Hello { return marshaler.Hello{Role: marshaler.RoleEntry, Name: name} }
+	e.OnUp = func(s *Session) { e.latest.Store(s); e.up.Add(1) }
+	e.OnMessage = func(_ *Session, batch []marshaler.Message) { e.messages.Add(int64(len(batch))) }
+	e.OnDown = func(*Session, error) { e.down.Add(1) }
+	return e
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for started := time.Now(); !ok(); time.Sleep(time.Millisecond) {
+		if time.Since(started) > 10*time.Second {
+			t.Fatalf("%s: did not come true in 10 s", what)
+		}
+	}
+}
+
+// TestSession guards against messages that get lost on a sound session, and sessions that do not come back.
+func TestSession(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a, b := newEnd("a"), newEnd("b")
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Connect(ctx, address)
+	eventually(t, "session", func() bool { return a.up.Load() == 1 && b.up.Load() == 1 })
+	if got := a.latest.Load().Remote; got.Name != "b" || got.Session != 1 {
+		t.Errorf("got the opening message %+v, want that of b with session 1", got)
+	}
+	for range 5000 {
+		b.latest.Load().Send(&marshaler.Beat{Offset: 7})
+	}
+	b.latest.Load().Send(&marshaler.Configuration{Body: make([]byte, 100_000)})
+	eventually(t, "messages", func() bool { return a.messages.Load() == 5001 })
+	a.latest.Load().Close(net.ErrClosed)
+	eventually(t, "new session", func() bool { return b.up.Load() == 2 && a.up.Load() == 2 && b.down.Load() == 1 })
+	if got := a.latest.Load().Remote.Session; got != 2 {
+		t.Errorf("got session %d after a reconnect, want 2", got)
+	}
+	cancel()
+	a.Wait()
+	b.Wait()
+}
+
+// TestForeignWriters guards against connections of other programs that disturb the process.
+func TestForeignWriters(t *testing.T) {
+	huge := binary.BigEndian.AppendUint32(nil, maxFrame+1)
+	cases := []struct {
+		name  string
+		bytes []byte
+	}{
+		{"HTTP", []byte("GET / HTTP/1.1\r\n\r\n")}, {"frame too large", huge}, {"empty frame", make([]byte, 4)},
+		{"no opening message", []byte{0, 0, 0, 1, 2}}, {"nothing", nil},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a := newEnd("a")
+	var failed atomic.Int64
+	a.OnFail = func(string, error) { failed.Add(1) }
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range cases {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(c.bytes); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, c.name, func() bool { return failed.Load() == int64(i+1) })
+		_ = conn.Close()
+	}
+	if a.up.Load() != 0 {
+		t.Errorf("got %d sessions, want 0", a.up.Load())
+	}
+}
+
+// TestReaderStandsStill guards against a sender that blocks, or grows without limit, when the other end does not read.
+func TestReaderStandsStill(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b := newEnd("b")
+	b.Connect(ctx, listener.Addr().String())
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	hello := marshaler.Append(make([]byte, headerSize), &marshaler.Hello{Name: "still"})
+	binary.BigEndian.PutUint32(hello, uint32(len(hello)-headerSize))
+	if _, err := conn.Write(hello); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "session", func() bool { return b.up.Load() == 1 })
+	s := b.latest.Load()
+	body := make([]byte, 1<<20)
+	for range 2 * maxQueued / len(body) {
+		s.Send(&marshaler.Configuration{Body: body})
+	}
+	eventually(t, "end of the session", func() bool { return b.down.Load() == 1 })
+}
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -257,4 +257,3 @@
 	}
 	return servers, nil
 }
-
--- /dev/null
+++ b/conductor/path_test.go
@@ -0,0 +1,343 @@
+package conductor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/crocuslb/crocuslb/platform/standin"
+	"github.com/crocuslb/crocuslb/recorder"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// fleet is an installation in one process: stand-ins of the platform, entries and sidecars, each with a loopback address
+// of its own.
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	network  string
+	store    *standin.Store
+	backends []*standin.Backend
+	entries  []string // addresses for callers
+	stops    map[string]func()
+	logs     *lockedBuffer
+
+	mu      sync.Mutex
+	running map[string]int
+	began   map[string]int // runs that began, by backend server
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newFleet(t *testing.T, entries, sidecars int) *fleet {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{
+		t: t, ctx: ctx, network: fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250)), store: &standin.Store{},
+		stops: map[string]func(){}, logs: &lockedBuffer{}, running: map[string]int{}, began: map[string]int{},
+	}
+	t.Cleanup(cancel)
+	f.configure(1, "/a/", "/b/")
+	f.serve(f.address(250, 7000), f.store)
+	for i := range entries {
+		f.startEntry(i)
+	}
+	for i := range sidecars {
+		f.startSidecar(i)
+	}
+	f.eventually("ready", func() bool {
+		for _, at := range f.entries {
+			if status, body := f.post(at, "/a/", "00000000000000ff", 1, "1"); status != http.StatusOK || !strings.Contains(body, "succeeded") {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s%d:%d", f.network, host, port) }
+
+func (f *fleet) serve(address string, h http.Handler) {
+	listener, err := (&net.ListenConfig{}).Listen(f.ctx, "tcp", address)
+	if err != nil {
+		f.t.Fatalf("cannot listen on %s: %v", address, err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }() // it ends with the test
+	f.t.Cleanup(func() { _ = server.Close() })
+}
+
+func (f *fleet) configure(version int, prefixes ...string) {
+	var routes []map[string]any
+	for _, p := range prefixes {
+		routes = append(routes, map[string]any{"Name": "q" + p, "Host": "jobs.example", "PathPrefix": p, "Backend": "svc", "MaxAttempts": 2, "Stretch": 1.6, "TargetRuntimeMs": 60})
+	}
+	value, err := json.Marshal(map[string]any{
+		"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "svc", "AdmissionControl": true}},
+		"Limits": map[string]any{"MaxBodyBytes": 10_000},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.Put("keyed.op", "config", value)
+}
+
+func (f *fleet) options(name, domain string, host int) Options {
+	r := &recorder.Recorder{Writer: f.logs}
+	go r.Run(f.ctx.Done())
+	return Options{
+		Name: name, Domain: domain, Address: f.address(host, 7720), Store: f.address(250, 7000), Drain: 3 * timer.Second, Weight: 400,
+		Metrics: f.address(host, 9464), Logger: &log.Logger{Handler: r, Level: log.InfoLevel}, Dropped: r.Dropped,
+	}
+}
+
+func (f *fleet) start(name string, run func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := run(ctx); err != nil {
+			f.t.Errorf("%s: %v", name, err)
+		}
+	}()
+	f.stops[name] = func() {
+		cancel()
+		<-done
+	}
+}
+
+func (f *fleet) startEntry(i int) {
+	o := f.options(fmt.Sprintf("entry-%d", i), domainOf(i), 1+i)
+	o.Callers, o.Ready = f.address(1+i, 8000), f.address(1+i, 8001)
+	f.entries = append(f.entries, o.Callers)
+	f.start(o.Name, (&Entry{Options: o}).Run)
+}
+
+func (f *fleet) startSidecar(i int) {
+	host := 100 + i
+	o := f.options(fmt.Sprintf("sidecar-%d", i), domainOf(i), host)
+	o.Announcements, o.Backend = f.address(host, 8002), f.address(host, 8003)
+	id := fmt.Sprintf("i-%d", i)
+	b := &standin.Backend{ID: id, Service: "svc", Zone: o.Domain, CPU: 8000, MemMb: 8000, Control: o.Announcements}
+	b.OnRun = func(task string, run uint64, began bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !began {
+			f.running[task]--
+			return
+		}
+		f.running[task]++
+		f.began[id]++
+		if f.running[task] > 1 {
+			f.t.Errorf("task %s, run %d on %s: got %d runs at once, want one", task, run, id, f.running[task])
+		}
+	}
+	f.backends = append(f.backends, b)
+	f.serve(o.Backend, b)
+	go b.Run(f.ctx)
+	f.start(o.Name, (&Sidecar{Options: o}).Run)
+}
+
+func domainOf(i int) string { return []string{"north", "south"}[i%2] }
+
+// post submits a job whose tasks ask for a thousandth of the room that the stand-in gives each.
+func (f *fleet) post(at, prefix, id string, tasks int, spec string) (int, string) {
+	body := fmt.Sprintf(`{"Spec":%q,"BestEffort":true,"Steps":[{"Count":%d,"Cpu":1000,"MemMb":64,"EstimateMs":100}]}`, spec, tasks)
+	return f.call(http.MethodPost, at, prefix+id, body)
+}
+
+func (f *fleet) call(method, at, path, body string) (int, string) {
+	r, err := http.NewRequestWithContext(f.ctx, method, "http://"+at+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "jobs.example"
+	r.Header.Set("X-Deadline-Ms", "2500")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(data)
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for started := time.Now(); time.Since(started) < 20*time.Second; time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: did not come true in 20 s; logs: %s", what, f.logs.String())
+}
+
+// TestPath serves callers through entries, sidecars and stand-ins of the platform over real connections.
+func TestPath(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	cases := []struct {
+		name, method, path, body string
+		status                   int
+		answer                   string
+	}{
+		{"job", "POST", "/a/0000000000000001", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":5,"Cpu":1000,"EstimateMs":30}]}`, 200, "succeeded"},
+		{"job that fails", "POST", "/a/0000000000000002", `{"Spec":"0","BestEffort":true,"Steps":[{"Count":1,"Cpu":1000,"EstimateMs":30}]}`, 200, "failed"},
+		{"larger than any worker", "POST", "/a/0000000000000003", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":1,"Cpu":100000,"EstimateMs":30}]}`, 503, "{}"},
+		{"kept job", "POST", "/a/0000000000000004", `{"Spec":"30","Steps":[{"Count":1,"Cpu":1000,"EstimateMs":30}]}`, 503, "{}"},
+		{"several steps", "POST", "/a/0000000000000005", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":1},{"Count":1,"After":[0]}]}`, 503, "{}"},
+		{"gang", "POST", "/a/0000000000000006", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":2,"Gang":true}]}`, 503, "{}"},
+		{"no steps", "POST", "/a/0000000000000007", `{"BestEffort":true}`, 400, "{}"},
+		{"not JSON", "POST", "/a/0000000000000008", `{"Spec"`, 400, "{}"},
+		{"body over the limit", "POST", "/a/0000000000000009", `{"Spec":"` + strings.Repeat("x", 11_000) + `"}`, 413, "{}"},
+		{"no such queue", "POST", "/c/0000000000000001", `{}`, 404, "{}"},
+		{"state of a restartable job", "GET", "/a/0000000000000001", "", 410, "{}"},
+		{"cancel of an unknown job", "DELETE", "/a/0000000000000001", "", 410, "{}"},
+		{"queue", "GET", "/a/", "", 200, `{"Waiting":0}`},
+		{"other method", "PATCH", "/a/0000000000000001", "", 405, "{}"},
+	}
+	for _, c := range cases {
+		for _, at := range f.entries {
+			status, answer := f.call(c.method, at, c.path, c.body)
+			if status != c.status || !strings.Contains(answer, c.answer) {
+				t.Errorf("%s at %s: got %d %s, want %d with %s", c.name, at, status, answer, c.status, c.answer)
+			}
+		}
+	}
+	if status, text := f.call("GET", f.address(1, 9464), "/metrics", ""); status != 200 || !strings.Contains(text, "crocuslb_events_total") {
+		t.Errorf("metrics: got %d and %d bytes, want 200 with crocuslb_events_total", status, len(text))
+	}
+}
+
+// TestOperator guards against configurations that do not reach every entry, and work in a withdrawn failure domain.
+func TestOperator(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.configure(5, "/b/")
+	for _, at := range f.entries {
+		f.eventually("queue is withdrawn", func() bool {
+			status, _ := f.post(at, "/a/", "0000000000000011", 1, "5")
+			return status == http.StatusNotFound
+		})
+	}
+	f.configure(4, "/a/", "/b/") // an older version changes nothing
+	f.store.Put("keyed.op", "evacuate/north", []byte("{}"))
+	f.eventually("domain is withdrawn", func() bool { return strings.Count(f.logs.String(), `"domainsOut":["north"]`) >= 6 })
+	f.mu.Lock()
+	before := f.began["i-0"] + f.began["i-2"]
+	f.mu.Unlock()
+	for i := range 20 {
+		if status, answer := f.post(f.entries[i%2], "/b/", fmt.Sprintf("%016x", 0x200+i), 3, "10"); status != http.StatusOK {
+			t.Errorf("job %d: got %d %s, want 200", i, status, answer)
+		}
+	}
+	f.mu.Lock()
+	if got := f.began["i-0"] + f.began["i-2"]; got != before {
+		t.Errorf("got %d runs in the withdrawn failure domain, want %d as before", got, before)
+	}
+	f.mu.Unlock()
+	if status, _ := f.post(f.entries[0], "/a/", "0000000000000012", 1, "5"); status != http.StatusNotFound {
+		t.Errorf("after an older configuration: got %d, want 404", status)
+	}
+	f.store.Put("keyed.op", "evacuate/north", nil)
+	f.eventually("domain is back", func() bool {
+		f.post(f.entries[0], "/b/", fmt.Sprintf("%016x", rand.Uint64()), 8, "20")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.began["i-0"]+f.began["i-2"] > before
+	})
+}
+
+// TestStoreAway guards against jobs that depend on the store: they are served while it is silent, and an entry that
+// starts meanwhile gets the configuration from sidecars' other entries.
+func TestStoreAway(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.store.SetFaults(standin.StoreFaults{Silent: true})
+	for i := range 20 {
+		if status, answer := f.post(f.entries[i%2], "/a/", fmt.Sprintf("%016x", 0x300+i), 3, "10"); status != http.StatusOK {
+			t.Errorf("job %d: got %d %s, want 200", i, status, answer)
+		}
+	}
+	f.store.SetFaults(standin.StoreFaults{})
+	f.configure(9, "/c/")
+	f.eventually("configuration after the store's return", func() bool {
+		status, _ := f.post(f.entries[1], "/c/", "0000000000000031", 1, "5")
+		return status == http.StatusOK
+	})
+}
+
+// TestGracefulStop guards against requests that a planned stop cuts off.
+func TestGracefulStop(t *testing.T) {
+	for _, name := range []string{"entry-0", "entry-1", "sidecar-0"} {
+		f := newFleet(t, 2, 2)
+		var running sync.WaitGroup
+		for i := range 8 {
+			running.Go(func() {
+				status, answer := f.post(f.entries[i%2], "/a/", fmt.Sprintf("%016x", 0x400+i), 1, "600")
+				if status != http.StatusOK || !strings.Contains(answer, "succeeded") {
+					t.Errorf("stop of %s, job %d: got %d %s, want 200 with succeeded", name, i, status, answer)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.stops[name]()
+		running.Wait()
+	}
+}
+
+// TestPlacerLost guards against jobs that wait for a placing entry that is gone.
+func TestPlacerLost(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.stops["entry-0"]()
+	f.eventually("the other entry places", func() bool {
+		status, _ := f.post(f.entries[1], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 2, "10")
+		return status == http.StatusOK
+	})
+}
+
+// TestExplain guards against decisions that cannot be found by a job's identifier.
+func TestExplain(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	const id = "0000000000000051"
+	f.post(f.entries[0], "/a/", id, 2, "20")
+	f.eventually("log lines of the job", func() bool {
+		text := f.logs.String()
+		for _, want := range []string{"entry: grant", "sidecar: start", "sidecar: end", "entry: answer"} {
+			found := false
+			for line := range strings.Lines(text) {
+				found = found || strings.Contains(line, id) && strings.Contains(line, want)
+			}
+			if !found {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -89,4 +89,3 @@
 	}
 	return o, int(v.Count("logLines")), nil
 }
-
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -252,4 +252,3 @@
 	fields["offset"] = s.config.current().Offset
 	s.Logger.WithFields(fields).Info("sidecar: " + e.Kind)
 }
-
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,62 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"reflect"
+	"testing"
+
+	"github.com/gravitational/trace"
+)
+
+// TestFollow guards against changes that are missed or applied twice when the store fails or forgets its history.
+func TestFollow(t *testing.T) {
+	type step struct {
+		call string // newest, or read with its position
+		page Page
+		err  error
+	}
+	a, b := Record{Key: "a", Value: []byte("1")}, Record{Key: "b", Value: []byte("2")}
+	down := errors.New("down")
+	cases := []struct {
+		name    string
+		steps   []step
+		applied []Page
+		whole   []bool
+		lost    int
+	}{
+		{"changes", []step{{"newest", Page{[]Record{a}, 3}, nil}, {"read", Page{[]Record{b}, 4}, nil}, {"read", Page{nil, 4}, nil}}, []Page{{[]Record{a}, 3}, {[]Record{b}, 4}}, []bool{true, false}, 0},
+		{"down at first", []step{{"newest", Page{}, down}, {"newest", Page{[]Record{a}, 3}, nil}}, []Page{{[]Record{a}, 3}}, []bool{true}, 1},
+		{"down later", []step{{"newest", Page{nil, 3}, nil}, {"read", Page{}, down}, {"read", Page{}, down}, {"read", Page{[]Record{b}, 4}, nil}}, []Page{{nil, 3}, {[]Record{b}, 4}}, []bool{true, false}, 1},
+		{"history is gone", []step{{"newest", Page{nil, 3}, nil}, {"read", Page{}, trace.NotFound("gone")}, {"newest", Page{[]Record{b}, 9}, nil}}, []Page{{nil, 3}, {[]Record{b}, 9}}, []bool{true, true}, 0},
+	}
+	for _, c := range cases {
+		ctx, cancel := context.WithCancel(t.Context())
+		var applied []Page
+		var whole []bool
+		next, lost, regained := 0, 0, 0
+		call := func(name string) (Page, error) {
+			if next == len(c.steps) {
+				cancel()
+				return Page{}, ctx.Err()
+			}
+			s := c.steps[next]
+			next++
+			if s.call != name {
+				t.Errorf("%s, step %d: got call %s, want %s", c.name, next, name, s.call)
+			}
+			return s.page, s.err
+		}
+		f := &Follower{
+			Newest:   func(context.Context) (Page, error) { return call("newest") },
+			Read:     func(context.Context, uint64) (Page, error) { return call("read") },
+			Apply:    func(p Page, w bool) { applied, whole = append(applied, p), append(whole, w) },
+			Lost:     func(error) { lost++ },
+			Regained: func() { regained++ },
+		}
+		f.Run(ctx)
+		if !reflect.DeepEqual(applied, c.applied) || !reflect.DeepEqual(whole, c.whole) || lost != c.lost || regained != c.lost {
+			t.Errorf("%s: got %+v, whole %v, lost %d, regained %d, want %+v, %v, %d", c.name, applied, whole, lost, regained, c.applied, c.whole, c.lost)
+		}
+	}
+}
