--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -46,18 +46,21 @@
 // Run serves until ctx ends, then finishes the work in flight within Options.Drain.
 func (e *Entry) Run(ctx context.Context) error {
 	incarnation := uint64(time.Now().UnixMilli())
+	if e.Advertise == "" {
+		e.Advertise = e.Address
+	}
 	e.loop = newLoop()
 	e.monitor.logger = e.Logger
 	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report}
 	e.config = configuration{logger: e.Logger, changed: e.core.SetSnapshot}
 	e.node = carrier.Node{
 		Hello: func() marshaler.Hello {
-			return marshaler.Hello{Role: marshaler.RoleEntry, Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Address: e.Address, Weight: e.Weight}
+			return marshaler.Hello{Role: marshaler.RoleEntry, Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Address: e.Advertise, Weight: e.Weight}
 		},
 	}
 	e.members = directory{
 		logger: e.Logger, store: newStore(e.Store, entriesWait), connect: e.node.Connect,
-		self:   marshaler.Peer{Name: e.Name, Address: e.Address, Incarnation: incarnation},
+		self:   marshaler.Peer{Name: e.Name, Address: e.Advertise, Incarnation: incarnation},
 		wanted: func(p marshaler.Peer) bool { return p.Name < e.Name },
 	}
 	// The process outlives ctx by its drain time.
--- a/conductor/options.go
+++ b/conductor/options.go
@@ -32,8 +32,10 @@
 type Options struct {
 	Name    string
 	Domain  string
-	Address string // at which other processes reach this one, ip:port; entries only
-	Store   string // address of the platform's store
+	Address string // listen address of the sessions between processes, ip:port; entries only
+	// Advertise is the address at which other processes reach this one; Address when empty.
+	Advertise string
+	Store     string // address of the platform's store
 	// Callers, Ready and Announcements are listen addresses. An empty one is not served.
 	Callers       string
 	Ready         string
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -94,18 +93,7 @@
 }
 
 func (f *fleet) configure(version int, prefixes ...string) {
-	var routes []map[string]any
-	for _, p := range prefixes {
-		routes = append(routes, map[string]any{"Name": "q" + p, "Host": "jobs.example", "PathPrefix": p, "Backend": "svc", "MaxAttempts": 2, "Stretch": 1.6, "TargetRuntimeMs": 60})
-	}
-	value, err := json.Marshal(map[string]any{
-		"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "svc", "AdmissionControl": true}},
-		"Limits": map[string]any{"MaxBodyBytes": 10_000},
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.store.Put("keyed.op", "config", value)
+	f.store.Configure(version, "svc", prefixes...)
 }
 
 func (f *fleet) options(name, domain string, host int) Options {
@@ -145,10 +133,10 @@
 	o.Announcements, o.Backend = f.address(host, 8002), f.address(host, 8003)
 	id := fmt.Sprintf("i-%d", i)
 	b := &standin.Backend{ID: id, Service: "svc", Zone: o.Domain, CPU: 8000, MemMb: 8000, Control: o.Announcements}
-	b.OnRun = func(task string, run uint64, began bool) {
+	b.OnRun = func(task string, run uint64, how string) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !began {
+		if how != "" {
 			f.running[task]--
 			return
 		}
@@ -166,10 +154,12 @@
 
 func domainOf(i int) string { return []string{"north", "south"}[i%2] }
 
-// post submits a job whose tasks ask for a thousandth of the room that the stand-in gives each.
 func (f *fleet) post(at, prefix, id string, tasks int, spec string) (int, string) {
-	body := fmt.Sprintf(`{"Spec":%q,"BestEffort":true,"Steps":[{"Count":%d,"Cpu":1000,"MemMb":64,"EstimateMs":100}]}`, spec, tasks)
-	return f.call(http.MethodPost, at, prefix+id, body)
+	r, err := standin.Submission(at, prefix, id, tasks, spec, 2500)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.do(r)
 }
 
 func (f *fleet) call(method, at, path, body string) (int, string) {
@@ -177,9 +167,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	r.Host = "jobs.example"
-	r.Header.Set("X-Deadline-Ms", "2500")
-	response, err := http.DefaultClient.Do(r)
+	r.Host = standin.Host
+	return f.do(r)
+}
+
+func (f *fleet) do(r *http.Request) (int, string) {
+	response, err := http.DefaultClient.Do(r.WithContext(f.ctx))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -248,7 +241,7 @@
 		})
 	}
 	f.configure(4, "/a/", "/b/") // an older version changes nothing
-	f.store.Put("keyed.op", "evacuate/north", []byte("{}"))
+	f.store.Withdraw("north", true)
 	f.eventually("domain is withdrawn", func() bool { return strings.Count(f.logs.String(), `"domainsOut":["north"]`) >= 6 })
 	f.mu.Lock()
 	before := f.began["i-0"] + f.began["i-2"]
@@ -266,7 +259,7 @@
 	if status, _ := f.post(f.entries[0], "/a/", "0000000000000012", 1, "5"); status != http.StatusNotFound {
 		t.Errorf("after an older configuration: got %d, want 404", status)
 	}
-	f.store.Put("keyed.op", "evacuate/north", nil)
+	f.store.Withdraw("north", false)
 	f.eventually("domain is back", func() bool {
 		f.post(f.entries[0], "/b/", fmt.Sprintf("%016x", rand.Uint64()), 8, "20")
 		f.mu.Lock()
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -26,6 +26,7 @@
 	{Name: "domain", Required: true, Meaning: "failure domain of the process"},
 	{Name: "ip", Required: true, Meaning: "IP address at which other processes reach this one"},
 	{Name: "internalPort", Unit: loader.UnitCount, Default: "7720", Min: 1, Max: 65535, Meaning: "TCP port of the sessions between processes, the same on all machines"},
+	{Name: "advertise", Unit: loader.UnitAddress, Meaning: "address at which other processes reach this entry; its own IP address and internal port when empty"},
 	{Name: "storeAddress", Unit: loader.UnitAddress, Required: true, Meaning: "address of the platform's store"},
 	{Name: "callersAddress", Unit: loader.UnitAddress, Meaning: "listen address for callers; entries only"},
 	{Name: "readyAddress", Unit: loader.UnitAddress, Meaning: "listen address for the load balancer's readiness checks; entries only"},
@@ -61,6 +62,7 @@
 		Address: net.JoinHostPort(v.Text("ip"), v.Text("internalPort")),
 		Weight:  uint64(v.Number("cores") * coreThousandths), Drain: v.Millis("drainMs"),
 	}
+	o.Advertise = v.Text("advertise")
 	if v.Count("metricsPort") != 0 {
 		o.Metrics = net.JoinHostPort(v.Text("ip"), v.Text("metricsPort"))
 	}
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -22,8 +22,9 @@
 
 // HoldRequest is what the next hold carries.
 type HoldRequest struct {
-	Number   uint64 // to be returned in Listing
-	LastSeen uint64
+	Number uint64 // to be returned in Listing
+	// Processed is the number of the latest end that need not be listed again.
+	Processed uint64
 	// Until is the end of the lease on the backend server's clock; 0 before that clock is known.
 	Until int64
 	// Busy says that something runs, so that progress is of interest.
@@ -38,7 +39,7 @@
 		return HoldRequest{}, false
 	}
 	k.holds++
-	h := HoldRequest{Number: k.holds, LastSeen: k.lastSeen, Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
+	h := HoldRequest{Number: k.holds, Processed: k.lastSeen, Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
 	if k.clockAt != 0 {
 		h.Until = k.Clock(now) + int64(LeaseTerm)
 	}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -60,7 +60,7 @@
 
 // Build compiles the programs into a directory. It runs the Go tool in the module that contains the working directory.
 func Build(ctx context.Context, directory string) error {
-	for _, name := range []string{"crocuslb", "emulator"} {
+	for _, name := range []string{"crocuslb", "emulator", "platformnode"} {
 		c := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(directory, name), //nolint:gosec // the names are constant
 			"github.com/crocuslb/crocuslb/cmd/"+name)
 		if out, err := c.CombinedOutput(); err != nil {
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -36,6 +36,11 @@
 // maxLines bounds the kept output of one process.
 const maxLines = 200_000
 
+// StartProgram runs a program that Build made. It is killed when ctx ends.
+func StartProgram(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	return start(ctx, name, nil, program, args...)
+}
+
 // start runs the program. onLine is called for each line of its standard output.
 func start(ctx context.Context, name string, onLine func(line string), program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, done: make(chan struct{})}
--- /dev/null
+++ b/soaker/faults.go
@@ -0,0 +1,226 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/crocuslb/crocuslb/platform/standin"
+)
+
+// fault is a way to disturb a run. It returns when it is over.
+type fault struct {
+	name string
+	do   func(s *soak, ctx context.Context, pick int, length time.Duration)
+}
+
+// faults are drawn with equal chances. They overlap.
+var faults = []fault{
+	{"entry killed", func(s *soak, ctx context.Context, pick int, length time.Duration) {
+		s.kill(ctx, s.entry(pick), length/4)
+	}},
+	{"sidecar killed", func(s *soak, ctx context.Context, pick int, length time.Duration) {
+		s.kill(ctx, s.sidecar(pick), length/4)
+	}},
+	{"entry stopped", func(s *soak, ctx context.Context, pick int, _ time.Duration) { s.stop(ctx, s.entry(pick)) }},
+	{"sidecar stopped", func(s *soak, ctx context.Context, pick int, _ time.Duration) { s.stop(ctx, s.sidecar(pick)) }},
+	{"entry paused", func(s *soak, _ context.Context, pick int, length time.Duration) { s.pause(s.entry(pick), length) }},
+	{"sidecar paused", func(s *soak, _ context.Context, pick int, length time.Duration) { s.pause(s.sidecar(pick), length) }},
+	{"connections reset", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.entry(pick).front.reset(0.5) }},
+	{"connections silent", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.entry(pick).front.silence() }},
+	{"link cut", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.entry(pick).front.cut(length, true, true)
+	}},
+	{"link cut one way", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.entry(pick).front.cut(length, pick%2 == 0, pick%2 == 1)
+	}},
+	{"link slow", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.entry(pick).front.setDelay(10 * time.Millisecond)
+		time.Sleep(length)
+		s.entry(pick).front.setDelay(0)
+	}},
+	{"store cut from a process", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.nodes[pick%len(s.nodes)].toStore.cut(length, true, true)
+	}},
+	{"store connections silent", func(s *soak, _ context.Context, pick int, _ time.Duration) {
+		s.nodes[pick%len(s.nodes)].toStore.silence()
+	}},
+	{"store silent", func(s *soak, _ context.Context, _ int, length time.Duration) {
+		s.storeFault(standin.StoreFaults{Silent: true}, length)
+	}},
+	{"store refuses", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.storeFault(standin.StoreFaults{Status: []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[pick%2]}, length)
+	}},
+	{"store slow", func(s *soak, _ context.Context, _ int, length time.Duration) {
+		s.storeFault(standin.StoreFaults{Slow: 300 * time.Millisecond}, length)
+	}},
+	{"store answers lost", func(s *soak, _ context.Context, _ int, length time.Duration) {
+		s.storeFault(standin.StoreFaults{Lost: 0.4}, length)
+	}},
+	{"store forgets its history", func(s *soak, _ context.Context, _ int, _ time.Duration) { s.store.Expire("keyed.op", 1<<40) }},
+	{"backend server restarted", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.backend(pick).Restart() }},
+	{"orders carried out late", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.backendFault(pick, standin.BackendFaults{Late: 0.15}, length)
+	}},
+	{"runs stand still", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.backendFault(pick, standin.BackendFaults{Stuck: true}, length)
+	}},
+	{"backend server fails all", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.backendFault(pick, standin.BackendFaults{Fail: true}, length)
+	}},
+	{"backend server slow", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.backendFault(pick, standin.BackendFaults{Factor: 6}, length)
+	}},
+	{"backend server leaves", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		s.backend(pick).Drain()
+		time.Sleep(length + drainBound)
+		s.checks.onReturned(s.backend(pick).ID)
+		s.backend(pick).Restart()
+	}},
+	{"domain withdrawn", func(s *soak, _ context.Context, pick int, length time.Duration) {
+		domain := domainName(pick)
+		s.store.Withdraw(domain, true)
+		s.checks.onWithdrawn(domain, true)
+		time.Sleep(length)
+		s.checks.onWithdrawn(domain, false)
+		s.store.Withdraw(domain, false)
+	}},
+	{"configuration changed", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.reconfigure(pick) }},
+}
+
+// Faults returns the names of the faults.
+func Faults() (names []string) {
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+// inject draws faults until disturbed ends.
+func (s *soak) inject(disturbed, ctx context.Context) { //nolint:revive // the two contexts are equals
+	for disturbed.Err() == nil {
+		pause := time.Duration(float64(s.plan.FaultEvery) * (0.2 + 1.6*s.random.Float64()))
+		f, pick := faults[s.random.IntN(len(faults))], s.random.IntN(1<<20)
+		length := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
+		select {
+		case <-disturbed.Done():
+			return
+		case <-time.After(pause):
+		}
+		s.mu.Lock()
+		s.faults = append(s.faults, fmt.Sprintf("%6.2f s %s (%d, %s)", time.Since(s.started).Seconds(), f.name, pick%12, length))
+		s.mu.Unlock()
+		s.faulted.Go(func() { f.do(s, ctx, pick, length) })
+	}
+}
+
+// heal ends what lasts.
+func (s *soak) heal() {
+	s.store.SetFaults(standin.StoreFaults{})
+	for _, b := range s.backends {
+		b.SetFaults(standin.BackendFaults{})
+	}
+}
+
+func (s *soak) entry(pick int) *node              { return s.nodes[pick%s.plan.Entries] }
+func (s *soak) sidecar(pick int) *node            { return s.nodes[s.plan.Entries+pick%s.plan.Sidecars] }
+func (s *soak) backend(pick int) *standin.Backend { return s.backends[pick%len(s.backends)] }
+func (s *soak) storeFault(f standin.StoreFaults, d time.Duration) {
+	s.store.SetFaults(f)
+	time.Sleep(d)
+	s.store.SetFaults(standin.StoreFaults{})
+}
+
+func (s *soak) backendFault(pick int, f standin.BackendFaults, d time.Duration) {
+	s.backend(pick).SetFaults(f)
+	time.Sleep(d)
+	s.backend(pick).SetFaults(standin.BackendFaults{})
+}
+
+// take claims a node for a fault that ends its process. It returns false when another one has it.
+func (n *node) take() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return false
+	}
+	n.stopped = true
+	return true
+}
+
+func (n *node) release() {
+	n.mu.Lock()
+	n.stopped = false
+	n.mu.Unlock()
+}
+
+func (s *soak) kill(ctx context.Context, n *node, down time.Duration) {
+	if !n.take() {
+		return
+	}
+	defer n.release()
+	n.current().Kill()
+	time.Sleep(down)
+	s.restart(ctx, n)
+}
+
+// stop ends a process by plan and checks that it ends by itself, with status 0.
+func (s *soak) stop(ctx context.Context, n *node) {
+	if !n.take() {
+		return
+	}
+	defer n.release()
+	p := n.current()
+	p.Stop()
+	limit, cancel := context.WithTimeout(ctx, stopBound)
+	defer cancel()
+	switch code, err := p.Wait(limit); {
+	case err != nil && ctx.Err() == nil && !s.paused(n):
+		s.checks.violate("%s did not end within %s of SIGTERM: %v", n.name, stopBound, err)
+		p.Kill()
+	case err == nil && code != 0:
+		s.checks.violate("%s ended with status %d after SIGTERM: %s", n.name, code, p.Tail(3))
+	}
+	s.restart(ctx, n)
+}
+
+func (s *soak) restart(ctx context.Context, n *node) {
+	time.Sleep(restartPause)
+	if err := s.startNode(ctx, n); err != nil && ctx.Err() == nil {
+		s.checks.violate("%s did not start again: %v", n.name, err)
+	}
+}
+
+func (s *soak) pause(n *node, d time.Duration) {
+	p := n.current()
+	s.mu.Lock()
+	s.pauses = append(s.pauses, n)
+	s.mu.Unlock()
+	p.Pause()
+	time.Sleep(d)
+	p.Resume()
+	s.mu.Lock()
+	s.pauses = slices.Delete(s.pauses, slices.Index(s.pauses, n), slices.Index(s.pauses, n)+1)
+	s.mu.Unlock()
+}
+
+// paused reports whether a pause of the node is under way, during which it cannot end.
+func (s *soak) paused(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.pauses, n)
+}
+
+// reconfigure adds or drops a queue that the callers do not use.
+func (s *soak) reconfigure(pick int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 1 + pick%3
+	if pick%2 == 0 {
+		s.store.Configure(s.version, service, prefix, "/other/")
+	} else {
+		s.store.Configure(s.version, service, prefix)
+	}
+}
--- a/submitter/world_test.go
+++ b/submitter/world_test.go
@@ -530,7 +530,7 @@
 			b.lease = max(b.lease, min(timer.Millis(h.Until), b.w.now+1000))
 		}
 		if h.Born == b.born {
-			b.ended = slices.DeleteFunc(b.ended, func(e keeper.End) bool { return e.Number <= h.LastSeen })
+			b.ended = slices.DeleteFunc(b.ended, func(e keeper.End) bool { return e.Number <= h.Processed })
 		}
 		if !answered {
 			return
