Try a task that failed or stalled on another worker

Change: a request leaves out the sidecars that failed or stalled a task of its job, unless those are all. Test: submitter TestOutcomes, which failed on the second start.

--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -160,7 +160,7 @@
 		Slack    timer.Millis // time left until the latest useful start
 		Priority uint64
 		Started  bool     // some of the job has started, so the request is not refused
-		Avoid    []string // sidecars that the asking entry does not reach
+		Avoid    []string // sidecars that failed a task of the job or that the asking entry does not reach
 	}
 
 	// Withdraw takes back what is left of a request for room.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -58,7 +58,7 @@
 		started  bool
 		arrived  timer.Millis
 		granted  []string
-		avoid    []string // sidecars that the entry does not reach
+		avoid    []string // sidecars that get none of the job, while others serve its service
 	}
 )
 
@@ -258,7 +258,7 @@
 	var bestScore float64
 	usual := p.usualSpeed()
 	for _, w := range p.order {
-		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || slices.Contains(r.avoid, w.name) {
+		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || p.avoids(r, w) {
 			continue
 		}
 		score := w.speed / usual
@@ -275,6 +275,16 @@
 	return best
 }
 
+// avoids reports whether a request leaves out a worker. One that leaves out all of its service leaves out none.
+func (p *Placer) avoids(r *request, w *worker) bool {
+	if !slices.Contains(r.avoid, w.name) {
+		return false
+	}
+	return slices.ContainsFunc(p.order, func(o *worker) bool {
+		return o.accepting && o.service == r.service && !slices.Contains(r.avoid, o.name)
+	})
+}
+
 // usualSpeed returns the median speed of the workers.
 func (p *Placer) usualSpeed() float64 {
 	var speeds []float64
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/crocuslb/crocuslb/launcher"
 	"github.com/crocuslb/crocuslb/platform/standin"
 )
 
@@ -174,11 +174,11 @@
 	defer n.release()
 	p := n.current()
 	p.Stop()
-	limit, cancel := context.WithTimeout(ctx, stopBound)
-	defer cancel()
-	switch code, err := p.Wait(limit); {
-	case err != nil && ctx.Err() == nil && !s.paused(n):
-		s.checks.violate("%s did not end within %s of SIGTERM: %v", n.name, stopBound, err)
+	started := time.Now()
+	code, err := s.await(ctx, n, p, started)
+	switch {
+	case err != nil && ctx.Err() == nil:
+		s.checks.violate("%s did not end within %s of SIGTERM at %s: %v", n.name, stopBound, started.Format("05.000"), err)
 		p.Kill()
 	case err == nil && code != 0:
 		s.checks.violate("%s ended with status %d after SIGTERM: %s", n.name, code, p.Tail(3))
@@ -186,6 +186,18 @@
 	s.restart(ctx, n)
 }
 
+// await waits for the end of a process. The time in which the process is paused does not count.
+func (s *soak) await(ctx context.Context, n *node, p *launcher.Process, started time.Time) (int, error) {
+	for {
+		limit, cancel := context.WithDeadline(ctx, started.Add(stopBound+s.pausedSince(n, started)))
+		code, err := p.Wait(limit)
+		cancel()
+		if err == nil || time.Since(started) >= stopBound+s.pausedSince(n, started) {
+			return code, err
+		}
+	}
+}
+
 func (s *soak) restart(ctx context.Context, n *node) {
 	time.Sleep(restartPause)
 	if err := s.startNode(ctx, n); err != nil && ctx.Err() == nil {
@@ -196,21 +208,23 @@
 func (s *soak) pause(n *node, d time.Duration) {
 	p := n.current()
 	s.mu.Lock()
-	s.pauses = append(s.pauses, n)
+	s.pauses = append(s.pauses, pause{n, time.Now(), d})
 	s.mu.Unlock()
 	p.Pause()
 	time.Sleep(d)
 	p.Resume()
-	s.mu.Lock()
-	s.pauses = slices.Delete(s.pauses, slices.Index(s.pauses, n), slices.Index(s.pauses, n)+1)
-	s.mu.Unlock()
 }
 
-// paused reports whether a pause of the node is under way, during which it cannot end.
-func (s *soak) paused(n *node) bool {
+// pausedSince returns how long the node was or will be paused after a time, at most.
+func (s *soak) pausedSince(n *node, at time.Time) (total time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Contains(s.pauses, n)
+	for _, p := range s.pauses {
+		if p.node == n && p.at.Add(p.length).After(at) {
+			total += p.length
+		}
+	}
+	return total
 }
 
 // reconfigure adds or drops a queue that the callers do not use.
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -78,7 +78,14 @@
 
 		mu     sync.Mutex
 		faults []string
-		pauses []*node // whose process stands still
+		pauses []pause
+	}
+
+	// pause is a time in which a node's process stands still.
+	pause struct {
+		node   *node
+		at     time.Time
+		length time.Duration
 	}
 
 	// node is an entry or a sidecar process with the proxies before it and before its store.
--- /dev/null
+++ b/submitter/outcome_test.go
@@ -0,0 +1,129 @@
+package submitter
+
+import (
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// bench is an entry that places for itself on two sidecars, with what it sends to them.
+type bench struct {
+	s      *Submitter
+	now    timer.Millis
+	links  map[string]*marshaler.Link
+	starts []started
+	stops  int
+	answer []Answer
+}
+
+type started struct {
+	sidecar string
+	run     marshaler.RunKey
+}
+
+func newBench() *bench {
+	b := &bench{s: &Submitter{Name: "entry", Incarnation: 1}, now: 1000, links: map[string]*marshaler.Link{}}
+	b.s.SetSnapshot(b.now, testSnapshot())
+	for _, name := range []string{"side-a", "side-b"} {
+		b.links[name] = &marshaler.Link{
+			Remote: marshaler.Hello{Role: marshaler.RoleSidecar, Name: name, Incarnation: 1, Session: 1}, Close: func(error) {},
+			Send: func(m marshaler.Message) {
+				switch m := m.(type) {
+				case *marshaler.Start:
+					b.starts = append(b.starts, started{name, m.Run})
+				case *marshaler.Stop:
+					b.stops++
+				}
+			},
+		}
+		b.s.OnUp(b.now, b.links[name])
+		b.s.OnMessage(b.now, b.links[name], &marshaler.Backend{ID: name, Service: "svc", Total: marshaler.Room{CPU: 9000}})
+		b.load(name)
+	}
+	return b
+}
+
+func (b *bench) load(name string) {
+	speed := map[string]uint64{"side-a": 1200, "side-b": 1000}[name] // side-a is preferred
+	b.s.OnMessage(b.now, b.links[name], &marshaler.Load{Accepting: true, Free: marshaler.Room{CPU: 9000}, Clock: 5, Speed: speed, Seen: []string{"job"}})
+}
+
+func (b *bench) submit(tasks int) {
+	b.s.Submit(b.now, Job{
+		ID: "job", Queue: testQueue, Tasks: tasks, Room: marshaler.Room{CPU: 3000}, Estimate: 100, Deadline: 2000,
+		Answer: func(a Answer) { b.answer = append(b.answer, a) },
+	})
+	b.s.Flush(b.now)
+}
+
+// TestOutcomes guards against attempts that are repeated wrongly: on the worker that failed them, under an old number,
+// or after the job is over.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name     string
+		statuses []marshaler.Status // of the latest attempt, in turn
+		sidecars []string           // of all attempts
+		attempts []uint64
+		answer   AnswerKind
+	}{
+		{"done", []marshaler.Status{marshaler.StatusDone}, []string{"side-a"}, []uint64{1}, AnswerDone},
+		{"failed once", []marshaler.Status{marshaler.StatusFailed, marshaler.StatusDone}, []string{"side-a", "side-b"}, []uint64{1, 2}, AnswerDone},
+		{"failed three times", []marshaler.Status{marshaler.StatusFailed, marshaler.StatusFailed, marshaler.StatusFailed}, []string{"side-a", "side-b", "side-a"}, []uint64{1, 2, 3}, AnswerFailed},
+		{"stalled", []marshaler.Status{marshaler.StatusStalled, marshaler.StatusDone}, []string{"side-a", "side-b"}, []uint64{1, 2}, AnswerDone},
+		{"lost", []marshaler.Status{marshaler.StatusLost, marshaler.StatusLost, marshaler.StatusLost, marshaler.StatusDone}, []string{"side-a", "side-a", "side-a", "side-a"}, []uint64{1, 2, 3, 4}, AnswerDone},
+		{"refused", []marshaler.Status{marshaler.StatusRefused, marshaler.StatusDone}, []string{"side-a", "side-a"}, []uint64{1, 2}, AnswerDone},
+		{"known under a later number", []marshaler.Status{marshaler.StatusOld, marshaler.StatusDone}, []string{"side-a", "side-a"}, []uint64{1, 2 + attemptGap}, AnswerDone},
+	}
+	for _, c := range cases {
+		b := newBench()
+		b.submit(1)
+		for _, status := range c.statuses {
+			latest := b.starts[len(b.starts)-1]
+			b.now++
+			b.s.OnMessage(b.now, b.links[latest.sidecar], &marshaler.Outcome{Run: latest.run, Status: status})
+			b.load("side-a")
+			b.load("side-b")
+			b.s.Flush(b.now)
+		}
+		if len(b.answer) != 1 || b.answer[0].Kind != c.answer {
+			t.Errorf("%s: got answers %v, want one of kind %s", c.name, b.answer, c.answer)
+		}
+		if len(b.starts) != len(c.sidecars) {
+			t.Errorf("%s: got starts %v, want %d", c.name, b.starts, len(c.sidecars))
+			continue
+		}
+		for i, s := range b.starts {
+			if s.sidecar != c.sidecars[i] || s.run.Attempt != c.attempts[i] {
+				t.Errorf("%s, start %d: got %s with attempt %d, want %s with %d", c.name, i, s.sidecar, s.run.Attempt, c.sidecars[i], c.attempts[i])
+			}
+		}
+	}
+}
+
+// TestEndOfJob guards against runs that go on after their job is over.
+func TestEndOfJob(t *testing.T) {
+	cases := []struct {
+		name   string
+		end    func(b *bench)
+		answer AnswerKind
+	}{
+		{"caller leaves", func(b *bench) { b.s.Drop(b.now, "job", "caller left") }, AnswerGaveUp},
+		{"deadline", func(b *bench) {
+			for end := b.now + 2100; b.now < end; b.now += 100 {
+				b.load("side-a")
+				b.load("side-b")
+				b.s.Tick(b.now)
+			}
+		}, AnswerGaveUp},
+		{"entry stops", func(b *bench) { b.s.DropAll(b.now, "the entry ends") }, AnswerGaveUp},
+	}
+	for _, c := range cases {
+		b := newBench()
+		b.submit(2)
+		c.end(b)
+		if len(b.answer) != 1 || b.answer[0].Kind != c.answer || b.stops != 2 || b.s.Active() != 0 {
+			t.Errorf("%s: got answers %v, %d stops, %d jobs, want one of kind %s, 2 and 0", c.name, b.answer, b.stops, b.s.Active(), c.answer)
+		}
+	}
+}
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -134,9 +134,7 @@
 	sc := s.sidecars[name]
 	if sc == nil || sc.link == nil || sc.clockAt == 0 {
 		s.report(Event{Kind: "unreachable", Job: j.ID, Peer: name})
-		if !slices.Contains(j.avoid, name) {
-			j.avoid = append(j.avoid, name)
-		}
+		j.avoidSidecar(name)
 		return false
 	}
 	t := &j.tasks[index]
@@ -151,6 +149,13 @@
 	return true
 }
 
+// avoidSidecar keeps further tasks of the job away from a sidecar that failed one or cannot be reached.
+func (j *job) avoidSidecar(name string) {
+	if !slices.Contains(j.avoid, name) {
+		j.avoid = append(j.avoid, name)
+	}
+}
+
 // onReject answers a refused job, or asks again when it cannot be refused any more.
 func (s *Submitter) onReject(r *marshaler.Reject) {
 	j := s.jobs[r.Job]
@@ -187,7 +192,10 @@
 			s.finish(j, Answer{Kind: AnswerDone})
 		}
 		return
+	case marshaler.StatusStalled:
+		j.avoidSidecar(sc.name)
 	case marshaler.StatusFailed:
+		j.avoidSidecar(sc.name)
 		t.failures++
 		if t.failures >= j.Queue.Attempts {
 			t.state = taskDone
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -120,7 +120,7 @@
 		asked     int  // tasks with an open request
 		askedAt   string
 		granted   timer.Millis // of the first grant
-		avoid     []string     // granted sidecars that could not be reached
+		avoid     []string     // sidecars that failed a task of the job or could not be reached
 	}
 
 	task struct {
