Recall the backend server after a restart of its sidecar

Cause: after kill_all and planned stops each sidecar waited up to 1.5 s, the period of announcements, before it took starts. For a second after its first request a placing entry refuses none for want of workers. Test: conductor TestRecall.

--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -252,6 +252,7 @@
 		}
 		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, server)
+		context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				logger.WithError(err).WithField("address", p.address).Error("http: listener ended")
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/platform/standin"
 	"github.com/crocuslb/crocuslb/recorder"
 	"github.com/crocuslb/crocuslb/timer"
@@ -305,6 +306,24 @@
 	}
 }
 
+// TestRecall guards against sidecars that wait for an announcement of their backend server after each restart.
+func TestRecall(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.eventually("description in the store", func() bool {
+		page, err := newStore(f.address(250, 7000), 0).Newest(f.ctx, platform.TopicBackends)
+		return err == nil && len(page.Records) == 1
+	})
+	f.stops["sidecar-0"]()
+	f.backends[0].SetFaults(standin.BackendFaults{Mute: true})
+	o := f.options("sidecar-0", domainOf(0), 100)
+	o.Announcements, o.Backend = f.address(100, 8002), f.address(100, 8003)
+	f.start("sidecar-0 again", (&Sidecar{Options: o}).Run)
+	f.eventually("job on a recalled backend server", func() bool {
+		status, _ := f.post(f.entries[0], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "5")
+		return status == http.StatusOK
+	})
+}
+
 // TestPlacerLost guards against jobs that wait for a placing entry that is gone.
 func TestPlacerLost(t *testing.T) {
 	f := newFleet(t, 2, 2)
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -40,6 +40,7 @@
 	members directory
 	node    carrier.Node
 	monitor monitor
+	memory  memory
 	backend platform.Backend
 	links   sync.Map // *carrier.Session to *marshaler.Link
 	holds   chan keeper.HoldRequest
@@ -54,6 +55,7 @@
 	s.loop = newLoop()
 	s.monitor.logger = s.Logger
 	s.backend = platform.NewBackend(s.Backend, backendConnections, backendTimeout)
+	s.memory = memory{logger: s.Logger, store: newStore(s.Store, 0), name: s.Name, pending: make(chan string, 1)}
 	s.holds = make(chan keeper.HoldRequest, 1)
 	s.core = keeper.Keeper{
 		Domain: s.Domain, Report: s.report,
@@ -92,6 +94,8 @@
 	go s.members.follow(life, func() {})
 	s.Logger.WithFields(log.Fields{"name": s.Name, "domain": s.Domain, "backend": s.Backend}).Info("sidecar: started")
 	go s.hold(life)
+	go s.memory.write(life)
+	go s.recall(life)
 	go s.loop.run(life)
 	<-ctx.Done()
 	s.drain(life)
@@ -139,6 +143,7 @@
 	done := make(chan struct{})
 	s.loop.do(ctx, func(now timer.Millis) {
 		s.core.Announce(now, b)
+		s.memory.remember(s.core.Backend())
 		s.nextHold(now)
 		close(done)
 	})
@@ -148,6 +153,22 @@
 	}
 }
 
+// recall announces the backend server as an earlier life of this process knew it, unless it has announced itself.
+func (s *Sidecar) recall(ctx context.Context) {
+	b, ok := s.memory.recall(ctx)
+	if !ok {
+		return
+	}
+	s.loop.do(ctx, func(now timer.Millis) {
+		if s.core.Backend().ID != "" {
+			return
+		}
+		s.Logger.WithField("backend", b.ID).Info("sidecar: backend server is recalled from the store")
+		s.core.Announce(now, b)
+		s.nextHold(now)
+	})
+}
+
 // nextHold hands the next hold to its goroutine, unless one is under way. It is called by the loop.
 func (s *Sidecar) nextHold(now timer.Millis) {
 	if s.holding {
@@ -204,7 +225,7 @@
 }
 
 func (s *Sidecar) start(ctx context.Context, m marshaler.Start) {
-	instance := s.core.Known()
+	instance := s.core.Backend().ID
 	go func() {
 		started := s.backend.Start(instance, m)
 		s.loop.do(ctx, func(now timer.Millis) { s.core.OnStarted(now, started) })
@@ -212,7 +233,7 @@
 }
 
 func (s *Sidecar) stop(ctx context.Context, r marshaler.RunKey) {
-	instance := s.core.Known()
+	instance := s.core.Backend().ID
 	go func() {
 		ok, err := s.backend.Stop(instance, r)
 		if err != nil {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -198,8 +198,8 @@
 // Running returns the number of runs that may hold room.
 func (k *Keeper) Running() int { return len(k.runs) }
 
-// Known returns the backend server's identifier, empty before it has announced itself.
-func (k *Keeper) Known() string { return k.backend.ID }
+// Backend returns what is known of the backend server. Its ID is empty before it has announced itself.
+func (k *Keeper) Backend() Backend { return k.backend }
 
 // Announce takes an announcement of the backend server. It returns false for one that is older than what is known.
 func (k *Keeper) Announce(now timer.Millis, b Backend) bool {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,6 +14,9 @@
 	// maxBlocked is the number of requests without fitting room after which placing gives up for now. Requests differ
 	// little in size, so the ones behind them rarely fit.
 	maxBlocked = 8
+	// settleTime is the time after the first request in which none is refused for want of workers: sidecars report
+	// within it.
+	settleTime = timer.Second
 	// maxQueued bounds the queue.
 	maxQueued = 20_000
 	// ReasonMoved is the reason of a Reject that only sends the request to another placing entry.
@@ -32,6 +35,7 @@
 		order   []*worker // by name
 		queue   []*request
 		byKey   map[requestKey]*request
+		began   timer.Millis // of the first request; 0 before it
 	}
 
 	// Event is a decision, for logs and counters.
@@ -124,6 +128,9 @@
 		key: key, domain: domain, service: a.Service, room: a.Room, estimate: a.Estimate, left: a.Tasks,
 		latest: now + a.Slack, started: a.Started, arrived: now, avoid: a.Avoid,
 	}
+	if p.began == 0 {
+		p.began = now
+	}
 	if reason, wait := p.hopeless(now, r); reason != "" && !r.started {
 		p.reject(r, reason, wait)
 		return
@@ -306,6 +313,9 @@
 	if len(p.queue) >= maxQueued {
 		return "queue is full", p.backlog(r)
 	}
+	if now-p.began < settleTime {
+		return "", 0
+	}
 	service, fits := false, false
 	for _, w := range p.order {
 		if w.service == r.service {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -278,6 +278,7 @@
 	}
 	for _, c := range cases {
 		f := newField(1, 2)
+		f.now = 5000
 		var got string
 		f.p.Reject = func(_ string, r marshaler.Reject) {
 			if r.Job == "job" {
@@ -285,6 +286,8 @@
 			}
 		}
 		f.p.Grant = func(string, marshaler.Grant) {}
+		f.p.Ask(f.now-2000, "entry", "", &marshaler.Ask{Job: "first", Service: "svc"}) // workers had time to report
+		f.p.Withdraw("entry", "first")
 		if c.prior > 0 {
 			f.p.Ask(f.now, "entry", "", &marshaler.Ask{Job: "prior", Service: "svc", Tasks: uint64(c.prior), Room: marshaler.Room{CPU: 3000}, Estimate: 100, Slack: 40})
 		}
