--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -4,7 +4,6 @@
 package keeper
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -213,6 +212,7 @@
 	k.backend, k.known = b, true
 	if restarted {
 		k.restart(now, b.Born)
+		k.Look() // a hold that is under way may still wait for the earlier life
 	}
 	k.account()
 	if changed {
@@ -245,21 +245,6 @@
 	}
 }
 
-// endAll ends the runs that the backend server listed, because it is gone. Other starts may reach its next life; those
-// runs end when a stop was answered.
-func (k *Keeper) endAll(now timer.Millis, reason string) {
-	for _, r := range k.sorted() {
-		switch {
-		case r.listed:
-			k.end(now, r, marshaler.StatusLost, reason)
-		case r.state == stateStopping:
-			r.stopsAt = 0 // the answer was that of the earlier life
-		case r.state == stateRunning: // perhaps it was the next life that answered the start
-			k.stop(now, r, marshaler.StatusLost, reason)
-		}
-	}
-}
-
 // Accepting reports whether starts are taken, and why not.
 func (k *Keeper) Accepting() (bool, string) {
 	switch {
@@ -279,95 +264,6 @@
 	return true, ""
 }
 
-// order handles a start.
-func (k *Keeper) order(now timer.Millis, e *entry, m *marshaler.Start) {
-	for _, other := range marshaler.InOrder(k.entries) {
-		other.seen = append(other.seen, m.Run.Job)
-	}
-	ok, reason := k.Accepting()
-	at := task{m.Run.Job, m.Run.Index}
-	switch {
-	case !ok:
-	case k.runs[at] != nil:
-		ok, reason = false, "task runs already"
-	case !k.free.Holds(m.Room):
-		ok, reason = false, "no room"
-	case m.NotAfter <= k.Clock(now):
-		ok, reason = false, "start is late"
-	}
-	if !ok {
-		k.send(now, e, marshaler.Outcome{Run: m.Run, Status: marshaler.StatusRefused, Reason: reason})
-		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
-		return
-	}
-	r := &run{key: m.Run, entry: e, room: m.Room, estimate: m.Estimate, state: stateStarting, since: now, progress: now, startsAt: k.holds}
-	if k.runs == nil {
-		k.runs = map[task]*run{}
-	}
-	k.runs[at] = r
-	k.free = k.free.Sub(r.room)
-	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
-	k.Start(*m)
-}
-
-// OnStarted takes the backend server's answer to a start.
-func (k *Keeper) OnStarted(now timer.Millis, s Started) {
-	r := k.find(s.Run)
-	if r == nil {
-		return
-	}
-	switch s.Status {
-	case StartDone:
-		r.startsAt = k.holds
-		if r.state == stateStarting {
-			r.state, r.since, r.progress = stateRunning, now, now
-		}
-	case StartRefused:
-		k.end(now, r, marshaler.StatusRefused, s.Reason)
-	case StartOld:
-		k.end(now, r, marshaler.StatusOld, s.Reason)
-	default:
-		if r.listed {
-			r.startsAt = k.holds
-			if r.state == stateStarting {
-				r.state = stateRunning
-			}
-			return
-		}
-		// The order may still be carried out. A stop that the backend server answers makes sure that it never is.
-		k.doubtful = append(k.doubtful, doubtfulStart{s.Run, now})
-		k.stop(now, r, marshaler.StatusRefused, "no answer to the start: "+s.Reason)
-	}
-}
-
-// stop asks the backend server to end a run. The run keeps its room until a listing shows that it is gone.
-func (k *Keeper) stop(now timer.Millis, r *run, status marshaler.Status, reason string) {
-	if r.state == stateStopping {
-		return
-	}
-	r.state, r.status, r.reason = stateStopping, status, reason
-	k.sendStop(now, r)
-	k.report(Event{Kind: "stop", Run: r.key, Entry: r.entry.name, Detail: reason})
-}
-
-func (k *Keeper) sendStop(now timer.Millis, r *run) {
-	r.stopSent = now
-	k.Stop(r.key)
-}
-
-// OnStopped takes the backend server's answer to a stop. ok is false when there was none; gone says that it has no
-// listener.
-func (k *Keeper) OnStopped(now timer.Millis, key marshaler.RunKey, ok, gone bool) {
-	if r := k.find(key); r != nil && gone {
-		k.end(now, r, marshaler.StatusLost, "backend server is gone")
-		return
-	}
-	if r := k.find(key); r != nil && ok && r.stopsAt == 0 {
-		r.stopsAt = k.holds
-		k.Look()
-	}
-}
-
 // Tick sends heartbeats, repeats stops, and ends the runs of lost entries. It is called several times in each BeatPeriod.
 func (k *Keeper) Tick(now timer.Millis) {
 	for _, r := range k.sorted() {
@@ -406,44 +302,6 @@
 	k.report(Event{Kind: "entryLost", Entry: name, Value: int64(stopped)})
 }
 
-func (k *Keeper) find(key marshaler.RunKey) *run {
-	if r := k.runs[task{key.Job, key.Index}]; r != nil && r.key.Attempt == key.Attempt {
-		return r
-	}
-	return nil
-}
-
-// sorted returns the runs in an order that does not depend on the map, so that tests repeat.
-func (k *Keeper) sorted() []*run {
-	return slices.SortedFunc(maps.Values(k.runs), func(a, b *run) int { return a.key.Compare(b.key) })
-}
-
-// account computes the free room anew.
-func (k *Keeper) account() {
-	k.free = k.backend.Total
-	for _, r := range k.runs {
-		k.free = k.free.Sub(r.room)
-	}
-}
-
-// end removes a run that has surely ended and reports it.
-func (k *Keeper) end(now timer.Millis, r *run, status marshaler.Status, reason string) {
-	delete(k.runs, task{r.key.Job, r.key.Index})
-	k.free = k.free.Add(r.room)
-	ran := now - r.since
-	if status == marshaler.StatusRefused || status == marshaler.StatusOld {
-		ran = 0
-	}
-	k.send(now, r.entry, marshaler.Outcome{Run: r.key, Status: status, Reason: reason, Ran: ran})
-	settled := marshaler.Settled{Job: r.key.Job, Status: status, Ran: ran, Estimate: r.estimate, Room: r.room}
-	for _, e := range marshaler.InOrder(k.entries) {
-		if e.subscribed {
-			e.settled = append(e.settled, settled)
-		}
-	}
-	k.report(Event{Kind: "end", Run: r.key, Entry: r.entry.name, Detail: status.String() + " " + reason, Value: int64(ran)})
-}
-
 func (k *Keeper) report(e Event) {
 	if k.Report != nil {
 		k.Report(e)
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,253 @@
+package keeper
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// desk is a keeper with what it sends and orders.
+type desk struct {
+	k        *Keeper
+	now      timer.Millis
+	link     *marshaler.Link
+	outcomes []marshaler.Outcome
+	held     [][]marshaler.RunKey
+	loads    int
+	starts   []marshaler.RunKey
+	stops    []marshaler.RunKey
+	closed   int
+}
+
+func newDesk() *desk {
+	d := &desk{now: 1000}
+	d.k = &Keeper{
+		Start: func(s marshaler.Start) { d.starts = append(d.starts, s.Run) },
+		Stop:  func(r marshaler.RunKey) { d.stops = append(d.stops, r) },
+		Look:  func() {},
+	}
+	d.k.Announce(d.now, Backend{ID: "i-1", Born: 10, Sequence: 1, Service: "svc", Total: marshaler.Room{CPU: 10_000, MemoryMB: 100}})
+	d.connect("entry", 1)
+	d.list(nil)
+	return d
+}
+
+func (d *desk) connect(name string, incarnation uint64) {
+	d.link = &marshaler.Link{
+		Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: name, Incarnation: incarnation}, Close: func(error) { d.closed++ },
+		Send: func(m marshaler.Message) {
+			switch m := m.(type) {
+			case *marshaler.Outcome:
+				d.outcomes = append(d.outcomes, *m)
+			case *marshaler.Held:
+				d.held = append(d.held, m.Runs)
+			case *marshaler.Load:
+				d.loads++
+			}
+		},
+	}
+	d.k.OnUp(d.now, d.link)
+}
+
+func (d *desk) list(running []Row, ended ...End) {
+	h, _ := d.k.BeginHold(d.now)
+	d.k.OnListing(d.now, Listing{Number: h.Number, Born: 10, Clock: int64(d.now), Running: running, Ended: ended})
+}
+
+func (d *desk) order(r marshaler.RunKey, room int64) {
+	d.k.OnMessage(d.now, d.link, &marshaler.Start{Run: r, Room: marshaler.Room{CPU: room}, Estimate: 100, NotAfter: int64(d.now) + 400})
+}
+
+func (d *desk) latest() marshaler.Status {
+	if len(d.outcomes) == 0 {
+		return 0
+	}
+	return d.outcomes[len(d.outcomes)-1].Status
+}
+
+var first = marshaler.RunKey{Job: "job", Index: 0, Attempt: 1}
+
+// TestOrders guards against starts that a sidecar must not pass on.
+func TestOrders(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(d *desk)
+		started bool
+	}{
+		{"sound", func(*desk) {}, true},
+		{"no room", func(d *desk) { d.order(marshaler.RunKey{Job: "other", Attempt: 1}, 9000) }, false},
+		{"room of what is being stopped", func(d *desk) {
+			other := marshaler.RunKey{Job: "other", Attempt: 1}
+			d.order(other, 9000)
+			d.k.OnStarted(d.now, Started{Run: other, Status: StartDone})
+			d.k.OnMessage(d.now, d.link, &marshaler.Stop{Run: other})
+			d.k.OnStopped(d.now, other, true, false)
+		}, false},
+		{"room of what has ended", func(d *desk) {
+			other := marshaler.RunKey{Job: "other", Attempt: 1}
+			d.order(other, 9000)
+			d.k.OnStarted(d.now, Started{Run: other, Status: StartDone})
+			d.list(nil, End{1, other, marshaler.StatusDone})
+		}, true},
+		{"task runs already", func(d *desk) { d.order(marshaler.RunKey{Job: "job", Index: 0, Attempt: 3}, 100) }, false},
+		{"draining", func(d *desk) {
+			d.k.Announce(d.now, Backend{ID: "i-1", Born: 10, Sequence: 2, Service: "svc", Total: marshaler.Room{CPU: 10_000}, Draining: true})
+		}, false},
+		{"late announcement of before the draining", func(d *desk) {
+			d.k.Announce(d.now, Backend{ID: "i-1", Born: 10, Sequence: 5, Service: "svc", Total: marshaler.Room{CPU: 10_000}, Draining: true})
+			d.k.Announce(d.now, Backend{ID: "i-1", Born: 10, Sequence: 4, Service: "svc", Total: marshaler.Room{CPU: 10_000}})
+		}, false},
+		{"announcement of an earlier life", func(d *desk) {
+			d.k.Announce(d.now, Backend{ID: "i-0", Born: 9, Sequence: 50, Service: "svc", Draining: true})
+		}, true},
+		{"deregistered", func(d *desk) { d.k.Leaves(d.now, "i-1") }, false},
+		{"withdrawn domain", func(d *desk) { d.k.SetOffset(d.now, 5, true) }, false},
+		{"domain is back", func(d *desk) { d.k.SetOffset(d.now, 5, true); d.k.SetOffset(d.now, 6, false) }, true},
+		{"stopping", func(d *desk) { d.k.Leave(d.now) }, false},
+		{"new life without a listing", func(d *desk) {
+			d.k.Announce(d.now, Backend{ID: "i-2", Born: 11, Sequence: 1, Service: "svc", Total: marshaler.Room{CPU: 10_000}})
+		}, false},
+		{"one lost answer", func(d *desk) { d.now += 100; d.k.OnHoldFailed(d.now, false, "timeout") }, true},
+		{"silent", func(d *desk) { d.now += 500; d.k.OnHoldFailed(d.now, false, "timeout") }, false},
+		{"no listener", func(d *desk) { d.k.OnHoldFailed(d.now, true, "refused") }, false},
+		{"strangers run", func(d *desk) {
+			d.k.Announce(d.now, Backend{ID: "i-2", Born: 10, Sequence: 1, Service: "svc", Total: marshaler.Room{CPU: 10_000}})
+			d.list([]Row{{Run: marshaler.RunKey{Job: "stranger", Attempt: 1}}})
+		}, false},
+	}
+	for _, c := range cases {
+		d := newDesk()
+		c.prepare(d)
+		before := len(d.starts)
+		d.order(first, 3000)
+		if got := len(d.starts) > before; got != c.started {
+			t.Errorf("%s: got started %v, want %v", c.name, got, c.started)
+		}
+		if !c.started && d.latest() != marshaler.StatusRefused {
+			t.Errorf("%s: got outcome %s, want refused", c.name, d.latest())
+		}
+	}
+}
+
+// TestEnds guards against outcomes that are reported before they are certain.
+func TestEnds(t *testing.T) {
+	row := []Row{{Run: first, Percent: 10}}
+	unknown := Started{Run: first, Status: StartUnknown}
+	done := Started{Run: first, Status: StartDone}
+	cases := []struct {
+		name   string
+		events func(d *desk)
+		want   marshaler.Status // 0 while the run may go on
+	}{
+		{"refused", func(d *desk) { d.k.OnStarted(d.now, Started{Run: first, Status: StartRefused}) }, marshaler.StatusRefused},
+		{"old", func(d *desk) { d.k.OnStarted(d.now, Started{Run: first, Status: StartOld}) }, marshaler.StatusOld},
+		{"no answer", func(d *desk) { d.k.OnStarted(d.now, unknown) }, 0},
+		{"no answer, listed", func(d *desk) { d.list(row); d.k.OnStarted(d.now, unknown) }, 0},
+		{"no answer, not listed before the stop", func(d *desk) { d.k.OnStarted(d.now, unknown); d.list(nil) }, 0},
+		{"no answer, stopped, not listed", func(d *desk) { d.k.OnStarted(d.now, unknown); d.k.OnStopped(d.now, first, true, false); d.list(nil) }, marshaler.StatusRefused},
+		{"no answer, stopped, listed", func(d *desk) { d.k.OnStarted(d.now, unknown); d.k.OnStopped(d.now, first, true, false); d.list(row) }, 0},
+		{"no answer to the stop either", func(d *desk) { d.k.OnStarted(d.now, unknown); d.k.OnStopped(d.now, first, false, false); d.list(nil) }, 0},
+		{"no answer, no listener", func(d *desk) { d.k.OnStarted(d.now, unknown); d.k.OnStopped(d.now, first, false, true) }, marshaler.StatusLost},
+		{"done", func(d *desk) { d.k.OnStarted(d.now, done); d.list(nil, End{1, first, marshaler.StatusDone}) }, marshaler.StatusDone},
+		{"done before the answer to the start", func(d *desk) { d.list(nil, End{1, first, marshaler.StatusDone}) }, marshaler.StatusDone},
+		{"end of an earlier attempt", func(d *desk) {
+			d.k.OnStarted(d.now, done)
+			d.list(row, End{1, marshaler.RunKey{Job: "job"}, marshaler.StatusDone})
+		}, 0},
+		{"stopped by the entry", func(d *desk) { d.k.OnStarted(d.now, done); d.k.OnMessage(d.now, d.link, &marshaler.Stop{Run: first}) }, 0},
+		{"stopped and listed as such", func(d *desk) {
+			d.k.OnStarted(d.now, done)
+			d.k.OnMessage(d.now, d.link, &marshaler.Stop{Run: first})
+			d.list(nil, End{1, first, marshaler.StatusStopped})
+		}, marshaler.StatusStopped},
+		{"restart of a listed run", func(d *desk) { d.list(row); d.k.Announce(d.now, Backend{ID: "i-1", Born: 11, Service: "svc"}) }, marshaler.StatusLost},
+		{"restart around the start", func(d *desk) {
+			d.k.OnStarted(d.now, done)
+			d.k.Announce(d.now, Backend{ID: "i-1", Born: 11, Service: "svc"})
+		}, 0},
+		{"no listener, listed run", func(d *desk) { d.list(row); d.k.OnHoldFailed(d.now, true, "refused") }, marshaler.StatusLost},
+		{"no listener, order under way", func(d *desk) { d.k.OnHoldFailed(d.now, true, "refused") }, 0},
+		{"not listed any more", func(d *desk) { d.k.OnStarted(d.now, done); d.list(row); d.list(nil) }, marshaler.StatusLost},
+		{"no progress", func(d *desk) {
+			d.k.OnStarted(d.now, done)
+			d.list(row)
+			d.now += 200
+			d.list(row)
+			d.list(nil, End{1, first, marshaler.StatusStopped})
+		}, marshaler.StatusStalled},
+	}
+	for _, c := range cases {
+		d := newDesk()
+		d.order(first, 3000)
+		c.events(d)
+		if got := d.latest(); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestVouch guards against runs that outlive their entry for longer than a caller waits before it sends a job again.
+func TestVouch(t *testing.T) {
+	const resend = 1300 * timer.Millisecond
+	const stopTime = 50
+	if sum := VouchLimit + LeaseTerm*102/100 + stopTime; sum >= resend {
+		t.Errorf("got %s from the loss of an entry to the end of its runs, want less than %s", sum, resend)
+	}
+	d := newDesk()
+	d.order(first, 3000)
+	d.k.OnStarted(d.now, Started{Run: first, Status: StartDone})
+	d.k.OnDown(d.link)
+	for range 17 {
+		d.now += 25
+		d.k.Tick(d.now)
+	}
+	if len(d.stops) != 0 {
+		t.Errorf("got %d stops %d ms after the loss, want 0 before %s", len(d.stops), d.now-1000, VouchLimit)
+	}
+	d.now += 50
+	d.k.Tick(d.now)
+	if !slices.Contains(d.stops, first) {
+		t.Errorf("got stops %v %d ms after the loss, want %v", d.stops, d.now-1000, first)
+	}
+}
+
+// TestSessions guards against entries that do not learn what became of their runs.
+func TestSessions(t *testing.T) {
+	cases := []struct {
+		name        string
+		incarnation uint64
+		pause       timer.Millis
+		held        int // runs in the list on the new session
+		stopped     bool
+	}{
+		{"same life at once", 1, 50, 1, false},
+		{"same life after its runs were stopped", 1, 600, 1, true},
+		{"another life", 2, 50, 0, true},
+	}
+	for _, c := range cases {
+		d := newDesk()
+		d.order(first, 3000)
+		d.k.OnStarted(d.now, Started{Run: first, Status: StartDone})
+		d.list([]Row{{Run: first}})
+		d.k.OnDown(d.link)
+		d.now += c.pause
+		d.k.Tick(d.now)
+		d.connect("entry", c.incarnation)
+		if got := len(d.held[len(d.held)-1]); got != c.held {
+			t.Errorf("%s: got %d runs held, want %d", c.name, got, c.held)
+		}
+		if got := len(d.stops) > 0; got != c.stopped {
+			t.Errorf("%s: got stopped %v, want %v", c.name, got, c.stopped)
+		}
+	}
+	d := newDesk()
+	d.order(first, 3000)
+	d.k.OnDown(d.link)
+	d.list(nil, End{1, first, marshaler.StatusDone})
+	d.connect("entry", 1)
+	if d.latest() != marshaler.StatusDone {
+		t.Errorf("end without a session: got outcome %s on the next one, want done", d.latest())
+	}
+}
