Start without the store from what sidecars know

Cause: an entry that starts while the store is away had no configuration when no other entry dials it, and could not find the others. Change: sidecars pass on the configuration to an entry that has an older one, and the entries that they know; a process closes its listeners before it ends; platformnode -help lists the settings. Test: conductor TestStartWithoutStore, which failed without the configuration of the sidecars.

--- a/commander/program.go
+++ b/commander/program.go
@@ -131,6 +131,7 @@
 		_, _ = fmt.Fprintf(w, "  %-34s %s\n", c.usage(), c.summary)
 	}
 	_, _ = fmt.Fprint(w, "\ncrocuslb SUBCOMMAND -help shows the settings of a subcommand with their units and defaults.\n"+
+		"The program platformnode runs entries and sidecars on the users' platform; platformnode -help shows its settings.\n"+
 		"Exit status: 0 success, 1 failure, 2 wrong usage or settings.\n")
 }
 
--- a/conductor/configuration.go
+++ b/conductor/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/follower"
+	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/router"
 	"github.com/crocuslb/crocuslb/timer"
@@ -52,6 +53,14 @@
 	c.adopt(now, s, from)
 }
 
+// passOn sends the configuration to a process that has an older one, for example because it started while the store was
+// away.
+func (c *configuration) passOn(link *marshaler.Link, offset uint64) {
+	if offset < c.inForce.Offset {
+		link.Send(&marshaler.Configuration{Body: c.inForce.Append(nil)})
+	}
+}
+
 // adopt puts a later configuration into force.
 func (c *configuration) adopt(now timer.Millis, s router.Snapshot, source string) {
 	if s.Offset <= c.inForce.Offset || s.Version < c.inForce.Version {
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -86,6 +86,9 @@
 	go e.loop.run(life)
 	<-ctx.Done()
 	e.drain(life, servers)
+	end()
+	closeAll(servers)
+	e.node.Wait()
 	e.Logger.WithField("name", e.Name).Info("entry: stopped")
 	return nil
 }
@@ -233,6 +236,13 @@
 	e.Logger.WithFields(fields).Info("entry: " + v.Kind)
 }
 
+// closeAll ends the servers of a process that has answered what it could.
+func closeAll(servers []*http.Server) {
+	for _, server := range servers {
+		_ = server.Close() // the process ends in any case
+	}
+}
+
 // endpoint is a listen address with its handler.
 type endpoint struct {
 	address string
@@ -252,7 +262,6 @@
 		}
 		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, server)
-		context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				logger.WithError(err).WithField("address", p.address).Error("http: listener ended")
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -269,8 +269,22 @@
 	})
 }
 
-// TestStoreAway guards against jobs that depend on the store: they are served while it is silent, and an entry that
-// starts meanwhile gets the configuration from sidecars' other entries.
+// TestStartWithoutStore guards against entries that need the store to start: the sidecars tell them what they know.
+func TestStartWithoutStore(t *testing.T) {
+	for _, entries := range []int{1, 2} {
+		f := newFleet(t, entries, 2)
+		f.store.SetFaults(standin.StoreFaults{Silent: true})
+		last := entries - 1
+		f.stops[fmt.Sprintf("entry-%d", last)]()
+		f.startEntry(last)
+		f.eventually("an entry that starts without the store", func() bool {
+			status, _ := f.post(f.entries[last], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "5")
+			return status == http.StatusOK
+		})
+	}
+}
+
+// TestStoreAway guards against jobs that depend on the store.
 func TestStoreAway(t *testing.T) {
 	f := newFleet(t, 2, 3)
 	f.store.SetFaults(standin.StoreFaults{Silent: true})
--- a/conductor/program.go
+++ b/conductor/program.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/apex/log"
@@ -42,6 +44,12 @@
 	if len(args) > 0 {
 		role, args = args[0], args[1:]
 	}
+	if asksForHelp(p.Args) {
+		_, _ = fmt.Fprintf(p.Stdout, "usage: platformnode %s|%s [flags]\n\nRuns a process of crocuslb on the users' platform (docs/PLATFORM.md).\n\n"+
+			"settings (flag, unit, default, variable, meaning):\n%s\nExit status: 0 success, 1 failure, 2 wrong settings.\n",
+			roleEntry, roleSidecar, Settings.Text())
+		return exitSuccess
+	}
 	o, lines, err := Load(role, args, p.Environ)
 	if err != nil {
 		logger.WithError(err).Error("settings: cannot start")
@@ -62,6 +70,13 @@
 	return exitSuccess
 }
 
+// asksForHelp reports whether a run is for the list of settings.
+func asksForHelp(args []string) bool {
+	return len(args) == 0 || slices.ContainsFunc(args, func(a string) bool {
+		return a == "help" || a == "-h" || a == "-help" || a == "--help"
+	})
+}
+
 // reload checks the settings again at SIGHUP. All of them need a restart, so a change is only reported.
 func (p *Program) reload(ctx context.Context, logger *log.Logger, role string, args []string) {
 	hangups := make(chan os.Signal, 1)
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -78,7 +78,8 @@
 		Leaves:   func(id string) { s.loop.do(life, func(now timer.Millis) { s.core.Leaves(now, id) }) },
 		Refused:  func(err error) { s.Logger.WithError(err).Warn("sidecar: announcement refused") },
 	}
-	if _, err := serveAll(life, s.Logger, []endpoint{{s.Announcements, announcements.Handler()}, {s.Metrics, s.monitor.handler()}}); err != nil {
+	servers, err := serveAll(life, s.Logger, []endpoint{{s.Announcements, announcements.Handler()}, {s.Metrics, s.monitor.handler()}})
+	if err != nil {
 		return err
 	}
 	go s.config.follow(life, s.loop, newStore(s.Store, configurationWait))
@@ -99,6 +100,9 @@
 	go s.loop.run(life)
 	<-ctx.Done()
 	s.drain(life)
+	end()
+	closeAll(servers)
+	s.node.Wait()
 	s.Logger.WithField("name", s.Name).Info("sidecar: stopped")
 	return nil
 }
@@ -111,6 +115,7 @@
 			s.Logger.WithField("entry", c.Remote.Name).Info("sidecar: entry connected")
 			s.core.OnUp(now, link)
 		})
+		c.Send(&marshaler.Peers{Peers: s.members.list()})
 	}
 	s.node.OnMessage = func(c *carrier.Session, batch []marshaler.Message) {
 		v, _ := s.links.Load(c)
@@ -122,6 +127,9 @@
 					s.members.add(ctx, m.Peers)
 				case *marshaler.Configuration:
 					s.config.receive(now, m.Body, link.Remote.Name)
+				case *marshaler.Beat:
+					s.config.passOn(link, m.Offset)
+					s.core.OnMessage(now, link, m)
 				default:
 					s.core.OnMessage(now, link, m)
 				}
