Write the sessions of both processes once, split large files

Change: conductor/sessions.go, withPrograms in faultrunner, dispatcher/entry_log.go; no behaviour. Measured: go test of the packages, conductor under the race detector, the linter.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -51,8 +51,8 @@
 	}))
 }
 
-// soak runs the plan for several seeds, some at a time.
-func soak(p soaker.Plan, seeds, parallel int) int {
+// withPrograms builds the programs into a temporary directory and calls do with it. It returns the exit status.
+func withPrograms(do func(ctx context.Context, directory string) (broken bool, err error)) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	directory, err := os.MkdirTemp("", "crocuslb")
@@ -60,60 +60,57 @@
 		defer func() { _ = os.RemoveAll(directory) }() // a leftover in the temporary directory does no harm
 		err = launcher.Build(ctx, directory)
 	}
+	broken := false
+	if err == nil {
+		broken, err = do(ctx, directory)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "faultrunner:", err)
-		return 1
-	}
-	p.Program = filepath.Join(directory, "platformnode")
-	var (
-		running sync.WaitGroup
-		bad     atomic.Int64
-	)
-	slots := make(chan struct{}, max(parallel, 1))
-	for i := range seeds {
-		slots <- struct{}{}
-		running.Go(func() {
-			defer func() { <-slots }()
-			plan := p
-			plan.Seed += uint64(i)
-			report, err := soaker.Run(ctx, plan)
-			if err != nil {
-				fmt.Fprintf(os.Stderr, "faultrunner: seed %d: %v\n", plan.Seed, err)
-				bad.Add(1)
-				return
-			}
-			fmt.Print(report)
-			bad.Add(int64(len(report.Violations)))
-		})
 	}
-	running.Wait()
-	if bad.Load() > 0 {
+	if err != nil || broken {
 		return 1
 	}
 	return 0
 }
 
+// soak runs the plan for several seeds, some at a time.
+func soak(p soaker.Plan, seeds, parallel int) int {
+	return withPrograms(func(ctx context.Context, directory string) (bool, error) {
+		p.Program = filepath.Join(directory, "platformnode")
+		var (
+			running sync.WaitGroup
+			bad     atomic.Int64
+		)
+		slots := make(chan struct{}, max(parallel, 1))
+		for i := range seeds {
+			slots <- struct{}{}
+			running.Go(func() {
+				defer func() { <-slots }()
+				plan := p
+				plan.Seed += uint64(i)
+				report, err := soaker.Run(ctx, plan)
+				if err != nil {
+					fmt.Fprintf(os.Stderr, "faultrunner: seed %d: %v\n", plan.Seed, err)
+					bad.Add(1)
+					return
+				}
+				fmt.Print(report)
+				bad.Add(int64(len(report.Violations)))
+			})
+		}
+		running.Wait()
+		return bad.Load() > 0, nil
+	})
+}
+
 func run(p injector.Plan) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	directory, err := os.MkdirTemp("", "crocuslb")
-	if err == nil {
-		defer func() { _ = os.RemoveAll(directory) }() // a leftover in the temporary directory does no harm
-		err = launcher.Build(ctx, directory)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "faultrunner:", err)
-		return 1
-	}
-	p.Directory = directory
-	report, err := injector.Run(ctx, p)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "faultrunner:", err)
-		return 1
-	}
-	fmt.Print(report)
-	if report.Violations() > 0 {
-		return 1
-	}
-	return 0
+	return withPrograms(func(ctx context.Context, directory string) (bool, error) {
+		p.Directory = directory
+		report, err := injector.Run(ctx, p)
+		if err != nil {
+			return false, err
+		}
+		fmt.Print(report)
+		return report.Violations() > 0, nil
+	})
 }
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +37,7 @@
 	members directory
 	node    carrier.Node
 	monitor monitor
-	links   sync.Map // *carrier.Session to *marshaler.Link
+	links   sessions
 	ready   atomic.Bool
 	closing atomic.Bool
 }
@@ -66,7 +65,10 @@
 	// The process outlives ctx by its drain time.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	e.wire(life)
+	e.links = sessions{
+		loop: e.loop, config: &e.config, members: &e.members, up: e.core.OnUp, down: e.core.OnDown, message: e.core.OnMessage,
+	}
+	e.links.attach(life, &e.node)
 	e.loop.flush = e.core.Flush
 	e.loop.tick = func(now timer.Millis) {
 		e.core.Tick(now)
@@ -81,7 +83,7 @@
 	}
 	store := newStore(e.Store, configurationWait)
 	go e.config.follow(life, e.loop, store)
-	go e.members.follow(life, func() { e.sendPeers() })
+	go e.members.follow(life, func() { e.links.sendAll(&marshaler.Peers{Peers: e.members.list()}) })
 	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.Callers}).Info("entry: started")
 	go e.loop.run(life)
 	<-ctx.Done()
@@ -93,48 +95,6 @@
 	return nil
 }
 
-// wire connects the sessions to the core.
-func (e *Entry) wire(ctx context.Context) {
-	e.node.OnUp = func(s *carrier.Session) {
-		link := &marshaler.Link{Remote: s.Remote, Send: s.Send, Close: s.Close}
-		e.links.Store(s, link)
-		e.loop.do(ctx, func(now timer.Millis) { e.core.OnUp(now, link) })
-		s.Send(&marshaler.Peers{Peers: e.members.list()})
-	}
-	e.node.OnMessage = func(s *carrier.Session, batch []marshaler.Message) {
-		v, _ := e.links.Load(s)
-		link, _ := v.(*marshaler.Link)
-		e.loop.do(ctx, func(now timer.Millis) {
-			for _, m := range batch {
-				switch m := m.(type) {
-				case *marshaler.Peers:
-					e.members.add(ctx, m.Peers)
-				case *marshaler.Configuration:
-					e.config.receive(now, m.Body, link.Remote.Name)
-				default:
-					e.core.OnMessage(now, link, m)
-				}
-			}
-		})
-	}
-	e.node.OnDown = func(s *carrier.Session, cause error) {
-		v, _ := e.links.LoadAndDelete(s)
-		link, _ := v.(*marshaler.Link)
-		e.loop.do(ctx, func(now timer.Millis) { e.core.OnDown(now, link, cause) })
-	}
-}
-
-// sendPeers passes the known entries on to all sessions.
-func (e *Entry) sendPeers() {
-	m := &marshaler.Peers{Peers: e.members.list()}
-	e.links.Range(func(s, _ any) bool {
-		if session, ok := s.(*carrier.Session); ok {
-			session.Send(m)
-		}
-		return true
-	})
-}
-
 // listen starts the HTTP servers. The first one serves callers.
 func (e *Entry) listen(ctx context.Context) ([]*http.Server, error) {
 	callers := &platform.Callers{
--- /dev/null
+++ b/conductor/sessions.go
@@ -0,0 +1,69 @@
+package conductor
+
+import (
+	"context"
+	"sync"
+
+	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// sessions passes what happens on a process's connections to its core, through the loop.
+type sessions struct {
+	loop    *loop
+	config  *configuration
+	members *directory
+	// up, down and message are the core's functions; the loop calls them.
+	up      func(now timer.Millis, link *marshaler.Link)
+	down    func(now timer.Millis, link *marshaler.Link, cause error)
+	message func(now timer.Millis, link *marshaler.Link, m marshaler.Message)
+
+	links sync.Map // *carrier.Session to *marshaler.Link
+}
+
+// attach sets the functions of a node, which serves until ctx ends.
+func (s *sessions) attach(ctx context.Context, n *carrier.Node) {
+	n.OnUp = func(c *carrier.Session) {
+		link := &marshaler.Link{Remote: c.Remote, Send: c.Send, Close: c.Close}
+		s.links.Store(c, link)
+		s.loop.do(ctx, func(now timer.Millis) { s.up(now, link) })
+		c.Send(&marshaler.Peers{Peers: s.members.list()})
+	}
+	n.OnMessage = func(c *carrier.Session, batch []marshaler.Message) {
+		v, _ := s.links.Load(c)
+		link, _ := v.(*marshaler.Link)
+		s.loop.do(ctx, func(now timer.Millis) {
+			for _, m := range batch {
+				s.deliver(ctx, now, link, m)
+			}
+		})
+	}
+	n.OnDown = func(c *carrier.Session, cause error) {
+		v, _ := s.links.LoadAndDelete(c)
+		link, _ := v.(*marshaler.Link)
+		s.loop.do(ctx, func(now timer.Millis) { s.down(now, link, cause) })
+	}
+}
+
+// deliver handles the messages that concern the process, and passes on the others.
+func (s *sessions) deliver(ctx context.Context, now timer.Millis, link *marshaler.Link, m marshaler.Message) {
+	switch m := m.(type) {
+	case *marshaler.Peers:
+		s.members.add(ctx, m.Peers)
+	case *marshaler.Configuration:
+		s.config.receive(now, m.Body, link.Remote.Name)
+	default:
+		s.message(now, link, m)
+	}
+}
+
+// sendAll sends a message on all sessions.
+func (s *sessions) sendAll(m marshaler.Message) {
+	s.links.Range(func(c, _ any) bool {
+		if session, ok := c.(*carrier.Session); ok {
+			session.Send(m)
+		}
+		return true
+	})
+}
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -42,7 +41,7 @@
 	monitor monitor
 	memory  memory
 	backend platform.Backend
-	links   sync.Map // *carrier.Session to *marshaler.Link
+	links   sessions
 	holds   chan keeper.HoldRequest
 	holding bool // a hold is under way or about to be; owned by the loop
 }
@@ -71,7 +70,7 @@
 			return marshaler.Hello{Role: marshaler.RoleSidecar, Name: s.Name, Incarnation: incarnation, Domain: s.Domain, Weight: s.Weight}
 		},
 	}
-	s.wire(life)
+	s.attach(life)
 	s.loop.flush, s.loop.tick = func(timer.Millis) {}, s.core.Tick
 	announcements := platform.Announcements{
 		Announce: func(b keeper.Backend) { s.announce(life, b) },
@@ -107,43 +106,26 @@
 	return nil
 }
 
-func (s *Sidecar) wire(ctx context.Context) {
-	s.node.OnUp = func(c *carrier.Session) {
-		link := &marshaler.Link{Remote: c.Remote, Send: c.Send, Close: c.Close}
-		s.links.Store(c, link)
-		s.loop.do(ctx, func(now timer.Millis) {
-			s.Logger.WithField("entry", c.Remote.Name).Info("sidecar: entry connected")
+// attach connects the sessions to the core.
+func (s *Sidecar) attach(ctx context.Context) {
+	s.links = sessions{
+		loop: s.loop, config: &s.config, members: &s.members,
+		up: func(now timer.Millis, link *marshaler.Link) {
+			s.Logger.WithField("entry", link.Remote.Name).Info("sidecar: entry connected")
 			s.core.OnUp(now, link)
-		})
-		c.Send(&marshaler.Peers{Peers: s.members.list()})
-	}
-	s.node.OnMessage = func(c *carrier.Session, batch []marshaler.Message) {
-		v, _ := s.links.Load(c)
-		link, _ := v.(*marshaler.Link)
-		s.loop.do(ctx, func(now timer.Millis) {
-			for _, m := range batch {
-				switch m := m.(type) {
-				case *marshaler.Peers:
-					s.members.add(ctx, m.Peers)
-				case *marshaler.Configuration:
-					s.config.receive(now, m.Body, link.Remote.Name)
-				case *marshaler.Beat:
-					s.config.passOn(link, m.Offset)
-					s.core.OnMessage(now, link, m)
-				default:
-					s.core.OnMessage(now, link, m)
-				}
-			}
-		})
-	}
-	s.node.OnDown = func(c *carrier.Session, cause error) {
-		v, _ := s.links.LoadAndDelete(c)
-		link, _ := v.(*marshaler.Link)
-		s.loop.do(ctx, func(timer.Millis) {
-			s.Logger.WithError(cause).WithField("entry", c.Remote.Name).Info("sidecar: entry disconnected")
+		},
+		down: func(_ timer.Millis, link *marshaler.Link, cause error) {
+			s.Logger.WithError(cause).WithField("entry", link.Remote.Name).Info("sidecar: entry disconnected")
 			s.core.OnDown(link)
-		})
+		},
+		message: func(now timer.Millis, link *marshaler.Link, m marshaler.Message) {
+			if b, ok := m.(*marshaler.Beat); ok {
+				s.config.passOn(link, b.Offset)
+			}
+			s.core.OnMessage(now, link, m)
+		},
 	}
+	s.links.attach(ctx, &s.node)
 }
 
 // announce passes on what the backend server says of itself. It returns once that is in force.
--- /dev/null
+++ b/dispatcher/entry_log.go
@@ -0,0 +1,114 @@
+package dispatcher
+
+import (
+	"github.com/crocuslb/crocuslb/appender"
+	"github.com/crocuslb/crocuslb/configurer"
+	"github.com/crocuslb/crocuslb/elector"
+	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/messenger"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// record folds a record of the log.
+func (e *Entry) record(now timer.Millis, stream string, r appender.Record) {
+	switch stream {
+	case StreamConfiguration:
+		findings := e.replay.Add(r)
+		if r.Offset >= e.snapshot.Offset() {
+			// The outcome of a record that came with a peer's configuration is not known; its decision stays unknown.
+			e.core.ConfigurationRecord(now, r.Offset, findings)
+		}
+		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindNote {
+			e.history = append(e.history, Change{Offset: r.Offset, Note: d.Note, Findings: findings})
+			if len(e.history) > 2*historyKept {
+				e.history = append([]Change(nil), e.history[historyKept:]...)
+			}
+		}
+		if d, err := configurer.DecodeRecord(r.Body); err == nil && d.Kind == configurer.KindCheckpoint {
+			e.configurationCheckpoints.last = r.Offset
+		}
+		if s, ok := e.replay.Snapshot(); ok && e.core.confirmed[StreamConfiguration] != 0 {
+			e.setConfiguration(now, s)
+		}
+	case StreamRoster:
+		e.rosterRecord(now, r)
+	case StreamClaims:
+		if claims, err := elector.DecodeClaims(r.Body); err == nil {
+			e.core.ClaimsRecord(now, claims)
+		}
+	}
+}
+
+// rosterRecord folds a record of the roster stream. The core sees each change, or the whole roster after a gap.
+func (e *Entry) rosterRecord(now timer.Millis, r appender.Record) {
+	_, whole := e.rosters.Roster()
+	_ = e.rosters.Add(r) // every reader refuses the same record
+	roster, ok := e.rosters.Roster()
+	change, err := elector.DecodeChange(r.Body)
+	if err == nil && change.Kind == elector.ChangeCheckpoint {
+		e.rosterCheckpoints.last = r.Offset
+	}
+	switch {
+	case ok && !whole:
+		e.core.RosterGap(now, roster)
+	case ok && err == nil:
+		e.core.RosterRecord(now, r.Offset, change)
+	}
+}
+
+func (e *Entry) setConfiguration(now timer.Millis, s configurer.Snapshot) {
+	old := e.snapshot
+	e.snapshot = s
+	for _, key := range append(old.Keys(teamPrefix), s.Keys(teamPrefix)...) {
+		name := key[len(teamPrefix):]
+		if t := s.Team(name); t != old.Team(name) {
+			e.core.queue.SetTeam(name, t.Weight, t.Quota)
+		}
+	}
+	e.core.SetConfiguration(now, s.Offset(), s.DomainInForce)
+}
+
+// sendConfiguration gives a peer the configuration.
+func (e *Entry) sendConfiguration(s *messenger.Session) {
+	body, err := configurer.AppendCheckpoint(nil, e.snapshot)
+	if s == nil || err != nil {
+		return
+	}
+	s.Send(&encoder.PeerConfiguration{Checkpoint: body}) // offered again when it is lost
+}
+
+// adoptConfiguration takes over a later configuration from a peer. Records of the log that it includes are skipped when
+// the log can be read again.
+func (e *Entry) adoptConfiguration(now timer.Millis, m *encoder.PeerConfiguration) {
+	r, err := configurer.DecodeRecord(m.Checkpoint)
+	if err != nil || r.Kind != configurer.KindCheckpoint || !e.replay.Adopt(r.Checkpoint) {
+		return
+	}
+	if s, ok := e.replay.Snapshot(); ok {
+		e.Logger.Infof("entry: adopted the configuration at offset %d from a peer", s.Offset())
+		e.setConfiguration(now, s)
+	}
+}
+
+// read handles the end of a read of the log.
+func (e *Entry) read(now timer.Millis, stream string, p appender.Progress) {
+	if p.Err != nil || !p.Head {
+		return
+	}
+	switch stream {
+	case StreamConfiguration:
+		s, ok := e.replay.Snapshot()
+		if !ok {
+			return
+		}
+		if s.Offset() != e.snapshot.Offset() || e.core.confirmed[stream] == 0 {
+			e.setConfiguration(now, s)
+		}
+	case StreamRoster:
+		if _, ok := e.rosters.Roster(); !ok {
+			return
+		}
+	}
+	e.core.Confirmed(now, stream, p.Began)
+	e.checkpoint(stream, p)
+}
