Decide in the product which kinds of job are supported and when callers may return

Cause: platform/ refused kinds of job and spread the return of callers by itself; it is to decide nothing. Change: submitter.Kind says what a job asks for and Submit refuses what is not supported; the spread depends on the job's identifier. Test: submitter TestKinds; platform and path tests as before. Measured: go test of the packages and the linter.

--- a/submitter/outcome_test.go
+++ b/submitter/outcome_test.go
@@ -127,3 +127,27 @@
 		}
 	}
 }
+
+// TestKinds guards against jobs that are half done because a part of what they ask for is not supported.
+func TestKinds(t *testing.T) {
+	cases := []struct {
+		name string
+		kind Kind
+		ok   bool
+	}{
+		{"restartable", Kind{Steps: 1}, true}, {"kept", Kind{Kept: true, Steps: 1}, false}, {"steps", Kind{Steps: 2}, false},
+		{"repeats", Kind{Steps: 1, Repeats: true}, false}, {"lasts", Kind{Steps: 1, Lasts: true}, false}, {"fills", Kind{Steps: 1, Fills: true}, false},
+		{"together", Kind{Steps: 1, Together: true}, false}, {"label", Kind{Steps: 1, Label: "a"}, false}, {"per server", Kind{Steps: 1, PerServer: 1}, false},
+	}
+	for _, c := range cases {
+		b := newBench()
+		b.s.Submit(b.now, Job{ID: "job", Kind: c.kind, Queue: testQueue, Tasks: 1, Room: marshaler.Room{CPU: 1}, Estimate: 10, Answer: func(a Answer) { b.answer = append(b.answer, a) }})
+		b.s.Flush(b.now)
+		if got := len(b.starts) == 1; got != c.ok {
+			t.Errorf("%s: got started %v, want %v", c.name, got, c.ok)
+		}
+		if !c.ok && (len(b.answer) != 1 || b.answer[0].Kind != AnswerNotRun || b.answer[0].RetryAfter == 0) {
+			t.Errorf("%s: got answers %+v, want one that it did not run, with a time to come back", c.name, b.answer)
+		}
+	}
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -63,10 +63,11 @@
 		RetryAfter timer.Millis // with AnswerNotRun
 	}
 
-	// Job is a restartable job of one step: nothing of it is kept, and a task may run again once its earlier attempt
-	// has surely ended.
+	// Job is a job of a caller. Restartable jobs of one step are supported: nothing of them is kept, and a task may run
+	// again once its earlier attempt has surely ended.
 	Job struct {
 		ID       string
+		Kind     Kind
 		Queue    router.Queue
 		Spec     string
 		Tasks    int
@@ -200,6 +201,11 @@
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
 		return
 	}
+	if reason := j.unsupported(); reason != "" {
+		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + reason})
+		j.Answer(Answer{Kind: AnswerNotRun, Reason: reason, RetryAfter: unsupportedRetry})
+		return
+	}
 	wait := j.Deadline
 	if wait <= 0 {
 		wait = defaultDeadline
@@ -265,6 +271,9 @@
 // finish answers a job and stops what runs of it.
 func (s *Submitter) finish(j *job, a Answer) {
 	delete(s.jobs, j.ID)
+	if a.Kind == AnswerNotRun {
+		a.RetryAfter += spread(j.ID)
+	}
 	if j.asked > 0 {
 		s.withdraw(j)
 	}
