--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -18,6 +18,7 @@
 	maxSends    = 4
 	callerWait  = 2 * time.Second
 	leaveShare  = 0.05 // of the callers leave early
+	estimate    = 400  // ms that callers expect of a task
 )
 
 // sendJobs sends jobs until disturbed ends, each from a goroutine of callers.
@@ -58,7 +59,7 @@
 func (s *soak) post(ctx context.Context, entry int, id string, tasks int, spec string, wait time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	r, err := standin.Submission(s.address(1+entry, callersPort), prefix, id, tasks, spec, int(callerWait.Milliseconds()))
+	r, err := standin.Submission(s.address(1+entry, callersPort), prefix, id, tasks, spec, estimate, int(callerWait.Milliseconds()))
 	if err != nil {
 		return 0, err.Error()
 	}
