Let the soak's check of draining see other restarts

Cause: seeds 200 and 210 of the soak (15 s, 600 ms) showed 19 and 25 starts on i-3 over 2 s after it was acknowledged that it leaves. Their traces: another fault had restarted i-3 0.3 and 0.9 s after its draining began, so a new life that does not leave was running. Change: every restart ends the draining in the check; the bound is as it was. Seeds 103 and 200 stay as regression cases.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -60,7 +60,7 @@
 		s.storeFault(standin.StoreFaults{Lost: 0.4}, length)
 	}},
 	{"store forgets its history", func(s *soak, _ context.Context, _ int, _ time.Duration) { s.store.Expire("keyed.op", 1<<40) }},
-	{"backend server restarted", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.backend(pick).Restart() }},
+	{"backend server restarted", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.restartBackend(pick) }},
 	{"orders carried out late", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.backendFault(pick, standin.BackendFaults{Late: 0.15}, length)
 	}},
@@ -76,8 +76,7 @@
 	{"backend server leaves", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.backend(pick).Drain()
 		time.Sleep(length + drainBound)
-		s.checks.onReturned(s.backend(pick).ID)
-		s.backend(pick).Restart()
+		s.restartBackend(pick)
 	}},
 	{"domain withdrawn", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		domain := domainName(pick)
@@ -133,6 +132,12 @@
 	s.store.SetFaults(standin.StoreFaults{})
 }
 
+// restartBackend begins a new life of a backend server, which does not leave.
+func (s *soak) restartBackend(pick int) {
+	s.checks.onReturned(s.backend(pick).ID)
+	s.backend(pick).Restart()
+}
+
 func (s *soak) backendFault(pick int, f standin.BackendFaults, d time.Duration) {
 	s.backend(pick).SetFaults(f)
 	time.Sleep(d)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,15 +21,20 @@
 		cause string
 	}{
 		{1, "none: a first look at all faults"},
+		{103, "the check of planned stops counted the time in which the process was paused"},
+		{200, "the check of draining did not see that another fault had restarted the backend server"},
 	}
 	for _, c := range cases {
-		r, err := Run(t.Context(), Plan{Program: filepath.Join(directory, "platformnode"), Seed: c.seed, Length: 8 * time.Second, FaultEvery: 500 * time.Millisecond})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(r.Violations) > 0 {
-			t.Errorf("seed %d (%s): got %d violations, want 0:\n%s", c.seed, c.cause, len(r.Violations), r)
-		}
+		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), Plan{Program: filepath.Join(directory, "platformnode"), Seed: c.seed, Length: 8 * time.Second, FaultEvery: 500 * time.Millisecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Violations) > 0 {
+				t.Errorf("seed %d (%s): got %d violations, want 0:\n%s", c.seed, c.cause, len(r.Violations), r)
+			}
+		})
 	}
 }
 
