Refuse jobs and announcements that other processes cannot read

Change: the entry answers such jobs with 400, the sidecar leaves such announcements out, both with a log line. Test: submitter TestMalformed, keeper TestForeignAnnouncements, conductor TestPath; on a scratch copy without the checks all ten jobs and all five announcements of the first two fail.

--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -212,6 +212,7 @@
 		{"kept job", "POST", "/a/0000000000000004", `{"Spec":"30","Steps":[{"Count":1,"Cpu":1000,"EstimateMs":30}]}`, 503, "{}"},
 		{"several steps", "POST", "/a/0000000000000005", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":1},{"Count":1,"After":[0]}]}`, 503, "{}"},
 		{"gang", "POST", "/a/0000000000000006", `{"Spec":"30","BestEffort":true,"Steps":[{"Count":2,"Gang":true}]}`, 503, "{}"},
+		{"identifier with a dot", "POST", "/a/x.1", `{"Spec":"1","BestEffort":true,"Steps":[{"Count":1,"EstimateMs":30}]}`, 400, "{}"},
 		{"no steps", "POST", "/a/0000000000000007", `{"BestEffort":true}`, 400, "{}"},
 		{"not JSON", "POST", "/a/0000000000000008", `{"Spec"`, 400, "{}"},
 		{"body over the limit", "POST", "/a/0000000000000009", `{"Spec":"` + strings.Repeat("x", 11_000) + `"}`, 413, "{}"},
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -200,8 +200,19 @@
 // Backend returns what is known of the backend server. Its ID is empty before it has announced itself.
 func (k *Keeper) Backend() Backend { return k.backend }
 
-// Announce takes an announcement of the backend server. It returns false for one that is older than what is known.
+// sound reports whether a description can be passed on to entries. Announcements may come from other writers.
+func (b *Backend) sound() bool {
+	long := func(text string) bool { return len(text) > marshaler.MaxName }
+	return b.ID != "" && !long(b.ID) && !long(b.Service) && !slices.ContainsFunc(b.Labels, long) && b.Total.Holds(marshaler.Room{})
+}
+
+// Announce takes an announcement of the backend server. It returns false for one that is unsound or older than what is
+// known.
 func (k *Keeper) Announce(now timer.Millis, b Backend) bool {
+	if !b.sound() {
+		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the room is negative"})
+		return false
+	}
 	if k.known {
 		if b.Born < k.backend.Born || b.Born == k.backend.Born && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
 			return false
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -251,3 +252,21 @@
 		t.Errorf("end without a session: got outcome %s on the next one, want done", d.latest())
 	}
 }
+
+// TestForeignAnnouncements guards against announcements of other writers that entries cannot read.
+func TestForeignAnnouncements(t *testing.T) {
+	long := strings.Repeat("x", marshaler.MaxName+1)
+	cases := []struct {
+		name string
+		b    Backend
+	}{
+		{"no identifier", Backend{Born: 11}}, {"long identifier", Backend{ID: long, Born: 11}}, {"long service", Backend{ID: "i-2", Born: 11, Service: long}},
+		{"long label", Backend{ID: "i-2", Born: 11, Labels: []string{long}}}, {"negative room", Backend{ID: "i-2", Born: 11, Total: marshaler.Room{CPU: -1}}},
+	}
+	for _, c := range cases {
+		d := newDesk()
+		if d.k.Announce(d.now, c.b) || d.k.Backend().ID != "i-1" {
+			t.Errorf("%s: got backend server %+v, want i-1 as before", c.name, d.k.Backend())
+		}
+	}
+}
--- a/submitter/kind.go
+++ b/submitter/kind.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/fnv"
+	"strings"
 
+	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -11,6 +13,10 @@
 	UnreadyRetry = timer.Second
 	// unsupportedRetry keeps callers of jobs that are not supported from coming back soon.
 	unsupportedRetry = timer.Minute
+	// maxID is the longest identifier of a job in bytes. Callers use 16.
+	maxID = 64
+	// maxEstimate bounds the estimated run time of a task.
+	maxEstimate = 24 * 60 * timer.Minute
 	// retrySpread is the time over which the return of refused callers is spread.
 	retrySpread = 2 * timer.Second
 )
@@ -27,6 +33,21 @@
 	PerServer int // most tasks of the step on one backend server; 0 for any number
 }
 
+// malformed returns what is wrong with a job that no entry can pass on, or an empty text.
+func (j *Job) malformed() string {
+	switch {
+	case j.ID == "" || len(j.ID) > maxID || strings.ContainsAny(j.ID, "./"):
+		return "the identifier has no or too many bytes, or a dot or slash"
+	case len(j.Spec) > marshaler.MaxSpec:
+		return "the specification is too long"
+	case j.Room.CPU < 0 || j.Room.MemoryMB < 0 || j.Room.Accelerators < 0:
+		return "a task asks for less than nothing"
+	case j.Estimate < 0 || j.Estimate > maxEstimate:
+		return "the estimated run time is out of range"
+	}
+	return ""
+}
+
 // unsupported returns what of the kind is not supported, or an empty text.
 func (j *Job) unsupported() string {
 	k := &j.Kind
--- a/submitter/outcome_test.go
+++ b/submitter/outcome_test.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -151,3 +152,30 @@
 		}
 	}
 }
+
+// TestMalformed guards against jobs that other processes cannot read, or that add to a worker's room.
+func TestMalformed(t *testing.T) {
+	sound := Job{ID: "job", Queue: testQueue, Tasks: 1, Room: marshaler.Room{CPU: 1}, Estimate: 10}
+	cases := []struct {
+		name   string
+		change func(j *Job)
+	}{
+		{"no identifier", func(j *Job) { j.ID = "" }}, {"long identifier", func(j *Job) { j.ID = strings.Repeat("x", maxID+1) }},
+		{"dot in the identifier", func(j *Job) { j.ID = "a.0.0.1" }}, {"slash in the identifier", func(j *Job) { j.ID = "a/b" }},
+		{"long specification", func(j *Job) { j.Spec = strings.Repeat("x", marshaler.MaxSpec+1) }},
+		{"negative processor", func(j *Job) { j.Room.CPU = -1 }}, {"negative memory", func(j *Job) { j.Room.MemoryMB = -1 }},
+		{"negative accelerators", func(j *Job) { j.Room.Accelerators = -1 }}, {"negative estimate", func(j *Job) { j.Estimate = -1 }},
+		{"endless estimate", func(j *Job) { j.Estimate = maxEstimate + 1 }},
+	}
+	for _, c := range cases {
+		b := newBench()
+		j := sound
+		j.Answer = func(a Answer) { b.answer = append(b.answer, a) }
+		c.change(&j)
+		b.s.Submit(b.now, j)
+		b.s.Flush(b.now)
+		if len(b.starts) != 0 || len(b.answer) != 1 || b.answer[0].Kind != AnswerMalformed || b.s.Active() != 0 {
+			t.Errorf("%s: got %d starts and answers %+v, want none and one that it is malformed", c.name, len(b.starts), b.answer)
+		}
+	}
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -44,6 +44,8 @@
 	AnswerNoQueue
 	// AnswerGaveUp means that the job did not end in time. All its runs are being stopped.
 	AnswerGaveUp
+	// AnswerMalformed means that the job cannot be understood; nothing ran.
+	AnswerMalformed
 )
 
 const (
@@ -201,6 +203,11 @@
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
 		return
 	}
+	if reason := j.malformed(); reason != "" {
+		s.report(Event{Kind: "refuse", Queue: j.Queue.Name, Detail: "submitter " + reason})
+		j.Answer(Answer{Kind: AnswerMalformed, Reason: reason})
+		return
+	}
 	if reason := j.unsupported(); reason != "" {
 		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + reason})
 		j.Answer(Answer{Kind: AnswerNotRun, Reason: reason, RetryAfter: unsupportedRetry})
@@ -311,7 +318,7 @@
 
 // String names the kind as logs show it.
 func (k AnswerKind) String() string {
-	names := [...]string{"none", "done", "failed", "notRun", "noQueue", "gaveUp"}
+	names := [...]string{"none", "done", "failed", "notRun", "noQueue", "gaveUp", "malformed"}
 	if int(k) < len(names) {
 		return names[k]
 	}
