Wait for the end of a killed process before the soak starts it again

Cause: seed 234 of the soak lost all final jobs at entry-1, each within 45 ms: its log ends with 'bind: address already in use'. The soak had started the program again 0.6 s after SIGKILL, at a load of 40, before the killed one had ended. Change: the soak waits for the end, as a supervisor does; the seed stays in TestSoak. Conclusion: a fault of the soak.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -166,7 +166,12 @@
 		return
 	}
 	defer n.release()
-	n.current().Kill()
+	p := n.current()
+	p.Kill()
+	// A supervisor starts a program again once it has ended, when its listeners are free.
+	if _, err := p.Wait(ctx); err != nil && ctx.Err() == nil {
+		s.checks.violate("%s did not end after SIGKILL: %v", n.name, err)
+	}
 	time.Sleep(down)
 	s.restart(ctx, n)
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -22,6 +22,7 @@
 	}{
 		{1, "none: a first look at all faults"},
 		{103, "the check of planned stops counted the time in which the process was paused"},
+		{234, "a killed process was started again before it had ended, so its listener was taken"},
 		{218, "a session that opened before the first listing while the domain was withdrawn got no outcomes"},
 		{200, "the check of draining did not see that another fault had restarted the backend server"},
 	}
