--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -134,8 +134,8 @@
 
 // restartBackend begins a new life of a backend server, which does not leave.
 func (s *soak) restartBackend(pick int) {
-	s.checks.onReturned(s.backend(pick).ID)
 	s.backend(pick).Restart()
+	s.checks.onReturned(s.backend(pick).ID)
 }
 
 func (s *soak) backendFault(pick int, f standin.BackendFaults, d time.Duration) {
