--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -296,3 +296,24 @@
 		}
 	}
 }
+
+// TestSeen guards against a placing entry that counts a start twice: as reserved and as missing from the reported room.
+func TestSeen(t *testing.T) {
+	d := newDesk()
+	var seen []string
+	placing := &marshaler.Link{
+		Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: "placing", Incarnation: 1}, Close: func(error) {},
+		Send: func(m marshaler.Message) {
+			if l, ok := m.(*marshaler.Load); ok {
+				seen = append(seen, l.Seen...)
+			}
+		},
+	}
+	d.k.OnUp(d.now, placing)
+	d.order(first, 3000)
+	d.now += BeatPeriod
+	d.k.Tick(d.now)
+	if !slices.Equal(seen, []string{first.Job}) {
+		t.Errorf("got starts %v in the reports to an entry that did not order them, want %v", seen, []string{first.Job})
+	}
+}
--- a/submitter/outcome_test.go
+++ b/submitter/outcome_test.go
@@ -179,3 +179,32 @@
 		}
 	}
 }
+
+// TestHeld guards against an order that is taken for lost because the list of a session was made before it arrived.
+func TestHeld(t *testing.T) {
+	cases := []struct {
+		name    string
+		session uint64 // of the list; the order went out on session 1
+		starts  int
+	}{
+		{"list of the order's own session", 1, 1}, {"list of a later session", 2, 2},
+	}
+	for _, c := range cases {
+		b := newBench()
+		b.submit(1)
+		current := b.links["side-a"]
+		if c.session > 1 {
+			later := *current
+			later.Remote.Session = c.session
+			current = &later
+			b.s.OnUp(b.now, current)
+			b.load("side-b")
+		}
+		b.s.OnMessage(b.now, current, &marshaler.Held{})
+		b.s.Flush(b.now)
+		b.s.Flush(b.now) // the first grant names the sidecar that has not reported on its new session
+		if len(b.starts) != c.starts {
+			t.Errorf("%s: got %d starts, want %d", c.name, len(b.starts), c.starts)
+		}
+	}
+}
