Run restartable jobs of several steps, with labels, racks and a bound of tasks on a server

Change: a job has steps (submitter/steps.go), each with its own request for room; a step is asked for once all steps before it are done. The placing entry leaves out workers without the label or with enough tasks of the step, and counts a worker far from the data for half (placer/binding.go). The index of a task carries its step. Requests with the same latest start now keep the order of their arrival; the median speed is computed once a round and not for each task.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -86,17 +86,19 @@
 	case *Ask:
 		return appendAsk(append(dst, kindAsk), m)
 	case *Withdraw:
-		return appender.AppendText(append(dst, kindWithdraw), 1, m.Job)
+		dst = appender.AppendText(append(dst, kindWithdraw), 1, m.Job)
+		return appender.AppendUint(dst, 2, m.Step)
 	case *Grant:
 		dst = appender.AppendText(append(dst, kindGrant), 1, m.Job)
 		for _, s := range m.Sidecars {
 			dst = appendBytes(dst, 2, []byte(s))
 		}
-		return dst
+		return appender.AppendUint(dst, 3, m.Step)
 	case *Reject:
 		dst = appender.AppendText(append(dst, kindReject), 1, m.Job)
 		dst = appender.AppendText(dst, 2, m.Reason)
-		return appendInt(dst, 3, int64(m.RetryAfter))
+		dst = appendInt(dst, 3, int64(m.RetryAfter))
+		return appender.AppendUint(dst, 4, m.Step)
 	}
 	panic(fmt.Sprintf("marshaler: unknown message type %T", m))
 }
@@ -122,6 +124,13 @@
 	for _, name := range m.Avoid {
 		dst = appendBytes(dst, 10, []byte(name))
 	}
+	dst = appender.AppendUint(dst, 11, m.Step)
+	dst = appender.AppendText(dst, 12, m.Label)
+	dst = appender.AppendText(dst, 13, m.Rack)
+	dst = appender.AppendUint(dst, 14, m.PerServer)
+	for _, name := range m.Placed {
+		dst = appendBytes(dst, 15, []byte(name))
+	}
 	return dst
 }
 
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -65,7 +65,7 @@
 		return m, m.set
 	case kindWithdraw:
 		m := &Withdraw{}
-		return m, func(f appender.Field) error { return f.Text(&m.Job, MaxName) }
+		return m, m.set
 	case kindGrant:
 		m := &Grant{}
 		return m, m.set
@@ -255,6 +255,26 @@
 		return setBool(f, &m.Started)
 	case 10:
 		return addText(f, &m.Avoid)
+	case 11:
+		return f.Uint(&m.Step)
+	case 12:
+		return f.Text(&m.Label, MaxName)
+	case 13:
+		return f.Text(&m.Rack, MaxName)
+	case 14:
+		return f.Uint(&m.PerServer)
+	case 15:
+		return addText(f, &m.Placed)
+	}
+	return nil
+}
+
+func (m *Withdraw) set(f appender.Field) error {
+	switch f.Tag {
+	case 1:
+		return f.Text(&m.Job, MaxName)
+	case 2:
+		return f.Uint(&m.Step)
 	}
 	return nil
 }
@@ -265,6 +285,8 @@
 		return f.Text(&m.Job, MaxName)
 	case 2:
 		return addText(f, &m.Sidecars)
+	case 3:
+		return f.Uint(&m.Step)
 	}
 	return nil
 }
@@ -277,6 +299,8 @@
 		return f.Text(&m.Reason, MaxName)
 	case 3:
 		return setMillis(f, &m.RetryAfter)
+	case 4:
+		return f.Uint(&m.Step)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -58,7 +58,7 @@
 	// RunKey names one attempt of one task.
 	RunKey struct {
 		Job     string
-		Index   uint64
+		Index   uint64 // of the task, as TaskIndex returns it
 		Attempt uint64
 	}
 
@@ -161,15 +161,26 @@
 		Priority uint64
 		Started  bool     // some of the job has started, so the request is not refused
 		Avoid    []string // sidecars that failed a task of the job or that the asking entry does not reach
+		Step     uint64   // of the job
+		Label    string   // that the backend server must have; empty for none
+		Rack     string   // on which the tasks run fastest; empty for none
+		// PerServer is the most tasks of the step on one backend server, 0 for any number. Placed has the sidecars that
+		// have some already, with one element for each task.
+		PerServer uint64
+		Placed    []string
 	}
 
 	// Withdraw takes back what is left of a request for room.
-	Withdraw struct{ Job string }
+	Withdraw struct {
+		Job  string
+		Step uint64
+	}
 
-	// Grant names the sidecars on which tasks of a job may start, one name for each task.
+	// Grant names the sidecars on which tasks of a job's step may start, one name for each task.
 	Grant struct {
 		Job      string
 		Sidecars []string
+		Step     uint64
 	}
 
 	// Reject refuses a request for room. Nothing was granted on it.
@@ -177,9 +188,21 @@
 		Job        string
 		Reason     string
 		RetryAfter timer.Millis
+		Step       uint64
 	}
 )
 
+// stepShift separates the number of the step from that of the task within it.
+const stepShift = 32
+
+// TaskIndex returns the index of a task among all tasks of its job.
+func TaskIndex(step, index int) uint64 { return uint64(step)<<stepShift | uint64(index) }
+
+// Task returns the numbers of the run's step and of its task within it.
+func (r RunKey) Task() (step, index int) {
+	return int(r.Index >> stepShift), int(r.Index & (1<<stepShift - 1))
+}
+
 // Add returns the sum of r and o.
 func (r Room) Add(o Room) Room {
 	return Room{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -55,11 +55,11 @@
 		queue   []byte   // encoded frames that wait for the writer
 		bulk    [][]byte // rests of long messages that wait for the writer
 		waiting int      // bytes in bulk
-		count   int // messages in queue and in the batch that is being written
-		spare   []byte // the buffer that the writer used last
-		writing bool   // a flush goroutine is running
-		closed  bool   // Send refuses
-		over    bool   // Close was called
+		count   int      // messages in queue and in the batch that is being written
+		spare   []byte   // the buffer that the writer used last
+		writing bool     // a flush goroutine is running
+		closed  bool     // Send refuses
+		over    bool     // Close was called
 		cause   error
 		beat    *time.Timer
 	}
--- /dev/null
+++ b/placer/binding_test.go
@@ -0,0 +1,52 @@
+package placer
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+// TestBinding guards against tasks on workers that a step does not allow, and against work far from its data while there
+// is room near it.
+func TestBinding(t *testing.T) {
+	cases := []struct {
+		name   string
+		ask    marshaler.Ask
+		want   []string
+		reject bool
+	}{
+		{"unbound", marshaler.Ask{Tasks: 2}, []string{"a", "a"}, false},
+		{"label", marshaler.Ask{Tasks: 2, Label: "big"}, []string{"b", "b"}, false},
+		{"label of no worker", marshaler.Ask{Tasks: 1, Label: "none"}, nil, true},
+		{"rack", marshaler.Ask{Tasks: 2, Rack: "r2"}, []string{"c", "c"}, false},
+		{"rack without room for all", marshaler.Ask{Tasks: 4, Rack: "r2"}, []string{"a", "c", "c", "c"}, false},
+		{"one on each server", marshaler.Ask{Tasks: 3, PerServer: 1}, []string{"a", "b", "c"}, false},
+		{"one on each server, more tasks than servers", marshaler.Ask{Tasks: 5, PerServer: 1}, []string{"a", "b", "c"}, false},
+		{"one on each server, two placed", marshaler.Ask{Tasks: 2, PerServer: 1, Placed: []string{"a", "b"}}, []string{"c"}, false},
+		{"two on each server, one placed", marshaler.Ask{Tasks: 4, PerServer: 2, Placed: []string{"a"}, Label: "small"}, []string{"a", "c", "c"}, false},
+	}
+	for _, c := range cases {
+		var got []string
+		rejected := false
+		p := Placer{
+			Grant:  func(_ string, g marshaler.Grant) { got = append(got, g.Sidecars...) },
+			Reject: func(string, marshaler.Reject) { rejected = true },
+		}
+		room := marshaler.Room{CPU: 3000}
+		p.SetWorker("a", "", &marshaler.Backend{Service: "svc", Total: room, Labels: []string{"small", "r1"}})
+		p.SetWorker("b", "", &marshaler.Backend{Service: "svc", Total: room, Labels: []string{"big", "r1"}})
+		p.SetWorker("c", "", &marshaler.Backend{Service: "svc", Total: room, Labels: []string{"small", "r2"}})
+		for i, name := range []string{"a", "b", "c"} {
+			p.OnLoad(1, name, &marshaler.Load{Accepting: true, Free: room, Speed: uint64(1000 - i)})
+		}
+		p.began = 1
+		c.ask.Job, c.ask.Service, c.ask.Room, c.ask.Estimate, c.ask.Slack = "job", "svc", marshaler.Room{CPU: 1000}, 10, 100
+		p.Ask(5000, "entry", "", &c.ask)
+		p.Place(5000)
+		slices.Sort(got)
+		if !slices.Equal(got, c.want) || rejected != c.reject {
+			t.Errorf("%s: got %v, rejected %v, want %v, %v", c.name, got, rejected, c.want, c.reject)
+		}
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,6 +36,7 @@
 		queue   []*request
 		byKey   map[requestKey]*request
 		began   timer.Millis // of the first request; 0 before it
+		usual   float64      // median speed of the workers, as of the current Place
 	}
 
 	// Event is a decision, for logs and counters.
@@ -48,7 +49,10 @@
 		Value  int64
 	}
 
-	requestKey struct{ entry, job string }
+	requestKey struct {
+		entry, job string
+		step       uint64
+	}
 
 	// request is what is left of a request for room.
 	request struct {
@@ -63,6 +67,7 @@
 		arrived  timer.Millis
 		granted  []string
 		avoid    []string // sidecars that get none of the job, while others serve its service
+		bound    binding
 	}
 )
 
@@ -117,16 +122,17 @@
 
 // Ask queues a request for room or refuses it.
 func (p *Placer) Ask(now timer.Millis, entry, domain string, a *marshaler.Ask) {
-	key := requestKey{entry, a.Job}
+	key := requestKey{entry, a.Job, a.Step}
 	if r := p.byKey[key]; r != nil {
 		r.left += a.Tasks
 		r.started = r.started || a.Started
-		r.avoid = a.Avoid
+		r.avoid, r.bound = a.Avoid, bind(a)
 		return
 	}
 	r := &request{
 		key: key, domain: domain, service: a.Service, room: a.Room, estimate: a.Estimate, left: a.Tasks,
 		latest: now + a.Slack, started: a.Started, arrived: now, avoid: a.Avoid,
+		bound: bind(a),
 	}
 	if p.began == 0 {
 		p.began = now
@@ -139,7 +145,12 @@
 		p.byKey = map[requestKey]*request{}
 	}
 	p.byKey[key] = r
-	i, _ := slices.BinarySearchFunc(p.queue, r, compare)
+	i, _ := slices.BinarySearchFunc(p.queue, r, func(queued, r *request) int {
+		if compare(queued, r) <= 0 { // equal ones keep the order of their arrival
+			return -1
+		}
+		return 1
+	})
 	p.queue = slices.Insert(p.queue, i, r)
 }
 
@@ -155,8 +166,8 @@
 }
 
 // Withdraw drops what is left of a request.
-func (p *Placer) Withdraw(entry, job string) {
-	if r := p.byKey[requestKey{entry, job}]; r != nil {
+func (p *Placer) Withdraw(entry, job string, step uint64) {
+	if r := p.byKey[requestKey{entry, job, step}]; r != nil {
 		p.drop(r)
 	}
 }
@@ -174,7 +185,7 @@
 func (p *Placer) Leave() {
 	for _, r := range slices.Clone(p.queue) {
 		p.drop(r)
-		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Reason: ReasonMoved})
+		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: ReasonMoved})
 	}
 }
 
@@ -189,7 +200,7 @@
 // reject refuses a request of which nothing was granted.
 func (p *Placer) reject(r *request, reason string, wait timer.Millis) {
 	p.report(Event{Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.inputs(r), Value: int64(wait)})
-	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Reason: reason, RetryAfter: wait})
+	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: reason, RetryAfter: wait})
 }
 
 // Place refuses what can no longer be served in time and grants the free room.
@@ -201,6 +212,7 @@
 	if len(p.queue) == 0 {
 		return
 	}
+	p.usual = p.usualSpeed()
 	blocked := 0
 	var served []*request
 	for _, r := range p.queue {
@@ -216,6 +228,7 @@
 				w.breaker.probeAt = now + lastProbe
 			}
 			r.left--
+			r.bound.place(w.name)
 			r.granted = append(r.granted, w.name)
 		}
 		if len(r.granted) > 0 {
@@ -232,7 +245,7 @@
 func (p *Placer) send(served []*request) {
 	resort := false
 	for _, r := range served {
-		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Sidecars: r.granted})
+		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
 		r.granted = nil
 		if r.left == 0 {
 			p.drop(r)
@@ -263,18 +276,19 @@
 func (p *Placer) pick(now timer.Millis, r *request) *worker {
 	var best *worker
 	var bestScore float64
-	usual := p.usualSpeed()
 	for _, w := range p.order {
-		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || p.avoids(r, w) {
+		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || p.avoids(r, w) ||
+			!r.bound.allows(w) {
 			continue
 		}
-		score := w.speed / usual
+		speed := w.speed / p.usual
+		if speed < slowShare && w.busy() {
+			continue
+		}
+		score := speed * r.bound.factor(w)
 		if w.domain == r.domain {
 			score += nearBonus
 		}
-		if score < slowShare && w.busy() {
-			continue
-		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -320,7 +334,7 @@
 	for _, w := range p.order {
 		if w.service == r.service {
 			service = true
-			fits = fits || w.total.Holds(r.room)
+			fits = fits || w.total.Holds(r.room) && r.bound.labelled(w)
 		}
 	}
 	switch {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -287,7 +287,7 @@
 		}
 		f.p.Grant = func(string, marshaler.Grant) {}
 		f.p.Ask(f.now-2000, "entry", "", &marshaler.Ask{Job: "first", Service: "svc"}) // workers had time to report
-		f.p.Withdraw("entry", "first")
+		f.p.Withdraw("entry", "first", 0)
 		if c.prior > 0 {
 			f.p.Ask(f.now, "entry", "", &marshaler.Ask{Job: "prior", Service: "svc", Tasks: uint64(c.prior), Room: marshaler.Room{CPU: 3000}, Estimate: 100, Slack: 40})
 		}
--- a/submitter/kind.go
+++ b/submitter/kind.go
@@ -17,20 +17,20 @@
 	maxID = 64
 	// maxEstimate bounds the estimated run time of a task.
 	maxEstimate = 24 * 60 * timer.Minute
+	// maxSteps and maxTasks bound a job.
+	maxSteps = 100
+	maxTasks = 10_000
 	// retrySpread is the time over which the return of refused callers is spread.
 	retrySpread = 2 * timer.Second
 )
 
-// Kind says what a job asks for beyond restartable tasks of one step.
+// Kind says what a job asks for beyond restartable tasks.
 type Kind struct {
-	Kept      bool // the job and its state outlive its entry
-	Steps     int  // number of steps
-	Repeats   bool // occurrences at set times
-	Lasts     bool // tasks run until the job is cancelled
-	Fills     bool // tasks use what the others leave
-	Together  bool // tasks work only together
-	Label     string
-	PerServer int // most tasks of the step on one backend server; 0 for any number
+	Kept     bool // the job and its state outlive its entry
+	Repeats  bool // occurrences at set times
+	Lasts    bool // tasks run until the job is cancelled
+	Fills    bool // tasks use what the others leave
+	Together bool // tasks work only together
 }
 
 // malformed returns what is wrong with a job that no entry can pass on, or an empty text.
@@ -40,12 +40,8 @@
 		return "the identifier has no or too many bytes, or a dot or slash"
 	case len(j.Spec) > marshaler.MaxSpec:
 		return "the specification is too long"
-	case j.Room.CPU < 0 || j.Room.MemoryMB < 0 || j.Room.Accelerators < 0:
-		return "a task asks for less than nothing"
-	case j.Estimate < 0 || j.Estimate > maxEstimate:
-		return "the estimated run time is out of range"
 	}
-	return ""
+	return j.unsoundSteps()
 }
 
 // unsupported returns what of the kind is not supported, or an empty text.
@@ -54,16 +50,12 @@
 	switch {
 	case k.Kept:
 		return "jobs that are kept are not supported"
-	case k.Steps > 1:
-		return "jobs of several steps are not supported"
 	case k.Repeats:
 		return "jobs that repeat are not supported"
 	case k.Lasts, k.Fills:
 		return "tasks that last or fill are not supported"
 	case k.Together:
 		return "tasks that work only together are not supported"
-	case k.Label != "", k.PerServer > 0:
-		return "tasks that are bound to backend servers are not supported"
 	case j.Queue.Advised:
 		return "queues with an advice service are not supported"
 	}
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -33,19 +33,32 @@
 	return a.Name < b.Name
 }
 
-// ask requests room for more tasks of a job.
-func (s *Submitter) ask(j *job, tasks int) {
+// askReady requests room for the steps whose turn has come.
+func (s *Submitter) askReady(j *job) {
+	for n := range j.steps {
+		st := &j.steps[n]
+		if !st.begun && j.ready(n) {
+			st.begun = true
+			s.ask(j, n, len(st.tasks))
+		}
+	}
+}
+
+// ask requests room for more tasks of a step.
+func (s *Submitter) ask(j *job, step, tasks int) {
+	st := &j.steps[step]
 	m := &marshaler.Ask{
-		Job: j.ID, Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: j.Room, Estimate: j.Estimate,
+		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: st.Room, Estimate: st.Estimate,
 		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.begun(), Avoid: j.avoid,
+		Label: st.Label, Rack: st.Rack, PerServer: uint64(st.PerServer), Placed: st.placed(),
 	}
 	at := s.placing()
-	if j.asked > 0 && at != j.askedAt {
+	if st.asked > 0 && at != st.askedAt {
 		// The earlier placing entry may still grant what it was asked for, so the new one is asked only for the rest.
 		s.report(Event{Kind: "askElsewhere", Job: j.ID, Peer: at, Value: int64(tasks)})
 	}
-	j.asked += tasks
-	j.askedAt = at
+	st.asked += tasks
+	st.askedAt = at
 	if at == s.Name {
 		s.subscribeAll()
 		s.placer.Ask(s.now, s.Name, s.Domain, m)
@@ -54,33 +67,30 @@
 	s.peers[at].send(s.now, m)
 }
 
-// withdraw takes back the open requests of a job.
-func (s *Submitter) withdraw(j *job) {
-	j.asked = 0
-	if j.askedAt == s.Name {
-		s.placer.Withdraw(s.Name, j.ID)
-	} else if p := s.peers[j.askedAt]; p != nil && p.link != nil {
-		p.send(s.now, &marshaler.Withdraw{Job: j.ID})
+// withdraw takes back the open request of a step.
+func (s *Submitter) withdraw(j *job, step int) {
+	st := &j.steps[step]
+	if st.asked == 0 {
+		return
+	}
+	st.asked = 0
+	if st.askedAt == s.Name {
+		s.placer.Withdraw(s.Name, j.ID, uint64(step))
+	} else if p := s.peers[st.askedAt]; p != nil && p.link != nil {
+		p.send(s.now, &marshaler.Withdraw{Job: j.ID, Step: uint64(step)})
 	}
 }
 
 // askAgain repeats the open requests that went to a placing entry that is lost.
 func (s *Submitter) askAgain(lost string) {
 	for _, j := range marshaler.InOrder(s.jobs) {
-		if j.asked > 0 && j.askedAt == lost {
-			j.asked = 0
-			s.ask(j, j.queued())
-		}
-	}
-}
-
-func (j *job) queued() (n int) {
-	for i := range j.tasks {
-		if j.tasks[i].state == taskQueued {
-			n++
+		for n := range j.steps {
+			if st := &j.steps[n]; st.asked > 0 && st.askedAt == lost {
+				st.asked = 0
+				s.ask(j, n, st.queued())
+			}
 		}
 	}
-	return n
 }
 
 // sendGrant delivers a grant of this entry's placer.
@@ -104,47 +114,49 @@
 // onGrant starts a queued task on each granted sidecar.
 func (s *Submitter) onGrant(g *marshaler.Grant) {
 	j := s.jobs[g.Job]
-	if j == nil {
+	if j == nil || g.Step >= uint64(len(j.steps)) {
 		return
 	}
+	st := &j.steps[g.Step]
 	if j.granted == 0 {
 		j.granted = s.now
 		s.report(Event{Kind: "grant", Job: j.ID, Queue: j.Queue.Name, Peer: g.Sidecars[0], Value: int64(len(g.Sidecars)), Took: s.now - j.arrived})
 	}
 	again, next := 0, 0
 	for _, name := range g.Sidecars {
-		for next < len(j.tasks) && j.tasks[next].state != taskQueued {
+		for next < len(st.tasks) && st.tasks[next].state != taskQueued {
 			next++
 		}
-		if next == len(j.tasks) {
+		if next == len(st.tasks) {
 			break // more was granted than is needed, after a request was repeated
 		}
-		j.asked = max(j.asked-1, 0)
-		if !s.start(j, next, name) {
+		st.asked = max(st.asked-1, 0)
+		if !s.start(j, int(g.Step), next, name) {
 			again++
 		}
 	}
 	if again > 0 {
-		s.ask(j, again)
+		s.ask(j, int(g.Step), again)
 	}
 }
 
 // start orders a task on a sidecar. It returns false when the sidecar cannot be reached.
-func (s *Submitter) start(j *job, index int, name string) bool {
+func (s *Submitter) start(j *job, step, index int, name string) bool {
 	sc := s.sidecars[name]
 	if sc == nil || sc.link == nil || sc.clockAt == 0 {
 		s.report(Event{Kind: "unreachable", Job: j.ID, Peer: name})
 		j.avoidSidecar(name)
 		return false
 	}
-	t := &j.tasks[index]
+	st := &j.steps[step]
+	t := &st.tasks[index]
 	t.attempt++
 	t.state, t.sidecar, t.sidecarN = taskPlaced, name, sc.incarnation
 	j.unsettled++
-	key := marshaler.RunKey{Job: j.ID, Index: uint64(index), Attempt: t.attempt}
+	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt}
 	sc.placed[key] = sc.session
 	sc.link.Send(&marshaler.Start{
-		Run: key, Spec: j.Spec, Room: j.Room, Estimate: j.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
+		Run: key, Spec: j.Spec, Room: st.Room, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
 	})
 	return true
 }
@@ -159,13 +171,14 @@
 // onReject answers a refused job, or asks again when it cannot be refused any more.
 func (s *Submitter) onReject(r *marshaler.Reject) {
 	j := s.jobs[r.Job]
-	if j == nil {
+	if j == nil || r.Step >= uint64(len(j.steps)) {
 		return
 	}
-	j.asked = 0
+	st := &j.steps[r.Step]
+	st.asked = 0
 	if r.Reason == placer.ReasonMoved || j.begun() {
-		if n := j.queued(); n > 0 {
-			s.ask(j, n)
+		if n := st.queued(); n > 0 {
+			s.ask(j, int(r.Step), n)
 		}
 		return
 	}
@@ -176,10 +189,15 @@
 func (s *Submitter) onOutcome(sc *sidecar, o *marshaler.Outcome) {
 	delete(sc.placed, o.Run)
 	j := s.jobs[o.Run.Job]
-	if j == nil || int(o.Run.Index) >= len(j.tasks) {
+	if j == nil {
 		return
 	}
-	t := &j.tasks[o.Run.Index]
+	step, index := o.Run.Task()
+	if step >= len(j.steps) || index >= len(j.steps[step].tasks) {
+		return
+	}
+	st := &j.steps[step]
+	t := &st.tasks[index]
 	if t.state != taskPlaced || t.attempt != o.Run.Attempt || t.sidecar != sc.name {
 		return
 	}
@@ -188,9 +206,15 @@
 	switch o.Status {
 	case marshaler.StatusDone:
 		t.state = taskDone
-		if j.done++; j.done == len(j.tasks) {
+		st.done++
+		if st.done < len(st.tasks) {
+			return
+		}
+		if j.done++; j.done == len(j.steps) {
 			s.finish(j, Answer{Kind: AnswerDone})
+			return
 		}
+		s.askReady(j)
 		return
 	case marshaler.StatusStalled:
 		j.avoidSidecar(sc.name)
@@ -210,5 +234,5 @@
 		Kind: "requeue", Job: j.ID, Queue: j.Queue.Name, Peer: sc.name, Detail: o.Status.String() + " " + o.Reason,
 		Value: int64(o.Run.Index), Took: o.Ran,
 	})
-	s.ask(j, 1)
+	s.ask(j, step, 1)
 }
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -152,7 +152,7 @@
 		s.subscribeAll()
 		s.placer.Ask(s.now, p.hello.Name, p.hello.Domain, m)
 	case *marshaler.Withdraw:
-		s.placer.Withdraw(p.hello.Name, m.Job)
+		s.placer.Withdraw(p.hello.Name, m.Job, m.Step)
 	case *marshaler.Grant:
 		if len(m.Sidecars) > 0 {
 			s.onGrant(m)
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -65,17 +65,15 @@
 		RetryAfter timer.Millis // with AnswerNotRun
 	}
 
-	// Job is a job of a caller. Restartable jobs of one step are supported: nothing of them is kept, and a task may run
-	// again once its earlier attempt has surely ended.
+	// Job is a job of a caller. Restartable jobs are supported: nothing of them is kept, and a task may run again once its
+	// earlier attempt has surely ended.
 	Job struct {
 		ID       string
 		Kind     Kind
 		Queue    router.Queue
 		Spec     string
-		Tasks    int
-		Room     marshaler.Room // of each task
-		Estimate timer.Millis   // of each task's run time
-		Deadline timer.Millis   // time for which the caller waits; 0 for none stated
+		Steps    []Step
+		Deadline timer.Millis // time for which the caller waits; 0 for none stated
 		// Answer is called once.
 		Answer func(a Answer)
 	}
@@ -116,12 +114,10 @@
 		arrived   timer.Millis
 		latest    timer.Millis // latest useful start
 		until     timer.Millis // deadline
-		tasks     []task
+		steps     []step
 		done      int
-		unsettled int  // tasks in taskPlaced
-		ran       bool // some run began
-		asked     int  // tasks with an open request
-		askedAt   string
+		unsettled int          // tasks in taskPlaced
+		ran       bool         // some run began
 		granted   timer.Millis // of the first grant
 		avoid     []string     // sidecars that failed a task of the job or could not be reached
 	}
@@ -217,16 +213,13 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.Estimate) + float64(j.Queue.Target)))
+	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.longestChain()) + float64(j.Queue.Target)))
 	n := &job{
 		Job: j, waiters: []func(a Answer){j.Answer}, arrived: now, latest: now + slack, until: now + wait,
-		tasks: make([]task, j.Tasks),
-	}
-	for i := range n.tasks {
-		n.tasks[i].state = taskQueued
+		steps: newSteps(j.Steps),
 	}
 	s.jobs[j.ID] = n
-	s.ask(n, j.Tasks)
+	s.askReady(n)
 }
 
 // Drop ends a job whose caller left or cancelled it.
@@ -258,7 +251,7 @@
 		switch {
 		case now >= j.until:
 			s.finish(j, Answer{Kind: AnswerGaveUp, Reason: "deadline passed"})
-		case j.asked > 0 && !j.begun() && now >= j.latest+placerWait:
+		case j.asking() && !j.begun() && now >= j.latest+placerWait:
 			s.finish(j, Answer{Kind: AnswerNotRun, Reason: "no answer from the placing entry", RetryAfter: timer.Second})
 		}
 	}
@@ -281,12 +274,12 @@
 	if a.Kind == AnswerNotRun {
 		a.RetryAfter += spread(j.ID)
 	}
-	if j.asked > 0 {
-		s.withdraw(j)
-	}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == taskPlaced {
-			s.stop(marshaler.RunKey{Job: j.ID, Index: uint64(i), Attempt: t.attempt}, t.sidecar)
+	for n := range j.steps {
+		s.withdraw(j, n)
+		for i := range j.steps[n].tasks {
+			if t := &j.steps[n].tasks[i]; t.state == taskPlaced {
+				s.stop(marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(n, i), Attempt: t.attempt}, t.sidecar)
+			}
 		}
 	}
 	s.report(Event{
