Keep jobs: store them before they begin, under one owner for each partition

Cause: jobs that outlive their entry were refused with 503. Deployments that nobody here has seen may send them.

Change: the store's group of owners deals partitions of the topic jobs to the entries (conductor/owner.go); each write carries the owner's epoch and a number, so that a lost answer is repeated once and a former owner is kept out (conductor/writer.go). A job is answered once its record is stored, and begins after that. Ends with success or failure stay listed at the backend server until their record is stored; a new owner reads the records, claims the partition at all sidecars, adopts the runs and ends that they have (keeper/kept.go, submitter/kept.go), and starts the rest once every unseen run has surely ended. An end that comes back after its task was started again is void: the sidecar lets the lease lapse before the backend server may forget it. Entries pass requests on to the owner; an answer about a running job waits up to 150 ms for its end, because callers ask right after it. Entries join the group only once a kept job was seen (a marker in the store), so installations without them pay nothing.

TestKept, TestKeptHandover and TestArchive pass.

--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,71 @@
+package archiver
+
+import (
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+func job(steps ...uint64) *marshaler.JobRecord {
+	j := &marshaler.JobRecord{ID: "job", Attempts: 2}
+	for _, n := range steps {
+		j.Steps = append(j.Steps, marshaler.Step{Tasks: n})
+	}
+	return j
+}
+
+func end(step, index int, attempt uint64, s marshaler.Status) *marshaler.EndRecord {
+	return &marshaler.EndRecord{Run: marshaler.RunKey{Job: "job", Index: marshaler.TaskIndex(step, index), Attempt: attempt}, Status: s}
+}
+
+// TestArchive guards against jobs that a new owner takes for finished, or runs again, in another state than the records
+// say.
+func TestArchive(t *testing.T) {
+	done, failed := marshaler.StatusDone, marshaler.StatusFailed
+	cases := []struct {
+		name     string
+		records  []marshaler.Message
+		want     State
+		failures uint64 // of the first recorded task
+	}{
+		{"accepted", []marshaler.Message{job(1)}, Open, 0},
+		{"done", []marshaler.Message{job(1), end(0, 0, 1, done)}, Succeeded, 0},
+		{"one of two tasks", []marshaler.Message{job(2), end(0, 1, 1, done)}, Open, 0},
+		{"one of two steps", []marshaler.Message{job(1, 1), end(0, 0, 1, done)}, Open, 0},
+		{"both steps", []marshaler.Message{job(1, 1), end(1, 0, 1, done), end(0, 0, 1, done)}, Succeeded, 0},
+		{"failed once", []marshaler.Message{job(1), end(0, 0, 1, failed)}, Open, 1},
+		{"the same failure twice", []marshaler.Message{job(1), end(0, 0, 1, failed), end(0, 0, 1, failed)}, Open, 1},
+		{"failed twice", []marshaler.Message{job(1), end(0, 0, 1, failed), end(0, 0, 2, failed)}, Failed, 2},
+		{"failed, then done", []marshaler.Message{job(1), end(0, 0, 1, failed), end(0, 0, 2, done)}, Succeeded, 1},
+		{"cancelled", []marshaler.Message{job(1), &marshaler.CancelRecord{Job: "job"}}, Cancelled, 0},
+		{"cancelled after its end", []marshaler.Message{job(1), end(0, 0, 1, done), &marshaler.CancelRecord{Job: "job"}}, Succeeded, 0},
+		{"end after a cancel", []marshaler.Message{job(1), &marshaler.CancelRecord{Job: "job"}, end(0, 0, 1, done)}, Cancelled, 0},
+		{"records of an unknown job", []marshaler.Message{end(0, 0, 1, done), &marshaler.CancelRecord{Job: "job"}, job(1)}, Open, 0},
+	}
+	for _, c := range cases {
+		var a Archive
+		for _, m := range c.records {
+			if err := a.Add(marshaler.Append(nil, m)); err != nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+		}
+		jobs := a.Jobs()
+		if len(jobs) != 1 || StateOf(jobs[0]) != c.want {
+			t.Errorf("%s: got %d jobs, state %d, want one in state %d", c.name, len(jobs), StateOf(jobs[0]), c.want)
+			continue
+		}
+		if len(jobs[0].Tasks) > 0 && jobs[0].Tasks[0].Failures != c.failures {
+			t.Errorf("%s: got %d failures, want %d", c.name, jobs[0].Tasks[0].Failures, c.failures)
+		}
+	}
+}
+
+// TestForeignRecords guards against records of other writers that end the replay.
+func TestForeignRecords(t *testing.T) {
+	for _, body := range [][]byte{nil, {0xff}, []byte("text"), marshaler.Append(nil, &marshaler.Beat{})} {
+		var a Archive
+		if err := a.Add(body); err == nil || len(a.Jobs()) != 0 {
+			t.Errorf("%q: got error %v, %d jobs, want an error and none", body, err, len(a.Jobs()))
+		}
+	}
+}
--- a/conductor/entries.go
+++ b/conductor/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -12,8 +13,12 @@
 	"github.com/crocuslb/crocuslb/platform"
 )
 
-// registerPause is the pause before the address of an entry is written to the store again after a failure.
-const registerPause = 300 * time.Millisecond
+const (
+	// registerPause is the pause before the address of an entry is written to the store again after a failure.
+	registerPause = 300 * time.Millisecond
+	// keptMarker is the key of the record that says that kept jobs are in use. It is no name of an entry.
+	keptMarker = "*kept"
+)
 
 // directory knows the addresses of the entries, from the store, from settings and from other processes, and keeps a
 // connection to each. Its methods may be called concurrently.
@@ -27,6 +32,10 @@
 	wanted func(p marshaler.Peer) bool
 	// self is this process as an entry; its Name is empty in a sidecar.
 	self marshaler.Peer
+	// kept is told whether kept jobs are in use, when that is first read and when it changes; nil in a sidecar.
+	kept func(inUse bool)
+
+	announcing atomic.Bool
 
 	mu     sync.Mutex
 	known  map[string]marshaler.Peer     // by address
@@ -102,12 +111,19 @@
 		},
 		Apply: func(p follower.Page, whole bool) {
 			var peers []marshaler.Peer
-			own := false
+			own, inUse := false, false
 			for _, r := range p.Records {
+				if r.Key == keptMarker {
+					inUse = true
+					continue
+				}
 				d.keep(r.Key, string(r.Value))
 				peers = append(peers, marshaler.Peer{Name: r.Key, Address: string(r.Value)})
 				own = own || r.Key == d.self.Name
 			}
+			if d.kept != nil && (whole || inUse) {
+				d.kept(inUse)
+			}
 			if d.self.Name != "" && (whole && !own || own && !hasAddress(p, d.self)) {
 				select {
 				case registered <- struct{}{}:
@@ -124,6 +140,23 @@
 	f.Run(ctx)
 }
 
+// announceKept writes to the store that kept jobs are in use. It never blocks.
+func (d *directory) announceKept(ctx context.Context) {
+	if !d.announcing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.announcing.Store(false)
+		err := d.store.Append(ctx, platform.TopicEntries, follower.Record{Key: keptMarker, Value: []byte("1")})
+		if err != nil {
+			d.logger.WithError(err).Warn("members: use of kept jobs is not announced yet")
+			return
+		}
+		d.logger.Info("members: kept jobs are in use from now on")
+		d.kept(true)
+	}()
+}
+
 // hasAddress reports whether the newest record of an entry in p has its address.
 func hasAddress(p follower.Page, self marshaler.Peer) (ok bool) {
 	for _, r := range p.Records {
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -35,6 +35,7 @@
 	core    submitter.Submitter
 	config  configuration
 	members directory
+	owner   owner
 	node    carrier.Node
 	monitor monitor
 	links   sessions
@@ -50,7 +51,12 @@
 	}
 	e.loop = newLoop()
 	e.monitor.logger = e.Logger
-	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report}
+	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions}
+	e.owner = owner{
+		logger: e.Logger, store: newStore(e.Store, 0), loop: e.loop, core: &e.core, member: e.Name, nudges: make(chan struct{}, 1),
+		budget: budget{rate: writeShare * float64(e.Writes) / float64(max(e.Partitions, 1))},
+	}
+	e.core.Record, e.core.Redealt = e.owner.record, e.owner.nudge
 	e.config = configuration{logger: e.Logger, changed: e.core.SetSnapshot}
 	e.node = carrier.Node{
 		Hello: func() marshaler.Hello {
@@ -65,6 +71,8 @@
 	// The process outlives ctx by its drain time.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	e.members.kept = func(inUse bool) { e.useKept(life, inUse) }
+	e.core.WantKept = func() { e.members.announceKept(life) }
 	e.links = sessions{
 		loop: e.loop, config: &e.config, members: &e.members, up: e.core.OnUp, down: e.core.OnDown, message: e.core.OnMessage,
 	}
@@ -100,8 +108,11 @@
 	callers := &platform.Callers{
 		Snapshot: e.config.current,
 		Submit:   func(j submitter.Job, gone <-chan struct{}) submitter.Answer { return e.submit(ctx, j, gone) },
-		Cancel: func(id string) bool {
-			return e.ask(ctx, func(now timer.Millis) bool { return e.core.Drop(now, id, "cancelled by the caller") })
+		Cancel: func(queue, id string) submitter.Answer {
+			return e.call(ctx, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.Cancel(now, queue, id, answer) })
+		},
+		State: func(queue, id string) submitter.Answer {
+			return e.call(ctx, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.State(now, queue, id, answer) })
 		},
 		Waiting: func(queue string) (waiting int) {
 			e.ask(ctx, func(timer.Millis) bool { waiting = e.core.Waiting(queue); return true })
@@ -134,6 +145,26 @@
 	}
 }
 
+// call calls f in the loop and waits for the answer that follows.
+func (e *Entry) call(ctx context.Context, f func(now timer.Millis, answer func(a submitter.Answer))) submitter.Answer {
+	answer := make(chan submitter.Answer, 1)
+	e.loop.do(ctx, func(now timer.Millis) { f(now, func(a submitter.Answer) { answer <- a }) })
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "the entry ended"}
+	}
+}
+
+// useKept takes what the store says of kept jobs. This entry owns some of their partitions from then on.
+func (e *Entry) useKept(ctx context.Context, inUse bool) {
+	e.loop.do(ctx, func(now timer.Millis) { e.core.SetKept(now, inUse) })
+	if inUse {
+		e.owner.start(ctx)
+	}
+}
+
 // submit passes a job to the core and waits for its answer.
 func (e *Entry) submit(ctx context.Context, j submitter.Job, gone <-chan struct{}) submitter.Answer {
 	answer := make(chan submitter.Answer, 1)
@@ -146,6 +177,9 @@
 		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "the entry ended"}
 	case <-gone:
 	}
+	if j.Kind.Kept { // it may be in the store
+		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "caller left"}
+	}
 	e.loop.do(ctx, func(now timer.Millis) { e.core.Drop(now, j.ID, "caller left") })
 	select {
 	case a := <-answer:
@@ -158,6 +192,7 @@
 // drain ends the process: callers are turned away first, then the jobs in work end, then what is left is given up.
 func (e *Entry) drain(ctx context.Context, servers []*http.Server) {
 	e.closing.Store(true)
+	e.owner.leave(ctx)
 	e.loop.do(ctx, e.core.Leave)
 	e.Logger.WithField("drain", e.Drain.String()).Info("entry: stopping")
 	started := time.Now()
@@ -174,7 +209,7 @@
 
 func (e *Entry) report(v submitter.Event) {
 	detail, _, _ := strings.Cut(v.Detail, " ")
-	if v.Kind == "reject" || v.Kind == "sidecarLost" || v.Kind == "entryLost" {
+	if v.Kind == "reject" || v.Kind == "release" || v.Kind == "sidecarLost" || v.Kind == "entryLost" {
 		detail = ""
 	}
 	e.monitor.count(v.Kind, detail)
--- a/conductor/options.go
+++ b/conductor/options.go
@@ -47,6 +47,10 @@
 	Seeds []string
 	// Weight is the share of a processor that the process may use, in thousandths.
 	Weight uint64
+	// Partitions is the number of partitions of the kept jobs, the same for all processes.
+	Partitions uint64
+	// Writes is the number of write calls a second that the store takes from all processes together.
+	Writes uint64
 	// Drain bounds the time to finish the work in flight after SIGTERM.
 	Drain  timer.Millis
 	Logger log.Interface
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -32,6 +32,8 @@
 	{Name: "readyAddress", Unit: loader.UnitAddress, Meaning: "listen address for the load balancer's readiness checks; entries only"},
 	{Name: "announceAddress", Unit: loader.UnitAddress, Meaning: "listen address for the backend server's announcements; sidecars only"},
 	{Name: "backendAddress", Unit: loader.UnitAddress, Meaning: "address of the backend server; sidecars only"},
+	{Name: "partitions", Unit: loader.UnitCount, Default: "12", Min: 1, Max: 1024, Meaning: "partitions of the kept jobs; the same for all processes"},
+	{Name: "writes", Unit: loader.UnitCount, Default: "800", Min: 1, Max: 1_000_000, Meaning: "write calls a second that the platform's store takes from all processes together"},
 	{Name: "seeds", Unit: loader.UnitAddresses, Meaning: "addresses on machines that may run an entry; only their IP addresses are used"},
 	{Name: "cores", Unit: loader.UnitRatio, Default: "1", Meaning: "share of a processor that the process may use"},
 	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Meaning: "longest time to finish the work in flight after SIGTERM"},
@@ -63,6 +65,7 @@
 		Weight:  uint64(v.Number("cores") * coreThousandths), Drain: v.Millis("drainMs"),
 	}
 	o.Advertise = v.Text("advertise")
+	o.Partitions, o.Writes = uint64(v.Count("partitions")), uint64(v.Count("writes"))
 	if v.Count("metricsPort") != 0 {
 		o.Metrics = net.JoinHostPort(v.Text("ip"), v.Text("metricsPort"))
 	}
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -57,7 +57,7 @@
 	s.memory = memory{logger: s.Logger, store: newStore(s.Store, 0), name: s.Name, pending: make(chan string, 1)}
 	s.holds = make(chan keeper.HoldRequest, 1)
 	s.core = keeper.Keeper{
-		Domain: s.Domain, Report: s.report,
+		Domain: s.Domain, Partitions: s.Partitions, Report: s.report,
 		Start: func(m marshaler.Start) { s.start(life, m) },
 		Stop:  func(r marshaler.RunKey) { s.stop(life, r) },
 		Look:  func() { s.look(life) },
--- a/keeper/entries.go
+++ b/keeper/entries.go
@@ -35,7 +35,7 @@
 	if e.link != nil {
 		e.link.Close(trace.ConnectionProblem(nil, "replaced by a newer session"))
 	}
-	e.link, e.heard, e.greeted, e.subscribed = link, now, false, false
+	e.link, e.heard, e.greeted, e.subscribed, e.beaten = link, now, false, false, false
 	e.seen, e.settled = nil, nil
 	k.sendBackend(e)
 	k.greet(e)
@@ -72,6 +72,14 @@
 		if r := k.find(m.Run); r != nil && r.entry == e {
 			k.stop(now, r, marshaler.StatusStopped, "stopped by the entry")
 		}
+	case *marshaler.Beat:
+		e.kept, e.beaten = m.Kept, true
+	case *marshaler.Claim:
+		k.claim(e, m.Partitions)
+	case *marshaler.Release:
+		k.release(now, e, m.Partition)
+	case *marshaler.Noted:
+		k.noted(now, m)
 	case *marshaler.Subscribe:
 		if e.subscribed != m.On {
 			e.subscribed = m.On
@@ -117,6 +125,7 @@
 	for _, name := range slices.Sorted(maps.Keys(k.entries)) {
 		k.greet(k.entries[name])
 	}
+	k.sendCensuses()
 }
 
 // send reports an outcome to the entry that ordered the run, on its current session if it has one.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -83,6 +83,8 @@
 	// Keeper is the state of a sidecar. Set the exported fields before the first call.
 	Keeper struct {
 		Domain string
+		// Partitions is the number of partitions of the kept jobs.
+		Partitions uint64
 		// Start, Stop, Look and Report only queue what they are given. Look asks for a hold that does not wait.
 		Start  func(s marshaler.Start)
 		Stop   func(r marshaler.RunKey)
@@ -107,6 +109,7 @@
 		speed    float64
 		listedAt timer.Millis
 		doubtful []doubtfulStart
+		kept     kept
 	}
 
 	// doubtfulStart is a start without an answer. A later life of the backend server under the same identifier might
@@ -135,6 +138,7 @@
 		key      marshaler.RunKey
 		entry    *entry
 		room     marshaler.Room
+		kept     bool // of a kept job
 		estimate timer.Millis
 		state    int
 		since    timer.Millis // of the order, then of the start
@@ -156,6 +160,8 @@
 		heard       timer.Millis
 		sent        timer.Millis
 		greeted     bool // Held was sent on this session
+		kept        bool // it says that kept jobs are in use, or does not know
+		beaten      bool // it sent a Beat on this session
 		subscribed  bool
 		seen        []string
 		settled     []marshaler.Settled
@@ -250,6 +256,7 @@
 	k.backend.Born = born
 	k.lastSeen, k.clean, k.clock, k.clockAt, k.speed = 0, false, 0, 0, NormalSpeed
 	k.endAll(now, "backend server restarted")
+	k.kept.forget()
 	k.doubtful = slices.DeleteFunc(k.doubtful, func(d doubtfulStart) bool { return now-d.at > lateOrders })
 	for _, d := range k.doubtful {
 		k.Stop(d.key)
@@ -271,6 +278,8 @@
 		return false, "backend server is draining"
 	case k.withdrawn:
 		return false, "failure domain is withdrawn"
+	case k.kept.lapsing:
+		return false, "lease is left to lapse"
 	}
 	return true, ""
 }
@@ -285,6 +294,7 @@
 	for len(k.doubtful) > 0 && now-k.doubtful[0].at > lateOrders {
 		k.doubtful = k.doubtful[1:]
 	}
+	k.tickKept(now)
 	for name, e := range marshaler.InOrder(k.entries) {
 		if now-e.heard >= VouchLimit {
 			k.loseEntry(now, name, e)
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -39,9 +39,10 @@
 		return HoldRequest{}, false
 	}
 	k.holds++
-	h := HoldRequest{Number: k.holds, Processed: k.lastSeen, Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
-	if k.clockAt != 0 {
+	h := HoldRequest{Number: k.holds, Processed: k.processed(), Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
+	if k.clockAt != 0 && !k.kept.lapsing {
 		h.Until = k.Clock(now) + int64(LeaseTerm)
+		k.kept.extend(h.Until)
 	}
 	return h, true
 }
@@ -81,6 +82,7 @@
 	was, _ := k.Accepting()
 	wasClean := k.clean
 	k.silent = false
+	k.checkLapse(l.Clock)
 	ended := k.onEnds(now, l.Ended)
 	k.onRunning(now, l)
 	ended = k.onMissing(now, l) || ended
@@ -106,6 +108,7 @@
 		k.lastSeen = e.Number
 		r := k.find(e.Run)
 		if r == nil {
+			k.found(e)
 			continue
 		}
 		status, reason := e.Status, r.reason
@@ -115,7 +118,7 @@
 				status = marshaler.StatusStopped
 			}
 		}
-		k.end(now, r, status, reason)
+		k.finish(now, r, status, reason, e.Number)
 		ended = true
 	}
 	return ended
--- a/keeper/runs.go
+++ b/keeper/runs.go
@@ -17,6 +17,8 @@
 	at := task{m.Run.Job, m.Run.Index}
 	switch {
 	case !ok:
+	case !k.mayStart(e, m):
+		ok, reason = false, "the entry does not own the job any more"
 	case k.runs[at] != nil:
 		ok, reason = false, "task runs already"
 	case !k.free.Holds(m.Room):
@@ -29,12 +31,13 @@
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
 	}
-	r := &run{key: m.Run, entry: e, room: m.Room, estimate: m.Estimate, state: stateStarting, since: now, progress: now, startsAt: k.holds}
+	r := &run{key: m.Run, entry: e, room: m.Room, kept: m.Epoch > 0, estimate: m.Estimate, state: stateStarting, since: now, progress: now, startsAt: k.holds}
 	if k.runs == nil {
 		k.runs = map[task]*run{}
 	}
 	k.runs[at] = r
 	k.free = k.free.Sub(r.room)
+	k.kept.extend(m.NotAfter)
 	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
 	k.Start(*m)
 }
@@ -132,15 +135,25 @@
 	}
 }
 
-// end removes a run that has surely ended and reports it.
+// end removes a run that has surely ended without a listed end, and reports it.
 func (k *Keeper) end(now timer.Millis, r *run, status marshaler.Status, reason string) {
+	k.finish(now, r, status, reason, 0)
+}
+
+// finish removes a run that has surely ended and reports it. number is that of its listed end, 0 for none.
+func (k *Keeper) finish(now timer.Millis, r *run, status marshaler.Status, reason string, number uint64) {
 	delete(k.runs, task{r.key.Job, r.key.Index})
 	k.free = k.free.Add(r.room)
 	ran := now - r.since
 	if status == marshaler.StatusRefused || status == marshaler.StatusOld {
 		ran = 0
 	}
-	k.send(now, r.entry, marshaler.Outcome{Run: r.key, Status: status, Reason: reason, Ran: ran})
+	outcome := marshaler.Outcome{Run: r.key, Status: status, Reason: reason, Ran: ran}
+	if r.kept && number > 0 && lasting(status) {
+		outcome.Number = number
+		k.kept.add(outcome)
+	}
+	k.send(now, r.entry, outcome)
 	settled := marshaler.Settled{Job: r.key.Job, Status: status, Ran: ran, Estimate: r.estimate, Room: r.room}
 	for _, e := range marshaler.InOrder(k.entries) {
 		if e.subscribed {
--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -1,8 +1,6 @@
 package marshaler
 
 import (
-	"fmt"
-
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/crocuslb/crocuslb/appender"
@@ -25,6 +23,17 @@
 	kindWithdraw
 	kindGrant
 	kindReject
+	kindJobRecord
+	kindEndRecord
+	kindCancelRecord
+	kindOwned
+	kindClaim
+	kindRelease
+	kindCensus
+	kindNoted
+	kindCall
+	kindReply
+	kindWaiting
 )
 
 // Append appends the encoding of m to dst. It panics when m is not a pointer to a message type of this package.
@@ -40,7 +49,8 @@
 		return appender.AppendUint(dst, 7, m.Session)
 	case *Beat:
 		dst = appender.AppendUint(append(dst, kindBeat), 1, m.Offset)
-		return appendBool(dst, 2, m.Leaving)
+		dst = appendBool(dst, 2, m.Leaving)
+		return appendBool(dst, 3, m.Kept)
 	case *Peers:
 		dst = append(dst, kindPeers)
 		for i := range m.Peers {
@@ -54,10 +64,7 @@
 	case *Stop:
 		return appendRun(append(dst, kindStop), 1, &m.Run)
 	case *Outcome:
-		dst = appendRun(append(dst, kindOutcome), 1, &m.Run)
-		dst = appender.AppendUint(dst, 2, uint64(m.Status))
-		dst = appender.AppendText(dst, 3, m.Reason)
-		return appendInt(dst, 4, int64(m.Ran))
+		return appendOutcome(append(dst, kindOutcome), m)
 	case *Held:
 		dst = append(dst, kindHeld)
 		for i := range m.Runs {
@@ -100,7 +107,15 @@
 		dst = appendInt(dst, 3, int64(m.RetryAfter))
 		return appender.AppendUint(dst, 4, m.Step)
 	}
-	panic(fmt.Sprintf("marshaler: unknown message type %T", m))
+	return appendKept(dst, m)
+}
+
+func appendOutcome(dst []byte, m *Outcome) []byte {
+	dst = appendRun(dst, 1, &m.Run)
+	dst = appender.AppendUint(dst, 2, uint64(m.Status))
+	dst = appender.AppendText(dst, 3, m.Reason)
+	dst = appendInt(dst, 4, int64(m.Ran))
+	return appender.AppendUint(dst, 5, m.Number)
 }
 
 func appendStart(dst []byte, m *Start) []byte {
@@ -108,7 +123,8 @@
 	dst = appender.AppendText(dst, 2, m.Spec)
 	dst = appendRoom(dst, 3, m.Room)
 	dst = appendInt(dst, 4, int64(m.Estimate))
-	return appendInt(dst, 5, m.NotAfter)
+	dst = appendInt(dst, 5, m.NotAfter)
+	return appender.AppendUint(dst, 6, m.Epoch)
 }
 
 func appendAsk(dst []byte, m *Ask) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -73,7 +73,7 @@
 		m := &Reject{}
 		return m, m.set
 	}
-	return nil, nil
+	return keptDecoder(kind)
 }
 
 func (m *Hello) set(f appender.Field) error {
@@ -102,6 +102,8 @@
 		return f.Uint(&m.Offset)
 	case 2:
 		return setBool(f, &m.Leaving)
+	case 3:
+		return setBool(f, &m.Kept)
 	}
 	return nil
 }
@@ -204,6 +206,8 @@
 		return setMillis(f, &m.Estimate)
 	case 5:
 		return setInt(f, &m.NotAfter)
+	case 6:
+		return f.Uint(&m.Epoch)
 	}
 	return nil
 }
@@ -218,6 +222,8 @@
 		return f.Text(&m.Reason, MaxName)
 	case 4:
 		return setMillis(f, &m.Ran)
+	case 5:
+		return f.Uint(&m.Number)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -84,6 +84,8 @@
 	Beat struct {
 		Offset  uint64 // position of the sender's configuration in the store
 		Leaving bool   // the sender takes no new work
+		// Kept says that kept jobs are in use, or that the sender does not know yet.
+		Kept bool
 	}
 
 	// Peers lists the entries that the sender knows.
@@ -129,6 +131,8 @@
 		Estimate timer.Millis
 		// NotAfter is the time on the backend server's clock, in milliseconds, after which it refuses the start.
 		NotAfter int64
+		// Epoch is the one under which the sender owns the job's partition; 0 for a job that is not kept.
+		Epoch uint64
 	}
 
 	// Stop orders a sidecar to end a run.
@@ -140,6 +144,9 @@
 		Status Status
 		Reason string
 		Ran    timer.Millis
+		// Number is the end's number on the backend server, which lists it until the entry has sent Noted. 0 when no Noted
+		// is needed.
+		Number uint64
 	}
 
 	// Held lists the entry's attempts that the sidecar still has, when a session opens. Attempts that the entry ordered on
--- a/submitter/kind.go
+++ b/submitter/kind.go
@@ -48,8 +48,6 @@
 func (j *Job) unsupported() string {
 	k := &j.Kind
 	switch {
-	case k.Kept:
-		return "jobs that are kept are not supported"
 	case k.Repeats:
 		return "jobs that repeat are not supported"
 	case k.Lasts, k.Fills:
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -49,8 +49,8 @@
 	st := &j.steps[step]
 	m := &marshaler.Ask{
 		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: st.Room, Estimate: st.Estimate,
-		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.begun(), Avoid: j.avoid,
-		Label: st.Label, Rack: st.Rack, PerServer: uint64(st.PerServer), Placed: st.placed(),
+		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoid,
+		Label: st.Label, Rack: st.Rack, PerServer: st.PerServer, Placed: st.placed(),
 	}
 	at := s.placing()
 	if st.asked > 0 && at != st.askedAt {
@@ -117,6 +117,10 @@
 	if j == nil || g.Step >= uint64(len(j.steps)) {
 		return
 	}
+	if j.Kind.Kept && !j.keeping.stored {
+		s.store(j, g)
+		return
+	}
 	st := &j.steps[g.Step]
 	if j.granted == 0 {
 		j.granted = s.now
@@ -151,12 +155,17 @@
 	st := &j.steps[step]
 	t := &st.tasks[index]
 	t.attempt++
+	t.ordered = t.attempt
 	t.state, t.sidecar, t.sidecarN = taskPlaced, name, sc.incarnation
 	j.unsettled++
 	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt}
 	sc.placed[key] = sc.session
+	var epoch uint64
+	if j.keeping.partition != nil {
+		epoch = j.keeping.partition.epoch
+	}
 	sc.link.Send(&marshaler.Start{
-		Run: key, Spec: j.Spec, Room: st.Room, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
+		Run: key, Epoch: epoch, Spec: j.Spec, Room: st.Room, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startLife),
 	})
 	return true
 }
@@ -176,7 +185,7 @@
 	}
 	st := &j.steps[r.Step]
 	st.asked = 0
-	if r.Reason == placer.ReasonMoved || j.begun() {
+	if r.Reason == placer.ReasonMoved || j.committed() {
 		if n := st.queued(); n > 0 {
 			s.ask(j, int(r.Step), n)
 		}
@@ -187,6 +196,10 @@
 
 // onOutcome takes the certain end of an attempt.
 func (s *Submitter) onOutcome(sc *sidecar, o *marshaler.Outcome) {
+	if o.Number > 0 {
+		s.onKeptEnd(sc, o)
+		return
+	}
 	delete(sc.placed, o.Run)
 	j := s.jobs[o.Run.Job]
 	if j == nil {
@@ -196,8 +209,7 @@
 	if step >= len(j.steps) || index >= len(j.steps[step].tasks) {
 		return
 	}
-	st := &j.steps[step]
-	t := &st.tasks[index]
+	t := &j.steps[step].tasks[index]
 	if t.state != taskPlaced || t.attempt != o.Run.Attempt || t.sidecar != sc.name {
 		return
 	}
@@ -205,16 +217,7 @@
 	j.ran = j.ran || o.Status != marshaler.StatusRefused && o.Status != marshaler.StatusOld
 	switch o.Status {
 	case marshaler.StatusDone:
-		t.state = taskDone
-		st.done++
-		if st.done < len(st.tasks) {
-			return
-		}
-		if j.done++; j.done == len(j.steps) {
-			s.finish(j, Answer{Kind: AnswerDone})
-			return
-		}
-		s.askReady(j)
+		s.taskIsDone(j, step, t)
 		return
 	case marshaler.StatusStalled:
 		j.avoidSidecar(sc.name)
@@ -229,7 +232,27 @@
 	case marshaler.StatusOld:
 		t.attempt += attemptGap
 	}
-	t.state = taskQueued
+	s.requeue(sc, j, o)
+}
+
+// taskIsDone counts a task that is done, and goes on with the steps that waited for it.
+func (s *Submitter) taskIsDone(j *job, step int, t *task) {
+	t.state = taskDone
+	st := &j.steps[step]
+	if st.done++; !st.complete() {
+		return
+	}
+	if j.done++; j.done < len(j.steps) {
+		s.askReady(j)
+	} else if !j.Kind.Kept { // a kept job ends once its last end is in the store
+		s.finish(j, Answer{Kind: AnswerDone})
+	}
+}
+
+// requeue asks for room for a task whose attempt has ended.
+func (s *Submitter) requeue(sc *sidecar, j *job, o *marshaler.Outcome) {
+	step, index := o.Run.Task()
+	j.steps[step].tasks[index].state = taskQueued
 	s.report(Event{
 		Kind: "requeue", Job: j.ID, Queue: j.Queue.Name, Peer: sc.name, Detail: o.Status.String() + " " + o.Reason,
 		Value: int64(o.Run.Index), Took: o.Ran,
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -33,6 +33,9 @@
 	sc.session++
 	sc.link, sc.incarnation, sc.domain, sc.heard, sc.clockAt, sc.subscribed = link, h.Incarnation, h.Domain, now, 0, false
 	s.report(Event{Kind: "sidecarUp", Peer: h.Name})
+	if len(s.kept.owned) > 0 {
+		link.Send(&marshaler.Claim{Partitions: s.ownedPartitions()})
+	}
 	if s.placing() == s.Name {
 		s.subscribe(sc)
 	}
@@ -55,7 +58,15 @@
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
 	p.hello, p.link, p.heard, p.leaving = h, link, s.now, false
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
-	p.send(s.now, &marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving})
+	p.send(s.now, s.newBeat())
+	if s.kept.inUse {
+		p.send(s.now, &marshaler.Owned{Partitions: s.ownedPartitions()})
+	}
+}
+
+// newBeat returns a sign of life.
+func (s *Submitter) newBeat() *marshaler.Beat {
+	return &marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving, Kept: s.kept.inUse || !s.kept.known}
 }
 
 // OnDown takes the end of a session.
@@ -74,10 +85,11 @@
 
 // losePeer takes the loss of another entry. Its requests are dropped, and requests that it held go to the next one.
 func (s *Submitter) losePeer(p *peer, cause string) {
-	p.link = nil
+	p.link, p.owned, p.waiting = nil, nil, nil
 	s.report(Event{Kind: "entryLost", Peer: p.hello.Name, Detail: cause})
 	s.placer.Forget(p.hello.Name)
 	s.askAgain(p.hello.Name)
+	s.loseCalls(p.hello.Name)
 }
 
 // loseSidecar takes the loss of a session with a sidecar. What was placed there is settled by the next session, or by
@@ -159,6 +171,17 @@
 		}
 	case *marshaler.Reject:
 		s.onReject(m)
+	case *marshaler.Owned:
+		s.onOwned(p, m)
+	case *marshaler.Call:
+		s.onCall(p, m)
+	case *marshaler.Reply:
+		s.onReply(m)
+	case *marshaler.Waiting:
+		if p.waiting == nil {
+			p.waiting = map[string]uint64{}
+		}
+		p.waiting[m.Queue] = m.Jobs
 	}
 }
 
@@ -177,6 +200,8 @@
 		s.onOutcome(sc, m)
 	case *marshaler.Held:
 		s.onHeld(sc, m)
+	case *marshaler.Census:
+		s.onCensus(sc, m)
 	}
 }
 
@@ -192,7 +217,7 @@
 		}
 	}
 	for _, key := range marshaler.RunsInOrder(sc.placed) {
-		if !held[key] && sc.placed[key] < sc.session {
+		if !held[key] && sc.placed[key] < sc.session && !s.isKept(key.Job) { // a Census tells of kept jobs
 			s.onOutcome(sc, &marshaler.Outcome{Run: key, Status: marshaler.StatusLost, Reason: "not held by the sidecar"})
 		}
 	}
@@ -266,14 +291,14 @@
 		sc.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
 	sc.sent = s.now
-	sc.link.Send(&marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving})
+	sc.link.Send(s.newBeat())
 }
 
 func (s *Submitter) beatPeer(p *peer) {
 	if p.offset < s.snapshot.Offset {
 		p.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
-	p.send(s.now, &marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving})
+	p.send(s.now, s.newBeat())
 }
 
 func (p *peer) send(now timer.Millis, m marshaler.Message) {
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -7,34 +7,17 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-type (
-	// Step is a group of like tasks of a job.
-	Step struct {
-		Tasks    int
-		Room     marshaler.Room // of each task
-		Estimate timer.Millis   // of each task's run time
-		// After has the numbers of the earlier steps whose tasks must all be done before a task of this one starts.
-		After []int
-		// Label is one that the backend server must have; empty for none.
-		Label string
-		// Rack is the one on which the tasks run fastest; empty for none.
-		Rack string
-		// PerServer is the most tasks of the step on one backend server, 0 for any number.
-		PerServer int
-	}
-
-	// step is a step in work.
-	step struct {
-		Step
-		tasks   []task
-		done    int
-		begun   bool // room was requested
-		asked   int  // tasks with an open request
-		askedAt string
-	}
-)
+// step is a step in work.
+type step struct {
+	marshaler.Step
+	tasks   []task
+	done    int
+	begun   bool // room was requested
+	asked   int  // tasks with an open request
+	askedAt string
+}
 
-func newSteps(steps []Step) []step {
+func newSteps(steps []marshaler.Step) []step {
 	all := make([]step, len(steps))
 	for n := range steps {
 		all[n] = step{Step: steps[n], tasks: make([]task, steps[n].Tasks)}
@@ -71,7 +54,7 @@
 
 // ready reports whether all steps that a step waits for are done.
 func (j *job) ready(n int) bool {
-	return !slices.ContainsFunc(j.steps[n].After, func(before int) bool {
+	return !slices.ContainsFunc(j.steps[n].After, func(before uint64) bool {
 		return j.steps[before].done < len(j.steps[before].tasks)
 	})
 }
@@ -99,12 +82,12 @@
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return "the job has no or too many steps"
 	}
-	tasks := 0
+	var tasks uint64
 	for n := range j.Steps {
 		st := &j.Steps[n]
-		tasks += st.Tasks
+		tasks += min(st.Tasks, maxTasks+1)
 		switch {
-		case st.Tasks <= 0 || tasks > maxTasks:
+		case st.Tasks == 0 || tasks > maxTasks:
 			return "a step has no tasks, or the job has too many"
 		case st.Room.CPU < 0 || st.Room.MemoryMB < 0 || st.Room.Accelerators < 0:
 			return "a task asks for less than nothing"
@@ -112,9 +95,7 @@
 			return "the estimated run time is out of range"
 		case len(st.Label) > marshaler.MaxName || len(st.Rack) > marshaler.MaxName:
 			return "a label is too long"
-		case st.PerServer < 0:
-			return "the number of tasks on one backend server is negative"
-		case slices.ContainsFunc(st.After, func(before int) bool { return before < 0 || before >= n }):
+		case slices.ContainsFunc(st.After, func(before uint64) bool { return before >= uint64(n) }):
 			return "a step waits for one that does not come before it"
 		}
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -46,6 +46,18 @@
 	AnswerGaveUp
 	// AnswerMalformed means that the job cannot be understood; nothing ran.
 	AnswerMalformed
+	// AnswerAccepted means that a kept job is in the store.
+	AnswerAccepted
+	// AnswerPending means that a kept job has not begun.
+	AnswerPending
+	// AnswerRunning means that a kept job has begun.
+	AnswerRunning
+	// AnswerCancelled means that a job is cancelled, or had ended before.
+	AnswerCancelled
+	// AnswerGone means that there is no such job.
+	AnswerGone
+	// AnswerElsewhere is an answer between entries: the one that was asked does not own the job.
+	AnswerElsewhere
 )
 
 const (
@@ -65,14 +77,14 @@
 		RetryAfter timer.Millis // with AnswerNotRun
 	}
 
-	// Job is a job of a caller. Restartable jobs are supported: nothing of them is kept, and a task may run again once its
-	// earlier attempt has surely ended.
+	// Job is a job of a caller. Nothing is kept of a restartable one, and its tasks may run again once their earlier
+	// attempt has surely ended. A kept one is stored before it begins, and its owner may change (kept.go).
 	Job struct {
 		ID       string
 		Kind     Kind
 		Queue    router.Queue
 		Spec     string
-		Steps    []Step
+		Steps    []marshaler.Step
 		Deadline timer.Millis // time for which the caller waits; 0 for none stated
 		// Answer is called once.
 		Answer func(a Answer)
@@ -85,7 +97,17 @@
 		Domain      string
 		Weight      uint64
 		Report      func(e Event)
+		// Partitions is the number of partitions of the kept jobs.
+		Partitions uint64
+		// Record hands a record of a partition to the store, under the epoch of its owner. done is called in the order of
+		// the records, or not at all when the partition is lost.
+		Record func(partition, epoch uint64, body []byte, done func(now timer.Millis, offset uint64))
+		// Redealt is called when another entry says that it owns other partitions than before.
+		Redealt func()
+		// WantKept is called when a kept job comes and none is known to the store.
+		WantKept func()
 
+		kept     keptJobs
 		snapshot router.Snapshot
 		placer   placer.Placer
 		now      timer.Millis // of the current call
@@ -104,6 +126,7 @@
 		Peer   string
 		Detail string
 		Value  int64
+		Count  int64
 		Took   timer.Millis
 	}
 
@@ -120,11 +143,14 @@
 		ran       bool         // some run began
 		granted   timer.Millis // of the first grant
 		avoid     []string     // sidecars that failed a task of the job or could not be reached
+		keeping   keeping
 	}
 
 	task struct {
 		state    int
 		attempt  uint64
+		ordered  uint64 // latest attempt that this entry ordered or adopted
+		recorded uint64 // latest attempt of a kept job whose end is recorded
 		failures uint64
 		sidecar  string
 		sidecarN uint64 // incarnation of the sidecar
@@ -158,6 +184,8 @@
 		sent    timer.Millis
 		offset  uint64
 		leaving bool
+		owned   map[uint64]uint64 // epochs of its partitions
+		waiting map[string]uint64 // its kept jobs that have not begun, by queue
 	}
 )
 
@@ -168,6 +196,7 @@
 		return
 	}
 	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
+	s.kept.owned, s.kept.over, s.kept.calls = map[uint64]*partition{}, map[string]*overJob{}, map[uint64]*operation{}
 	s.placer.Grant = s.sendGrant
 	s.placer.Reject = s.sendReject
 	s.placer.Report = func(e placer.Event) {
@@ -194,7 +223,7 @@
 // Submit takes a job. A job that is in work already gets one more caller.
 func (s *Submitter) Submit(now timer.Millis, j Job) {
 	s.at(now)
-	if old := s.jobs[j.ID]; old != nil {
+	if old := s.jobs[j.ID]; old != nil && !j.Kind.Kept {
 		old.waiters = append(old.waiters, j.Answer)
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
 		return
@@ -209,24 +238,34 @@
 		j.Answer(Answer{Kind: AnswerNotRun, Reason: reason, RetryAfter: unsupportedRetry})
 		return
 	}
+	if !j.Kind.Kept {
+		s.admit(&job{Job: j, steps: newSteps(j.Steps)})
+		return
+	}
+	if !s.kept.inUse && s.WantKept != nil {
+		s.WantKept()
+	}
+	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, until: now + submitRouteTime})
+}
+
+// admit asks for room for a new job.
+func (s *Submitter) admit(j *job) {
 	wait := j.Deadline
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
 	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.longestChain()) + float64(j.Queue.Target)))
-	n := &job{
-		Job: j, waiters: []func(a Answer){j.Answer}, arrived: now, latest: now + slack, until: now + wait,
-		steps: newSteps(j.Steps),
-	}
-	s.jobs[j.ID] = n
-	s.askReady(n)
+	j.waiters = []func(a Answer){j.Answer}
+	j.arrived, j.latest, j.until = s.now, s.now+slack, s.now+wait
+	s.jobs[j.ID] = j
+	s.askReady(j)
 }
 
 // Drop ends a job whose caller left or cancelled it.
 func (s *Submitter) Drop(now timer.Millis, id, reason string) bool {
 	s.at(now)
 	j := s.jobs[id]
-	if j == nil {
+	if j == nil || j.keeping.storing {
 		return false
 	}
 	s.finish(j, Answer{Kind: AnswerGaveUp, Reason: reason})
@@ -240,6 +279,11 @@
 			waiting++
 		}
 	}
+	for _, p := range s.peers {
+		if p.link != nil {
+			waiting += int(p.waiting[queue])
+		}
+	}
 	return waiting
 }
 
@@ -249,12 +293,17 @@
 	s.checkSilence()
 	for _, j := range marshaler.InOrder(s.jobs) {
 		switch {
+		case j.keeping.storing:
+			if now >= j.until {
+				j.answerAll(Answer{Kind: AnswerGaveUp, Reason: "the store did not answer in time"})
+			}
 		case now >= j.until:
 			s.finish(j, Answer{Kind: AnswerGaveUp, Reason: "deadline passed"})
 		case j.asking() && !j.begun() && now >= j.latest+placerWait:
 			s.finish(j, Answer{Kind: AnswerNotRun, Reason: "no answer from the placing entry", RetryAfter: timer.Second})
 		}
 	}
+	s.tickKept()
 	s.beat()
 	s.Flush(now)
 }
@@ -268,27 +317,38 @@
 // begun reports whether a run of the job began or may have begun.
 func (j *job) begun() bool { return j.ran || j.unsettled > 0 }
 
+// committed reports whether the job can no longer be refused.
+func (j *job) committed() bool { return j.begun() || j.keeping.storing }
+
 // finish answers a job and stops what runs of it.
 func (s *Submitter) finish(j *job, a Answer) {
 	delete(s.jobs, j.ID)
 	if a.Kind == AnswerNotRun {
 		a.RetryAfter += spread(j.ID)
 	}
+	s.stopAll(j)
+	s.report(Event{
+		Kind: "answer", Job: j.ID, Queue: j.Queue.Name, Detail: a.Kind.String() + " " + a.Reason, Value: int64(j.done),
+		Took: s.now - j.arrived,
+	})
+	j.answerAll(a)
+}
+
+// stopAll ends whatever of a job waits or runs.
+func (s *Submitter) stopAll(j *job) {
 	for n := range j.steps {
 		s.withdraw(j, n)
 		for i := range j.steps[n].tasks {
-			if t := &j.steps[n].tasks[i]; t.state == taskPlaced {
+			t := &j.steps[n].tasks[i]
+			if t.state == taskPlaced {
 				s.stop(marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(n, i), Attempt: t.attempt}, t.sidecar)
+				j.unsettled--
+			}
+			if t.state != taskDone {
+				t.state = taskEnded
 			}
 		}
 	}
-	s.report(Event{
-		Kind: "answer", Job: j.ID, Queue: j.Queue.Name, Detail: a.Kind.String() + " " + a.Reason, Value: int64(j.done),
-		Took: s.now - j.arrived,
-	})
-	for _, answer := range j.waiters {
-		answer(a)
-	}
 }
 
 // stop orders the end of a run whose job is over.
@@ -311,7 +371,9 @@
 
 // String names the kind as logs show it.
 func (k AnswerKind) String() string {
-	names := [...]string{"none", "done", "failed", "notRun", "noQueue", "gaveUp", "malformed"}
+	names := [...]string{
+		"none", "done", "failed", "notRun", "noQueue", "gaveUp", "malformed", "accepted", "pending", "running", "cancelled", "gone", "elsewhere",
+	}
 	if int(k) < len(names) {
 		return names[k]
 	}
