Pass a configuration on only to processes that lag, and not from everyone at once

Change: router.Relay. A process that lags gets 0.6 s to read the store itself (0.15 s when it has no configuration), senders are spread over 0.4 s, and each sends once a second at most.

Figures: TestRelay; with the old rule 20 senders send 20 messages at once to a process that reads the store, now none.

Conclusion: the cost of a change grows with the machines, not with their square, unless the store is away.

--- a/conductor/configuration.go
+++ b/conductor/configuration.go
@@ -20,6 +20,8 @@
 	// changed is called with each later configuration.
 	changed func(now timer.Millis, s router.Snapshot)
 
+	name    string // of this process
+	relay   router.Relay
 	folded  router.Snapshot // from the store alone
 	inForce router.Snapshot
 	shared  atomic.Pointer[router.Snapshot]
@@ -53,10 +55,10 @@
 	c.adopt(now, s, from)
 }
 
-// passOn sends the configuration to a process that has an older one, for example because it started while the store was
-// away.
-func (c *configuration) passOn(link *marshaler.Link, offset uint64) {
-	if offset < c.inForce.Offset {
+// passOn sends the configuration to a process that has had an older one for a while, for example because it started while
+// the store was away.
+func (c *configuration) passOn(now timer.Millis, link *marshaler.Link, offset uint64) {
+	if offset < c.inForce.Offset && c.relay.Due(now, c.name, link.Remote.Name, offset == 0) {
 		link.Send(&marshaler.Configuration{Body: c.inForce.Append(nil)})
 	}
 }
@@ -72,6 +74,7 @@
 		"withdrawn": change.Withdrawn, "domainsOut": s.WithdrawnDomains(),
 	}).Info("config: in force")
 	c.inForce = s
+	c.relay.Changed(now)
 	c.shared.Store(&s)
 	c.changed(now, s)
 }
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -62,7 +62,7 @@
 		Stop:  func(r marshaler.RunKey) { s.stop(life, r) },
 		Look:  func() { s.look(life) },
 	}
-	s.config = configuration{logger: s.Logger, changed: func(now timer.Millis, c router.Snapshot) {
+	s.config = configuration{logger: s.Logger, name: s.Name, changed: func(now timer.Millis, c router.Snapshot) {
 		s.core.SetOffset(now, c.Offset, c.Withdrawn(s.Domain))
 	}}
 	s.node = carrier.Node{
@@ -112,15 +112,17 @@
 		loop: s.loop, config: &s.config, members: &s.members,
 		up: func(now timer.Millis, link *marshaler.Link) {
 			s.Logger.WithField("entry", link.Remote.Name).Info("sidecar: entry connected")
+			s.config.relay.Up(now, link.Remote.Name)
 			s.core.OnUp(now, link)
 		},
 		down: func(_ timer.Millis, link *marshaler.Link, cause error) {
 			s.Logger.WithError(cause).WithField("entry", link.Remote.Name).Info("sidecar: entry disconnected")
+			s.config.relay.Down(link.Remote.Name)
 			s.core.OnDown(link)
 		},
 		message: func(now timer.Millis, link *marshaler.Link, m marshaler.Message) {
 			if b, ok := m.(*marshaler.Beat); ok {
-				s.config.passOn(link, b.Offset)
+				s.config.passOn(now, link, b.Offset)
 			}
 			s.core.OnMessage(now, link, m)
 		},
--- /dev/null
+++ b/router/relay_test.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// TestRelay guards against configurations that every process sends to every other one at each change, and against
+// processes without the store that wait too long for one.
+func TestRelay(t *testing.T) {
+	cases := []struct {
+		name      string
+		changed   timer.Millis
+		up        timer.Millis
+		none      bool
+		catchesUp timer.Millis // time at which the other process gets it from the store; 0 for never
+		senders   int
+		first     timer.Millis // latest first message
+		most      int          // messages of all senders in 2 s
+	}{
+		{"others read the store", 1000, 0, false, 1100, 20, 0, 0},
+		{"one is cut off", 1000, 0, false, 0, 20, 1600 + 50, 40},
+		{"one sender", 1000, 0, false, 0, 1, 2000, 2},
+		{"restarted beside the store", 0, 1000, true, 1050, 20, 0, 0},
+		{"restarted without the store", 0, 1000, true, 0, 20, 1150 + 50, 40},
+	}
+	for _, c := range cases {
+		sent, first := 0, timer.Millis(0)
+		relays := make([]Relay, c.senders)
+		for i := range relays {
+			if c.changed > 0 {
+				relays[i].Up(0, "other")
+				relays[i].Changed(c.changed)
+			} else {
+				relays[i].Up(c.up, "other")
+			}
+		}
+		for now := timer.Millis(1000); now < 3000; now += 25 {
+			for i := range relays {
+				if c.catchesUp > 0 && now >= c.catchesUp {
+					continue
+				}
+				if relays[i].Due(now, fmt.Sprint("self-", i), "other", c.none) {
+					if sent++; first == 0 {
+						first = now
+					}
+				}
+			}
+		}
+		if first > c.first || sent > c.most || c.most > 0 && sent == 0 {
+			t.Errorf("%s: got the first of %d messages at %d, want at most %d, the first by %d", c.name, sent, first, c.most, c.first)
+		}
+	}
+}
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -33,6 +33,7 @@
 	sc.session++
 	sc.link, sc.incarnation, sc.domain, sc.heard, sc.clockAt, sc.subscribed = link, h.Incarnation, h.Domain, now, 0, false
 	s.report(Event{Kind: "sidecarUp", Peer: h.Name})
+	s.relay.Up(now, h.Name)
 	if len(s.kept.owned) > 0 {
 		link.Send(&marshaler.Claim{Partitions: s.ownedPartitions()})
 	}
@@ -58,6 +59,7 @@
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
 	p.hello, p.link, p.heard, p.leaving = h, link, s.now, false
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
+	s.relay.Up(s.now, h.Name)
 	p.send(s.now, s.newBeat())
 	if s.kept.inUse {
 		p.send(s.now, &marshaler.Owned{Partitions: s.ownedPartitions()})
@@ -86,6 +88,7 @@
 // losePeer takes the loss of another entry. Its requests are dropped, and requests that it held go to the next one.
 func (s *Submitter) losePeer(p *peer, cause string) {
 	p.link, p.owned, p.waiting = nil, nil, nil
+	s.relay.Down(p.hello.Name)
 	s.report(Event{Kind: "entryLost", Peer: p.hello.Name, Detail: cause})
 	s.placer.Forget(p.hello.Name)
 	s.askAgain(p.hello.Name)
@@ -96,6 +99,7 @@
 // time.
 func (s *Submitter) loseSidecar(sc *sidecar, cause string) {
 	sc.link, sc.clockAt = nil, 0
+	s.relay.Down(sc.name)
 	if !sc.doubtful {
 		sc.doubtful, sc.certainAt = true, sc.heard+certainAfter
 	}
@@ -285,9 +289,9 @@
 	}
 }
 
-// beatSidecar sends a sign of life, and the configuration to a process that has an older one.
+// beatSidecar sends a sign of life, and the configuration to a process that has had an older one for a while.
 func (s *Submitter) beatSidecar(sc *sidecar) {
-	if sc.offset < s.snapshot.Offset {
+	if sc.offset < s.snapshot.Offset && s.relay.Due(s.now, s.Name, sc.name, sc.offset == 0) {
 		sc.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
 	sc.sent = s.now
@@ -295,7 +299,7 @@
 }
 
 func (s *Submitter) beatPeer(p *peer) {
-	if p.offset < s.snapshot.Offset {
+	if p.offset < s.snapshot.Offset && s.relay.Due(s.now, s.Name, p.hello.Name, p.offset == 0) {
 		p.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
 	p.send(s.now, s.newBeat())
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -109,6 +109,7 @@
 
 		kept     keptJobs
 		snapshot router.Snapshot
+		relay    router.Relay
 		placer   placer.Placer
 		now      timer.Millis // of the current call
 		leaving  bool
@@ -211,6 +212,7 @@
 func (s *Submitter) SetSnapshot(now timer.Millis, snapshot router.Snapshot) {
 	s.at(now)
 	s.snapshot = snapshot
+	s.relay.Changed(now)
 	s.beatAll()
 }
 
