Let no owner act after its lease, and prove kept jobs in virtual time

(7) Holds did not wait while ends were unrecorded: one every 3 ms.

Change: the core ends its own lease before anything else; ends carry whether they are stale; partitions carry the epoch of the owner before, which each owner records; cancellations, answers and records keep their order; a leaving owner says which tasks may run (submitter/handover.go), so that the next one starts the others at once. TestKeptFaults: real cores, an owner and a store in virtual time, 13 kinds of fault and mixes, checks of two runs at once, starts after an end that counts, lost and falsely refused jobs, cancellations and states.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -26,7 +26,8 @@
 
 // Archive has the kept jobs of one partition. The zero value is an empty one.
 type Archive struct {
-	jobs map[string]*marshaler.JobRecord
+	jobs            map[string]*marshaler.JobRecord
+	epoch, previous uint64 // of the latest owner and the one before
 }
 
 // Add applies the next record. A record of a job that is not known is left out: the job's own record has expired, or
@@ -46,6 +47,10 @@
 		if j := a.jobs[m.Run.Job]; j != nil {
 			AddEnd(j, m)
 		}
+	case *marshaler.OwnerRecord:
+		if m.Epoch != a.epoch {
+			a.epoch, a.previous = m.Epoch, a.epoch
+		}
 	case *marshaler.CancelRecord:
 		if j := a.jobs[m.Job]; j != nil && StateOf(j) == Open {
 			j.Cancelled = true
@@ -56,6 +61,9 @@
 	return nil
 }
 
+// Previous returns the epoch of the owner before the latest one, 0 for none that is known.
+func (a *Archive) Previous() uint64 { return a.previous }
+
 // Jobs returns the jobs in the order of their identifiers.
 func (a *Archive) Jobs() []*marshaler.JobRecord {
 	var jobs []*marshaler.JobRecord
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// TestPrevious guards against an owner between two others that sidecars never hear of.
+func TestPrevious(t *testing.T) {
+	cases := []struct {
+		epochs []uint64
+		want   uint64
+	}{
+		{nil, 0}, {[]uint64{3}, 0}, {[]uint64{3, 5}, 3}, {[]uint64{3, 5, 9}, 5}, {[]uint64{3, 5, 5}, 3},
+	}
+	for _, c := range cases {
+		var a Archive
+		for _, epoch := range c.epochs {
+			if err := a.Add(marshaler.Append(nil, &marshaler.OwnerRecord{Epoch: epoch})); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := a.Previous(); got != c.want {
+			t.Errorf("owners %v: got %d, want %d", c.epochs, got, c.want)
+		}
+	}
+}
+
 // TestForeignRecords guards against records of other writers that end the replay.
 func TestForeignRecords(t *testing.T) {
 	for _, body := range [][]byte{nil, {0xff}, []byte("text"), marshaler.Append(nil, &marshaler.Beat{})} {
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -108,11 +108,11 @@
 	callers := &platform.Callers{
 		Snapshot: e.config.current,
 		Submit:   func(j submitter.Job, gone <-chan struct{}) submitter.Answer { return e.submit(ctx, j, gone) },
-		Cancel: func(queue, id string) submitter.Answer {
-			return e.call(ctx, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.Cancel(now, queue, id, answer) })
+		Cancel: func(queue, id string, gone <-chan struct{}) submitter.Answer {
+			return e.call(ctx, gone, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.Cancel(now, queue, id, answer) })
 		},
-		State: func(queue, id string) submitter.Answer {
-			return e.call(ctx, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.State(now, queue, id, answer) })
+		State: func(queue, id string, gone <-chan struct{}) submitter.Answer {
+			return e.call(ctx, gone, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.State(now, queue, id, answer) })
 		},
 		Waiting: func(queue string) (waiting int) {
 			e.ask(ctx, func(timer.Millis) bool { waiting = e.core.Waiting(queue); return true })
@@ -145,13 +145,15 @@
 	}
 }
 
-// call calls f in the loop and waits for the answer that follows.
-func (e *Entry) call(ctx context.Context, f func(now timer.Millis, answer func(a submitter.Answer))) submitter.Answer {
+// call calls f in the loop and waits for the answer that follows, or until the caller leaves.
+func (e *Entry) call(ctx context.Context, gone <-chan struct{}, f func(now timer.Millis, answer func(a submitter.Answer))) submitter.Answer {
 	answer := make(chan submitter.Answer, 1)
 	e.loop.do(ctx, func(now timer.Millis) { f(now, func(a submitter.Answer) { answer <- a }) })
 	select {
 	case a := <-answer:
 		return a
+	case <-gone:
+		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "caller left"}
 	case <-ctx.Done():
 		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "the entry ended"}
 	}
--- a/conductor/owner.go
+++ b/conductor/owner.go
@@ -132,6 +132,7 @@
 	o.mu.Lock()
 	o.until = sent + leaseTime
 	o.mu.Unlock()
+	o.loop.do(ctx, func(now timer.Millis) { o.core.Renew(now, sent+leaseTime) })
 	o.generation = dealt.Generation
 	for _, number := range o.numbers() {
 		if !slices.Contains(dealt.Partitions, number) {
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -19,6 +19,8 @@
 	// busyWait and idleWait are how long a hold waits for an end. The progress of runs is seen every busyWait.
 	busyWait = 60 * time.Millisecond
 	idleWait = 250 * time.Millisecond
+	// unrecordedPause is the pause between two holds that do not wait, because ends are not recorded yet.
+	unrecordedPause = 10 * time.Millisecond
 	// holdPause is the pause after a hold that failed at once.
 	holdPause = 20 * time.Millisecond
 	// backendConnections bounds the connections to the backend server.
@@ -185,6 +187,9 @@
 		if h.Busy {
 			wait = busyWait
 		}
+		if h.Unrecorded {
+			time.Sleep(unrecordedPause)
+		}
 		l, err := s.backend.Hold(h, wait)
 		if err != nil && !platform.TimedOut(err) {
 			time.Sleep(holdPause)
--- a/conductor/writer.go
+++ b/conductor/writer.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
 
+	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -89,16 +90,17 @@
 
 // acquire keeps earlier owners out, reads the records and hands the jobs to the core.
 func (w *writer) acquire(ctx context.Context) bool {
-	if !w.write(ctx, 1, nil) {
+	begin := queuedRecord{marshaler.Append(nil, &marshaler.OwnerRecord{Epoch: w.epoch}), func(timer.Millis, uint64) {}}
+	if !w.write(ctx, 1, []queuedRecord{begin}) {
 		return false
 	}
 	for ctx.Err() == nil {
 		a, err := w.owner.replay(ctx, w.number)
 		if err == nil {
-			jobs := a.Jobs()
+			taken, jobs := marshaler.Partition{Number: w.number, Epoch: w.epoch, Previous: a.Previous()}, a.Jobs()
 			w.owner.loop.do(ctx, func(now timer.Millis) {
 				if ctx.Err() == nil {
-					w.owner.core.Acquire(now, w.number, w.epoch, jobs)
+					w.owner.core.Acquire(now, taken, jobs)
 				}
 			})
 			return true
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -309,6 +309,7 @@
 
 func (k *Keeper) loseEntry(now timer.Millis, name string, e *entry) {
 	delete(k.entries, name)
+	k.lostOwner(e)
 	stopped := 0
 	for _, r := range k.sorted() {
 		if r.entry == e {
--- a/keeper/kept.go
+++ b/keeper/kept.go
@@ -8,6 +8,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// maxLease is the longest lease that a backend server gives. An earlier life of this process may have asked for it.
+const maxLease = 1000 // ms on the backend server's clock
+
 type (
 	// kept is what a sidecar knows of kept jobs. Each of their partitions has one owner at a time, and an end with success
 	// or failure is listed by the backend server until the owner has recorded it. The zero value is ready to use.
@@ -16,7 +19,8 @@
 		// ends are those that no owner has recorded yet, by their number.
 		ends    map[uint64]unrecorded
 		orphans map[uint64]timer.Millis // time after which the runs of a released partition are stopped
-		// leaseEnd is the latest end of the lease that was asked for, on the backend server's clock.
+		// leaseEnd is the latest end of the lease that was or may have been asked for, on the backend server's clock; 0
+		// before the first listing.
 		leaseEnd int64
 		// lapsing says that the lease is left to lapse, because void ends must not count.
 		lapsing bool
@@ -50,7 +54,11 @@
 // forget drops what an earlier life of the backend server listed. That life's ends cannot be listed any more.
 func (kp *kept) forget() { kp.ends, kp.leaseEnd, kp.lapsing = nil, 0, false }
 
-func (kp *kept) extend(until int64) { kp.leaseEnd = max(kp.leaseEnd, until) }
+func (kp *kept) extend(until int64) {
+	if kp.leaseEnd != 0 {
+		kp.leaseEnd = max(kp.leaseEnd, until)
+	}
+}
 
 // processed returns the number up to which ends need not be listed again.
 func (k *Keeper) processed() uint64 {
@@ -75,7 +83,7 @@
 // found takes an end of a run that this process does not know: one of an earlier life of it, or one that was given up.
 func (k *Keeper) found(e End) {
 	if lasting(e.Status) && k.keptInUse() {
-		k.kept.add(marshaler.Outcome{Run: e.Run, Status: e.Status, Reason: "found after a restart", Number: e.Number})
+		k.kept.add(marshaler.Outcome{Run: e.Run, Status: e.Status, Reason: "found after a restart", Number: e.Number, Stale: true})
 		k.offer(k.partition(e.Run.Job))
 	}
 }
@@ -107,6 +115,9 @@
 			k.report(Event{Kind: "claimRefused", Entry: e.name, Value: int64(p.Number)})
 			continue
 		}
+		if c, ok := k.kept.claims[p.Number]; ok && c.epoch != p.Epoch && c.epoch != p.Previous {
+			k.ageEnds(p.Number) // an owner between the two never reached this sidecar
+		}
 		k.kept.claims[p.Number] = claim{p.Epoch, e.name, true}
 		delete(k.kept.orphans, p.Number)
 		taken := 0
@@ -123,6 +134,25 @@
 	k.sendCensuses()
 }
 
+// lostOwner takes the loss of an entry. It may start tasks again whose ends it could not learn.
+func (k *Keeper) lostOwner(e *entry) {
+	for number, c := range k.kept.claims {
+		if c.entry == e.name {
+			k.ageEnds(number)
+		}
+	}
+}
+
+// ageEnds marks the unrecorded ends of a partition as stale.
+func (k *Keeper) ageEnds(number uint64) {
+	for n, u := range k.kept.ends {
+		if k.partition(u.outcome.Run.Job) == number {
+			u.outcome.Stale = true
+			k.kept.ends[n] = u
+		}
+	}
+}
+
 // sendCensuses answers claims, once this process knows all that runs.
 func (k *Keeper) sendCensuses() {
 	if !k.clean {
@@ -190,6 +220,9 @@
 
 // checkLapse ends the pause of the lease once the backend server's clock has passed the end of the lease.
 func (k *Keeper) checkLapse(clock int64) {
+	if k.kept.leaseEnd == 0 {
+		k.kept.leaseEnd = clock + maxLease
+	}
 	if !k.kept.lapsing || clock <= k.kept.leaseEnd {
 		return
 	}
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -29,8 +29,10 @@
 	Until int64
 	// Busy says that something runs, so that progress is of interest.
 	Busy bool
-	ID   string // of the backend server that is meant
-	Born uint64
+	// Unrecorded says that ends are listed until an entry has recorded them, so that the hold does not wait for new ones.
+	Unrecorded bool
+	ID         string // of the backend server that is meant
+	Born       uint64
 }
 
 // BeginHold returns what the next hold carries. ok is false before the backend server has announced itself.
@@ -39,7 +41,7 @@
 		return HoldRequest{}, false
 	}
 	k.holds++
-	h := HoldRequest{Number: k.holds, Processed: k.processed(), Busy: len(k.runs) > 0, ID: k.backend.ID, Born: k.backend.Born}
+	h := HoldRequest{Number: k.holds, Processed: k.processed(), Busy: len(k.runs) > 0, Unrecorded: len(k.kept.ends) > 0, ID: k.backend.ID, Born: k.backend.Born}
 	if k.clockAt != 0 && !k.kept.lapsing {
 		h.Until = k.Clock(now) + int64(LeaseTerm)
 		k.kept.extend(h.Until)
--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -34,6 +34,8 @@
 	kindCall
 	kindReply
 	kindWaiting
+	kindOwnerRecord
+	kindHandover
 )
 
 // Append appends the encoding of m to dst. It panics when m is not a pointer to a message type of this package.
@@ -115,7 +117,8 @@
 	dst = appender.AppendUint(dst, 2, uint64(m.Status))
 	dst = appender.AppendText(dst, 3, m.Reason)
 	dst = appendInt(dst, 4, int64(m.Ran))
-	return appender.AppendUint(dst, 5, m.Number)
+	dst = appender.AppendUint(dst, 5, m.Number)
+	return appendBool(dst, 6, m.Stale)
 }
 
 func appendStart(dst []byte, m *Start) []byte {
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -13,7 +13,7 @@
 	return []Message{
 		&Hello{}, &Beat{}, &Peers{}, &Configuration{}, &Backend{}, &Load{}, &Start{}, &Stop{}, &Outcome{}, &Held{}, &Subscribe{},
 		&Ask{}, &Withdraw{}, &Grant{}, &Reject{}, &JobRecord{}, &EndRecord{}, &CancelRecord{}, &Owned{}, &Claim{}, &Release{}, &Census{},
-		&Noted{}, &Call{}, &Reply{}, &Waiting{},
+		&Noted{}, &Call{}, &Reply{}, &Waiting{}, &OwnerRecord{}, &Handover{},
 	}
 }
 
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -224,6 +224,8 @@
 		return setMillis(f, &m.Ran)
 	case 5:
 		return f.Uint(&m.Number)
+	case 6:
+		return setBool(f, &m.Stale)
 	}
 	return nil
 }
--- a/marshaler/kept.go
+++ b/marshaler/kept.go
@@ -62,11 +62,18 @@
 		Status Status
 	}
 
+	// OwnerRecord begins the time of an owner of a partition.
+	OwnerRecord struct{ Epoch uint64 }
+
 	// CancelRecord is the cancellation of a kept job.
 	CancelRecord struct{ Job string }
 
 	// Partition names a partition of the kept jobs and the epoch under which an entry owns it. Epochs rise with each owner.
-	Partition struct{ Number, Epoch uint64 }
+	Partition struct {
+		Number   uint64
+		Epoch    uint64
+		Previous uint64 // epoch of the owner before; 0 for none that is known
+	}
 
 	// Owned lists the partitions that an entry owns. It is sent to the other entries when a session opens and at each change.
 	Owned struct{ Partitions []Partition }
@@ -79,6 +86,13 @@
 	// stopped.
 	Release struct{ Partition Partition }
 
+	// Handover tells the other entries which tasks of a partition that its owner gave up may run, or have an end that is
+	// not recorded. Attempts are left out.
+	Handover struct {
+		Partition Partition
+		Tasks     []RunKey
+	}
+
 	// Census lists what a sidecar has of a partition: its runs, and ends that no entry has recorded.
 	Census struct {
 		Partition Partition
--- a/marshaler/keptcodec.go
+++ b/marshaler/keptcodec.go
@@ -16,6 +16,8 @@
 	case *EndRecord:
 		dst = appendRun(append(dst, kindEndRecord), 1, &m.Run)
 		return appender.AppendUint(dst, 2, uint64(m.Status))
+	case *OwnerRecord:
+		return appender.AppendUint(append(dst, kindOwnerRecord), 1, m.Epoch)
 	case *CancelRecord:
 		return appender.AppendText(append(dst, kindCancelRecord), 1, m.Job)
 	case *Owned:
@@ -24,6 +26,12 @@
 		return appendPartitions(append(dst, kindClaim), m.Partitions)
 	case *Release:
 		return appendPartition(append(dst, kindRelease), 1, m.Partition)
+	case *Handover:
+		dst = appendPartition(append(dst, kindHandover), 1, m.Partition)
+		for i := range m.Tasks {
+			dst = appendRun(dst, 2, &m.Tasks[i])
+		}
+		return dst
 	case *Census:
 		return appendCensus(append(dst, kindCensus), m)
 	case *Noted:
@@ -92,7 +100,8 @@
 func appendPartition(dst []byte, tag protowire.Number, p Partition) []byte {
 	return appendNested(dst, tag, func(b []byte) []byte {
 		b = appender.AppendUint(b, 1, p.Number)
-		return appender.AppendUint(b, 2, p.Epoch)
+		b = appender.AppendUint(b, 2, p.Epoch)
+		return appender.AppendUint(b, 3, p.Previous)
 	})
 }
 
@@ -128,6 +137,9 @@
 	case kindRelease:
 		m := &Release{}
 		return m, func(f appender.Field) error { return nested(f, m.Partition.set) }
+	case kindHandover:
+		m := &Handover{}
+		return m, m.set
 	case kindCensus:
 		m := &Census{}
 		return m, m.set
@@ -140,6 +152,9 @@
 	case kindReply:
 		m := &Reply{}
 		return m, m.set
+	case kindOwnerRecord:
+		m := &OwnerRecord{}
+		return m, func(f appender.Field) error { return f.Uint(&m.Epoch) }
 	case kindWaiting:
 		m := &Waiting{}
 		return m, m.set
@@ -233,6 +248,8 @@
 		return f.Uint(&p.Number)
 	case 2:
 		return f.Uint(&p.Epoch)
+	case 3:
+		return f.Uint(&p.Previous)
 	}
 	return nil
 }
@@ -245,6 +262,20 @@
 	return nested(f, p.set)
 }
 
+func (m *Handover) set(f appender.Field) error {
+	switch f.Tag {
+	case 1:
+		return nested(f, m.Partition.set)
+	case 2:
+		r, err := grow(&m.Tasks)
+		if err != nil {
+			return err
+		}
+		return setRun(f, r)
+	}
+	return nil
+}
+
 func (m *Census) set(f appender.Field) error {
 	switch f.Tag {
 	case 1:
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -147,6 +147,9 @@
 		// Number is the end's number on the backend server, which lists it until the entry has sent Noted. 0 when no Noted
 		// is needed.
 		Number uint64
+		// Stale says that the sidecar was out of touch with the job's owner since the end, so that the owner may have started
+		// the task again.
+		Stale bool
 	}
 
 	// Held lists the entry's attempts that the sidecar still has, when a session opens. Attempts that the entry ordered on
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -111,7 +111,7 @@
 		}
 		op.answer(a)
 	case marshaler.VerbCancel:
-		s.cancel(id, op.queue, op.answer)
+		s.cancel(op)
 	}
 }
 
@@ -155,24 +155,33 @@
 }
 
 // cancel ends a job that this entry owns. The answer follows once the cancellation is in the store.
-func (s *Submitter) cancel(id, queue string, answer func(a Answer)) {
-	if over := s.kept.over[id]; over != nil && over.record.Queue == queue {
-		answer(Answer{Kind: AnswerCancelled, Reason: "the job had ended"})
+func (s *Submitter) cancel(op *operation) {
+	id := op.job.ID
+	if over := s.kept.over[id]; over != nil && over.record.Queue == op.queue {
+		op.answer(Answer{Kind: AnswerCancelled, Reason: "the job had ended"})
 		return
 	}
 	j := s.jobs[id]
-	if j == nil || j.keeping.record == nil || j.keeping.record.Queue != queue || !j.keeping.storing {
-		answer(Answer{Kind: AnswerGone, Reason: "no such job"})
+	if j == nil || j.keeping.record == nil || j.keeping.record.Queue != op.queue || !j.keeping.storing {
+		op.answer(Answer{Kind: AnswerGone, Reason: "no such job"})
+		return
+	}
+	j.keeping.cancels = append(j.keeping.cancels, op)
+	if len(j.keeping.cancels) > 1 {
 		return
 	}
-	j.keeping.cancelled = true
+	if archiver.StateOf(j.keeping.record) == archiver.Open {
+		j.keeping.record.Cancelled = true
+	}
 	j.keeping.unstored++
 	s.stopAll(j)
 	s.record(j, marshaler.Append(nil, &marshaler.CancelRecord{Job: id}), func(uint64) {
 		j.keeping.unstored--
-		j.keeping.record.Cancelled = archiver.StateOf(j.keeping.record) == archiver.Open
 		s.settleKept(j)
-		answer(Answer{Kind: AnswerCancelled})
+		for _, op := range j.keeping.cancels {
+			op.answer(Answer{Kind: AnswerCancelled})
+		}
+		j.keeping.cancels = nil
 	})
 }
 
--- a/submitter/kept.go
+++ b/submitter/kept.go
@@ -28,8 +28,11 @@
 type (
 	// keptJobs are the partitions of the kept jobs that this entry owns, with what every entry needs to find an owner.
 	keptJobs struct {
-		inUse   bool // kept jobs exist, so partitions have owners
-		known   bool // inUse was read from the store
+		inUse bool // kept jobs exist, so partitions have owners
+		known bool // inUse was read from the store
+		// until is when this entry no longer knows that it owns its partitions.
+		until   timer.Millis
+		handed  map[uint64]*marshaler.Handover // latest one of each partition
 		owned   map[uint64]*partition
 		over    map[string]*overJob
 		calls   map[uint64]*operation // sent to other entries
@@ -41,8 +44,9 @@
 
 	// partition is a part of the kept jobs that this entry owns.
 	partition struct {
-		number uint64
-		epoch  uint64
+		number   uint64
+		epoch    uint64
+		previous uint64 // epoch of the owner before
 		// certain is when every run of an earlier owner that no sidecar has reported has surely ended.
 		certain   timer.Millis
 		recovered bool
@@ -61,7 +65,6 @@
 		partition *partition // nil for a restartable job
 		stored    bool       // its record is in the store
 		storing   bool       // its record was handed to the store
-		cancelled bool       // its cancellation was handed to the store
 		held      []*marshaler.Grant
 		record    *marshaler.JobRecord
 		unstored  int          // ends that were handed to the store and are not there yet
@@ -69,6 +72,7 @@
 		offset    uint64       // of the latest whole record
 		noting    map[noteKey]bool
 		asked     []*operation // that wait for the end of the job, or for stateWait
+		cancels   []*operation // that wait for the cancellation to be stored
 	}
 
 	// noteKey names an end that is on its way to the store.
@@ -88,14 +92,34 @@
 	}
 }
 
+// Renew sets the time until which this entry knows that it owns its partitions. After it, another entry may own them.
+func (s *Submitter) Renew(now, until timer.Millis) {
+	s.kept.until = max(s.kept.until, until)
+	s.at(now)
+}
+
+// checkLease gives all partitions up once the lease has ended, before anything is decided on them. A process that was
+// suspended notices it first here.
+func (s *Submitter) checkLease() {
+	if s.now < s.kept.until {
+		return
+	}
+	for number := range marshaler.InOrder(s.kept.owned) {
+		s.release(number, true, "the lease has ended")
+	}
+}
+
 // Owns returns the numbers of the partitions that this entry owns, in order.
 func (s *Submitter) Owns() []uint64 { return slices.Sorted(maps.Keys(s.kept.owned)) }
 
 // Acquire takes a partition with its jobs. The store lets no other entry write there under a lower epoch.
-func (s *Submitter) Acquire(now timer.Millis, number, epoch uint64, jobs []*marshaler.JobRecord) {
+func (s *Submitter) Acquire(now timer.Millis, taken marshaler.Partition, jobs []*marshaler.JobRecord) {
 	s.at(now)
-	p := &partition{number: number, epoch: epoch, certain: now + certainAfter}
-	s.kept.owned[number] = p
+	if now >= s.kept.until {
+		return // the process is about to begin a new membership
+	}
+	p := &partition{number: taken.Number, epoch: taken.Epoch, previous: taken.Previous, certain: now + certainAfter}
+	s.kept.owned[p.number] = p
 	open := 0
 	for _, record := range jobs {
 		if state := archiver.StateOf(record); state != archiver.Open {
@@ -105,12 +129,15 @@
 		open++
 		j := keptJob(record)
 		j.arrived, j.latest, j.until = now, now, now
-		j.keeping.partition, j.keeping.stored, j.keeping.storing = p, true, true
+		j.keeping.partition, j.keeping.stored, j.keeping.storing, j.keeping.writtenAt = p, true, true, now
 		j.resume()
 		s.jobs[record.ID] = j
 	}
-	s.report(Event{Kind: "acquire", Detail: "partition", Value: int64(number), Count: int64(open)})
-	s.claim([]marshaler.Partition{{Number: number, Epoch: epoch}})
+	s.report(Event{Kind: "acquire", Detail: "partition", Value: int64(p.number), Count: int64(open)})
+	s.claim([]marshaler.Partition{taken})
+	if h := s.kept.handed[p.number]; h != nil {
+		s.takeOver(p, h)
+	}
 	s.sendOwned()
 	s.routeWaiting()
 }
@@ -162,10 +189,17 @@
 // otherwise sidecars keep them for the next owner.
 func (s *Submitter) Release(now timer.Millis, number uint64, stop bool, reason string) {
 	s.at(now)
+	s.release(number, stop, reason)
+}
+
+func (s *Submitter) release(number uint64, stop bool, reason string) {
 	p := s.kept.owned[number]
 	if p == nil {
 		return
 	}
+	if !stop {
+		s.handOver(p)
+	}
 	delete(s.kept.owned, number)
 	s.report(Event{Kind: "release", Detail: reason, Value: int64(number)})
 	for _, j := range marshaler.InOrder(s.jobs) {
@@ -200,7 +234,7 @@
 			}
 		}
 	}
-	for _, op := range j.keeping.asked {
+	for _, op := range append(j.keeping.asked, j.keeping.cancels...) {
 		op.until = s.now + routeTime
 		s.kept.waiting = append(s.kept.waiting, op)
 	}
@@ -308,11 +342,17 @@
 		return
 	}
 	t := &j.steps[step].tasks[index]
+	if o.Stale && t.ordered == 0 && t.state != taskDone && o.Status == marshaler.StatusDone {
+		// An earlier owner may have started the task again, and this one cannot know.
+		t.attempt = max(t.attempt, o.Run.Attempt)
+		s.note(sc.name, o, true)
+		return
+	}
 	if t.takes(sc.name, o.Run.Attempt) {
 		s.recordEnd(sc, j, o)
 		return
 	}
-	s.note(sc.name, o, o.Status == marshaler.StatusDone && t.state != taskEnded && t.recorded != o.Run.Attempt)
+	s.note(sc.name, o, o.Status == marshaler.StatusDone && t.recorded != o.Run.Attempt)
 }
 
 // takes reports whether an end of an attempt counts: it is the current one, or the latest of a task that nothing was
@@ -321,7 +361,7 @@
 	switch t.state {
 	case taskPlaced:
 		return t.attempt == attempt && t.sidecar == sidecar
-	case taskQueued, taskUnknown:
+	case taskQueued, taskUnknown, taskEnded:
 		return attempt >= t.ordered && attempt > t.recorded
 	}
 	return false
@@ -364,6 +404,9 @@
 	}
 	j.ran = true
 	t.attempt, t.recorded = o.Run.Attempt, o.Run.Attempt
+	if t.state == taskEnded { // the job is being cancelled; the end counts if the cancellation gets lost
+		return
+	}
 	if o.Status == marshaler.StatusDone {
 		s.taskIsDone(j, step, t)
 		return
@@ -407,7 +450,7 @@
 	for _, p := range s.kept.owned {
 		if !p.recovered && s.now >= p.certain {
 			p.recovered = true
-			s.recover(p)
+			s.recover(p, nil)
 		}
 	}
 	for id, over := range s.kept.over {
@@ -425,8 +468,9 @@
 	s.showWaiting()
 }
 
-// recover queues the tasks of a partition that surely do not run.
-func (s *Submitter) recover(p *partition) {
+// recover queues the tasks of a partition that surely do not run: those of which nothing is known, but for the excepted
+// ones.
+func (s *Submitter) recover(p *partition, except map[marshaler.RunKey]bool) {
 	for _, j := range marshaler.InOrder(s.jobs) {
 		if j.keeping.partition != p {
 			continue
@@ -435,7 +479,7 @@
 			st := &j.steps[n]
 			found := 0
 			for i := range st.tasks {
-				if t := &st.tasks[i]; t.state == taskUnknown {
+				if t := &st.tasks[i]; t.state == taskUnknown && !except[marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(n, i)}] {
 					t.state = taskQueued
 					t.attempt += attemptGap
 					found++
@@ -461,7 +505,7 @@
 // ownedPartitions returns the partitions of this entry in order.
 func (s *Submitter) ownedPartitions() (list []marshaler.Partition) {
 	for number, p := range marshaler.InOrder(s.kept.owned) {
-		list = append(list, marshaler.Partition{Number: number, Epoch: p.epoch})
+		list = append(list, marshaler.Partition{Number: number, Epoch: p.epoch, Previous: p.previous})
 	}
 	return list
 }
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -177,6 +177,8 @@
 		s.onReject(m)
 	case *marshaler.Owned:
 		s.onOwned(p, m)
+	case *marshaler.Handover:
+		s.onHandover(m)
 	case *marshaler.Call:
 		s.onCall(p, m)
 	case *marshaler.Reply:
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -194,6 +194,7 @@
 func (s *Submitter) at(now timer.Millis) {
 	s.now = now
 	if s.jobs != nil {
+		s.checkLease()
 		return
 	}
 	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
--- a/submitter/world_test.go
+++ b/submitter/world_test.go
@@ -39,6 +39,9 @@
 		resent map[string]bool
 		// trail has the decisions on each job, and about processes under the empty name.
 		trail map[string][]string
+		// store and kept are there in a world with kept jobs.
+		store *fakeStore
+		kept  *keptWatch
 	}
 
 	// fakeLink is an open session between an entry and a sidecar. A cut holds its messages up, as TCP does.
@@ -94,6 +97,8 @@
 		waiting []func() // holds that wait for an end
 		stuck   timer.Millis
 		factor  float64
+		lapsed  timer.Millis            // time at which the lease ended last
+		endedAt map[uint64]timer.Millis // by number
 	}
 
 	fakeRun struct {
@@ -113,6 +118,12 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, running: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resent: map[string]bool{}, trail: map[string][]string{},
 		started: map[string]int{},
 	}
+	w.populate(entries, sidecars)
+	return w
+}
+
+// populate starts the processes.
+func (w *world) populate(entries, sidecars int) {
 	for i := range sidecars {
 		s := &fakeSidecar{name: fmt.Sprintf("side-%d", i)}
 		s.backend = &fakeBackend{w: w, id: s.name + "-server", room: marshaler.Room{CPU: 32_000, MemoryMB: 64_000}, factor: 1}
@@ -125,7 +136,6 @@
 		w.entries = append(w.entries, e)
 		w.startEntry(e)
 	}
-	return w
 }
 
 func (w *world) after(d timer.Millis, do func()) {
@@ -174,6 +184,9 @@
 		w.trail[v.Job] = append(w.trail[v.Job], fmt.Sprintf("%d %s %s %s %s %d", w.now, e.name, v.Kind, v.Peer, v.Detail, v.Value))
 	}}
 	e.core.SetSnapshot(w.now, testSnapshot())
+	if w.store != nil {
+		w.startOwner(e)
+	}
 	life := e.life
 	var tick func()
 	tick = func() {
@@ -198,7 +211,7 @@
 	s.alive, s.paused = true, 0
 	life := s.life
 	current := func() bool { return s.life == life }
-	k := &keeper.Keeper{Report: func(v keeper.Event) {
+	k := &keeper.Keeper{Partitions: testPartitions, Report: func(v keeper.Event) {
 		w.trail[v.Run.Job] = append(w.trail[v.Run.Job], fmt.Sprintf("%d %s %s %s task %d.%d %s", w.now, s.name, v.Kind, v.Entry, v.Run.Index, v.Run.Attempt, v.Detail))
 	}}
 	s.core = k
@@ -229,14 +242,20 @@
 			done()
 			return
 		}
-		s.backend.hold(h, wait, func(l keeper.Listing, err error) {
-			w.act(&s.process, current, func() {
-				if err != nil {
-					k.OnHoldFailed(w.now, !s.backend.up, err.Error())
-				} else {
-					k.OnListing(w.now, l)
-				}
-				done()
+		pause := timer.Millis(0)
+		if h.Unrecorded && wait > 0 {
+			pause = 10
+		}
+		w.after(pause, func() {
+			s.backend.hold(h, wait, func(l keeper.Listing, err error) {
+				w.act(&s.process, current, func() {
+					if err != nil {
+						k.OnHoldFailed(w.now, !s.backend.up, err.Error())
+					} else {
+						k.OnListing(w.now, l)
+					}
+					done()
+				})
 			})
 		})
 	}
@@ -333,8 +352,22 @@
 func (w *world) connectEntries(a, b *fakeEntry) {
 	aLife, bLife := a.life, b.life
 	ended := false
-	end := func(error) { ended = true }
 	var atA, atB *marshaler.Link
+	end := func(error) {
+		if ended {
+			return
+		}
+		ended = true
+		w.after(1, func() {
+			w.act(&a.process, func() bool { return a.life == aLife }, func() { a.core.OnDown(w.now, atA, errCut) })
+			w.act(&b.process, func() bool { return b.life == bLife }, func() { b.core.OnDown(w.now, atB, errCut) })
+		})
+		w.after(60, func() {
+			if a.life == aLife && b.life == bLife {
+				w.connectEntries(a, b)
+			}
+		})
+	}
 	link := func(from, to *fakeEntry, toLife uint64, at func() *marshaler.Link) *marshaler.Link {
 		return &marshaler.Link{
 			Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: to.name, Incarnation: toLife, Weight: 400}, Close: end,
@@ -360,7 +393,7 @@
 	e.alive = false
 	e.life++
 	w.after(back, func() { w.startEntry(e) })
-	for id, j := range marshaler.InOrder(w.jobs) {
+	for id, j := range marshaler.InOrder(w.jobs) { // callers send restartable jobs again
 		if j.entry != e || len(w.answers[id]) > 0 {
 			continue
 		}
@@ -429,7 +462,7 @@
 	b.crash()
 	b.up, b.born = true, uint64(b.w.now)
 	b.runs, b.blocked = map[marshaler.RunKey]*fakeRun{}, map[string]uint64{}
-	b.ended, b.number, b.lease = nil, 0, 0
+	b.ended, b.number, b.lease, b.endedAt = nil, 0, 0, map[uint64]timer.Millis{}
 }
 
 func (b *fakeBackend) crash() {
@@ -464,6 +497,9 @@
 		task := taskOf(m.Run)
 		b.w.running[task]++
 		b.w.started[m.Run.Job]++
+		if b.w.kept != nil {
+			b.w.kept.onStart(b.w, task)
+		}
 		if b.w.running[task] > 1 {
 			b.w.t.Errorf("at %d ms, task %s runs %d times at once, the last on %s; faults: %v; decisions: %s", b.w.now, task, b.w.running[task], b.id, b.w.faults,
 				strings.Join(b.w.trail[m.Run.Job], "\n"))
@@ -492,6 +528,7 @@
 	b.blocked[taskOf(key)] = max(b.blocked[taskOf(key)], key.Attempt)
 	b.number++
 	b.ended = append(b.ended, keeper.End{Number: b.number, Run: key, Status: status})
+	b.endedAt[b.number] = b.w.now
 	for _, wake := range b.waiting {
 		b.w.after(0, wake)
 	}
@@ -500,6 +537,9 @@
 
 // step ends what is over, and everything once the lease has run out.
 func (b *fakeBackend) step() {
+	if b.lease <= b.w.now {
+		b.lapsed = b.w.now
+	}
 	due := false
 	for _, r := range b.runs {
 		due = due || b.lease <= b.w.now || b.stuck > b.w.now || r.end <= b.w.now
@@ -530,7 +570,12 @@
 			b.lease = max(b.lease, min(timer.Millis(h.Until), b.w.now+1000))
 		}
 		if h.Born == b.born {
-			b.ended = slices.DeleteFunc(b.ended, func(e keeper.End) bool { return e.Number <= h.Processed })
+			b.ended = slices.DeleteFunc(b.ended, func(e keeper.End) bool {
+				if e.Number <= h.Processed && b.w.kept != nil && e.Status == marshaler.StatusDone {
+					b.w.kept.onNoted(b.w, taskOf(e.Run), b.endedAt[e.Number], b.lapsed)
+				}
+				return e.Number <= h.Processed
+			})
 		}
 		if !answered {
 			return
