Leave tasks of unknown state alone after a failure, and end a lease once

Change: a failed end leaves a task of unknown state to the recovery; a sign of life whose answer comes after the end of the lease begins a new membership; runs of kept jobs fail in the world, too, and its messages wait for their session.

--- a/conductor/owner.go
+++ b/conductor/owner.go
@@ -129,6 +129,10 @@
 	if err != nil {
 		return false, err
 	}
+	if o.leaseOver() { // before the answer came; the core has given its partitions up
+		o.endLease(ctx)
+		return true, nil
+	}
 	o.mu.Lock()
 	o.until = sent + leaseTime
 	o.mu.Unlock()
@@ -154,16 +158,25 @@
 			return
 		case <-time.After(leaseCheck):
 		}
-		o.mu.Lock()
-		over := len(o.writers) > 0 && o.loop.clock.Now() >= o.until
-		o.mu.Unlock()
-		if over {
-			o.again.Store(true)
-			o.releaseAll(ctx, true, "the lease has ended")
+		if o.leaseOver() {
+			o.endLease(ctx)
 		}
 	}
 }
 
+// leaseOver reports whether partitions are owned and the lease has ended.
+func (o *owner) leaseOver() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.writers) > 0 && o.loop.clock.Now() >= o.until
+}
+
+// endLease gives all partitions up and begins a new membership.
+func (o *owner) endLease(ctx context.Context) {
+	o.again.Store(true)
+	o.releaseAll(ctx, true, "the lease has ended")
+}
+
 func (o *owner) numbers() []uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/submitter/kept.go
+++ b/submitter/kept.go
@@ -417,6 +417,9 @@
 		t.state = taskEnded
 		return
 	}
+	if t.state == taskUnknown {
+		return // the owner before may have started the next attempt
+	}
 	s.requeue(sc, j, o)
 }
 
--- a/submitter/keptworld_test.go
+++ b/submitter/keptworld_test.go
@@ -178,6 +178,12 @@
 }
 
 func (o *fakeOwner) joined(sent timer.Millis, generation uint64, list []uint64) {
+	if len(o.writers) > 0 && o.w.now >= o.until {
+		o.fresh = true
+		o.releaseAll(true, "the lease has ended")
+		o.w.after(1, o.join)
+		return
+	}
 	o.fresh, o.generation, o.until = false, generation, sent+testLease
 	o.e.core.Renew(o.w.now, o.until)
 	pause := timer.Millis(testJoin)
--- a/submitter/world_test.go
+++ b/submitter/world_test.go
@@ -295,12 +295,16 @@
 	var atEntry, atSidecar *marshaler.Link
 	session := &fakeLink{}
 	w.links = append(w.links, session)
-	var deliver func(do func())
-	deliver = func(do func()) {
+	// A message is never handled before its session is up at that end.
+	upAtEntry, upAtSidecar := false, false
+	var deliver func(up *bool, do func())
+	deliver = func(up *bool, do func()) {
 		switch {
 		case ended:
 		case session.cutUntil > w.now:
-			w.after(session.cutUntil-w.now, func() { deliver(do) })
+			w.after(session.cutUntil-w.now, func() { deliver(up, do) })
+		case !*up:
+			w.after(1, func() { deliver(up, do) })
 		default:
 			do()
 		}
@@ -325,7 +329,9 @@
 		Remote: marshaler.Hello{Role: marshaler.RoleSidecar, Name: s.name, Incarnation: s.life, Session: uint64(len(w.links))}, Close: end,
 		Send: func(m marshaler.Message) {
 			w.after(linkDelay, func() {
-				deliver(func() { w.act(&s.process, sCurrent, func() { s.core.OnMessage(w.now, atSidecar, m) }) })
+				deliver(&upAtSidecar, func() {
+					w.act(&s.process, sCurrent, func() { s.core.OnMessage(w.now, atSidecar, m) })
+				})
 			})
 		},
 	}
@@ -333,7 +339,7 @@
 		Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: e.name, Incarnation: e.life}, Close: end,
 		Send: func(m marshaler.Message) {
 			w.after(linkDelay, func() {
-				deliver(func() {
+				deliver(&upAtEntry, func() {
 					w.act(&e.process, eCurrent, func() {
 						e.core.OnMessage(w.now, atEntry, m)
 						e.core.Flush(w.now)
@@ -344,8 +350,14 @@
 	}
 	session.end = end
 	w.after(linkDelay, func() {
-		w.act(&e.process, eCurrent, func() { e.core.OnUp(w.now, atEntry) })
-		w.act(&s.process, sCurrent, func() { s.core.OnUp(w.now, atSidecar) })
+		w.act(&e.process, eCurrent, func() {
+			upAtEntry = true
+			e.core.OnUp(w.now, atEntry)
+		})
+		w.act(&s.process, sCurrent, func() {
+			upAtSidecar = true
+			s.core.OnUp(w.now, atSidecar)
+		})
 	})
 }
 
@@ -554,6 +566,8 @@
 			b.finish(key, marshaler.StatusLost)
 		case b.stuck > b.w.now:
 			r.end++
+		case r.end <= b.w.now && b.w.kept != nil && b.w.random.IntN(12) == 0:
+			b.finish(key, marshaler.StatusFailed)
 		case r.end <= b.w.now:
 			b.finish(key, marshaler.StatusDone)
 		}
