--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -50,7 +50,7 @@
 		e.Advertise = e.Address
 	}
 	e.loop = newLoop()
-	e.monitor.logger = e.Logger
+	e.monitor.logger, e.monitor.dropped = e.Logger, e.Dropped
 	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions}
 	e.owner = owner{
 		logger: e.Logger, store: newStore(e.Store, 0), loop: e.loop, core: &e.core, member: e.Name, nudges: make(chan struct{}, 1),
--- a/conductor/options.go
+++ b/conductor/options.go
@@ -75,6 +75,7 @@
 type monitor struct {
 	metrics reporter.Metrics
 	logger  log.Interface
+	dropped func() uint64 // log lines that were not written
 }
 
 func (m *monitor) count(kind, detail string) {
@@ -82,5 +83,10 @@
 }
 
 func (m *monitor) handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { m.metrics.Write(w) })
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if m.dropped != nil {
+			m.metrics.SetTotal("crocuslb_dropped_log_lines_total", m.dropped())
+		}
+		m.metrics.Write(w)
+	})
 }
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -54,7 +54,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	s.loop = newLoop()
-	s.monitor.logger = s.Logger
+	s.monitor.logger, s.monitor.dropped = s.Logger, s.Dropped
 	s.backend = platform.NewBackend(s.Backend, backendConnections, backendTimeout)
 	s.memory = memory{logger: s.Logger, store: newStore(s.Store, 0), name: s.Name, pending: make(chan string, 1)}
 	s.holds = make(chan keeper.HoldRequest, 1)
