Soak kept jobs, and repeat requests for room that got no grant

Change: requests of jobs that can no longer be refused are withdrawn and repeated after 1 s without a grant, with all sidecars again.

Conclusion: one more way to lose a request is closed, for restartable jobs as well.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +36,7 @@
 		delays     []string
 		jobs       int
 		answers    map[string]int
+		accepted   map[string]int // tasks of each accepted kept job
 	}
 
 	// attempt is what a caller got for one sending of a job.
@@ -47,6 +50,7 @@
 	return &checks{
 		running: map[string]string{}, began: map[string]int{}, done: map[string]bool{}, failed: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, answers: map[string]int{},
+		accepted: map[string]int{},
 	}
 }
 
@@ -155,6 +159,40 @@
 	}
 }
 
+// onAccepted takes the acceptance of a kept job.
+func (c *checks) onAccepted(id string, tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs++
+	c.answers["kept"]++
+	c.accepted[id] = tasks
+}
+
+// acceptedJobs returns the accepted kept jobs in order.
+func (c *checks) acceptedJobs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.accepted))
+}
+
+// onState returns what is wrong with the last state of an accepted kept job, or an empty text.
+func (c *checks) onState(id, state string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == "failed" {
+		return ""
+	}
+	if state != "succeeded" {
+		return fmt.Sprintf("kept job %s was accepted, and its state is %q long after the last fault", id, state)
+	}
+	for i := range c.accepted[id] {
+		if !c.done[fmt.Sprintf("%s.0.0.%d", id, i)] {
+			return fmt.Sprintf("kept job %s is shown as succeeded, but its task %d never ended so", id, i)
+		}
+	}
+	return ""
+}
+
 // starved notes a spell in which processes did not get the processor.
 func (c *checks) starved(late time.Duration) {
 	c.mu.Lock()
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -291,7 +291,7 @@
 	for try := range maxFinalTries {
 		time.Sleep(calmTime)
 		settled := machine.take()
-		missed := s.finalJobs(ctx, try)
+		missed := append(s.finalJobs(ctx, try), s.awaitKept(ctx)...)
 		late := max(settled, machine.take())
 		if len(missed) == 0 {
 			return
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -24,6 +24,7 @@
 		{103, "the check of planned stops counted the time in which the process was paused"},
 		{234, "a killed process was started again before it had ended, so its listener was taken"},
 		{218, "a session that opened before the first listing while the domain was withdrawn got no outcomes"},
+		{201, "a placing entry dropped a request with a session that only its end saw break, and a kept job waited for ever"},
 		{200, "the check of draining did not see that another fault had restarted the backend server"},
 	}
 	for _, c := range cases {
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -58,7 +58,7 @@
 		s.report(Event{Kind: "askElsewhere", Job: j.ID, Peer: at, Value: int64(tasks)})
 	}
 	st.asked += tasks
-	st.askedAt = at
+	st.askedAt, st.since = at, s.now
 	if at == s.Name {
 		s.subscribeAll()
 		s.placer.Ask(s.now, s.Name, s.Domain, m)
@@ -93,6 +93,21 @@
 	}
 }
 
+// repeatRequests asks again for jobs that can no longer be refused and wait for long. Sidecars that were left out may
+// serve by now.
+func (s *Submitter) repeatRequests() {
+	for _, j := range marshaler.InOrder(s.jobs) {
+		for n := range j.steps {
+			if st := &j.steps[n]; st.asked > 0 && j.committed() && s.now-st.since >= repeatAfter {
+				s.report(Event{Kind: "askAgain", Job: j.ID, Queue: j.Queue.Name, Peer: st.askedAt, Value: int64(st.asked)})
+				s.withdraw(j, n)
+				j.avoid = nil
+				s.ask(j, n, st.queued())
+			}
+		}
+	}
+}
+
 // sendGrant delivers a grant of this entry's placer.
 func (s *Submitter) sendGrant(entry string, g marshaler.Grant) {
 	if entry == s.Name {
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -15,6 +15,7 @@
 	begun   bool // room was requested
 	asked   int  // tasks with an open request
 	askedAt string
+	since   timer.Millis // of the latest request
 }
 
 func newSteps(steps []marshaler.Step) []step {
--- a/submitter/steps_test.go
+++ b/submitter/steps_test.go
@@ -61,3 +61,39 @@
 		t.Errorf("got %d ms, want 550", got)
 	}
 }
+
+// TestRepeat guards against a job that waits for ever, because the placing entry has forgotten its request.
+func TestRepeat(t *testing.T) {
+	cases := []struct {
+		name   string
+		begun  bool
+		starts int
+	}{
+		{"a task has run", true, 3}, {"nothing has begun", false, 0},
+	}
+	for _, c := range cases {
+		b := newBench()
+		if c.begun {
+			b.submit(2)
+			first := b.starts[0]
+			b.s.placer.SetAccepting("side-a", false)
+			b.s.placer.SetAccepting("side-b", false)
+			b.s.OnMessage(b.now, b.links[first.sidecar], &marshaler.Outcome{Run: first.run, Status: marshaler.StatusFailed})
+		} else {
+			b.s.placer.SetAccepting("side-a", false)
+			b.s.placer.SetAccepting("side-b", false)
+			b.submit(2)
+		}
+		b.s.placer.Forget("entry")
+		for range 50 {
+			b.now += 25
+			for _, name := range []string{"side-a", "side-b"} {
+				b.load(name)
+			}
+			b.s.Tick(b.now)
+		}
+		if got := len(b.starts); got != c.starts {
+			t.Errorf("%s: got %d starts, want %d", c.name, got, c.starts)
+		}
+	}
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -31,6 +31,9 @@
 	waitShare = 0.35
 	// defaultDeadline bounds jobs whose callers state no deadline.
 	defaultDeadline = 30 * timer.Second
+	// repeatAfter is how long a request for room of a job that can no longer be refused stays without a grant before it is
+	// repeated. The placing entry may have dropped it with a session that only its end saw break.
+	repeatAfter = timer.Second
 )
 
 const (
@@ -294,6 +297,7 @@
 func (s *Submitter) Tick(now timer.Millis) {
 	s.at(now)
 	s.checkSilence()
+	s.repeatRequests()
 	for _, j := range marshaler.InOrder(s.jobs) {
 		switch {
 		case j.keeping.storing:
