End only the message, session or request whose handling panics

A session's message ends its session, a caller's request is answered with an open outcome (never "not run"), an answer of the store or the backend server counts as a failed call; each is logged with its stack and counted in crocuslb_panics_total. Ticks that panic for 1 s end the process, since no time limit holds without them. Measured: conductor TestLoopPanics, TestMessagePanics, TestCallerPanics, TestRequestPanics and carrier TestPanic inject one at each listener; they pass, and without the recovery the test process dies. Conclusion: malformed and unexpected input ends what it belongs to.

--- a/carrier/node.go
+++ b/carrier/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/marshaler"
 )
 
@@ -33,6 +34,9 @@
 		OnDown    func(s *Session, cause error)
 		// OnFail is called when a connection could not be opened. It may be nil.
 		OnFail func(address string, err error)
+		// OnPanic is called when a message, or one of the functions above, panicked. That ends its session only. It may be
+		// nil.
+		OnPanic func(s *Session, err error)
 
 		running  sync.WaitGroup
 		sessions atomic.Uint64
@@ -102,18 +106,37 @@
 	s.Send(&hello)
 	n.running.Go(s.write)
 	r := bufio.NewReaderSize(s.conn, readBuffer)
-	if err := s.greet(r); err != nil {
+	var err error
+	n.catch(s, func() { err = s.greet(r) })
+	if err == nil && s.Remote.Name == "" {
+		return false // the opening message panicked
+	}
+	if err != nil {
 		s.Close(err)
 		n.fail(s.conn.RemoteAddr().String(), err)
 		return false
 	}
-	n.OnUp(s)
-	err := s.read(r, func(batch []marshaler.Message) { n.OnMessage(s, batch) })
+	n.catch(s, func() {
+		n.OnUp(s)
+		err = s.read(r, func(batch []marshaler.Message) { n.OnMessage(s, batch) })
+	})
 	s.Close(err)
-	n.OnDown(s, s.cause)
+	n.catch(s, func() { n.OnDown(s, s.cause) })
 	return true
 }
 
+// catch calls f, and ends the session when it panics.
+func (n *Node) catch(s *Session, f func()) {
+	err := catcher.Catch(f)
+	if err == nil {
+		return
+	}
+	s.Close(err)
+	if n.OnPanic != nil {
+		n.OnPanic(s, err)
+	}
+}
+
 // greet reads the other end's opening message.
 func (s *Session) greet(r *bufio.Reader) error {
 	_ = s.conn.SetReadDeadline(time.Now().Add(helloTimeout)) // a failure shows in the read
--- a/carrier/node_test.go
+++ b/carrier/node_test.go
@@ -128,3 +128,47 @@
 	}
 	eventually(t, "end of the session", func() bool { return b.down.Load() == 1 })
 }
+
+// TestPanic guards against a fault in one message, or bytes that are no message, that end the process or other sessions.
+func TestPanic(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a := newEnd("a")
+	var panics atomic.Int64
+	a.OnPanic = func(*Session, error) { panics.Add(1) }
+	a.OnMessage = func(s *Session, batch []marshaler.Message) {
+		if s.Remote.Name == "bad" {
+			panic("injected")
+		}
+		a.messages.Add(int64(len(batch)))
+	}
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, bad := newEnd("good"), newEnd("bad")
+	good.Connect(ctx, address)
+	eventually(t, "session", func() bool { return good.up.Load() == 1 })
+	bad.OnUp = func(s *Session) { s.Send(&marshaler.Beat{}) }
+	bad.Connect(ctx, address)
+	eventually(t, "panic", func() bool { return panics.Load() > 0 })
+	for _, garbage := range []string{"\x00\x00\x00\x00", "\xff\xff\xff\xff", "\x00\x00\x00\x05\x01\xff\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n"} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(garbage)); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close() // the bytes are sent
+	}
+	good.latest.Load().Send(&marshaler.Beat{})
+	eventually(t, "message of another session", func() bool { return a.messages.Load() == 1 })
+	if got := good.down.Load(); got != 0 {
+		t.Errorf("got %d ends of another session, want 0", got)
+	}
+	cancel()
+	a.Wait()
+	good.Wait()
+	bad.Wait()
+}
--- /dev/null
+++ b/catcher/catcher_test.go
@@ -0,0 +1,33 @@
+package catcher
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// TestCatch guards against panics that go through, and against errors without their cause.
+func TestCatch(t *testing.T) {
+	var none map[string]int
+	cases := []struct {
+		name string
+		f    func()
+		want string // empty for no error
+	}{
+		{"returns", func() {}, ""},
+		{"text", func() { panic("bad message") }, "bad message"},
+		{"error", func() { panic(errors.New("bad record")) }, "bad record"},
+		{"runtime error", func() { none["a"] = 1 }, "assignment to entry in nil map"},
+		{"nil", func() { panic(nil) }, "panic called with nil argument"}, //nolint:govet // nil is the case
+	}
+	for _, c := range cases {
+		err := Catch(c.f)
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if (c.want == "") != (got == "") || !strings.Contains(got, c.want) {
+			t.Errorf("%s: got %q, want %q in it", c.name, got, c.want)
+		}
+	}
+}
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/submitter"
@@ -51,6 +52,7 @@
 	}
 	e.loop = newLoop()
 	e.monitor.logger, e.monitor.dropped = e.Logger, e.Dropped
+	e.loop.panicked = func(err error) { e.monitor.panicked("loop", err) }
 	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions}
 	e.owner = owner{
 		logger: e.Logger, store: newStore(e.Store, 0), loop: e.loop, core: &e.core, member: e.Name, nudges: make(chan struct{}, 1),
@@ -75,6 +77,7 @@
 	e.core.WantKept = func() { e.members.announceKept(life) }
 	e.links = sessions{
 		loop: e.loop, config: &e.config, members: &e.members, up: e.core.OnUp, down: e.core.OnDown, message: e.core.OnMessage,
+		panicked: e.monitor.panicked,
 	}
 	e.links.attach(life, &e.node)
 	e.loop.flush = e.core.Flush
@@ -93,8 +96,13 @@
 	go e.config.follow(life, e.loop, store)
 	go e.members.follow(life, func() { e.links.sendAll(&marshaler.Peers{Peers: e.members.list()}) })
 	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.Callers}).Info("entry: started")
-	go e.loop.run(life)
-	<-ctx.Done()
+	broken := make(chan error, 1)
+	go func() { broken <- e.loop.run(life) }()
+	select {
+	case <-ctx.Done():
+	case err := <-broken:
+		return err
+	}
 	e.drain(life, servers)
 	end()
 	closeAll(servers)
@@ -128,7 +136,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serveAll(ctx, e.Logger, []endpoint{
+	return serveAll(ctx, &e.monitor, []endpoint{
 		{e.Callers, callers}, {e.Ready, ready}, {e.Metrics, e.monitor.handler()},
 	})
 }
@@ -136,7 +144,11 @@
 // ask calls f in the loop and waits for its result.
 func (e *Entry) ask(ctx context.Context, f func(now timer.Millis) bool) bool {
 	result := make(chan bool, 1)
-	e.loop.do(ctx, func(now timer.Millis) { result <- f(now) })
+	e.loop.do(ctx, func(now timer.Millis) {
+		ok := false
+		defer func() { result <- ok }() // also when f panics
+		ok = f(now)
+	})
 	select {
 	case ok := <-result:
 		return ok
@@ -147,8 +159,8 @@
 
 // call calls f in the loop and waits for the answer that follows, or until the caller leaves.
 func (e *Entry) call(ctx context.Context, gone <-chan struct{}, f func(now timer.Millis, answer func(a submitter.Answer))) submitter.Answer {
-	answer := make(chan submitter.Answer, 1)
-	e.loop.do(ctx, func(now timer.Millis) { f(now, func(a submitter.Answer) { answer <- a }) })
+	answer, give := newAnswer()
+	e.loop.do(ctx, func(now timer.Millis) { e.guard(give, func() { f(now, give) }) })
 	select {
 	case a := <-answer:
 		return a
@@ -159,6 +171,25 @@
 	}
 }
 
+// newAnswer returns a channel that takes the first answer, and the function that gives it.
+func newAnswer() (answer chan submitter.Answer, give func(a submitter.Answer)) {
+	answer = make(chan submitter.Answer, 1)
+	return answer, func(a submitter.Answer) {
+		select {
+		case answer <- a:
+		default: // answered already
+		}
+	}
+}
+
+// guard calls f. If it panics, the caller is told that the job's outcome is open, because some of it may have run.
+func (e *Entry) guard(give func(a submitter.Answer), f func()) {
+	if err := catcher.Catch(f); err != nil {
+		e.monitor.panicked("caller", err)
+		give(submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "internal error"})
+	}
+}
+
 // useKept takes what the store says of kept jobs. This entry owns some of their partitions from then on.
 func (e *Entry) useKept(ctx context.Context, inUse bool) {
 	e.loop.do(ctx, func(now timer.Millis) { e.core.SetKept(now, inUse) })
@@ -169,9 +200,9 @@
 
 // submit passes a job to the core and waits for its answer.
 func (e *Entry) submit(ctx context.Context, j submitter.Job, gone <-chan struct{}) submitter.Answer {
-	answer := make(chan submitter.Answer, 1)
-	j.Answer = func(a submitter.Answer) { answer <- a }
-	e.loop.do(ctx, func(now timer.Millis) { e.core.Submit(now, j) })
+	answer, give := newAnswer()
+	j.Answer = give
+	e.loop.do(ctx, func(now timer.Millis) { e.guard(give, func() { e.core.Submit(now, j) }) })
 	select {
 	case a := <-answer:
 		return a
@@ -182,7 +213,7 @@
 	if j.Kind.Kept { // it may be in the store
 		return submitter.Answer{Kind: submitter.AnswerGaveUp, Reason: "caller left"}
 	}
-	e.loop.do(ctx, func(now timer.Millis) { e.core.Drop(now, j.ID, "caller left") })
+	e.loop.do(ctx, func(now timer.Millis) { e.guard(give, func() { e.core.Drop(now, j.ID, "caller left") }) })
 	select {
 	case a := <-answer:
 		return a
@@ -247,7 +278,7 @@
 }
 
 // serveAll starts a server for each endpoint with an address.
-func serveAll(ctx context.Context, logger log.Interface, endpoints []endpoint) ([]*http.Server, error) {
+func serveAll(ctx context.Context, m *monitor, endpoints []endpoint) ([]*http.Server, error) {
 	var servers []*http.Server
 	for _, p := range endpoints {
 		if p.address == "" {
@@ -257,11 +288,11 @@
 		if err != nil {
 			return servers, trace.ConnectionProblem(err, "cannot listen on %q: %v", p.address, err)
 		}
-		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: m.guarded(p), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				logger.WithError(err).WithField("address", p.address).Error("http: listener ended")
+				m.logger.WithError(err).WithField("address", p.address).Error("http: listener ended")
 			}
 		}()
 	}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -6,6 +6,9 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -16,6 +19,9 @@
 	tickPeriod = 25 * time.Millisecond
 	// maxEvents is the number of events after which the core acts on them, when more wait.
 	maxEvents = 64
+	// maxFailedTicks is the number of ticks in a row that may panic, 1 s, before the loop gives up. Without ticks no time
+	// limit holds, and a restart clears the state.
+	maxFailedTicks = 40
 )
 
 // loop is the one goroutine that owns a core's state. Other goroutines pass it functions to call.
@@ -24,6 +30,10 @@
 	events chan func(now timer.Millis)
 	// flush is called after each batch of events, tick every tickPeriod.
 	flush, tick func(now timer.Millis)
+	// panicked is told of a panic in an event, in flush or in tick. Only that call ends.
+	panicked func(err error)
+
+	failedTicks int // in a row
 }
 
 func newLoop() *loop {
@@ -38,33 +48,46 @@
 	}
 }
 
-// run calls the functions until ctx ends.
-func (l *loop) run(ctx context.Context) {
+// run calls the functions until ctx ends. It returns an error when the ticks keep panicking.
+func (l *loop) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case f := <-l.events:
 			l.batch(f)
 		case <-ticker.C:
-			l.tick(l.clock.Now())
+			if l.call(l.clock.Now(), l.tick) {
+				l.failedTicks = 0
+			} else if l.failedTicks++; l.failedTicks >= maxFailedTicks {
+				return trace.LimitExceeded("%d ticks in a row panicked", l.failedTicks)
+			}
 		}
 	}
 }
 
+// call calls f and reports whether it returned without a panic.
+func (l *loop) call(now timer.Millis, f func(now timer.Millis)) bool {
+	err := catcher.Catch(func() { f(now) })
+	if err != nil && l.panicked != nil {
+		l.panicked(err)
+	}
+	return err == nil
+}
+
 func (l *loop) batch(f func(now timer.Millis)) {
 	now := l.clock.Now()
-	f(now)
+	l.call(now, f)
 	for range maxEvents {
 		select {
 		case f := <-l.events:
-			f(now)
+			l.call(now, f)
 		default:
-			l.flush(now)
+			l.call(now, l.flush)
 			return
 		}
 	}
-	l.flush(now)
+	l.call(now, l.flush)
 }
--- a/conductor/memory.go
+++ b/conductor/memory.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/follower"
 	"github.com/crocuslb/crocuslb/keeper"
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -84,6 +85,14 @@
 	}
 }
 
+// decode decodes a record. A panic is an error of the record.
+func decode(body []byte) (m marshaler.Message, err error) {
+	if panicked := catcher.Catch(func() { m, err = marshaler.Decode(body) }); panicked != nil {
+		return nil, panicked
+	}
+	return m, err
+}
+
 // recall reads the description that an earlier life wrote. ok is false when there is none.
 func (m *memory) recall(ctx context.Context) (b keeper.Backend, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, recallTime)
@@ -99,7 +108,7 @@
 			if r.Key != m.name {
 				continue
 			}
-			message, err := marshaler.Decode(r.Value)
+			message, err := decode(r.Value)
 			d, isBackend := message.(*marshaler.Backend)
 			if err != nil || !isBackend {
 				m.logger.WithField("record", r.Key).Warn("sidecar: earlier description of the backend server is unreadable")
--- a/conductor/options.go
+++ b/conductor/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/reporter"
 	"github.com/crocuslb/crocuslb/timer"
@@ -78,10 +79,27 @@
 	dropped func() uint64 // log lines that were not written
 }
 
+// panicked logs and counts a panic that ended only the handling of one event. from names the process whose message it
+// was, or the part of this process.
+func (m *monitor) panicked(from string, err error) {
+	m.metrics.Count("crocuslb_panics_total{from=" + strconv.Quote(from) + "}")
+	m.logger.WithError(err).WithField("from", from).Error("process: the handling of an event panicked")
+}
+
 func (m *monitor) count(kind, detail string) {
 	m.metrics.Count("crocuslb_events_total{kind=" + strconv.Quote(kind) + ",detail=" + strconv.Quote(detail) + "}")
 }
 
+// guarded returns the endpoint's handler. A panic in it ends its request with status 500.
+func (m *monitor) guarded(p endpoint) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := catcher.Catch(func() { p.handler.ServeHTTP(w, r) }); err != nil {
+			m.panicked("http "+p.address, err)
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+}
+
 func (m *monitor) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if m.dropped != nil {
--- a/conductor/owner.go
+++ b/conductor/owner.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/archiver"
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/submitter"
 	"github.com/crocuslb/crocuslb/timer"
@@ -260,7 +261,11 @@
 			return a, trace.Wrap(err)
 		}
 		for i, body := range r.Bodies {
-			if err := a.Add(body); err != nil {
+			var err error
+			if panicked := catcher.Catch(func() { err = a.Add(body) }); panicked != nil {
+				err = panicked
+			}
+			if err != nil {
 				o.logger.WithError(err).WithFields(log.Fields{"partition": number, "offset": r.From + uint64(i)}).Warn("owner: unreadable record is left out")
 			}
 		}
--- /dev/null
+++ b/conductor/panic_test.go
@@ -0,0 +1,158 @@
+package conductor
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	logs "github.com/apex/log/handlers/memory"
+
+	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/submitter"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+func newMonitor() (*monitor, *logs.Handler) {
+	h := logs.New()
+	return &monitor{logger: &log.Logger{Handler: h, Level: log.InfoLevel}}, h
+}
+
+func (m *monitor) text() string {
+	w := httptest.NewRecorder()
+	m.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
+}
+
+// TestLoopPanics guards against a fault in one event that ends the process or the events after it, and against a process
+// that goes on without time limits.
+func TestLoopPanics(t *testing.T) {
+	m, _ := newMonitor()
+	l := newLoop()
+	l.panicked = func(err error) { m.panicked("loop", err) }
+	l.flush = func(timer.Millis) {}
+	var ticks, badTicks atomic.Int64
+	l.tick = func(timer.Millis) {
+		if ticks.Add(1) <= badTicks.Load() {
+			panic("tick")
+		}
+	}
+	badTicks.Store(maxFailedTicks - 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.run(ctx) }()
+	l.do(ctx, func(timer.Millis) { panic("event") })
+	after := make(chan struct{})
+	l.do(ctx, func(timer.Millis) { close(after) })
+	<-after
+	for ticks.Load() < maxFailedTicks {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("got %v after %d failed ticks and a good one, want no error", err, maxFailedTicks-1)
+	}
+	if got, want := m.text(), `crocuslb_panics_total{from="loop"} 40`; !strings.Contains(got, want) {
+		t.Errorf("got metrics %q, want %q", got, want)
+	}
+	badTicks.Store(1 << 30)
+	l = newLoop()
+	l.flush, l.tick = func(timer.Millis) {}, func(timer.Millis) { panic("tick") }
+	if err := l.run(t.Context()); err == nil {
+		t.Error("got no error with ticks that always panic, want one")
+	}
+}
+
+// TestMessagePanics guards against a message whose handling panics and takes the process, or the sessions of others, down.
+func TestMessagePanics(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	m, logged := newMonitor()
+	l := newLoop()
+	l.flush, l.tick = func(timer.Millis) {}, func(timer.Millis) {}
+	go func() { _ = l.run(ctx) }() // its ticks do not panic
+	var handled, lost atomic.Int64
+	s := sessions{
+		loop: l, members: &directory{}, panicked: m.panicked,
+		up:   func(timer.Millis, *marshaler.Link) {},
+		down: func(timer.Millis, *marshaler.Link, error) { lost.Add(1) },
+		message: func(_ timer.Millis, _ *marshaler.Link, m marshaler.Message) {
+			if _, bad := m.(*marshaler.Withdraw); bad {
+				panic("injected")
+			}
+			handled.Add(1)
+		},
+	}
+	a := carrier.Node{Hello: func() marshaler.Hello { return marshaler.Hello{Role: marshaler.RoleEntry, Name: "a"} }}
+	s.attach(ctx, &a)
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func(name string, send marshaler.Message) *carrier.Node {
+		n := &carrier.Node{Hello: func() marshaler.Hello { return marshaler.Hello{Role: marshaler.RoleEntry, Name: name} }}
+		n.OnUp = func(c *carrier.Session) { c.Send(send) }
+		n.OnMessage = func(*carrier.Session, []marshaler.Message) {}
+		n.OnDown = func(*carrier.Session, error) {}
+		n.Connect(ctx, address)
+		return n
+	}
+	bad := dial("bad", &marshaler.Withdraw{Job: "x"})
+	for lost.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	good := dial("good", &marshaler.Beat{Offset: 1})
+	for handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	for _, n := range []*carrier.Node{&a, bad, good} {
+		n.Wait()
+	}
+	if got, want := m.text(), `crocuslb_panics_total{from="bad"}`; !strings.Contains(got, want) {
+		t.Errorf("got metrics %q, want %q", got, want)
+	}
+	if len(logged.Entries) == 0 || !strings.Contains(logged.Entries[0].Fields.Get("error").(string), "injected") {
+		t.Errorf("got log %v, want the cause of the panic", logged.Entries)
+	}
+}
+
+// TestCallerPanics guards against a caller that waits for ever, or is told that nothing ran, when the handling of its
+// request panics.
+func TestCallerPanics(t *testing.T) {
+	m, _ := newMonitor()
+	e := Entry{loop: newLoop()}
+	e.monitor.logger = m.logger
+	e.loop.flush, e.loop.tick = func(timer.Millis) {}, func(timer.Millis) {}
+	go func() { _ = e.loop.run(t.Context()) }() // its ticks do not panic
+	e.core.Report = func(v submitter.Event) {
+		if v.Kind == "refuse" {
+			panic("injected")
+		}
+	}
+	a := e.submit(t.Context(), submitter.Job{ID: "0123456789abcdef"}, nil)
+	if a.Kind != submitter.AnswerGaveUp {
+		t.Errorf("got answer %v, want %v", a.Kind, submitter.AnswerGaveUp)
+	}
+	if e.ask(t.Context(), func(timer.Millis) bool { panic("injected") }) {
+		t.Error("got true from a question that panicked, want false")
+	}
+}
+
+// TestRequestPanics guards against a request to a listener that takes the process down.
+func TestRequestPanics(t *testing.T) {
+	m, _ := newMonitor()
+	h := m.guarded(endpoint{"here", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("injected") })})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x")))
+	if w.Code != http.StatusInternalServerError {
+		t.Errorf("got status %d, want %d", w.Code, http.StatusInternalServerError)
+	}
+	if got, want := m.text(), `crocuslb_panics_total{from="http here"} 1`; !strings.Contains(got, want) {
+		t.Errorf("got metrics %q, want %q", got, want)
+	}
+}
--- a/conductor/sessions.go
+++ b/conductor/sessions.go
@@ -4,7 +4,10 @@
 	"context"
 	"sync"
 
+	"github.com/gravitational/trace"
+
 	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -18,6 +21,8 @@
 	up      func(now timer.Millis, link *marshaler.Link)
 	down    func(now timer.Millis, link *marshaler.Link, cause error)
 	message func(now timer.Millis, link *marshaler.Link, m marshaler.Message)
+	// panicked is told of a panic in the handling of a message, with the name of its sender.
+	panicked func(from string, err error)
 
 	links sync.Map // *carrier.Session to *marshaler.Link
 }
@@ -35,10 +40,18 @@
 		link, _ := v.(*marshaler.Link)
 		s.loop.do(ctx, func(now timer.Millis) {
 			for _, m := range batch {
-				s.deliver(ctx, now, link, m)
+				err := catcher.Catch(func() { s.deliver(ctx, now, link, m) })
+				if err == nil {
+					continue
+				}
+				// Both ends compare what they know when the next session opens.
+				s.panicked(c.Remote.Name, err)
+				c.Close(trace.BadParameter("the handling of %T panicked", m))
+				return
 			}
 		})
 	}
+	n.OnPanic = func(c *carrier.Session, err error) { s.panicked(c.Remote.Name, err) }
 	n.OnDown = func(c *carrier.Session, cause error) {
 		v, _ := s.links.LoadAndDelete(c)
 		link, _ := v.(*marshaler.Link)
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/carrier"
+	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/keeper"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
@@ -55,6 +56,7 @@
 	defer end()
 	s.loop = newLoop()
 	s.monitor.logger, s.monitor.dropped = s.Logger, s.Dropped
+	s.loop.panicked = func(err error) { s.monitor.panicked("loop", err) }
 	s.backend = platform.NewBackend(s.Backend, backendConnections, backendTimeout)
 	s.memory = memory{logger: s.Logger, store: newStore(s.Store, 0), name: s.Name, pending: make(chan string, 1)}
 	s.holds = make(chan keeper.HoldRequest, 1)
@@ -79,7 +81,7 @@
 		Leaves:   func(id string) { s.loop.do(life, func(now timer.Millis) { s.core.Leaves(now, id) }) },
 		Refused:  func(err error) { s.Logger.WithError(err).Warn("sidecar: announcement refused") },
 	}
-	servers, err := serveAll(life, s.Logger, []endpoint{{s.Announcements, announcements.Handler()}, {s.Metrics, s.monitor.handler()}})
+	servers, err := serveAll(life, &s.monitor, []endpoint{{s.Announcements, announcements.Handler()}, {s.Metrics, s.monitor.handler()}})
 	if err != nil {
 		return err
 	}
@@ -98,8 +100,13 @@
 	go s.hold(life)
 	go s.memory.write(life)
 	go s.recall(life)
-	go s.loop.run(life)
-	<-ctx.Done()
+	broken := make(chan error, 1)
+	go func() { broken <- s.loop.run(life) }()
+	select {
+	case <-ctx.Done():
+	case err := <-broken:
+		return err
+	}
 	s.drain(life)
 	end()
 	closeAll(servers)
@@ -111,7 +118,7 @@
 // attach connects the sessions to the core.
 func (s *Sidecar) attach(ctx context.Context) {
 	s.links = sessions{
-		loop: s.loop, config: &s.config, members: &s.members,
+		loop: s.loop, config: &s.config, members: &s.members, panicked: s.monitor.panicked,
 		up: func(now timer.Millis, link *marshaler.Link) {
 			s.Logger.WithField("entry", link.Remote.Name).Info("sidecar: entry connected")
 			s.config.relay.Up(now, link.Remote.Name)
@@ -136,10 +143,10 @@
 func (s *Sidecar) announce(ctx context.Context, b keeper.Backend) {
 	done := make(chan struct{})
 	s.loop.do(ctx, func(now timer.Millis) {
+		defer close(done)
 		s.core.Announce(now, b)
 		s.memory.remember(s.core.Backend())
 		s.nextHold(now)
-		close(done)
 	})
 	select {
 	case <-done:
@@ -190,22 +197,32 @@
 		if h.Unrecorded {
 			time.Sleep(unrecordedPause)
 		}
-		l, err := s.backend.Hold(h, wait)
+		l, err := s.callHold(h, wait)
 		if err != nil && !platform.TimedOut(err) {
 			time.Sleep(holdPause)
 		}
 		s.loop.do(ctx, func(now timer.Millis) {
 			s.holding = false
+			defer s.nextHold(now) // also when the core panics: the lease must not end with one listing
 			if err != nil {
 				s.core.OnHoldFailed(now, platform.Gone(err), err.Error())
 			} else {
 				s.core.OnListing(now, l)
 			}
-			s.nextHold(now)
 		})
 	}
 }
 
+// callHold calls the backend server. A panic on its answer is an error of the call.
+func (s *Sidecar) callHold(h keeper.HoldRequest, wait time.Duration) (l keeper.Listing, err error) {
+	panicked := catcher.Catch(func() { l, err = s.backend.Hold(h, wait) })
+	if panicked != nil {
+		s.monitor.panicked("backend server", panicked)
+		return keeper.Listing{}, panicked
+	}
+	return l, err
+}
+
 // look asks for the lists of runs and ends at once, beside a hold that waits. It is called by the loop.
 func (s *Sidecar) look(ctx context.Context) {
 	h, ok := s.core.BeginHold(s.loop.clock.Now())
@@ -213,7 +230,7 @@
 		return
 	}
 	go func() {
-		l, err := s.backend.Hold(h, 0)
+		l, err := s.callHold(h, 0)
 		if err != nil {
 			return // the next hold tells the same
 		}
@@ -224,7 +241,10 @@
 func (s *Sidecar) start(ctx context.Context, m marshaler.Start) {
 	instance := s.core.Backend().ID
 	go func() {
-		started := s.backend.Start(instance, m)
+		started := keeper.Started{Run: m.Run, Status: keeper.StartUnknown, Reason: "panic on the answer"}
+		if err := catcher.Catch(func() { started = s.backend.Start(instance, m) }); err != nil {
+			s.monitor.panicked("backend server", err)
+		}
 		s.loop.do(ctx, func(now timer.Millis) { s.core.OnStarted(now, started) })
 	}()
 }
@@ -232,7 +252,12 @@
 func (s *Sidecar) stop(ctx context.Context, r marshaler.RunKey) {
 	instance := s.core.Backend().ID
 	go func() {
-		ok, err := s.backend.Stop(instance, r)
+		var ok bool
+		var err error
+		if panicked := catcher.Catch(func() { ok, err = s.backend.Stop(instance, r) }); panicked != nil {
+			s.monitor.panicked("backend server", panicked)
+			ok, err = false, panicked
+		}
 		if err != nil {
 			s.Logger.WithError(err).WithField("job", r.Job).Warn("sidecar: no answer to a stop")
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/catcher"
 )
 
 const (
@@ -72,11 +74,19 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, next uint64, known bool) (Page, error) {
-	if known {
-		return f.Read(ctx, next)
+// step reads the next records. A panic on the store's answer is an error of the call.
+func (f *Follower) step(ctx context.Context, next uint64, known bool) (page Page, err error) {
+	panicked := catcher.Catch(func() {
+		if known {
+			page, err = f.Read(ctx, next)
+		} else {
+			page, err = f.Newest(ctx)
+		}
+	})
+	if panicked != nil {
+		return Page{}, panicked
 	}
-	return f.Newest(ctx)
+	return page, err
 }
 
 func (f *Follower) fail(ctx context.Context, err error, pause *time.Duration) {
