Serve jobs late rather than refuse them while there is a chance

Cause: a job that got no room within its share of the expected response time was refused, though its caller still had more than half of its time. Change: a request whose latest useful start has passed goes behind those that are on time and waits for up to 0.4 of the caller's deadline. It gets only room for which nobody else waits, and is refused at once when twice the work before it doesn't fit into its patience.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -150,7 +150,7 @@
 	for _, name := range m.Placed {
 		dst = appendBytes(dst, 15, []byte(name))
 	}
-	return dst
+	return appendInt(dst, 16, int64(m.Patience))
 }
 
 func appendLoad(dst []byte, m *Load) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -273,6 +273,8 @@
 		return f.Uint(&m.PerServer)
 	case 15:
 		return addText(f, &m.Placed)
+	case 16:
+		return setMillis(f, &m.Patience)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -178,6 +178,9 @@
 		// have some already, with one element for each task.
 		PerServer uint64
 		Placed    []string
+		// Patience is the time for which the request may wait once it is too late for its expected response time. It is at
+		// least Slack; 0 stands for Slack.
+		Patience timer.Millis
 	}
 
 	// Withdraw takes back what is left of a request for room.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,9 @@
 	settleTime = timer.Second
 	// maxQueued bounds the queue.
 	maxQueued = 20_000
+	// lateMargin is the factor on the expected wait of a late request: requests that are not late and come meanwhile go
+	// before it.
+	lateMargin = 2
 	// ReasonMoved is the reason of a Reject that only sends the request to another placing entry.
 	ReasonMoved = "moved"
 )
@@ -61,8 +64,10 @@
 		service  string
 		room     marshaler.Room
 		estimate timer.Millis
-		left     uint64 // tasks without a grant
-		latest   timer.Millis
+		left     uint64       // tasks without a grant
+		latest   timer.Millis // latest start within the expected response time
+		last     timer.Millis // latest start at all
+		late     bool         // it will start after latest, if at all
 		started  bool
 		arrived  timer.Millis
 		granted  []string
@@ -131,7 +136,7 @@
 	}
 	r := &request{
 		key: key, domain: domain, service: a.Service, room: a.Room, estimate: a.Estimate, left: a.Tasks,
-		latest: now + a.Slack, started: a.Started, arrived: now, avoid: a.Avoid,
+		latest: now + a.Slack, last: now + max(a.Slack, a.Patience), started: a.Started, arrived: now, avoid: a.Avoid,
 		bound: bind(a),
 	}
 	if p.began == 0 {
@@ -145,8 +150,13 @@
 		p.byKey = map[requestKey]*request{}
 	}
 	p.byKey[key] = r
+	p.insert(r)
+}
+
+// insert queues a request by its order. Equal ones keep the order of their arrival.
+func (p *Placer) insert(r *request) {
 	i, _ := slices.BinarySearchFunc(p.queue, r, func(queued, r *request) int {
-		if compare(queued, r) <= 0 { // equal ones keep the order of their arrival
+		if compare(queued, r) <= 0 {
 			return -1
 		}
 		return 1
@@ -154,15 +164,31 @@
 	p.queue = slices.Insert(p.queue, i, r)
 }
 
-// compare orders requests: those that have started, then by the latest useful start.
+// compare orders requests: those that have started, then those that can start within their expected response time, then
+// the late ones; each by the latest useful start.
 func compare(a, b *request) int {
+	if order := a.rank() - b.rank(); order != 0 {
+		return order
+	}
+	return int(a.due() - b.due())
+}
+
+func (r *request) rank() int {
 	switch {
-	case a.started != b.started && a.started:
-		return -1
-	case a.started != b.started:
+	case r.started:
+		return 0
+	case !r.late:
 		return 1
 	}
-	return int(a.latest - b.latest)
+	return 2
+}
+
+// due returns the latest useful start of a request as it stands.
+func (r *request) due() timer.Millis {
+	if r.late {
+		return r.last
+	}
+	return r.latest
 }
 
 // Withdraw drops what is left of a request.
@@ -216,6 +242,9 @@
 	blocked := 0
 	var served []*request
 	for _, r := range p.queue {
+		if r.late && !r.started && blocked > 0 {
+			break // late ones take only room that nobody else waits for
+		}
 		for r.left > 0 {
 			w := p.pick(now, r)
 			if w == nil {
@@ -258,34 +287,41 @@
 	}
 }
 
-// expire refuses requests whose latest useful start has passed.
+// expire puts requests whose latest useful start has passed behind the others, or refuses them when they have no chance.
 func (p *Placer) expire(now timer.Millis) {
-	var late []*request
+	var passed []*request
 	for _, r := range p.queue {
-		if !r.started && r.latest <= now {
-			late = append(late, r)
+		if !r.started && r.due() <= now {
+			passed = append(passed, r)
 		}
 	}
-	for _, r := range late {
+	for _, r := range passed {
 		p.drop(r)
-		p.reject(r, "no room in time", p.backlog(r))
+		r.late = true
+		if wait, ok := p.chance(now, r); !ok {
+			p.reject(r, "no room in time", wait)
+			continue
+		}
+		p.byKey[r.key] = r
+		p.insert(r)
 	}
 }
 
+// chance reports whether a late request may still get room, and the time until the requests before it have theirs.
+func (p *Placer) chance(now timer.Millis, r *request) (wait timer.Millis, ok bool) {
+	wait = p.backlog(r)
+	return wait, now+lateMargin*wait < r.last
+}
+
 // pick returns the best worker with room for a task of r, or nil.
 func (p *Placer) pick(now timer.Millis, r *request) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range p.order {
-		if !w.accepting || w.service != r.service || !w.free.Holds(r.room) || !w.allows(now) || p.avoids(r, w) ||
-			!r.bound.allows(w) {
+		if !w.free.Holds(r.room) || !p.suits(now, r, w) {
 			continue
 		}
-		speed := w.speed / p.usual
-		if speed < slowShare && w.busy() {
-			continue
-		}
-		score := speed * r.bound.factor(w)
+		score := w.speed / p.usual * r.bound.factor(w)
 		if w.domain == r.domain {
 			score += nearBonus
 		}
@@ -296,6 +332,14 @@
 	return best
 }
 
+// suits reports whether a worker may get a task of a request, its free room aside.
+func (p *Placer) suits(now timer.Millis, r *request, w *worker) bool {
+	if !w.accepting || w.service != r.service || !w.allows(now) || p.avoids(r, w) || !r.bound.allows(w) {
+		return false
+	}
+	return w.speed/p.usual >= slowShare || !w.busy()
+}
+
 // avoids reports whether a request leaves out a worker. One that leaves out all of its service leaves out none.
 func (p *Placer) avoids(r *request, w *worker) bool {
 	if !slices.Contains(r.avoid, w.name) {
@@ -343,7 +387,11 @@
 	case !fits:
 		return "no worker is large enough", timer.Minute
 	}
-	if wait = p.backlog(r); now+wait > r.latest {
+	if wait = p.backlog(r); now+wait <= r.latest {
+		return "", 0
+	}
+	r.late = true
+	if wait, ok := p.chance(now, r); !ok {
 		return "queue is too long", wait
 	}
 	return "", 0
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -19,6 +20,8 @@
 		workers func(f *field, at timer.Millis)
 		// minInTime is the least share of the worked time of all jobs, or of what the room allows, that ends in time.
 		minInTime float64
+		// minServed is the least share of the jobs that end at all.
+		minServed float64
 	}
 
 	testJob struct {
@@ -27,6 +30,7 @@
 		run      timer.Millis // true run time of a task at the usual speed
 		estimate timer.Millis
 		slack    timer.Millis
+		patience timer.Millis
 	}
 
 	// field runs a placer against workers without a network: starts begin when they are granted, reports arrive at once.
@@ -73,6 +77,7 @@
 	stretch   = 1.6
 	target    = 60
 	waitShare = 0.35
+	patience  = 900 // ms, for callers with deadlines of about 2.3 s
 )
 
 func newField(seed uint64, workers int) *field {
@@ -169,7 +174,8 @@
 
 func (f *field) ask(j *liveJob, tasks int) {
 	f.p.Ask(f.now, "entry", "", &marshaler.Ask{
-		Job: j.id, Service: "svc", Tasks: uint64(tasks), Room: marshaler.Room{CPU: taskCPU}, Estimate: j.estimate, Slack: j.slack, Started: j.started,
+		Job: j.id, Service: "svc", Tasks: uint64(tasks), Room: marshaler.Room{CPU: taskCPU}, Estimate: j.estimate, Slack: j.slack, Patience: j.patience,
+		Started: j.started,
 	})
 }
 
@@ -189,6 +195,7 @@
 			j.run = timer.Millis(float64(j.run) * (0.7 + 0.6*r.Float64()))
 			j.estimate = timer.Millis(float64(j.run) * (0.6 + 0.8*r.Float64()))
 			j.slack = timer.Millis(waitShare * (stretch*float64(j.estimate) + target))
+			j.patience = patience
 			jobs = append(jobs, j)
 		}
 		return jobs
@@ -200,38 +207,47 @@
 	// 11 workers hold 110 tasks at a time; 140 jobs a second take about 70 of them.
 	calm := mixed(140)
 	patterns := []pattern{
-		{"calm", calm, func(*field, timer.Millis) {}, 0.99},
+		{"calm", calm, func(*field, timer.Millis) {}, 0.99, 1},
 		{"burst of one kind", func(r *rand.Rand, at timer.Millis) []testJob {
 			jobs := calm(r, at)
 			if at > 2000 && at < 4000 && r.Float64() < 0.12 {
-				jobs = append(jobs, testJob{id: fmt.Sprintf("b%d", at), tasks: 2, run: 200, estimate: 200, slack: 133})
+				jobs = append(jobs, testJob{id: fmt.Sprintf("b%d", at), tasks: 2, run: 200, estimate: 200, slack: 133, patience: patience})
 			}
 			return jobs
-		}, func(*field, timer.Millis) {}, 0.75},
+		}, func(*field, timer.Millis) {}, 0.75, 0.85},
 		{"burst of all kinds", func(r *rand.Rand, at timer.Millis) []testJob {
 			if at > 2000 && at < 4000 {
 				return mixed(300)(r, at)
 			}
 			return calm(r, at)
-		}, func(*field, timer.Millis) {}, 0.70},
+		}, func(*field, timer.Millis) {}, 0.70, 0.75},
+		{"callers come back at once after a restart", func(r *rand.Rand, at timer.Millis) []testJob {
+			switch {
+			case at > 2000 && at <= 3000:
+				return nil // nobody is served
+			case at > 3000 && at <= 3400:
+				return mixed(420)(r, at)
+			}
+			return calm(r, at)
+		}, func(*field, timer.Millis) {}, 0.80, 0.97},
 		{"capacity lost and back", calm, func(f *field, at timer.Millis) {
 			for _, w := range f.workers[:4] {
 				w.gone = at > 2000 && at < 4000
 			}
-		}, 0.80},
-		{"some workers fail all", calm, func(f *field, at timer.Millis) { f.workers[0].fails = at > 2000 && at < 4000 }, 0.93},
-		{"runs on some workers stand still", calm, func(f *field, at timer.Millis) { f.workers[0].stuck = at > 2000 && at < 4000 }, 0.93},
+		}, 0.80, 0.85},
+		{"some workers fail all", calm, func(f *field, at timer.Millis) { f.workers[0].fails = at > 2000 && at < 4000 }, 0.93, 0.99},
+		{"runs on some workers stand still", calm, func(f *field, at timer.Millis) { f.workers[0].stuck = at > 2000 && at < 4000 }, 0.93, 0.99},
 		{"some workers slow", calm, func(f *field, at timer.Millis) {
 			f.workers[0].speed, f.workers[1].speed = 1, 1
 			if at > 2000 && at < 4000 {
 				f.workers[0].speed, f.workers[1].speed = 0.2, 0.2
 			}
-		}, 0.90},
+		}, 0.90, 0.99},
 	}
 	for _, p := range patterns {
 		t.Run(p.name, func(t *testing.T) {
 			f := newField(1, 11)
-			total, inTime := 0, 0
+			total, inTime, served := 0, 0, 0
 			all := map[string]*liveJob{}
 			for at := timer.Millis(0); at < 7000; at++ {
 				p.workers(f, at)
@@ -247,6 +263,9 @@
 			}
 			for _, j := range all {
 				limit := timer.Millis(stretch*float64(j.run)*1.15) + target
+				if j.ended != 0 {
+					served++
+				}
 				if j.ended != 0 && j.ended-j.arrived <= limit {
 					inTime++
 				}
@@ -254,6 +273,9 @@
 			if got := float64(inTime) / float64(total); got < p.minInTime {
 				t.Errorf("got %.3f of %d jobs in time (%d refused), want %.2f", got, total, f.refused, p.minInTime)
 			}
+			if got := float64(served) / float64(total); got < p.minServed {
+				t.Errorf("got %.3f of %d jobs served (%d refused), want %.2f", got, total, f.refused, p.minServed)
+			}
 			if f.p.Queued() != 0 {
 				t.Errorf("got %d requests in the queue at the end, want 0", f.p.Queued())
 			}
@@ -299,6 +321,76 @@
 	}
 }
 
+// TestLate guards against callers that are refused although they could be served a little later, against late requests
+// that take room from those that are on time, and against waits without a chance.
+func TestLate(t *testing.T) {
+	room := marshaler.Room{CPU: 3000}
+	cases := []struct {
+		name string
+		// free is the number of tasks that fit; it becomes freeLater after 100 ms.
+		free, freeLater int
+		// onTime is the number of tasks of a request that comes when the room comes.
+		onTime  int
+		ask     marshaler.Ask
+		granted int
+		reason  string // of a refusal at any time
+		at      timer.Millis
+	}{
+		{"room comes late", 0, 10, 0, marshaler.Ask{Tasks: 2, Slack: 50, Patience: 900}, 2, "", 100},
+		{"no patience", 0, 10, 0, marshaler.Ask{Tasks: 2, Slack: 50}, 0, "no room in time", 50},
+		{"patience ends", 0, 0, 0, marshaler.Ask{Tasks: 2, Slack: 50, Patience: 300}, 0, "no room in time", 300},
+		{"others are on time", 0, 2, 2, marshaler.Ask{Tasks: 2, Slack: 50, Patience: 900}, 0, "no room in time", 900},
+		{"room for both", 0, 4, 2, marshaler.Ask{Tasks: 2, Slack: 50, Patience: 900}, 2, "", 100},
+		{"room for a part", 0, 1, 0, marshaler.Ask{Tasks: 2, Slack: 50, Patience: 900}, 1, "", 100},
+	}
+	for _, c := range cases {
+		var granted int
+		var reason string
+		var at timer.Millis
+		now := timer.Millis(10_000)
+		var p Placer
+		free := c.free
+		load := func() {
+			p.OnLoad(now, "a", &marshaler.Load{Accepting: true, Free: marshaler.Room{CPU: int64(free) * room.CPU}, Speed: 1000})
+		}
+		p = Placer{
+			Grant: func(_ string, g marshaler.Grant) {
+				if g.Job == "late" {
+					granted += len(g.Sidecars)
+					at = now
+				}
+				free -= len(g.Sidecars) // the tasks run to the end of the test
+				p.OnLoad(now, "a", &marshaler.Load{Accepting: true, Speed: 1000, Seen: slices.Repeat([]string{g.Job}, len(g.Sidecars))})
+				load()
+			},
+			Reject: func(_ string, r marshaler.Reject) {
+				if r.Job == "late" {
+					reason, at = r.Reason, now
+				}
+			},
+		}
+		p.SetWorker("a", "", &marshaler.Backend{Service: "svc", Total: marshaler.Room{CPU: 64_000}})
+		load()
+		p.began = 1
+		c.ask.Job, c.ask.Service, c.ask.Room, c.ask.Estimate = "late", "svc", room, 60
+		p.Ask(now, "entry", "", &c.ask)
+		began := now
+		for ; now < began+1000; now++ {
+			if now == began+100 {
+				free = c.freeLater
+				load()
+				if c.onTime > 0 {
+					p.Ask(now, "entry", "", &marshaler.Ask{Job: "b", Service: "svc", Room: room, Estimate: 60, Tasks: uint64(c.onTime), Slack: 50, Patience: 900})
+				}
+			}
+			p.Place(now)
+		}
+		if granted != c.granted || reason != c.reason || at-began != c.at {
+			t.Errorf("%s: got %d granted, refusal %q, after %d ms, want %d, %q, %d ms", c.name, granted, reason, at-began, c.granted, c.reason, c.at)
+		}
+	}
+}
+
 // TestLeave guards against requests that stay with an entry that stops.
 func TestLeave(t *testing.T) {
 	f := newField(1, 1)
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -49,7 +49,7 @@
 	st := &j.steps[step]
 	m := &marshaler.Ask{
 		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Room: st.Room, Estimate: st.Estimate,
-		Slack: max(j.latest-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoid,
+		Slack: max(j.latest-s.now, 0), Patience: max(j.last-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoid,
 		Label: st.Label, Rack: st.Rack, PerServer: st.PerServer, Placed: st.placed(),
 	}
 	at := s.placing()
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -24,11 +24,19 @@
 	startLife = 400 * timer.Millisecond
 	// attemptGap separates the attempt numbers of this entry from those of another one that ran the task before.
 	attemptGap = 16
-	// placerWait is how long after a request's latest useful start an answer of the placing entry is awaited.
+	// placerWait is how long after the end of a job's patience an answer of the placing entry is awaited.
 	placerWait = 100 * timer.Millisecond
 	// waitShare is the part of the expected response time that a job may wait for its first start. The rest covers its
 	// run and estimates that are off by 40%; a caller that is refused within it can still go elsewhere.
 	waitShare = 0.35
+	// patienceShare is the part of a caller's deadline for which a job may wait for its first start. An answer after the
+	// expected response time is worth more to the caller than a refusal, and a caller that is refused by then still has
+	// most of its time to go elsewhere.
+	patienceShare = 0.4
+	// maxPatience bounds the wait of jobs with long deadlines.
+	maxPatience = 2 * timer.Second
+	// lateRun is the factor on a job's estimated run time that has to be left before its deadline at a late start.
+	lateRun = 1.4
 	// defaultDeadline bounds jobs whose callers state no deadline.
 	defaultDeadline = 30 * timer.Second
 	// repeatAfter is how long a request for room of a job that can no longer be refused stays without a grant before it is
@@ -89,6 +97,7 @@
 		Spec     string
 		Steps    []marshaler.Step
 		Deadline timer.Millis // time for which the caller waits; 0 for none stated
+		Waited   timer.Millis // part of that time that had passed before Submit
 		// Answer is called once.
 		Answer func(a Answer)
 	}
@@ -139,7 +148,8 @@
 		Job
 		waiters   []func(a Answer)
 		arrived   timer.Millis
-		latest    timer.Millis // latest useful start
+		latest    timer.Millis // latest start within the expected response time
+		last      timer.Millis // latest first start at all
 		until     timer.Millis // deadline
 		steps     []step
 		done      int
@@ -262,11 +272,21 @@
 	}
 	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.longestChain()) + float64(j.Queue.Target)))
 	j.waiters = []func(a Answer){j.Answer}
-	j.arrived, j.latest, j.until = s.now, s.now+slack, s.now+wait
+	j.arrived = s.now - j.Waited
+	j.latest, j.until = j.arrived+slack, j.arrived+wait
+	j.last = max(j.latest, min(j.arrived+Patience(j.Deadline), j.until-timer.Millis(lateRun*float64(j.longestChain()))))
 	s.jobs[j.ID] = j
 	s.askReady(j)
 }
 
+// Patience returns for how long a job may wait for its first start, by its caller's deadline; 0 means none stated.
+func Patience(deadline timer.Millis) timer.Millis {
+	if deadline <= 0 {
+		return maxPatience
+	}
+	return min(timer.Millis(patienceShare*float64(deadline)), maxPatience)
+}
+
 // Drop ends a job whose caller left or cancelled it.
 func (s *Submitter) Drop(now timer.Millis, id, reason string) bool {
 	s.at(now)
@@ -306,7 +326,7 @@
 			}
 		case now >= j.until:
 			s.finish(j, Answer{Kind: AnswerGaveUp, Reason: "deadline passed"})
-		case j.asking() && !j.begun() && now >= j.latest+placerWait:
+		case j.asking() && !j.begun() && now >= j.last+placerWait:
 			s.finish(j, Answer{Kind: AnswerNotRun, Reason: "no answer from the placing entry", RetryAfter: timer.Second})
 		}
 	}
