Hold callers for the first configuration instead of refusing them

Change: a caller waits for the first configuration for the share of its deadline that it may wait for room; at most 2,000 do. What it waited counts towards its time.

--- a/conductor/configuration.go
+++ b/conductor/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -13,6 +14,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// maxWaiting bounds the callers that wait for the first configuration.
+const maxWaiting = 2000
+
 // configuration keeps the configuration in force. It comes from the store or from another process, whichever is later.
 // Its methods are called by the loop, except current and follow.
 type configuration struct {
@@ -25,6 +29,27 @@
 	folded  router.Snapshot // from the store alone
 	inForce router.Snapshot
 	shared  atomic.Pointer[router.Snapshot]
+	known   chan struct{} // closed when there is a configuration
+	waiting atomic.Int64  // callers
+}
+
+// await returns the configuration in force, and how long it waited for the first one: at most until limit has passed or
+// gone is closed. Right after a start it is there within milliseconds if the store answers.
+func (c *configuration) await(clock timer.Clock, limit timer.Millis, gone <-chan struct{}) (s *router.Snapshot, waited timer.Millis) {
+	if s = c.current(); s.Version > 0 || c.waiting.Load() >= maxWaiting {
+		return s, 0
+	}
+	c.waiting.Add(1)
+	defer c.waiting.Add(-1)
+	began := clock.Now()
+	enough := time.NewTimer(limit.Duration())
+	defer enough.Stop()
+	select {
+	case <-c.known:
+	case <-enough.C:
+	case <-gone:
+	}
+	return c.current(), clock.Now() - began
 }
 
 // current returns the configuration in force. It may be called by any goroutine.
@@ -73,9 +98,13 @@
 		"version": s.Version, "offset": s.Offset, "source": source, "added": len(change.Added), "changed": change.Changed,
 		"withdrawn": change.Withdrawn, "domainsOut": s.WithdrawnDomains(),
 	}).Info("config: in force")
+	first := c.known != nil && c.inForce.Version == 0 && s.Version > 0
 	c.inForce = s
 	c.relay.Changed(now)
 	c.shared.Store(&s)
+	if first {
+		close(c.known)
+	}
 	c.changed(now, s)
 }
 
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -16,6 +16,7 @@
 	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
+	"github.com/crocuslb/crocuslb/router"
 	"github.com/crocuslb/crocuslb/submitter"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -59,7 +60,7 @@
 		budget: budget{rate: writeShare * float64(e.Writes) / float64(max(e.Partitions, 1))},
 	}
 	e.core.Record, e.core.Redealt = e.owner.record, e.owner.nudge
-	e.config = configuration{logger: e.Logger, changed: e.core.SetSnapshot}
+	e.config = configuration{logger: e.Logger, changed: e.core.SetSnapshot, known: make(chan struct{})}
 	e.node = carrier.Node{
 		Hello: func() marshaler.Hello {
 			return marshaler.Hello{Role: marshaler.RoleEntry, Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Address: e.Advertise, Weight: e.Weight}
@@ -114,8 +115,10 @@
 // listen starts the HTTP servers. The first one serves callers.
 func (e *Entry) listen(ctx context.Context) ([]*http.Server, error) {
 	callers := &platform.Callers{
-		Snapshot: e.config.current,
-		Submit:   func(j submitter.Job, gone <-chan struct{}) submitter.Answer { return e.submit(ctx, j, gone) },
+		Snapshot: func(deadline timer.Millis, gone <-chan struct{}) (*router.Snapshot, timer.Millis) {
+			return e.config.await(e.loop.clock, submitter.Patience(deadline), gone)
+		},
+		Submit: func(j submitter.Job, gone <-chan struct{}) submitter.Answer { return e.submit(ctx, j, gone) },
 		Cancel: func(queue, id string, gone <-chan struct{}) submitter.Answer {
 			return e.call(ctx, gone, func(now timer.Millis, answer func(a submitter.Answer)) { e.core.Cancel(now, queue, id, answer) })
 		},
