Ask another entry to place after 300 ms of silence, and dial more often

Change: an entry that is silent for two heartbeats is not asked and its open requests are repeated elsewhere; its session lives on, and it is asked again with its next message. An attempt to connect takes 150 ms, the longest pause between attempts is 500 ms.

--- a/carrier/node.go
+++ b/carrier/node.go
@@ -15,13 +15,14 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. Addresses without power do not answer.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the opening of a connection. Addresses without power do not answer; the kernels of others do
+	// within a round trip, also when their processes are slow.
+	dialTimeout = 150 * time.Millisecond
 	// helloTimeout bounds the wait for the other end's opening message.
 	helloTimeout = time.Second
 	// firstRetry and lastRetry bound the pause between attempts to connect; the pause doubles.
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
 )
 
 type (
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -13,7 +13,7 @@
 	best := marshaler.Hello{Name: s.Name, Incarnation: s.Incarnation, Weight: s.Weight}
 	found := !s.leaving
 	for _, p := range marshaler.InOrder(s.peers) {
-		if p.link == nil || p.leaving || s.now-p.heard >= SilenceLimit {
+		if p.link == nil || p.leaving || s.now-p.heard >= suspectLimit {
 			continue
 		}
 		if !found || before(&p.hello, &best) {
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -57,7 +57,7 @@
 		s.peers[h.Name] = p
 	}
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
-	p.hello, p.link, p.heard, p.leaving = h, link, s.now, false
+	p.hello, p.link, p.heard, p.leaving, p.suspect = h, link, s.now, false, false
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
 	s.relay.Up(s.now, h.Name)
 	p.send(s.now, s.newBeat())
@@ -114,6 +114,10 @@
 			link := p.link
 			s.losePeer(p, "silent")
 			link.Close(errSilent)
+		} else if p.link != nil && !p.suspect && s.now-p.heard >= suspectLimit {
+			p.suspect = true
+			s.report(Event{Kind: "entrySuspect", Peer: p.hello.Name, Value: int64(s.now - p.heard)})
+			s.askAgain(p.hello.Name)
 		}
 	}
 	for name, sc := range marshaler.InOrder(s.sidecars) {
@@ -153,7 +157,7 @@
 }
 
 func (s *Submitter) onPeerMessage(p *peer, link *marshaler.Link, m marshaler.Message) {
-	p.heard = s.now
+	p.heard, p.suspect = s.now, false
 	if p.link == nil {
 		p.link = link
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -14,6 +14,9 @@
 	// SilenceLimit is the time without a sign of life after which a process is held for lost. It equals the sidecar's
 	// limit, so that both ends give up at about the same time.
 	SilenceLimit = 450 * timer.Millisecond
+	// suspectLimit is the time without a sign of life, of two heartbeats, after which an entry is not asked to place any
+	// more. Asking another one is harmless if the first one is only slow, because sidecars keep account of the room.
+	suspectLimit = 300 * timer.Millisecond
 	// beatPeriod is the time between two heartbeats on a session without other messages.
 	beatPeriod = 150 * timer.Millisecond
 	// certainAfter is the time since a sidecar's last sign of life after which its runs have surely ended. The sidecar may
@@ -198,6 +201,7 @@
 		sent    timer.Millis
 		offset  uint64
 		leaving bool
+		suspect bool // silent for suspectLimit; its open requests were repeated elsewhere
 		owned   map[uint64]uint64 // epochs of its partitions
 		waiting map[string]uint64 // its kept jobs that have not begun, by queue
 	}
--- /dev/null
+++ b/submitter/suspect_test.go
@@ -0,0 +1,56 @@
+package submitter
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// TestSuspect guards against jobs that wait for a placing entry that is gone until its session ends, and against entries
+// that are only slow and are left out for good.
+func TestSuspect(t *testing.T) {
+	s := &Submitter{Name: "entry-c", Incarnation: 3, Weight: 1}
+	now := timer.Millis(1000)
+	s.SetSnapshot(now, testSnapshot())
+	var asked []string
+	links := map[string]*marshaler.Link{}
+	for i, name := range []string{"entry-a", "entry-b"} {
+		links[name] = &marshaler.Link{
+			Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: name, Incarnation: uint64(i + 1), Weight: uint64(9 - i)},
+			Close:  func(error) {},
+			Send: func(m marshaler.Message) {
+				if _, ok := m.(*marshaler.Ask); ok {
+					asked = append(asked, name)
+				}
+			},
+		}
+		s.OnUp(now, links[name])
+	}
+	submit := func(id string) {
+		s.Submit(now, Job{
+			ID: id, Queue: testQueue, Deadline: 2000, Answer: func(Answer) {},
+			Steps: []marshaler.Step{{Tasks: 1, Room: marshaler.Room{CPU: 3000}, Estimate: 60}},
+		})
+	}
+	submit("one")
+	advance := func(d timer.Millis, alive ...string) {
+		for end := now + d; now < end; now += 25 {
+			for _, name := range alive {
+				s.OnMessage(now, links[name], &marshaler.Beat{})
+			}
+			s.Tick(now)
+		}
+	}
+	advance(suspectLimit-25, "entry-b")
+	submit("two")
+	advance(50, "entry-b")
+	submit("three")
+	s.OnMessage(now, links["entry-a"], &marshaler.Beat{})
+	submit("four")
+	want := []string{"entry-a", "entry-a", "entry-b", "entry-b", "entry-b", "entry-a"}
+	if !slices.Equal(asked, want) {
+		t.Errorf("got requests to %v, want one, two to entry-a, both again and three to entry-b, four to entry-a: %v", asked, want)
+	}
+}
