Find the other processes through seeds when the store refuses our topics

The settings have seeds only if a role serves "control", and entries did not use theirs. A store that is away altogether at a start still stops everything, since no process keeps the configuration.

--- a/conductor/entries.go
+++ b/conductor/entries.go
@@ -66,6 +66,15 @@
 	return added
 }
 
+// addSeeds connects to addresses on machines that may run an entry.
+func (d *directory) addSeeds(ctx context.Context, addresses []string) {
+	var seeds []marshaler.Peer
+	for _, address := range addresses {
+		seeds = append(seeds, marshaler.Peer{Address: address})
+	}
+	d.add(ctx, seeds)
+}
+
 // list returns the entries with a known name, and this process if it is one.
 func (d *directory) list() (peers []marshaler.Peer) {
 	d.mu.Lock()
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	e.members.addSeeds(life, e.Seeds)
 	store := newStore(e.Store, configurationWait)
 	go e.config.follow(life, e.loop, store)
 	go e.members.follow(life, func() { e.links.sendAll(&marshaler.Peers{Peers: e.members.list()}) })
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -33,6 +33,7 @@
 	store    *standin.Store
 	backends []*standin.Backend
 	entries  []string // addresses for callers
+	seeds    []string
 	stops    map[string]func()
 	logs     *lockedBuffer
 
@@ -106,7 +107,7 @@
 	r := &recorder.Recorder{Writer: f.logs}
 	go r.Run(f.ctx.Done())
 	return Options{
-		Name: name, Domain: domain, Address: f.address(host, 7720), Store: f.address(250, 7000), Drain: 3 * timer.Second, Weight: 400, Partitions: 12, Writes: 800,
+		Name: name, Domain: domain, Address: f.address(host, 7720), Store: f.address(250, 7000), Drain: 3 * timer.Second, Weight: 400, Seeds: f.seeds, Partitions: 12, Writes: 800,
 		Metrics: f.address(host, 9464), Logger: &log.Logger{Handler: r, Level: log.InfoLevel}, Dropped: r.Dropped,
 	}
 }
@@ -161,6 +162,14 @@
 	f.start(o.Name, (&Sidecar{Options: o}).Run)
 }
 
+// restartSidecar starts a sidecar process again beside its backend server.
+func (f *fleet) restartSidecar(i int) {
+	host := 100 + i
+	o := f.options(fmt.Sprintf("sidecar-%d", i), domainOf(i), host)
+	o.Announcements, o.Backend = f.address(host, 8002), f.address(host, 8003)
+	f.start(o.Name+" again", (&Sidecar{Options: o}).Run)
+}
+
 func domainOf(i int) string { return []string{"north", "south"}[i%2] }
 
 func (f *fleet) post(at, prefix, id string, tasks int, spec string) (int, string) {
@@ -295,6 +304,31 @@
 	}
 }
 
+// TestSeeds guards against processes that do not find each other after all of them were restarted, while the store serves
+// the operator's records only. The seeds name one entry, and one address where nobody listens.
+func TestSeeds(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.store.SetFaults(standin.StoreFaults{Own: true})
+	for name := range f.stops {
+		f.stops[name]()
+	}
+	f.seeds = []string{f.address(1, 7720), f.address(240, 7720)}
+	f.entries = nil
+	for i := range 3 {
+		f.startEntry(i)
+	}
+	for i := range 3 {
+		f.restartSidecar(i)
+	}
+	for _, at := range f.entries {
+		f.eventually("a job at "+at, func() bool {
+			status, _ := f.post(at, "/a/", fmt.Sprintf("%016x", rand.Uint64()), 3, "5")
+			return status == http.StatusOK
+		})
+	}
+	f.eventually("each entry knows the others", func() bool { return strings.Count(f.logs.String(), "entry: entryUp") >= 12 })
+}
+
 // TestStoreAway guards against jobs that depend on the store.
 func TestStoreAway(t *testing.T) {
 	f := newFleet(t, 2, 3)
@@ -340,9 +374,7 @@
 	})
 	f.stops["sidecar-0"]()
 	f.backends[0].SetFaults(standin.BackendFaults{Mute: true})
-	o := f.options("sidecar-0", domainOf(0), 100)
-	o.Announcements, o.Backend = f.address(100, 8002), f.address(100, 8003)
-	f.start("sidecar-0 again", (&Sidecar{Options: o}).Run)
+	f.restartSidecar(0)
 	f.eventually("job on a recalled backend server", func() bool {
 		status, _ := f.post(f.entries[0], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "5")
 		return status == http.StatusOK
--- a/conductor/sessions.go
+++ b/conductor/sessions.go
@@ -33,7 +33,7 @@
 		link := &marshaler.Link{Remote: c.Remote, Send: c.Send, Close: c.Close}
 		s.links.Store(c, link)
 		s.loop.do(ctx, func(now timer.Millis) { s.up(now, link) })
-		c.Send(&marshaler.Peers{Peers: s.members.list()})
+		s.introduce(ctx, c)
 	}
 	n.OnMessage = func(c *carrier.Session, batch []marshaler.Message) {
 		v, _ := s.links.Load(c)
@@ -59,6 +59,17 @@
 	}
 }
 
+// introduce tells a new session's other end which entries this process knows, and tells all others of an entry that was
+// not known. Processes that start while the store is away find each other in this way, through the seeds.
+func (s *sessions) introduce(ctx context.Context, c *carrier.Session) {
+	r := c.Remote
+	if r.Role == marshaler.RoleEntry && s.members.add(ctx, []marshaler.Peer{{Name: r.Name, Address: r.Address, Incarnation: r.Incarnation}}) {
+		s.sendAll(&marshaler.Peers{Peers: s.members.list()})
+		return
+	}
+	c.Send(&marshaler.Peers{Peers: s.members.list()})
+}
+
 // deliver handles the messages that concern the process, and passes on the others.
 func (s *sessions) deliver(ctx context.Context, now timer.Millis, link *marshaler.Link, m marshaler.Message) {
 	switch m := m.(type) {
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -90,11 +90,7 @@
 		logger: s.Logger, store: newStore(s.Store, entriesWait), connect: s.node.Connect,
 		wanted: func(marshaler.Peer) bool { return true },
 	}
-	var seeds []marshaler.Peer
-	for _, address := range s.Seeds {
-		seeds = append(seeds, marshaler.Peer{Address: address})
-	}
-	s.members.add(life, seeds)
+	s.members.addSeeds(life, s.Seeds)
 	go s.members.follow(life, func() {})
 	s.Logger.WithFields(log.Fields{"name": s.Name, "domain": s.Domain, "backend": s.Backend}).Info("sidecar: started")
 	go s.hold(life)
