Act on time limits that passed during a pause before anything else

Looking for paths: after a pause of seconds an entry handled a grant that had waited in its socket before its first tick, and started a task whose caller had sent the job elsewhere meanwhile; and a sidecar extended the lease of all runs before it noticed that an entry was silent. Also, a sidecar that had stood still for over 450 ms stopped the runs of all entries at its first tick, before it read their messages: running work was given up for its own silence. Change: entries end overdue jobs and dead sessions before the first event after a pause of 100 ms; sidecars do not extend the lease while an entry with runs is silent, and give entries 200 ms after a pause of their own. The end of the lease bounds runs as before. Tests: submitter TestPausedEntry and keeper TestPause fail without each part. In the virtual-time world messages may now come before the first tick after a pause. keeper TestSessions let 600 ms pass without a tick, which is a pause now; it ticks as a running process does. TestSoak prints the log lines of the jobs that a violation names.

--- a/keeper/entries.go
+++ b/keeper/entries.go
@@ -65,6 +65,10 @@
 		return
 	}
 	e.heard = now
+	if k.lookDue && k.vouched(now) {
+		k.lookDue = false
+		k.Look() // extends the lease at once
+	}
 	switch m := m.(type) {
 	case *marshaler.Start:
 		k.order(now, e, m)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -18,6 +18,11 @@
 	LeaseTerm = 700 * timer.Millisecond
 	// BeatPeriod is the time between two Loads to an entry without news.
 	BeatPeriod = 150 * timer.Millisecond
+	// pauseLimit is the time between two ticks from which on this process counts as paused meanwhile: four ticks.
+	pauseLimit = 100 * timer.Millisecond
+	// resumeGrace is how long after a pause runs go on without a sign of life of their entry, whose messages wait to be read
+	// or whose session has to be opened again. The lease is not extended for them, so that its end bounds them as ever.
+	resumeGrace = 200 * timer.Millisecond
 	// lateOrders is the longest time after which an order without an answer is carried out.
 	lateOrders = 15 * timer.Second
 	// outcomeMemory is how long ended runs are kept for an entry whose session broke before it got the outcome.
@@ -110,6 +115,9 @@
 		listedAt timer.Millis
 		doubtful []doubtfulStart
 		kept     kept
+		ticked   timer.Millis // time of the latest Tick
+		graceEnd timer.Millis // of the latest pause of this process
+		lookDue  bool         // a hold did not extend the lease, because an entry was silent
 	}
 
 	// doubtfulStart is a start without an answer. A later life of the backend server under the same identifier might
@@ -295,9 +303,12 @@
 		k.doubtful = k.doubtful[1:]
 	}
 	k.tickKept(now)
+	k.noticePause(now)
 	for name, e := range marshaler.InOrder(k.entries) {
 		if now-e.heard >= VouchLimit {
-			k.loseEntry(now, name, e)
+			if now >= k.graceEnd {
+				k.loseEntry(now, name, e)
+			}
 			continue
 		}
 		e.outcomes = slices.DeleteFunc(e.outcomes, func(o sentOutcome) bool { return now-o.at > outcomeMemory })
@@ -307,6 +318,25 @@
 	}
 }
 
+// noticePause grants all entries a grace time when this process stood still, because its silence is not theirs.
+func (k *Keeper) noticePause(now timer.Millis) {
+	if pause := now - k.ticked; k.ticked != 0 && pause >= pauseLimit {
+		k.graceEnd = now + resumeGrace
+		k.report(Event{Kind: "paused", Value: int64(pause)})
+	}
+	k.ticked = now
+}
+
+// vouched reports whether each entry that has a run here gave a sign of life within VouchLimit.
+func (k *Keeper) vouched(now timer.Millis) bool {
+	for _, r := range k.runs {
+		if r.state != stateStopping && now-r.entry.heard >= VouchLimit {
+			return false
+		}
+	}
+	return true
+}
+
 func (k *Keeper) loseEntry(now timer.Millis, name string, e *entry) {
 	delete(k.entries, name)
 	k.lostOwner(e)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -57,6 +57,14 @@
 	d.k.OnListing(d.now, Listing{Number: h.Number, Born: 10, Clock: int64(d.now), Running: running, Ended: ended})
 }
 
+// run ticks for a time, as a process does that is not paused.
+func (d *desk) run(length timer.Millis) {
+	for end := d.now + length; d.now < end; {
+		d.now += 25
+		d.k.Tick(d.now)
+	}
+}
+
 func (d *desk) order(r marshaler.RunKey, room int64) {
 	d.k.OnMessage(d.now, d.link, &marshaler.Start{Run: r, Room: marshaler.Room{CPU: room}, Estimate: 100, NotAfter: int64(d.now) + 400})
 }
@@ -214,6 +222,56 @@
 	}
 }
 
+// TestPause guards against runs that are given up because this process stood still and could not hear their entries, and
+// against a lease that is extended for runs that nobody vouches for.
+func TestPause(t *testing.T) {
+	cases := []struct {
+		name    string
+		pause   timer.Millis
+		heard   timer.Millis // after the pause; 0 for never
+		stopped timer.Millis // after the pause; 0 for never
+	}{
+		{"entry is there", 500, 10, 0},
+		{"entry comes back with a new session", 500, 150, 0},
+		{"entry is lost", 500, 0, resumeGrace},
+		{"not paused", 25, 0, VouchLimit - 25},
+	}
+	for _, c := range cases {
+		d := newDesk()
+		looks := 0
+		d.k.Look = func() { looks++ }
+		d.run(25)
+		d.order(first, 3000)
+		d.k.OnMessage(d.now, d.link, &marshaler.Beat{})
+		d.k.OnStarted(d.now, Started{Run: first, Status: StartDone})
+		d.list([]Row{{Run: first}})
+		d.now += c.pause
+		resumed := d.now
+		var stopped timer.Millis
+		for d.now < resumed+1000 {
+			silent := c.heard == 0 || d.now < resumed+c.heard
+			h, _ := d.k.BeginHold(d.now)
+			if extended := h.Until > 0; silent && c.pause >= VouchLimit && extended && len(d.stops) == 0 {
+				t.Fatalf("%s: got a lease to %d while the entry is silent, want none", c.name, h.Until)
+			}
+			if !silent {
+				d.k.OnMessage(d.now, d.link, &marshaler.Beat{})
+			}
+			d.k.Tick(d.now)
+			if len(d.stops) > 0 && stopped == 0 {
+				stopped = max(d.now-resumed, 1)
+			}
+			d.now += 25
+		}
+		if diff := stopped - c.stopped; diff < 0 || diff > 25 || c.stopped == 0 && stopped != 0 {
+			t.Errorf("%s: got a stop after %d ms, want %d", c.name, stopped, c.stopped)
+		}
+		if want := c.heard > 0; (looks > 0) != want {
+			t.Errorf("%s: got %d holds out of turn, want some: %v", c.name, looks, want)
+		}
+	}
+}
+
 // TestSessions guards against entries that do not learn what became of their runs.
 func TestSessions(t *testing.T) {
 	cases := []struct {
@@ -233,8 +291,7 @@
 		d.k.OnStarted(d.now, Started{Run: first, Status: StartDone})
 		d.list([]Row{{Run: first}})
 		d.k.OnDown(d.link)
-		d.now += c.pause
-		d.k.Tick(d.now)
+		d.run(c.pause)
 		d.connect("entry", c.incarnation)
 		if got := len(d.held[len(d.held)-1]); got != c.held {
 			t.Errorf("%s: got %d runs held, want %d", c.name, got, c.held)
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -42,7 +42,7 @@
 	}
 	k.holds++
 	h := HoldRequest{Number: k.holds, Processed: k.processed(), Busy: len(k.runs) > 0, Unrecorded: len(k.kept.ends) > 0, ID: k.backend.ID, Born: k.backend.Born}
-	if k.clockAt != 0 && !k.kept.lapsing {
+	if k.lookDue = !k.vouched(now); k.clockAt != 0 && !k.kept.lapsing && !k.lookDue {
 		h.Until = k.Clock(now) + int64(LeaseTerm)
 		k.kept.extend(h.Until)
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -1,8 +1,12 @@
 package soaker
 
 import (
+	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,17 +34,40 @@
 	for _, c := range cases {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Plan{Program: filepath.Join(directory, "platformnode"), Seed: c.seed, Length: 8 * time.Second, FaultEvery: 500 * time.Millisecond})
+			logs := t.TempDir()
+			r, err := Run(t.Context(), Plan{Logs: logs, Program: filepath.Join(directory, "platformnode"), Seed: c.seed, Length: 8 * time.Second, FaultEvery: 500 * time.Millisecond})
 			if err != nil {
 				t.Fatal(err)
 			}
 			if len(r.Violations) > 0 {
-				t.Errorf("seed %d (%s): got %d violations, want 0:\n%s", c.seed, c.cause, len(r.Violations), r)
+				t.Errorf("seed %d (%s): got %d violations, want 0:\n%s\n%s", c.seed, c.cause, len(r.Violations), r, evidence(t, logs, r.Violations))
 			}
 		})
 	}
 }
 
+// evidence returns the log lines of all processes that name a job of a violation.
+func evidence(t *testing.T, logs string, violations []string) string {
+	jobs := regexp.MustCompile("[0-9a-f]{16}").FindAllString(strings.Join(violations, " "), -1)
+	paths, err := filepath.Glob(filepath.Join(logs, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines strings.Builder
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if slices.ContainsFunc(jobs, func(job string) bool { return strings.Contains(line, job) }) {
+				lines.WriteString(filepath.Base(path) + " " + line)
+			}
+		}
+	}
+	return lines.String()
+}
+
 // TestChecks guards against checks that see nothing: each case breaks one promise.
 func TestChecks(t *testing.T) {
 	const job = "00000000000000aa"
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -34,6 +34,8 @@
 	until  timer.Millis
 	at     string // entry that it was sent to
 	sent   bool
+	// doubtful says that an entry that got the operation was lost without an answer. It may have carried it out.
+	doubtful bool
 }
 
 // State asks for the state of a kept job.
@@ -249,6 +251,7 @@
 	for number, op := range marshaler.InOrder(s.kept.calls) {
 		if op.at == name {
 			delete(s.kept.calls, number)
+			op.doubtful = true
 			s.kept.waiting = append(s.kept.waiting, op)
 		}
 	}
@@ -270,20 +273,27 @@
 		if s.now < op.until {
 			return false
 		}
-		op.answer(op.unanswered())
+		s.giveUp(op)
 		return true
 	})
 	for number, op := range marshaler.InOrder(s.kept.calls) {
 		if s.now >= op.until+routeTime {
 			delete(s.kept.calls, number)
-			op.answer(op.unanswered())
+			s.giveUp(op)
 		}
 	}
 }
 
+// giveUp answers an operation that no owner answered in time.
+func (s *Submitter) giveUp(op *operation) {
+	a := op.unanswered()
+	s.report(Event{Kind: "unanswered", Job: op.job.ID, Queue: op.queue, Peer: op.at, Detail: a.Kind.String() + " " + a.Reason})
+	op.answer(a)
+}
+
 // unanswered returns the answer to an operation that no owner answered.
 func (op *operation) unanswered() Answer {
-	if op.sent {
+	if op.sent || op.doubtful {
 		return Answer{Kind: AnswerGaveUp, Reason: "the job's owner did not answer"}
 	}
 	return Answer{Kind: AnswerNotRun, Reason: "the job has no owner at present", RetryAfter: ownerRetry + spread(op.job.ID)}
--- /dev/null
+++ b/submitter/pause_test.go
@@ -0,0 +1,64 @@
+package submitter
+
+import (
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// TestPausedEntry guards against orders that an entry gives after a pause on permissions that ran out meanwhile: a grant
+// for a job whose deadline has passed, and a session that its sidecar gave up.
+func TestPausedEntry(t *testing.T) {
+	cases := []struct {
+		name   string
+		pause  timer.Millis
+		again  bool // the sidecar opens a new session before the grant is read
+		starts int
+	}{
+		{"no pause", 10, false, 1},
+		{"short pause", 200, false, 1},
+		{"sidecars have given the entry up", 600, false, 0},
+		{"deadline has passed", 2500, false, 0},
+		{"deadline has passed, new session", 2500, true, 0},
+	}
+	for _, c := range cases {
+		s := &Submitter{Name: "entry", Incarnation: 2, Weight: 1}
+		now := timer.Millis(1000)
+		s.SetSnapshot(now, testSnapshot())
+		starts := 0
+		up := func(session uint64) {
+			link := &marshaler.Link{
+				Remote: marshaler.Hello{Role: marshaler.RoleSidecar, Name: "side", Incarnation: 1, Session: session}, Close: func(error) {},
+				Send: func(m marshaler.Message) {
+					if _, ok := m.(*marshaler.Start); ok {
+						starts++
+					}
+				},
+			}
+			s.OnUp(now, link)
+			s.OnMessage(now, link, &marshaler.Backend{ID: "i", Service: "svc", Total: marshaler.Room{CPU: 9000}})
+			s.OnMessage(now, link, &marshaler.Load{Accepting: true, Free: marshaler.Room{CPU: 9000}, Clock: 5, Speed: 1000})
+		}
+		placing := &marshaler.Link{
+			Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: "placing", Incarnation: 1, Weight: 9}, Close: func(error) {},
+			Send: func(marshaler.Message) {},
+		}
+		s.OnUp(now, placing)
+		up(1)
+		s.Tick(now)
+		s.Submit(now, Job{
+			ID: "job", Queue: testQueue, Deadline: 2000, Answer: func(Answer) {},
+			Steps: []marshaler.Step{{Tasks: 1, Room: marshaler.Room{CPU: 3000}, Estimate: 100}},
+		})
+		now += c.pause
+		if c.again {
+			up(2)
+		}
+		s.OnMessage(now, placing, &marshaler.Grant{Job: "job", Sidecars: []string{"side"}})
+		s.Tick(now)
+		if starts != c.starts {
+			t.Errorf("%s: got %d starts, want %d", c.name, starts, c.starts)
+		}
+	}
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -23,6 +23,8 @@
 	// hear the entry for SilenceLimit longer, then stops them within its own limit and one tick; if it is suspended, their
 	// lease of 700 ms on a clock that is 2% slow ends them.
 	certainAfter = 1750 * timer.Millisecond
+	// pauseLimit is the time between two ticks from which on this process counts as paused meanwhile: four ticks.
+	pauseLimit = 100 * timer.Millisecond
 	// startLife is how long after its sending a start may still be carried out.
 	startLife = 400 * timer.Millisecond
 	// attemptGap separates the attempt numbers of this entry from those of another one that ran the task before.
@@ -132,6 +134,8 @@
 		sidecars map[string]*sidecar
 		peers    map[string]*peer
 		ticked   timer.Millis
+		// beganTick is the time of the latest Tick, or of the latest notice of a pause.
+		beganTick timer.Millis
 	}
 
 	// Event is a decision, for logs and counters.
@@ -201,7 +205,7 @@
 		sent    timer.Millis
 		offset  uint64
 		leaving bool
-		suspect bool // silent for suspectLimit; its open requests were repeated elsewhere
+		suspect bool              // silent for suspectLimit; its open requests were repeated elsewhere
 		owned   map[uint64]uint64 // epochs of its partitions
 		waiting map[string]uint64 // its kept jobs that have not begun, by queue
 	}
@@ -212,6 +216,7 @@
 	s.now = now
 	if s.jobs != nil {
 		s.checkLease()
+		s.noticePause()
 		return
 	}
 	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
@@ -223,6 +228,20 @@
 	}
 }
 
+// noticePause acts on the time limits that passed while this process stood still, before it handles anything that came
+// meanwhile: a grant for a job whose caller has left must start nothing, and sessions that both ends gave up take no
+// orders.
+func (s *Submitter) noticePause() {
+	pause := s.now - s.beganTick
+	if s.beganTick == 0 || pause < pauseLimit {
+		return
+	}
+	s.beganTick = s.now
+	s.report(Event{Kind: "paused", Value: int64(pause)})
+	s.checkSilence()
+	s.expireJobs()
+}
+
 // Snapshot returns the configuration in force.
 func (s *Submitter) Snapshot() router.Snapshot { return s.snapshot }
 
@@ -320,8 +339,18 @@
 // Tick handles what depends on the time. It is called several times in each beatPeriod.
 func (s *Submitter) Tick(now timer.Millis) {
 	s.at(now)
+	s.beganTick = now
 	s.checkSilence()
 	s.repeatRequests()
+	s.expireJobs()
+	s.tickKept()
+	s.beat()
+	s.Flush(now)
+}
+
+// expireJobs ends the jobs whose deadline or patience has passed.
+func (s *Submitter) expireJobs() {
+	now := s.now
 	for _, j := range marshaler.InOrder(s.jobs) {
 		switch {
 		case j.keeping.storing:
@@ -334,9 +363,6 @@
 			s.finish(j, Answer{Kind: AnswerNotRun, Reason: "no answer from the placing entry", RetryAfter: timer.Second})
 		}
 	}
-	s.tickKept()
-	s.beat()
-	s.Flush(now)
 }
 
 // Flush grants the free room. It is called after each batch of events.
--- a/submitter/world_test.go
+++ b/submitter/world_test.go
@@ -177,6 +177,16 @@
 	}
 }
 
+// delayTick puts the first tick after a pause up to a tick's period behind it, so that messages that came meanwhile may be
+// handled before it.
+func (w *world) delayTick(p *process, tick func()) bool {
+	if p.paused <= w.now {
+		return false
+	}
+	w.after(p.paused-w.now+timer.Millis(w.random.IntN(25)), tick)
+	return true
+}
+
 func (w *world) startEntry(e *fakeEntry) {
 	e.life++
 	e.alive, e.paused = true, 0
@@ -190,6 +200,9 @@
 	life := e.life
 	var tick func()
 	tick = func() {
+		if w.delayTick(&e.process, tick) {
+			return
+		}
 		w.act(&e.process, func() bool { return e.life == life }, func() {
 			e.core.Tick(w.now)
 			w.after(25, tick)
@@ -263,6 +276,9 @@
 	var loop, tick, beat func()
 	loop = func() { hold(60, func() { w.after(1, loop) }) }
 	tick = func() {
+		if w.delayTick(&s.process, tick) {
+			return
+		}
 		w.act(&s.process, current, func() {
 			k.Tick(w.now)
 			w.after(25, tick)
