--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -263,6 +263,9 @@
 	if v.Took != 0 {
 		fields["tookMs"] = int64(v.Took)
 	}
+	if v.Expected != 0 {
+		fields["expectedMs"] = int64(v.Expected)
+	}
 	s := e.config.current()
 	fields["version"] = s.Version
 	e.Logger.WithFields(fields).Info("entry: " + v.Kind)
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -148,6 +148,8 @@
 		Value  int64
 		Count  int64
 		Took   timer.Millis
+		// Expected is the response time that the job's queue promises, in an answer.
+		Expected timer.Millis
 	}
 
 	// job is a job in work.
@@ -293,7 +295,7 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	slack := timer.Millis(waitShare * (j.Queue.Stretch*float64(j.longestChain()) + float64(j.Queue.Target)))
+	slack := timer.Millis(waitShare * float64(j.expected()))
 	j.waiters = []func(a Answer){j.Answer}
 	j.arrived = s.now - j.Waited
 	j.latest, j.until = j.arrived+slack, j.arrived+wait
@@ -302,6 +304,11 @@
 	s.askReady(j)
 }
 
+// expected returns the response time that the job's queue promises for its estimated run time.
+func (j *Job) expected() timer.Millis {
+	return timer.Millis(j.Queue.Stretch*float64(j.longestChain())) + j.Queue.Target
+}
+
 // Patience returns for how long a job may wait for its first start, by its caller's deadline; 0 means none stated.
 func Patience(deadline timer.Millis) timer.Millis {
 	if deadline <= 0 {
@@ -386,7 +393,7 @@
 	s.stopAll(j)
 	s.report(Event{
 		Kind: "answer", Job: j.ID, Queue: j.Queue.Name, Detail: a.Kind.String() + " " + a.Reason, Value: int64(j.done),
-		Took: s.now - j.arrived,
+		Took: s.now - j.arrived, Expected: j.expected(),
 	})
 	j.answerAll(a)
 }
