Let late jobs wait only while an answer is of use

Late requests waited for 0.4 of the deadline however short their tasks: 800 ms for tasks of 60 ms. Change: patience ends where an answer within three times the expected response time is out of reach. The line "entry: answer" shows the caller's deadline.

--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -264,7 +264,7 @@
 		fields["tookMs"] = int64(v.Took)
 	}
 	if v.Expected != 0 {
-		fields["expectedMs"] = int64(v.Expected)
+		fields["expectedMs"], fields["deadlineMs"] = int64(v.Expected), int64(v.Deadline)
 	}
 	s := e.config.current()
 	fields["version"] = s.Version
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -40,6 +40,8 @@
 	patienceShare = 0.4
 	// maxPatience bounds the wait of jobs with long deadlines.
 	maxPatience = 2 * timer.Second
+	// usefulShare is the multiple of the expected response time after which an answer is of no use to a caller.
+	usefulShare = 3
 	// lateRun is the factor on a job's estimated run time that has to be left before its deadline at a late start.
 	lateRun = 1.4
 	// defaultDeadline bounds jobs whose callers state no deadline.
@@ -150,6 +152,8 @@
 		Took   timer.Millis
 		// Expected is the response time that the job's queue promises, in an answer.
 		Expected timer.Millis
+		// Deadline is the time that the caller stated, in an answer; 0 for none.
+		Deadline timer.Millis
 	}
 
 	// job is a job in work.
@@ -299,7 +303,8 @@
 	j.waiters = []func(a Answer){j.Answer}
 	j.arrived = s.now - j.Waited
 	j.latest, j.until = j.arrived+slack, j.arrived+wait
-	j.last = max(j.latest, min(j.arrived+Patience(j.Deadline), j.until-timer.Millis(lateRun*float64(j.longestChain()))))
+	useful := min(j.until, j.arrived+timer.Millis(usefulShare*float64(j.expected())))
+	j.last = max(j.latest, min(j.arrived+Patience(j.Deadline), useful-timer.Millis(lateRun*float64(j.longestChain()))))
 	s.jobs[j.ID] = j
 	s.askReady(j)
 }
@@ -393,7 +398,7 @@
 	s.stopAll(j)
 	s.report(Event{
 		Kind: "answer", Job: j.ID, Queue: j.Queue.Name, Detail: a.Kind.String() + " " + a.Reason, Value: int64(j.done),
-		Took: s.now - j.arrived, Expected: j.expected(),
+		Took: s.now - j.arrived, Expected: j.expected(), Deadline: j.Deadline,
 	})
 	j.answerAll(a)
 }
