Keep idle sessions open with rare heartbeats, and tell starts to placing entries only

Change: a session is active while it has runs, while the entry places on the sidecar, while two entries asked each other for room within 2 s, and while kept jobs may be in use. Idle ones have a heartbeat each 600 ms and end after 1.4 s of silence; both ends come to the same conclusion. Silence, and the time after which a lost sidecar's runs have surely ended, count from when the session became active. Starts are reported to subscribed entries; one that subscribes gets those of the last 300 ms. Sidecars report a new configuration at once.

--- a/keeper/entries.go
+++ b/keeper/entries.go
@@ -87,11 +87,23 @@
 	case *marshaler.Subscribe:
 		if e.subscribed != m.On {
 			e.subscribed = m.On
+			k.tellStarted(e)
 			k.sendLoad(now, e)
 		}
 	}
 }
 
+// tellStarted reports the latest starts to an entry that begins to place: they may have come before its subscription.
+func (k *Keeper) tellStarted(e *entry) {
+	e.seen = nil
+	if !e.subscribed {
+		return
+	}
+	for _, s := range k.started {
+		e.seen = append(e.seen, s.job)
+	}
+}
+
 func (k *Keeper) entryOf(link *marshaler.Link) *entry {
 	if e := k.entries[link.Remote.Name]; e != nil && e.link == link {
 		return e
@@ -137,6 +149,9 @@
 	e.outcomes = append(e.outcomes, sentOutcome{now, m})
 	if e.link != nil && e.greeted {
 		e.link.Send(&m)
+		if !e.subscribed { // it is a sign of life as well
+			e.sent = now
+		}
 	}
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -27,6 +27,8 @@
 	lateOrders = 15 * timer.Second
 	// outcomeMemory is how long ended runs are kept for an entry whose session broke before it got the outcome.
 	outcomeMemory = 2 * timer.Second
+	// startMemory is how long starts are kept for an entry that begins to place. Its reservations live as long.
+	startMemory = 300 * timer.Millisecond
 	// stopRetry is the pause before a stop is sent again while the run has not ended.
 	stopRetry = 40 * timer.Millisecond
 	// silenceLimit is the time without a listing after which no starts are taken. Single answers may get lost.
@@ -114,12 +116,19 @@
 		speed    float64
 		listedAt timer.Millis
 		doubtful []doubtfulStart
+		started  []startedJob // latest starts, for entries that begin to place
 		kept     kept
 		ticked   timer.Millis // time of the latest Tick
 		graceEnd timer.Millis // of the latest pause of this process
 		lookDue  bool         // a hold did not extend the lease, because an entry was silent
 	}
 
+	// startedJob is a start that this process has handled.
+	startedJob struct {
+		job string
+		at  timer.Millis
+	}
+
 	// doubtfulStart is a start without an answer. A later life of the backend server under the same identifier might
 	// still carry it out, so it is told not to.
 	doubtfulStart struct {
@@ -195,10 +204,10 @@
 
 // SetOffset sets the position of the configuration and whether the sidecar's failure domain is withdrawn.
 func (k *Keeper) SetOffset(now timer.Millis, offset uint64, withdrawn bool) {
-	k.offset = offset
-	if k.withdrawn != withdrawn {
-		k.withdrawn = withdrawn
-		k.sendLoads(now)
+	changed := k.offset != offset || k.withdrawn != withdrawn
+	k.offset, k.withdrawn = offset, withdrawn
+	if changed {
+		k.sendLoads(now) // an entry passes its configuration on to processes that say that they lag
 	}
 }
 
@@ -299,20 +308,23 @@
 			k.sendStop(now, r)
 		}
 	}
+	for len(k.started) > 0 && now-k.started[0].at > startMemory {
+		k.started = k.started[1:]
+	}
 	for len(k.doubtful) > 0 && now-k.doubtful[0].at > lateOrders {
 		k.doubtful = k.doubtful[1:]
 	}
 	k.tickKept(now)
 	k.noticePause(now)
 	for name, e := range marshaler.InOrder(k.entries) {
-		if now-e.heard >= VouchLimit {
+		if now-e.heard >= k.silenceLimit(e) {
 			if now >= k.graceEnd {
 				k.loseEntry(now, name, e)
 			}
 			continue
 		}
 		e.outcomes = slices.DeleteFunc(e.outcomes, func(o sentOutcome) bool { return now-o.at > outcomeMemory })
-		if e.link != nil && now-e.sent >= BeatPeriod {
+		if e.link != nil && now-e.sent >= k.beatPeriod(e) {
 			k.sendLoad(now, e)
 		}
 	}
@@ -327,6 +339,39 @@
 	k.ticked = now
 }
 
+// active reports whether an entry has runs here, places on this sidecar, or says that kept jobs may be in use, or owns some. Other
+// sessions are only kept open. The entry comes to the same conclusion.
+func (k *Keeper) active(e *entry) bool {
+	if e.subscribed || e.kept {
+		return true
+	}
+	for _, c := range k.kept.claims {
+		if c.entry == e.name {
+			return true
+		}
+	}
+	for _, r := range k.runs {
+		if r.entry == e && r.state != stateStopping {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) silenceLimit(e *entry) timer.Millis {
+	if k.active(e) {
+		return VouchLimit
+	}
+	return marshaler.IdleSilenceLimit
+}
+
+func (k *Keeper) beatPeriod(e *entry) timer.Millis {
+	if !e.greeted || k.active(e) { // the outcomes of its runs may still wait for the greeting
+		return BeatPeriod
+	}
+	return marshaler.IdleBeatPeriod
+}
+
 // vouched reports whether each entry that has a run here gave a sign of life within VouchLimit.
 func (k *Keeper) vouched(now timer.Millis) bool {
 	for _, r := range k.runs {
--- a/keeper/runs.go
+++ b/keeper/runs.go
@@ -10,8 +10,11 @@
 
 // order handles a start.
 func (k *Keeper) order(now timer.Millis, e *entry, m *marshaler.Start) {
+	k.started = append(k.started, startedJob{m.Run.Job, now})
 	for _, other := range marshaler.InOrder(k.entries) {
-		other.seen = append(other.seen, m.Run.Job)
+		if other.subscribed {
+			other.seen = append(other.seen, m.Run.Job)
+		}
 	}
 	ok, reason := k.Accepting()
 	at := task{m.Run.Job, m.Run.Index}
--- a/marshaler/link.go
+++ b/marshaler/link.go
@@ -1,5 +1,15 @@
 package marshaler
 
+import "github.com/crocuslb/crocuslb/timer"
+
+const (
+	// IdleBeatPeriod is the time between two heartbeats on a session that nobody depends on at present. Most sessions are
+	// idle, and their number grows with entries times sidecars.
+	IdleBeatPeriod = 600 * timer.Millisecond
+	// IdleSilenceLimit is the time without a sign of life after which the other end of an idle session is held for lost.
+	IdleSilenceLimit = 1400 * timer.Millisecond
+)
+
 // Link is the sending end of a session. Its functions never block.
 type Link struct {
 	Remote Hello
--- a/submitter/kept.go
+++ b/submitter/kept.go
@@ -84,11 +84,15 @@
 // SetKept says whether kept jobs are in use, as the store has it.
 func (s *Submitter) SetKept(now timer.Millis, inUse bool) {
 	s.at(now)
+	before := s.mayKeep()
 	s.kept.known = true
 	if inUse && !s.kept.inUse {
 		s.kept.inUse = true
 		s.report(Event{Kind: "keptInUse"})
 	}
+	if s.mayKeep() != before { // the other ends expect heartbeats according to it
+		s.beatAll()
+	}
 }
 
 // Renew sets the time until which this entry knows that it owns its partitions. After it, another entry may own them.
--- a/submitter/placing.go
+++ b/submitter/placing.go
@@ -13,7 +13,7 @@
 	best := marshaler.Hello{Name: s.Name, Incarnation: s.Incarnation, Weight: s.Weight}
 	found := !s.leaving
 	for _, p := range marshaler.InOrder(s.peers) {
-		if p.link == nil || p.leaving || s.now-p.heard >= suspectLimit {
+		if p.link == nil || p.leaving || p.suspect || p.active && p.silence(s.now) >= suspectLimit {
 			continue
 		}
 		if !found || before(&p.hello, &best) {
@@ -64,7 +64,10 @@
 		s.placer.Ask(s.now, s.Name, s.Domain, m)
 		return
 	}
-	s.peers[at].send(s.now, m)
+	p := s.peers[at]
+	p.askedAt = s.now
+	p.wake(s.now)
+	p.send(s.now, m)
 }
 
 // withdraw takes back the open request of a step.
@@ -175,6 +178,8 @@
 	j.unsettled++
 	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt}
 	sc.placed[key] = sc.session
+	sc.wake(s.now)
+	sc.sent = s.now // the order is a sign of life as well
 	var epoch uint64
 	if j.keeping.partition != nil {
 		epoch = j.keeping.partition.epoch
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -31,7 +31,7 @@
 		sc.link.Close(trace.ConnectionProblem(nil, "replaced by a newer session"))
 	}
 	sc.session++
-	sc.link, sc.incarnation, sc.domain, sc.heard, sc.clockAt, sc.subscribed = link, h.Incarnation, h.Domain, now, 0, false
+	sc.link, sc.incarnation, sc.domain, sc.heard, sc.sent, sc.clockAt, sc.subscribed = link, h.Incarnation, h.Domain, now, 0, 0, false
 	s.report(Event{Kind: "sidecarUp", Peer: h.Name})
 	s.relay.Up(now, h.Name)
 	if len(s.kept.owned) > 0 {
@@ -68,7 +68,7 @@
 
 // newBeat returns a sign of life.
 func (s *Submitter) newBeat() *marshaler.Beat {
-	return &marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving, Kept: s.kept.inUse || !s.kept.known}
+	return &marshaler.Beat{Offset: s.snapshot.Offset, Leaving: s.leaving, Kept: s.mayKeep()}
 }
 
 // OnDown takes the end of a session.
@@ -101,7 +101,7 @@
 	sc.link, sc.clockAt = nil, 0
 	s.relay.Down(sc.name)
 	if !sc.doubtful {
-		sc.doubtful, sc.certainAt = true, sc.heard+certainAfter
+		sc.doubtful, sc.certainAt = true, sc.expected()+certainAfter
 	}
 	s.placer.SetAccepting(sc.name, false)
 	s.report(Event{Kind: "sidecarLost", Peer: sc.name, Detail: cause, Value: int64(len(sc.placed))})
@@ -110,18 +110,18 @@
 // checkSilence ends sessions without a sign of life, and settles runs on lost sidecars.
 func (s *Submitter) checkSilence() {
 	for _, p := range marshaler.InOrder(s.peers) {
-		if p.link != nil && s.now-p.heard >= SilenceLimit {
+		if p.link != nil && p.silence(s.now) >= p.silenceLimit() {
 			link := p.link
 			s.losePeer(p, "silent")
 			link.Close(errSilent)
-		} else if p.link != nil && !p.suspect && s.now-p.heard >= suspectLimit {
+		} else if p.link != nil && !p.suspect && p.active && p.silence(s.now) >= suspectLimit {
 			p.suspect = true
 			s.report(Event{Kind: "entrySuspect", Peer: p.hello.Name, Value: int64(s.now - p.heard)})
 			s.askAgain(p.hello.Name)
 		}
 	}
 	for name, sc := range marshaler.InOrder(s.sidecars) {
-		if sc.link != nil && s.now-sc.heard >= SilenceLimit {
+		if sc.link != nil && sc.silence(s.now) >= sc.silenceLimit() {
 			link := sc.link
 			s.loseSidecar(sc, "silent")
 			link.Close(errSilent)
@@ -163,12 +163,14 @@
 	}
 	switch m := m.(type) {
 	case *marshaler.Beat:
-		p.offset = m.Offset
+		p.offset, p.mayKeep = m.Offset, m.Kept
 		if m.Leaving && !p.leaving {
 			s.report(Event{Kind: "entryLeaving", Peer: p.hello.Name})
 		}
 		p.leaving = m.Leaving
 	case *marshaler.Ask:
+		p.askedAt = s.now
+		p.wake(s.now)
 		s.subscribeAll()
 		s.placer.Ask(s.now, p.hello.Name, p.hello.Domain, m)
 	case *marshaler.Withdraw:
@@ -243,6 +245,7 @@
 func (s *Submitter) subscribe(sc *sidecar) {
 	if sc.link != nil && !sc.subscribed {
 		sc.subscribed = true
+		sc.wake(s.now)
 		sc.link.Send(&marshaler.Subscribe{On: true})
 	}
 }
@@ -271,12 +274,12 @@
 		s.unsubscribe()
 	}
 	for _, sc := range marshaler.InOrder(s.sidecars) {
-		if sc.link != nil && s.now-sc.sent >= beatPeriod {
+		if sc.link != nil && s.now-sc.sent >= sc.beatPeriod() {
 			s.beatSidecar(sc)
 		}
 	}
 	for _, p := range marshaler.InOrder(s.peers) {
-		if p.link != nil && s.now-p.sent >= beatPeriod {
+		if p.link != nil && s.now-p.sent >= p.beatPeriod() {
 			s.beatPeer(p)
 		}
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -189,26 +189,26 @@
 		incarnation uint64
 		link        *marshaler.Link
 		domain      string
-		heard       timer.Millis
-		sent        timer.Millis
-		backend     *marshaler.Backend
-		clock       int64
-		clockAt     timer.Millis
-		offset      uint64
-		subscribed  bool
-		session     uint64                      // number of the current session at this entry
-		remote      uint64                      // number that the sidecar gave it; readers of two sessions may overtake each other
-		placed      map[marshaler.RunKey]uint64 // ordered runs, with the session that carried the order
-		doubtful    bool                        // no session: placed runs end for certain at certainAt
-		certainAt   timer.Millis
+		liveness
+		backend    *marshaler.Backend
+		clock      int64
+		clockAt    timer.Millis
+		offset     uint64
+		subscribed bool
+		session    uint64                      // number of the current session at this entry
+		remote     uint64                      // number that the sidecar gave it; readers of two sessions may overtake each other
+		placed     map[marshaler.RunKey]uint64 // ordered runs, with the session that carried the order
+		doubtful   bool                        // no session: placed runs end for certain at certainAt
+		certainAt  timer.Millis
 	}
 
 	// peer is another entry.
 	peer struct {
-		hello   marshaler.Hello
-		link    *marshaler.Link
-		heard   timer.Millis
-		sent    timer.Millis
+		hello marshaler.Hello
+		link  *marshaler.Link
+		liveness
+		askedAt timer.Millis // of the latest request for room between the two
+		mayKeep bool         // it says that kept jobs may be in use
 		offset  uint64
 		leaving bool
 		suspect bool              // silent for suspectLimit; its open requests were repeated elsewhere
@@ -352,6 +352,7 @@
 func (s *Submitter) Tick(now timer.Millis) {
 	s.at(now)
 	s.beganTick = now
+	s.checkActivity()
 	s.checkSilence()
 	s.repeatRequests()
 	s.expireJobs()
--- a/submitter/world_test.go
+++ b/submitter/world_test.go
@@ -196,6 +196,8 @@
 	e.core.SetSnapshot(w.now, testSnapshot())
 	if w.store != nil {
 		w.startOwner(e)
+	} else {
+		e.core.SetKept(w.now, false) // sessions may be idle
 	}
 	life := e.life
 	var tick func()
