Count what sessions send, by message type

Change: carrier.Traffic counts messages and bytes of each type; both roles serve them as crocuslb_sent_messages_total and crocuslb_sent_bytes_total. Measured: carrier TestTraffic, conductor TestPath looks for the metric.

--- a/carrier/node.go
+++ b/carrier/node.go
@@ -39,6 +39,9 @@
 		// nil.
 		OnPanic func(s *Session, err error)
 
+		// Traffic counts what the sessions send.
+		Traffic Traffic
+
 		running  sync.WaitGroup
 		sessions atomic.Uint64
 	}
@@ -62,7 +65,7 @@
 				time.Sleep(firstRetry)
 				continue
 			}
-			n.running.Go(func() { _ = n.serve(ctx, newSession(conn, false)) }) // OnDown reports the cause
+			n.running.Go(func() { _ = n.serve(ctx, newSession(conn, false, &n.Traffic)) }) // OnDown reports the cause
 		}
 	})
 	return listener.Addr().String(), nil
@@ -75,7 +78,7 @@
 		dialer := net.Dialer{Timeout: dialTimeout}
 		for ctx.Err() == nil {
 			conn, err := dialer.DialContext(ctx, "tcp", address)
-			if err == nil && n.serve(ctx, newSession(conn, true)) {
+			if err == nil && n.serve(ctx, newSession(conn, true, &n.Traffic)) {
 				pause = firstRetry
 			}
 			if err != nil {
--- a/carrier/node_test.go
+++ b/carrier/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,3 +173,20 @@
 	good.Wait()
 	bad.Wait()
 }
+
+// TestTraffic guards against messages that are counted under a wrong type or not at all.
+func TestTraffic(t *testing.T) {
+	var traffic Traffic
+	s := newSession(nil, false, &traffic)
+	for _, m := range []marshaler.Message{&marshaler.Beat{Offset: 1}, &marshaler.Beat{}, &marshaler.Load{Accepting: true}} {
+		s.Send(m)
+	}
+	want := []Sent{{"beat", 2, uint64(len(marshaler.Append(nil, &marshaler.Beat{Offset: 1}))+len(marshaler.Append(nil, &marshaler.Beat{}))) + 2*headerSize},
+		{"load", 1, uint64(len(marshaler.Append(nil, &marshaler.Load{Accepting: true}))) + headerSize}}
+	if got := traffic.Sent(); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got, want := marshaler.KindName(200), "type200"; got != want {
+		t.Errorf("got the name %q of an unknown type, want %q", got, want)
+	}
+}
--- a/carrier/session.go
+++ b/carrier/session.go
@@ -35,18 +35,19 @@
 		// Dialed says that this process opened the connection.
 		Dialed bool
 
-		conn   net.Conn
-		mu     sync.Mutex
-		queued []byte
-		wake   chan struct{}
-		done   chan struct{}
-		once   sync.Once
-		cause  error
+		conn    net.Conn
+		traffic *Traffic // nil for none
+		mu      sync.Mutex
+		queued  []byte
+		wake    chan struct{}
+		done    chan struct{}
+		once    sync.Once
+		cause   error
 	}
 )
 
-func newSession(conn net.Conn, dialed bool) *Session {
-	return &Session{conn: conn, Dialed: dialed, wake: make(chan struct{}, 1), done: make(chan struct{})}
+func newSession(conn net.Conn, dialed bool, t *Traffic) *Session {
+	return &Session{conn: conn, Dialed: dialed, traffic: t, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
 // Send queues a message. It never blocks. Messages to an ended session are dropped; OnDown reports its end.
@@ -56,6 +57,9 @@
 	s.queued = append(s.queued, 0, 0, 0, 0)
 	s.queued = marshaler.Append(s.queued, m)
 	binary.BigEndian.PutUint32(s.queued[start:], uint32(len(s.queued)-start-headerSize))
+	if s.traffic != nil {
+		s.traffic.add(s.queued[start+headerSize:], len(s.queued)-start)
+	}
 	full := len(s.queued) > maxQueued
 	s.mu.Unlock()
 	if full {
--- a/conductor/entry.go
+++ b/conductor/entry.go
@@ -81,6 +81,7 @@
 		panicked: e.monitor.panicked,
 	}
 	e.links.attach(life, &e.node)
+	e.monitor.traffic = &e.node.Traffic
 	e.loop.flush = e.core.Flush
 	e.loop.tick = func(now timer.Millis) {
 		e.core.Tick(now)
--- a/conductor/options.go
+++ b/conductor/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/crocuslb/crocuslb/carrier"
 	"github.com/crocuslb/crocuslb/catcher"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/reporter"
@@ -77,6 +78,7 @@
 	metrics reporter.Metrics
 	logger  log.Interface
 	dropped func() uint64 // log lines that were not written
+	traffic *carrier.Traffic
 }
 
 // panicked logs and counts a panic that ended only the handling of one event. from names the process whose message it
@@ -105,6 +107,12 @@
 		if m.dropped != nil {
 			m.metrics.SetTotal("crocuslb_dropped_log_lines_total", m.dropped())
 		}
+		if m.traffic != nil {
+			for _, s := range m.traffic.Sent() {
+				m.metrics.SetTotal("crocuslb_sent_messages_total{message="+strconv.Quote(s.Message)+"}", s.Messages)
+				m.metrics.SetTotal("crocuslb_sent_bytes_total{message="+strconv.Quote(s.Message)+"}", s.Bytes)
+			}
+		}
 		m.metrics.Write(w)
 	})
 }
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -246,8 +246,8 @@
 			}
 		}
 	}
-	if status, text := f.call("GET", f.address(1, 9464), "/metrics", ""); status != 200 || !strings.Contains(text, "crocuslb_events_total") || !strings.Contains(text, "crocuslb_dropped_log_lines_total 0") {
-		t.Errorf("metrics: got %d and %d bytes, want 200 with the events and no dropped log lines", status, len(text))
+	if status, text := f.call("GET", f.address(1, 9464), "/metrics", ""); status != 200 || !strings.Contains(text, "crocuslb_events_total") || !strings.Contains(text, "crocuslb_dropped_log_lines_total 0") || !strings.Contains(text, `crocuslb_sent_bytes_total{message="start"}`) {
+		t.Errorf("metrics: got %d and %d bytes, want 200 with the events, the sent bytes and no dropped log lines", status, len(text))
 	}
 }
 
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -133,6 +133,7 @@
 		},
 	}
 	s.links.attach(ctx, &s.node)
+	s.monitor.traffic = &s.node.Traffic
 }
 
 // announce passes on what the backend server says of itself. It returns once that is in force.
