Compute the workers' usual speed every 50 ms, not at each decision

Change: the median is kept for 50 ms; reservations, which are in the order of their time, are dropped from the front.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,6 +17,8 @@
 	// settleTime is the time after the first request in which none is refused for want of workers: sidecars report
 	// within it.
 	settleTime = timer.Second
+	// usualPeriod is the time between two computations of the workers' usual speed, which follows theirs within 150 ms.
+	usualPeriod = 50 * timer.Millisecond
 	// maxQueued bounds the queue.
 	maxQueued = 20_000
 	// lateMargin is the factor on the expected wait of a late request: requests that are not late and come meanwhile go
@@ -39,7 +41,8 @@
 		queue   []*request
 		byKey   map[requestKey]*request
 		began   timer.Millis // of the first request; 0 before it
-		usual   float64      // median speed of the workers, as of the current Place
+		usual   float64      // median speed of the workers, as of usualAt
+		usualAt timer.Millis
 	}
 
 	// Event is a decision, for logs and counters.
@@ -238,7 +241,9 @@
 	if len(p.queue) == 0 {
 		return
 	}
-	p.usual = p.usualSpeed()
+	if p.usual == 0 || now-p.usualAt >= usualPeriod {
+		p.usual, p.usualAt = p.usualSpeed(), now
+	}
 	blocked := 0
 	var served []*request
 	for _, r := range p.queue {
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -78,14 +78,16 @@
 	}
 }
 
-func (w *worker) expire(now timer.Millis) bool {
-	before := len(w.reserved)
-	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool { return now-r.at > reservationLife })
-	if len(w.reserved) == before {
-		return false
+// expire drops the reservations whose starts the sidecar never saw. They are in the order of their time.
+func (w *worker) expire(now timer.Millis) {
+	old := 0
+	for old < len(w.reserved) && now-w.reserved[old].at > reservationLife {
+		old++
+	}
+	if old > 0 {
+		w.reserved = slices.Delete(w.reserved, 0, old)
+		w.account()
 	}
-	w.account()
-	return true
 }
 
 // busy reports whether anything runs on the worker or is about to.
