--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -18,8 +18,6 @@
 	LeaseTerm = 700 * timer.Millisecond
 	// BeatPeriod is the time between two Loads to an entry without news.
 	BeatPeriod = 150 * timer.Millisecond
-	// pauseLimit is the time between two ticks from which on this process counts as paused meanwhile: four ticks.
-	pauseLimit = 100 * timer.Millisecond
 	// resumeGrace is how long after a pause runs go on without a sign of life of their entry, whose messages wait to be read
 	// or whose session has to be opened again. The lease is not extended for them, so that its end bounds them as ever.
 	resumeGrace = 200 * timer.Millisecond
@@ -332,7 +330,7 @@
 
 // noticePause grants all entries a grace time when this process stood still, because its silence is not theirs.
 func (k *Keeper) noticePause(now timer.Millis) {
-	if pause := now - k.ticked; k.ticked != 0 && pause >= pauseLimit {
+	if pause := now - k.ticked; k.ticked != 0 && pause >= marshaler.PauseLimit {
 		k.graceEnd = now + resumeGrace
 		k.report(Event{Kind: "paused", Value: int64(pause)})
 	}
--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -73,3 +73,17 @@
 
 // mayKeep reports whether kept jobs may be in use, as the heartbeats say.
 func (s *Submitter) mayKeep() bool { return s.kept.inUse || !s.kept.known }
+
+// noticePause acts on the time limits that passed while this process stood still, before it handles anything that came
+// meanwhile: a grant for a job whose caller has left must start nothing, and sessions that both ends gave up take no
+// orders.
+func (s *Submitter) noticePause() {
+	pause := s.now - s.beganTick
+	if s.beganTick == 0 || pause < marshaler.PauseLimit {
+		return
+	}
+	s.beganTick = s.now
+	s.report(Event{Kind: "paused", Value: int64(pause)})
+	s.checkSilence()
+	s.expireJobs()
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -23,8 +23,6 @@
 	// hear the entry for SilenceLimit longer, then stops them within its own limit and one tick; if it is suspended, their
 	// lease of 700 ms on a clock that is 2% slow ends them.
 	certainAfter = 1750 * timer.Millisecond
-	// pauseLimit is the time between two ticks from which on this process counts as paused meanwhile: four ticks.
-	pauseLimit = 100 * timer.Millisecond
 	// startLife is how long after its sending a start may still be carried out.
 	startLife = 400 * timer.Millisecond
 	// attemptGap separates the attempt numbers of this entry from those of another one that ran the task before.
@@ -51,33 +49,6 @@
 	repeatAfter = timer.Second
 )
 
-const (
-	// AnswerDone means that all tasks ended with success.
-	AnswerDone AnswerKind = iota + 1
-	// AnswerFailed means that a task failed as often as its queue allows.
-	AnswerFailed
-	// AnswerNotRun means that nothing of the job ran or will run.
-	AnswerNotRun
-	// AnswerNoQueue means that the configuration has no such queue; nothing ran.
-	AnswerNoQueue
-	// AnswerGaveUp means that the job did not end in time. All its runs are being stopped.
-	AnswerGaveUp
-	// AnswerMalformed means that the job cannot be understood; nothing ran.
-	AnswerMalformed
-	// AnswerAccepted means that a kept job is in the store.
-	AnswerAccepted
-	// AnswerPending means that a kept job has not begun.
-	AnswerPending
-	// AnswerRunning means that a kept job has begun.
-	AnswerRunning
-	// AnswerCancelled means that a job is cancelled, or had ended before.
-	AnswerCancelled
-	// AnswerGone means that there is no such job.
-	AnswerGone
-	// AnswerElsewhere is an answer between entries: the one that was asked does not own the job.
-	AnswerElsewhere
-)
-
 const (
 	taskQueued = iota + 1 // waits for a grant
 	taskPlaced            // ordered on a sidecar, without an outcome
@@ -85,16 +56,6 @@
 )
 
 type (
-	// AnswerKind is the kind of an answer.
-	AnswerKind uint8
-
-	// Answer is the final answer to a job.
-	Answer struct {
-		Kind       AnswerKind
-		Reason     string
-		RetryAfter timer.Millis // with AnswerNotRun
-	}
-
 	// Job is a job of a caller. Nothing is kept of a restartable one, and its tasks may run again once their earlier
 	// attempt has surely ended. A kept one is stored before it begins, and its owner may change (kept.go).
 	Job struct {
@@ -234,20 +195,6 @@
 	}
 }
 
-// noticePause acts on the time limits that passed while this process stood still, before it handles anything that came
-// meanwhile: a grant for a job whose caller has left must start nothing, and sessions that both ends gave up take no
-// orders.
-func (s *Submitter) noticePause() {
-	pause := s.now - s.beganTick
-	if s.beganTick == 0 || pause < pauseLimit {
-		return
-	}
-	s.beganTick = s.now
-	s.report(Event{Kind: "paused", Value: int64(pause)})
-	s.checkSilence()
-	s.expireJobs()
-}
-
 // Snapshot returns the configuration in force.
 func (s *Submitter) Snapshot() router.Snapshot { return s.snapshot }
 
@@ -439,17 +386,6 @@
 	}
 }
 
-// String names the kind as logs show it.
-func (k AnswerKind) String() string {
-	names := [...]string{
-		"none", "done", "failed", "notRun", "noQueue", "gaveUp", "malformed", "accepted", "pending", "running", "cancelled", "gone", "elsewhere",
-	}
-	if int(k) < len(names) {
-		return names[k]
-	}
-	return "unknown"
-}
-
 // DropAll ends all jobs, because the entry ends.
 func (s *Submitter) DropAll(now timer.Millis, reason string) {
 	for id := range marshaler.InOrder(s.jobs) {
