--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -235,6 +235,21 @@
 				w.gone = at > 2000 && at < 4000
 			}
 		}, 0.80, 0.85},
+		{"workers replaced one after another", calm, func(f *field, at timer.Millis) {
+			// Two of eleven leave at a time, for 800 ms, while their runs end.
+			for i, w := range f.workers {
+				w.gone = at > 1000 && at < 5400 && int(at-1000)/800 == i/2
+			}
+		}, 0.97, 0.99},
+		{"nearly all of one kind", func(r *rand.Rand, at timer.Millis) (jobs []testJob) {
+			for _, j := range calm(r, at) {
+				if r.Float64() < 0.9 {
+					j.tasks, j.run, j.estimate, j.slack = 8, 60, 60, 54 // ms
+				}
+				jobs = append(jobs, j)
+			}
+			return jobs
+		}, func(*field, timer.Millis) {}, 0.97, 0.99},
 		{"some workers fail all", calm, func(f *field, at timer.Millis) { f.workers[0].fails = at > 2000 && at < 4000 }, 0.93, 0.99},
 		{"runs on some workers stand still", calm, func(f *field, at timer.Millis) { f.workers[0].stuck = at > 2000 && at < 4000 }, 0.93, 0.99},
 		{"some workers slow", calm, func(f *field, at timer.Millis) {
