--- a/conductor/options.go
+++ b/conductor/options.go
@@ -19,8 +19,12 @@
 	// configurationWait is how long a read of the configuration waits for a change. A connection that went silent is
 	// noticed after this and storeTimeout, within the time in which a configuration has to be in force.
 	configurationWait = 3 * time.Second
-	// entriesWait is how long a read of the entries' addresses waits for a change.
-	entriesWait  = 10 * time.Second
+	// sidecarConfigurationWait is the same for sidecars. Of a configuration they use the withdrawn domains only, and entries
+	// pass it on to sidecars that lag.
+	sidecarConfigurationWait = 10 * time.Second
+	// entriesWait is how long a read of the entries' addresses waits for a change, the longest that the store allows. New
+	// entries are also heard of from others.
+	entriesWait  = 30 * time.Second
 	storeTimeout = 800 * time.Millisecond
 	// backendTimeout bounds a call to the backend server on the same machine, which answers within a few milliseconds.
 	// It leaves a task of 60 ms, whose start is lost, time to start elsewhere.
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	go s.config.follow(life, s.loop, newStore(s.Store, configurationWait))
+	go s.config.follow(life, s.loop, newStore(s.Store, sidecarConfigurationWait))
 	s.members = directory{
 		logger: s.Logger, store: newStore(s.Store, entriesWait), connect: s.node.Connect,
 		wanted: func(marshaler.Peer) bool { return true },
