Bound the deadlines that callers state

Cause: a deadline near the largest number overflowed, and the job was given up at once. Change: deadlines count for an hour at most. Measured: the new case of TestPatience fails without (given up after 0 ms). Conclusion: bad input is served as a job with a long deadline.

--- a/submitter/patience_test.go
+++ b/submitter/patience_test.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"math"
 	"testing"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -23,6 +24,7 @@
 		{"waited before", 2000, 500, 200, 300},
 		{"no deadline stated", 0, 0, 900, 2000},
 		{"long deadline", 60_000, 0, 900, 2000},
+		{"deadline beyond all bounds", math.MaxInt64, 0, 900, 2000},
 	}
 	for _, c := range cases {
 		b := newBench()
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -42,6 +42,8 @@
 	usefulShare = 3
 	// lateRun is the factor on a job's estimated run time that has to be left before its deadline at a late start.
 	lateRun = 1.4
+	// maxDeadline bounds the deadlines that callers state, so that sums with them stay in range.
+	maxDeadline = 60 * timer.Minute
 	// defaultDeadline bounds jobs whose callers state no deadline.
 	defaultDeadline = 30 * timer.Second
 	// repeatAfter is how long a request for room of a job that can no longer be refused stays without a grant before it is
@@ -242,7 +244,7 @@
 
 // admit asks for room for a new job.
 func (s *Submitter) admit(j *job) {
-	wait := j.Deadline
+	wait := min(j.Deadline, maxDeadline)
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
