List late jobs behind lost ones in the loss report

Change: lost jobs first; late ones are called late by their estimated run time. Measured: TestReport.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -29,12 +29,14 @@
 		Cause  string
 		Better string // what could have done better
 		Jobs   int
-		Late   bool   // the jobs were done, after their expected response time
+		// Late says that the jobs were done, later than expected by their estimated run time. Estimates are rough, so
+		// some of them were as fast as could be.
+		Late   bool
 		First  string // identifier of the first job
 		Queues map[string]int
 	}
 
-	// Report is the outcome of an audit. Losses come with the largest first.
+	// Report is the outcome of an audit. Losses come with the largest first, jobs that were late behind those that were lost.
 	Report struct {
 		Lines  int
 		Jobs   int
@@ -144,7 +146,12 @@
 		r.Losses = append(r.Losses, *l)
 	}
 	slices.SortFunc(r.Losses, func(x, y Loss) int {
-		if x.Jobs != y.Jobs {
+		switch {
+		case x.Late != y.Late && y.Late:
+			return -1
+		case x.Late != y.Late:
+			return 1
+		case x.Jobs != y.Jobs:
 			return y.Jobs - x.Jobs
 		}
 		return strings.Compare(x.Cause, y.Cause)
--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -14,9 +14,9 @@
 	}{
 		{"done", []string{`entry: answer","detail":"done ","tookMs":100,"expectedMs":150`}, ""},
 		{"done after a repeated request", []string{`entry: answer","detail":"gaveUp deadline passed"`, `entry: answer","detail":"done "`}, ""},
-		{"late", []string{`entry: answer","detail":"done ","tookMs":200,"expectedMs":150`}, "late: the job waited for room or ran longer than estimated"},
+		{"late", []string{`entry: answer","detail":"done ","tookMs":200,"expectedMs":150`}, "late by its estimated run time: the job waited for room or ran longer than estimated"},
 		{"late after a stall", []string{`entry: requeue","detail":"stalled no progress"`, `entry: answer","detail":"done ","tookMs":200,"expectedMs":150`},
-			"late: a task stood still on its worker"},
+			"late by its estimated run time: a task stood still on its worker"},
 		{"refused", []string{`entry: answer","detail":"notRun no room in time"`}, "refused: no room within the caller's patience"},
 		{"refused before it was understood", []string{`entry: refuse","detail":"callers no configuration yet"`}, "refused: the entry had no configuration"},
 		{"deadline", []string{`entry: grant","detail":""`, `entry: answer","detail":"gaveUp deadline passed"`}, "deadline passed"},
@@ -55,16 +55,20 @@
 {"message":"entry: answer","job":"b","queue":"q","detail":"notRun no room in time"}
 {"message":"entry: answer","job":"c","queue":"q","detail":"notRun no room in time"}
 {"message":"sidecar: end","job":"d"}
+{"message":"entry: answer","job":"e","queue":"q","detail":"done ","tookMs":9,"expectedMs":8}
+{"message":"entry: answer","job":"f","queue":"q","detail":"done ","tookMs":9,"expectedMs":8}
+{"message":"entry: answer","job":"g","queue":"q","detail":"done ","tookMs":9,"expectedMs":8}
 `
 	if err := a.Read(strings.NewReader(lines)); err != nil {
 		t.Fatal(err)
 	}
-	want := `3 jobs in 4 lines, 0 done in time
+	want := `6 jobs in 7 lines, 0 done in time
 
 | jobs | cause | what could have done better | first one |
 |---|---|---|---|
 | 2 | refused: no room within the caller's patience | capacity; the order of the queue | b |
 | 1 | refused on arrival: the queue was too long | capacity; the order of the queue | a |
+| 3 | late by its estimated run time: the job waited for room or ran longer than estimated | capacity; the order of the queue | e |
 `
 	if got := a.Report().String(); got != want {
 		t.Errorf("got %s, want %s", got, want)
--- a/auditor/causes.go
+++ b/auditor/causes.go
@@ -45,7 +45,7 @@
 func causeOf(j *job) cause {
 	if j.done {
 		c := find(attempts, j.requeue, cause{cause: "the job waited for room or ran longer than estimated", better: "capacity; the order of the queue"})
-		c.cause = "late: " + c.cause
+		c.cause = "late by its estimated run time: " + c.cause
 		return c
 	}
 	if c := find(answers, j.answer, cause{}); c.cause != "" {
