--- /dev/null
+++ b/comparer/comparer_test.go
@@ -0,0 +1,59 @@
+package comparer
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+const printed = `built in 2.6 s; 30363 lines in 198 files
+7 days, 4 at a time
+score on the standard days of some-site (set 03843676): 0.853
+day                  own/srv  score  worth served refused failed  weakest part
+quiet-1                 15/0   0.58  0.963  1.000   0.000  0.000  whole day 1.00; prices 0.037, most for machine-seconds
+trouble-1               15/0   0.85  0.685  0.955   0.014  0.020  worst windows 0.47
+fresh-0fa2              15/0   0.91  0.694  0.955   0.011  0.025  nines 0.48
+GATE passed
+`
+
+// TestCompare guards against regressions that pass.
+func TestCompare(t *testing.T) {
+	cases := []struct {
+		name    string
+		printed string
+		best    string
+		want    []string
+	}{
+		{"as good", printed, "some-site quiet-1 0.963\nsome-site trouble-1 0.700", nil},
+		{"within the noise", printed, "some-site trouble-1 0.715", nil},
+		{"worse", printed, "# best\n\nsome-site trouble-1 0.716", []string{"some-site trouble-1: worth 0.685, best so far 0.716"}},
+		{"day is missing", printed, "some-site scale-1 0.8", []string{"some-site scale-1: not played"}},
+		{"gate", strings.Replace(printed, "passed", "failed", 1), "some-site quiet-1 0.9", []string{"some-site: the gate is not passed"}},
+		{"unknown site", printed, "other quiet-1 0.9", []string{"some-site: there are no figures to compare with"}},
+	}
+	for _, c := range cases {
+		s, err := ReadScores(strings.NewReader(c.printed))
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		b, err := ReadBest(strings.NewReader(c.best))
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if got := b.Compare(s); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// TestMalformed guards against input that is taken for a score without days.
+func TestMalformed(t *testing.T) {
+	if _, err := ReadScores(strings.NewReader("fleetbench: no such site\n")); err == nil {
+		t.Error("got no error for an output without a score, want one")
+	}
+	for _, text := range []string{"site day", "site day high"} {
+		if _, err := ReadBest(strings.NewReader(text)); err == nil {
+			t.Errorf("got no error for %q, want one", text)
+		}
+	}
+}
--- a/conductor/memory.go
+++ b/conductor/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -29,8 +30,12 @@
 	store  *platform.Store
 	name   string // of the sidecar
 
-	latest  string      // description that was given to the writer; owned by the loop
+	given   bool        // a description was given to the writer; owned by the loop, as latest is
+	latest  string      // the newest one
 	pending chan string // newest description that is not written yet
+
+	mu       sync.Mutex
+	unstored chan struct{} // closed when the newest description is stored; nil before the first one
 }
 
 // describe encodes a description. It is empty for a backend server that leaves, which must not be recalled.
@@ -44,10 +49,13 @@
 // remember hands a changed description to the writer. It never blocks.
 func (m *memory) remember(b keeper.Backend) {
 	text := describe(b)
-	if text == m.latest {
+	if m.given && text == m.latest {
 		return
 	}
-	m.latest = text
+	m.given, m.latest = true, text
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unstored = make(chan struct{})
 	select {
 	case <-m.pending:
 	default:
@@ -71,6 +79,7 @@
 		for ctx.Err() == nil {
 			err := m.store.Append(ctx, platform.TopicBackends, r)
 			if err == nil {
+				m.stored()
 				break
 			}
 			m.logger.WithError(err).Warn("sidecar: description of the backend server is not stored yet")
@@ -85,6 +94,39 @@
 	}
 }
 
+// stored notes that a description was written, unless a newer one waits.
+func (m *memory) stored() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.pending) > 0 {
+		return
+	}
+	select {
+	case <-m.unstored:
+	default:
+		close(m.unstored)
+	}
+}
+
+// awaitStored reports whether the newest description is in the store, and waits for that at most for limit.
+func (m *memory) awaitStored(ctx context.Context, limit time.Duration) bool {
+	m.mu.Lock()
+	unstored := m.unstored
+	m.mu.Unlock()
+	if unstored == nil {
+		return true // nothing was ever given to the store
+	}
+	enough := time.NewTimer(limit)
+	defer enough.Stop()
+	select {
+	case <-unstored:
+		return true
+	case <-enough.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // decode decodes a record. A panic is an error of the record.
 func decode(body []byte) (m marshaler.Message, err error) {
 	if panicked := catcher.Catch(func() { m, err = marshaler.Decode(body) }); panicked != nil {
--- a/conductor/path_test.go
+++ b/conductor/path_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -381,6 +382,35 @@
 	})
 }
 
+// TestLeavingIsKept guards against a sidecar that acknowledges that its backend server leaves, and uses it again after a
+// restart, because the store was away when it left.
+func TestLeavingIsKept(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.eventually("description in the store", func() bool {
+		page, err := newStore(f.address(250, 7000), 0).Newest(f.ctx, platform.TopicBackends)
+		return err == nil && len(page.Records) == 1
+	})
+	f.store.SetFaults(standin.StoreFaults{Own: true})
+	var acknowledged atomic.Bool
+	f.backends[0].OnDraining = func() { acknowledged.Store(true) }
+	f.backends[0].Drain()
+	f.eventually("the sidecar knows", func() bool { return strings.Count(f.logs.String(), `"sidecar: backend"`) >= 2 })
+	time.Sleep(time.Second) // several announcements
+	f.stops["sidecar-0"]()
+	f.backends[0].SetFaults(standin.BackendFaults{Mute: true})
+	f.store.SetFaults(standin.StoreFaults{})
+	f.restartSidecar(0)
+	for range 10 {
+		status, _ := f.post(f.entries[0], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "5")
+		if status == http.StatusOK && acknowledged.Load() {
+			t.Fatal("got a job on a backend server whose leaving was acknowledged, want none")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.backends[0].SetFaults(standin.BackendFaults{})
+	f.eventually("the leaving is acknowledged with the store", acknowledged.Load)
+}
+
 // TestPlacerLost guards against jobs that wait for a placing entry that is gone.
 func TestPlacerLost(t *testing.T) {
 	f := newFleet(t, 2, 2)
--- a/conductor/sidecar.go
+++ b/conductor/sidecar.go
@@ -26,6 +26,9 @@
 	holdPause = 20 * time.Millisecond
 	// backendConnections bounds the connections to the backend server.
 	backendConnections = 10
+	// storedWait is how long the acknowledgement of a backend server that leaves waits for the store. The server waits for
+	// a second, and announces itself again.
+	storedWait = 700 * time.Millisecond
 	// flushTime is left for the last messages of a process that ends.
 	flushTime = 100 * time.Millisecond
 	// drainCheck is the period in which a stopping sidecar looks whether its runs have ended.
@@ -77,7 +80,7 @@
 	s.attach(life)
 	s.loop.flush, s.loop.tick = func(timer.Millis) {}, s.core.Tick
 	announcements := platform.Announcements{
-		Announce: func(b keeper.Backend) { s.announce(life, b) },
+		Announce: func(b keeper.Backend) bool { return s.announce(life, b) },
 		Leaves:   func(id string) { s.loop.do(life, func(now timer.Millis) { s.core.Leaves(now, id) }) },
 		Refused:  func(err error) { s.Logger.WithError(err).Warn("sidecar: announcement refused") },
 	}
@@ -136,8 +139,9 @@
 	s.monitor.traffic = &s.node.Traffic
 }
 
-// announce passes on what the backend server says of itself. It returns once that is in force.
-func (s *Sidecar) announce(ctx context.Context, b keeper.Backend) {
+// announce passes on what the backend server says of itself. It returns once that is in force, and reports whether it may
+// be acknowledged: that a server leaves is known after a restart of this process, too.
+func (s *Sidecar) announce(ctx context.Context, b keeper.Backend) bool {
 	done := make(chan struct{})
 	s.loop.do(ctx, func(now timer.Millis) {
 		defer close(done)
@@ -148,7 +152,9 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		return false
 	}
+	return !b.Draining || s.memory.awaitStored(ctx, storedWait)
 }
 
 // recall announces the backend server as an earlier life of this process knew it, unless it has announced itself.
