placer: probe an open breaker again after a probe without a result

Cause: only done, failed and stalled ends cleared the probing flag, so a probe that ended lost, stopped or refused, or whose start was lost, kept the breaker open until the sidecar was removed. Change: the flag is gone. Result: TestProbeWithoutResult/lost, /stopped and /refused failed before and pass; placer tests pass. Conclusion: mended.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -196,7 +196,6 @@
 			}
 			w.reserve(now, r.key.job, r.resources)
 			if w.breaker.open {
-				w.breaker.probing = true
 				w.breaker.probeAt = now + maxProbeDelay
 			}
 			r.remaining--
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -56,7 +56,6 @@
 		lastJob    string
 		probeDelay timer.Millis
 		probeAt    timer.Millis
-		probing    bool
 	}
 )
 
@@ -112,7 +111,7 @@
 		switch {
 		case b.open:
 			b.probeDelay = min(2*b.probeDelay, maxProbeDelay)
-			b.probeAt, b.probing = now+b.probeDelay, false
+			b.probeAt = now + b.probeDelay
 		case b.failedJobs >= breakerThreshold && p.mayOpenBreaker():
 			b.open, b.probeDelay, b.probeAt = true, minProbeDelay, now+minProbeDelay
 			p.report(Event{Kind: "breakerOpen", Worker: w.name, Detail: s.Status.String(), Value: int64(b.failedJobs)})
@@ -131,11 +130,8 @@
 	return openCount*workersPerOpenBreaker <= len(p.workers)
 }
 
-// breakerAllows reports whether the breaker is closed or due for a probe.
+// breakerAllows reports whether the breaker is closed or due for a probe. A worker is busy while its probe runs, so a
+// probe that ends without a result, or whose start was lost, is followed by another one.
 func (w *worker) breakerAllows(now timer.Millis) bool {
-	b := &w.breaker
-	if !b.open {
-		return true
-	}
-	return now >= b.probeAt && !b.probing && !w.busy()
+	return !w.breaker.open || now >= w.breaker.probeAt && !w.busy()
 }
