connector, consumer: bound three failures found by reading

Change: Hello is called inside the recovery; a closed session drops messages; only a successful read ends the backoff after expired records. Conclusion: mended.

--- a/connector/node.go
+++ b/connector/node.go
@@ -107,15 +107,17 @@
 // serve handles a connection until it is closed, and reports whether the session was established.
 func (n *Node) serve(ctx context.Context, s *Session) bool {
 	defer context.AfterFunc(ctx, func() { s.Close(ctx.Err()) })()
-	hello := n.Hello()
-	hello.Session = n.lastSession.Add(1)
-	s.Send(&hello)
 	n.goroutines.Go(s.write)
 	r := bufio.NewReaderSize(s.conn, readBufferSize)
 	var err error
-	n.recoverPanic(s, func() { err = s.readHello(r) })
+	n.recoverPanic(s, func() {
+		hello := n.Hello()
+		hello.Session = n.lastSession.Add(1)
+		s.Send(&hello)
+		err = s.readHello(r)
+	})
 	if err == nil && s.Remote.Name == "" {
-		return false // the decoding of Hello panicked
+		return false // making or decoding a Hello panicked
 	}
 	if err != nil {
 		s.Close(err)
--- a/connector/node_test.go
+++ b/connector/node_test.go
@@ -191,3 +191,42 @@
 		t.Errorf("got the name %q of an unknown type, want %q", got, want)
 	}
 }
+
+// TestHelloPanic guards against a panic in Hello that ends the process.
+func TestHelloPanic(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a, b := newTestNode("a"), newTestNode("b")
+	var panics atomic.Int64
+	a.OnPanic = func(*Session, error) { panics.Add(1) }
+	hello := a.Hello
+	a.Hello = func() marshaler.Hello {
+		if panics.Load() == 0 {
+			panic("injected")
+		}
+		return hello()
+	}
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Connect(ctx, address)
+	eventually(t, "session after the panic", func() bool { return b.up.Load() == 1 })
+	cancel()
+	a.Wait()
+	b.Wait()
+}
+
+// TestSendAfterClose guards against messages that pile up in a closed session which its user still holds.
+func TestSendAfterClose(t *testing.T) {
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }() // nothing is read from it
+	s := newSession(local, true, nil)
+	s.Close(net.ErrClosed)
+	for range 1000 {
+		s.Send(&marshaler.Heartbeat{})
+	}
+	if got := len(s.queued); got != 0 {
+		t.Errorf("got %d bytes queued in a closed session, want 0", got)
+	}
+}
--- a/connector/session.go
+++ b/connector/session.go
@@ -52,6 +52,11 @@
 
 // Send queues a message without blocking. Messages to a closed session are dropped; the Node reports the closure.
 func (s *Session) Send(m marshaler.Message) {
+	select {
+	case <-s.done:
+		return
+	default:
+	}
 	s.mu.Lock()
 	start := len(s.queued)
 	s.queued = append(s.queued, 0, 0, 0, 0)
--- a/consumer/consumer.go
+++ b/consumer/consumer.go
@@ -53,18 +53,21 @@
 func (f *Consumer) Run(ctx context.Context) {
 	delay := minRetryDelay
 	var next uint64
-	known := false
+	known, expired := false, false
 	for ctx.Err() == nil {
 		page, err := f.readNext(ctx, next, known)
-		if trace.IsNotFound(err) && known {
-			known = false
+		if trace.IsNotFound(err) && known && !expired {
+			known, expired = false, true
 			continue
 		}
 		if err != nil {
+			known = known && !trace.IsNotFound(err)
 			f.backOff(ctx, err, &delay)
 			continue
 		}
-		delay = minRetryDelay
+		if known || !expired { // a snapshot is only of use if the records after it can be read
+			delay, expired = minRetryDelay, false
+		}
 		if f.unavailable {
 			f.unavailable = false
 			f.OnAvailable()
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -60,3 +61,22 @@
 		}
 	}
 }
+
+// TestExpiredRecords guards against a loop without pauses when the store lists the newest records but never has the
+// ones that follow.
+func TestExpiredRecords(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	calls := 0
+	f := &Consumer{
+		Newest:        func(context.Context) (Page, error) { calls++; return Page{Next: 3}, nil },
+		Read:          func(context.Context, uint64) (Page, error) { return Page{}, trace.NotFound("records expired") },
+		Apply:         func(Page, bool) {},
+		OnUnavailable: func(error) {},
+		OnAvailable:   func() {},
+	}
+	f.Run(ctx)
+	if want := 12; calls > want { // one pause of at least 50 ms before each but the first two
+		t.Errorf("got %d snapshots in 500 ms, want at most %d", calls, want)
+	}
+}
