submitter: rank callers who come back behind those still on time

The remaining deadline tells which: fresh callers have at least the route's time limit left. Change: a caller with less time left than the queue's time limit has waited for the difference. Its limits count from then, so it ranks behind jobs on time; TimeoutMs becomes router.Queue.Timeout.

--- a/router/codec.go
+++ b/router/codec.go
@@ -83,7 +83,8 @@
 	b = appender.AppendUint(b, 6, q.AttemptLimit)
 	b = appender.AppendUint(b, 7, math.Float64bits(q.Stretch))
 	b = appender.AppendUint(b, 8, uint64(q.ResponseAllowance))
-	return appender.AppendUint(b, 9, protowire.EncodeBool(q.UsesAdvice))
+	b = appender.AppendUint(b, 9, protowire.EncodeBool(q.UsesAdvice))
+	return appender.AppendUint(b, 10, uint64(q.Timeout))
 }
 
 func decodeQueue(f appender.Field) (q Queue, err error) {
@@ -91,7 +92,7 @@
 	if err != nil {
 		return q, err
 	}
-	var stretch, target, advised uint64
+	var stretch, target, advised, timeout uint64
 	err = appender.RangeFields(body, func(f appender.Field) error {
 		switch f.Tag {
 		case 1:
@@ -112,9 +113,12 @@
 			return f.StoreUint(&target)
 		case 9:
 			return f.StoreUint(&advised)
+		case 10:
+			return f.StoreUint(&timeout)
 		}
 		return nil
 	})
+	q.Timeout = timer.Millis(timeout)
 	q.Stretch, q.ResponseAllowance, q.UsesAdvice = math.Float64frombits(stretch), timer.Millis(target), advised != 0
 	return q, err
 }
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -31,6 +31,8 @@
 		// critical path, plus ResponseAllowance.
 		Stretch           float64
 		ResponseAllowance timer.Millis
+		// Timeout is the time limit of a request; 0 means none. Callers usually wait at least as long.
+		Timeout timer.Millis
 		// UsesAdvice is set if an advice service selects the backend servers that may run a step. Such queues are not
 		// supported.
 		UsesAdvice bool
--- a/router/snapshot_test.go
+++ b/router/snapshot_test.go
@@ -6,7 +6,7 @@
 )
 
 var testQueues = []Queue{
-	{Name: "a", Host: "h", URLPrefix: "/a/", Service: "s", Priority: 2, AttemptLimit: 3, Stretch: 1.5, ResponseAllowance: 60},
+	{Name: "a", Host: "h", URLPrefix: "/a/", Service: "s", Priority: 2, AttemptLimit: 3, Stretch: 1.5, ResponseAllowance: 60, Timeout: 1500},
 	{Name: "ab", Host: "h", URLPrefix: "/a/b/", Service: "s", AttemptLimit: 1, Stretch: 2},
 	{Name: "other", Host: "o", URLPrefix: "/a/", Service: "t", AttemptLimit: 1, Stretch: 2, UsesAdvice: true},
 }
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -103,6 +103,8 @@
 		sidecars               map[string]*sidecar
 		peers                  map[string]*peer
 		subscriptionsCheckedAt timer.Millis
+		// patientAt is when a caller with the full time limit of a queue was last seen, by queue.
+		patientAt map[string]timer.Millis
 		// lastTick is the time of the latest Tick or of the latest detected pause.
 		lastTick timer.Millis
 	}
@@ -259,12 +261,14 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	slack := timer.Millis(responseWaitShare * float64(j.expectedResponse()))
 	j.waiters = []func(a Answer){j.Answer}
 	j.arrived = s.now - j.Waited
-	j.targetStart, j.expiresAt = j.arrived+slack, j.arrived+wait
-	useful := min(j.expiresAt, j.arrived+timer.Millis(usefulResponseFactor*float64(j.expectedResponse())))
-	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), useful-timer.Millis(lateRunFactor*float64(j.criticalPath()))))
+	j.expiresAt = j.arrived + wait
+	prior := s.priorWait(&j.Job)
+	if prior > 0 {
+		s.report(Event{Kind: "returning", Job: j.ID, Queue: j.Queue.Name, Took: prior, Deadline: j.Deadline})
+	}
+	j.setStartLimits(s.now, prior)
 	s.jobs[j.ID] = j
 	s.requestReadySteps(j)
 }
