Hand restartable jobs of overloaded entries over to others

An entry did not know its own load. When its event loop fell behind or its processor share was used up, its callers waited while other entries had capacity to spare.

Package gauger smooths readings of processor use, loop delay, bytes and memory and classifies them. Heartbeats between entries carry the load in optional fields. An overloaded entry hands new restartable jobs over to the normal peer with the most spare processor capacity, at most once, bound to the session that carries the job. A broken session leaves the outcome unknown: the caller's connection ends without a response. The setting handover (on, off) controls it.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -36,6 +36,9 @@
 	kindQueueBacklog
 	kindOwnerRecord
 	kindHandover
+	kindJobHandover
+	kindJobAnswer
+	kindCancelJobHandover
 )
 
 // Append appends the encoding of m to dst. It panics if m is not a pointer to a message type of this package.
@@ -52,7 +55,8 @@
 	case *Heartbeat:
 		dst = appender.AppendUint(append(dst, kindHeartbeat), 1, m.Offset)
 		dst = appendBool(dst, 2, m.Leaving)
-		return appendBool(dst, 3, m.DurableInUse)
+		dst = appendBool(dst, 3, m.DurableInUse)
+		return appendEntryLoad(dst, m)
 	case *Peers:
 		dst = append(dst, kindPeers)
 		for i := range m.Peers {
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -15,6 +15,7 @@
 		&Hello{}, &Heartbeat{}, &Peers{}, &Configuration{}, &Backend{}, &Load{}, &Start{}, &Stop{}, &Outcome{}, &ActiveRuns{}, &LoadSubscription{},
 		&ResourceRequest{}, &CancelResourceRequest{}, &Grant{}, &Reject{}, &JobRecord{}, &EndRecord{}, &CancelRecord{}, &OwnedPartitions{}, &Claim{}, &Release{}, &Census{},
 		&OutcomeAck{}, &Call{}, &Reply{}, &QueueBacklog{}, &OwnerRecord{}, &Handover{},
+		&JobHandover{}, &JobAnswer{}, &CancelJobHandover{},
 	}
 }
 
@@ -72,6 +73,7 @@
 		"hello", "beat", "peers", "configuration", "backend", "load", "start", "stop", "outcome", "held", "subscribe",
 		"ask", "withdraw", "grant", "reject", "jobRecord", "endRecord", "cancelRecord", "owned", "claim", "release", "census",
 		"noted", "call", "reply", "waiting", "ownerRecord", "handover",
+		"jobHandover", "jobAnswer", "cancelJobHandover",
 	}
 	messages := allMessages()
 	if len(messages) != len(want) {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -106,7 +106,7 @@
 	case 3:
 		return setBool(f, &m.DurableInUse)
 	}
-	return nil
+	return m.setLoadField(f)
 }
 
 func (m *Peers) setField(f appender.Field) error {
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -1,8 +1,6 @@
 package marshaler
 
 import (
-	"fmt"
-
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/crocuslb/crocuslb/appender"
@@ -53,7 +51,7 @@
 		dst = appender.AppendString(append(dst, kindQueueBacklog), 1, m.Queue)
 		return appender.AppendUint(dst, 2, m.Jobs)
 	}
-	panic(fmt.Sprintf("marshaler: unknown message type %T", m))
+	return appendJobMessage(dst, m)
 }
 
 func appendJobRecord(dst []byte, m *JobRecord) []byte {
@@ -159,7 +157,7 @@
 		m := &QueueBacklog{}
 		return m, m.setField
 	}
-	return nil, nil
+	return jobHandoverDecoder(kind)
 }
 
 func (m *JobRecord) setField(f appender.Field) error {
--- a/marshaler/kindname.go
+++ b/marshaler/kindname.go
@@ -32,6 +32,9 @@
 	kindQueueBacklog:          "waiting",
 	kindOwnerRecord:           "ownerRecord",
 	kindHandover:              "handover",
+	kindJobHandover:           "jobHandover",
+	kindJobAnswer:             "jobAnswer",
+	kindCancelJobHandover:     "cancelJobHandover",
 }
 
 // KindName returns the name in metrics of a message type, for example "load", or "type" and the number of an unknown
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -88,6 +88,14 @@
 		Leaving bool   // the sender is shutting down and accepts no new work
 		// DurableInUse is set when durable jobs are in use or when the sender does not know yet whether they are.
 		DurableInUse bool
+		// LoadClass is the class of the sender's load, a gauger.Class. It is 0 if the sender does not take jobs of other
+		// entries; the other load fields are 0 then.
+		LoadClass      uint8
+		ProcessorUse   uint64 // thousandths of the sender's processor share
+		LoopDelay      timer.Millis
+		BytesPerSecond uint64 // sent to other processes
+		MemoryBytes    uint64
+		SteppedDown    bool // the sender is overloaded and does not want to be the placing entry
 	}
 
 	// Peers lists the entries known to the sender.
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -54,7 +54,7 @@
 	e.loop = newEventLoop()
 	e.monitor.logger, e.monitor.droppedLogLines = e.Logger, e.DroppedLogLines
 	e.loop.onPanic = func(err error) { e.monitor.reportPanic("loop", err) }
-	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions}
+	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions, Handover: e.Handover}
 	e.owner = partitionOwner{
 		logger: e.Logger, store: newStore(e.StoreAddress, 0), loop: e.loop, core: &e.core, memberName: e.Name, heartbeatDue: make(chan struct{}, 1),
 		limiter: writeLimiter{rate: writeCallShare * float64(e.WritesPerSecond) / float64(max(e.Partitions, 1))},
@@ -101,6 +101,7 @@
 	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.CallersAddress}).Info("entry: started")
 	loopErr := make(chan error, 1)
 	go func() { loopErr <- e.loop.run(runCtx) }()
+	go e.measureLoad(runCtx)
 	select {
 	case <-ctx.Done():
 	case err := <-loopErr:
@@ -245,6 +246,9 @@
 	shutdownCtx, cancel := context.WithTimeout(ctx, drainTime-time.Since(started)-responsePeriod)
 	defer cancel()
 	err := servers[0].Shutdown(shutdownCtx)
+	if err == nil {
+		err = e.waitReceivedJobs(shutdownCtx)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.query(ctx, func(now timer.Millis) bool { e.core.AbortAll(now, "the entry ends"); return true })
 		time.Sleep(responsePeriod) // time to send the answers
--- a/runner/options.go
+++ b/runner/options.go
@@ -57,6 +57,8 @@
 	Partitions uint64
 	// WritesPerSecond is the store's rate limit for write calls from all processes together.
 	WritesPerSecond uint64
+	// Handover lets an entry hand jobs over to other entries while it is overloaded, and take theirs.
+	Handover bool
 	// DrainTime bounds the time to finish in-flight work after SIGTERM.
 	DrainTime timer.Millis
 	Logger    log.Interface
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -15,6 +15,8 @@
 	// defaultMetricsPort is the default metrics port on the process's own address.
 	defaultMetricsPort = "9464"
 	millicoresPerCore  = 1000
+	valueOn            = "on"
+	valueOff           = "off"
 )
 
 // Settings declares the settings of both roles. A settings file uses the same variable names as the environment and
@@ -35,11 +37,20 @@
 	{Name: "writes", Unit: loader.UnitCount, Default: "800", Min: 1, Max: 1_000_000, Description: "rate limit of the platform's store for write calls from all processes together, per second"},
 	{Name: "seeds", Unit: loader.UnitAddresses, Description: "addresses on machines that may run an entry; only their IP addresses are used"},
 	{Name: "cores", Unit: loader.UnitRatio, Default: "1", Description: "number of processor cores that the process may use"},
+	{Name: "handover", Default: valueOn, Check: checkOnOff, Description: "on or off: whether an overloaded entry hands new restartable jobs over to other entries, takes theirs, and steps down as the placing entry; entries only"},
 	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Description: "maximum time to finish in-flight work after SIGTERM"},
 	{Name: "metricsPort", Unit: loader.UnitCount, Default: defaultMetricsPort, Min: 0, Max: 65535, Description: "port of the metrics endpoint; 0 disables it"},
 	{Name: "logLines", Unit: loader.UnitCount, Default: "4000", Min: 1, Max: 1_000_000, Description: "maximum number of log lines per second; the excess is dropped and counted"},
 }}
 
+// checkOnOff validates a setting that is on or off.
+func checkOnOff(value string) error {
+	if value != valueOn && value != valueOff {
+		return trace.BadParameter("%q is neither %s nor %s", value, valueOn, valueOff)
+	}
+	return nil
+}
+
 // LoadOptions reads the settings from flags, environment and settings file. It also returns the maximum number of log
 // lines per second. The error lists all invalid settings.
 func LoadOptions(role string, args, environ []string) (Options, int, error) {
@@ -64,7 +75,7 @@
 		Address: net.JoinHostPort(values.Text("ip"), values.Text("internalPort")),
 		Weight:  uint64(values.Number("cores") * millicoresPerCore), DrainTime: values.Millis("drainMs"),
 	}
-	options.Advertise = values.Text("advertise")
+	options.Advertise, options.Handover = values.Text("advertise"), values.Text("handover") != valueOff
 	options.Partitions, options.WritesPerSecond = uint64(values.Count("partitions")), uint64(values.Count("writes"))
 	if values.Count("metricsPort") != 0 {
 		options.MetricsAddress = net.JoinHostPort(values.Text("ip"), values.Text("metricsPort"))
--- a/submitter/answer.go
+++ b/submitter/answer.go
@@ -29,6 +29,9 @@
 	AnswerNotFound
 	// AnswerNotOwner is only sent between entries: the receiver of the request does not own the job.
 	AnswerNotOwner
+	// AnswerUnknown means that the entry that the job was handed over to was lost before it answered. The job may have
+	// run, and its runs are being stopped. The caller gets no response: its connection ends.
+	AnswerUnknown
 )
 
 type (
@@ -47,6 +50,7 @@
 func (k AnswerKind) String() string {
 	names := [...]string{
 		"none", "done", "failed", "notRun", "noQueue", "gaveUp", "malformed", "accepted", "pending", "running", "cancelled", "gone", "elsewhere",
+		"unknownOutcome",
 	}
 	if int(k) < len(names) {
 		return names[k]
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -55,7 +55,7 @@
 // Cancel cancels a job, whichever entry owns it.
 func (s *Submitter) Cancel(now timer.Millis, queue, id string, answer func(a Answer)) {
 	s.setNow(now)
-	if j := s.jobs[id]; j != nil && j.durability.partition == nil {
+	if j := s.jobs[id]; j != nil && j.durability.partition == nil || s.handover.jobs[id] != nil {
 		s.Abort(now, id, "cancelled by the caller")
 		answer(Answer{Kind: AnswerCancelled})
 		return
--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -63,12 +63,15 @@
 
 // updateActivity marks the sessions that need frequent heartbeats: those with sidecars that run tasks of this entry or
 // that this entry is subscribed to as the placing entry, those with entries while one requests capacity from the
-// other, and all of them while durable jobs may be in use.
+// other or has handed a job over to it, and all of them while durable jobs may be in use.
 func (s *Submitter) updateActivity() {
 	for _, sc := range s.sidecars {
 		sc.setActive(s.now, s.mayHaveDurable() || sc.subscribed || len(sc.assignedRuns) > 0)
 	}
 	for _, p := range s.peers {
+		if len(p.handedOver)+len(p.received) > 0 {
+			p.requestedAt = s.now
+		}
 		asks := p.requestedAt != 0 && s.now-p.requestedAt < requestActiveTime
 		p.setActive(s.now, asks || p.mayHaveDurable && s.mayHaveDurable())
 	}
@@ -85,7 +88,7 @@
 	if s.lastTick == 0 || pause < marshaler.PauseThreshold {
 		return
 	}
-	s.lastTick = s.now
+	s.lastTick, s.handover.pausedAt = s.now, s.now
 	s.report(Event{Kind: "paused", Value: int64(pause)})
 	s.checkTimeouts()
 	s.expireJobs()
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -8,20 +8,29 @@
 )
 
 // placingEntry returns the name of the entry that currently schedules jobs: of the live entries the one with the
-// most CPU, then the oldest. Entries may disagree for a short time; this is safe because sidecars refuse starts that
-// exceed their capacity.
+// most CPU, then the oldest. Entries that have stepped down are considered only if there is no other. Entries may
+// disagree for a short time; this is safe because sidecars refuse starts that exceed their capacity.
 func (s *Submitter) placingEntry() string {
+	if name, ok := s.highestRanked(false); ok {
+		return name
+	}
+	name, _ := s.highestRanked(true)
+	return name
+}
+
+// highestRanked returns the live entry that ranks highest, and whether there is one; this entry's name if there is none.
+func (s *Submitter) highestRanked(orSteppedDown bool) (name string, found bool) {
 	best := marshaler.Hello{Name: s.Name, Incarnation: s.Incarnation, Weight: s.Weight}
-	found := !s.leaving
+	found = !s.leaving && (orSteppedDown || !s.load.steppedDown)
 	for _, p := range marshaler.SortedByKey(s.peers) {
-		if p.link == nil || p.leaving || p.suspect || p.active && p.silence(s.now) >= suspectTimeout {
+		if !s.isLive(p) || !orSteppedDown && p.load != nil && p.load.SteppedDown {
 			continue
 		}
 		if !found || outranks(&p.hello, &best) {
 			best, found = p.hello, true
 		}
 	}
-	return best.Name
+	return best.Name, found
 }
 
 func outranks(a, b *marshaler.Hello) bool {
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -58,9 +58,10 @@
 	}
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
 	p.hello, p.link, p.lastReceived, p.leaving, p.suspect = h, link, s.now, false, false
+	s.endHandovers(p, "the session was replaced")
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
 	s.relay.OnConnect(s.now, h.Name)
-	p.send(s.now, s.newHeartbeat())
+	p.send(s.now, s.addLoad(s.newHeartbeat()))
 	if s.durable.inUse {
 		p.send(s.now, &marshaler.OwnedPartitions{Partitions: s.ownedPartitions()})
 	}
@@ -88,7 +89,8 @@
 // onPeerLost handles the loss of another entry. Its requests are dropped, and requests that it held go to the next
 // placing entry.
 func (s *Submitter) onPeerLost(p *peer, cause string) {
-	p.link, p.ownedEpochs, p.waitingJobs = nil, nil, nil
+	p.closed, p.link, p.load, p.ownedEpochs, p.waitingJobs = p.link, nil, nil, nil, nil
+	s.endHandovers(p, "the session ended: "+cause)
 	s.relay.OnDisconnect(p.hello.Name)
 	s.report(Event{Kind: "entryLost", Peer: p.hello.Name, Detail: cause})
 	s.placer.RemoveEntry(p.hello.Name)
@@ -166,6 +168,7 @@
 	switch m := m.(type) {
 	case *marshaler.Heartbeat:
 		p.offset, p.mayHaveDurable = m.Offset, m.DurableInUse
+		p.setLoad(s.now, m)
 		if m.Leaving && !p.leaving {
 			s.report(Event{Kind: "entryLeaving", Peer: p.hello.Name})
 		}
@@ -196,6 +199,12 @@
 			p.waitingJobs = map[string]uint64{}
 		}
 		p.waitingJobs[m.Queue] = m.Jobs
+	case *marshaler.JobHandover:
+		s.onJobHandover(p, link, m)
+	case *marshaler.JobAnswer:
+		s.onJobAnswer(link, m)
+	case *marshaler.CancelJobHandover:
+		s.onCancelJobHandover(p, link, m)
 	}
 }
 
@@ -281,7 +290,7 @@
 		}
 	}
 	for _, p := range marshaler.SortedByKey(s.peers) {
-		if p.link != nil && s.now-p.lastSent >= p.heartbeatInterval() {
+		if p.link != nil && (s.now-p.lastSent >= p.heartbeatInterval() || s.loadReportDue(p)) {
 			s.sendPeerHeartbeat(p)
 		}
 	}
@@ -293,11 +302,7 @@
 			s.sendSidecarHeartbeat(sc)
 		}
 	}
-	for _, p := range marshaler.SortedByKey(s.peers) {
-		if p.link != nil {
-			s.sendPeerHeartbeat(p)
-		}
-	}
+	s.sendPeerHeartbeats()
 }
 
 // sendSidecarHeartbeat sends a heartbeat, and the configuration if the sidecar has had an older one for a while.
@@ -313,7 +318,8 @@
 	if p.offset < s.snapshot.Offset && s.relay.ShouldSend(s.now, s.Name, p.hello.Name, p.offset == 0) {
 		p.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
-	p.send(s.now, s.newHeartbeat())
+	p.loadSentAt = s.now
+	p.send(s.now, s.addLoad(s.newHeartbeat()))
 }
 
 func (p *peer) send(now timer.Millis, m marshaler.Message) {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -83,6 +83,8 @@
 		Domain      string
 		Weight      uint64
 		Report      func(e Event)
+		// Handover enables handing restartable jobs over to other entries and taking theirs (jobhandover.go).
+		Handover bool
 		// Partitions is the number of partitions of the durable jobs.
 		Partitions uint64
 		// Record appends a record of a partition to the store, under the epoch of its owner. done is called in the
@@ -94,6 +96,8 @@
 		DurableJobSubmitted func()
 
 		durable                durableJobs
+		load                   loadState
+		handover               handoverState
 		snapshot               router.Snapshot
 		relay                  router.Relay
 		placer                 placer.Placer
@@ -127,6 +131,7 @@
 	job struct {
 		Job
 		waiters         []func(a Answer)
+		leftWaiters     int // number of waiters whose handover was withdrawn
 		arrived         timer.Millis
 		targetStart     timer.Millis // latest first start that meets the expected response time
 		latestStart     timer.Millis // latest first start; after it the job is refused
@@ -179,13 +184,19 @@
 		hello marshaler.Hello
 		link  *marshaler.Link
 		liveness
-		requestedAt    timer.Millis // time of the latest capacity request in either direction
+		requestedAt    timer.Millis // time of the latest capacity request or handover in either direction
 		mayHaveDurable bool         // it reports that durable jobs may be in use
 		offset         uint64
 		leaving        bool
 		suspect        bool              // silent for suspectTimeout; requests open there were rerouted
 		ownedEpochs    map[uint64]uint64 // epochs of its partitions, by partition
 		waitingJobs    map[string]uint64 // its durable jobs that have not started a task, by queue
+		load           *marshaler.Heartbeat
+		loadAt         timer.Millis            // time of the latest heartbeat
+		loadSentAt     timer.Millis            // time of the latest heartbeat to the peer
+		closed         *marshaler.Link         // latest session that ended
+		handedOver     map[string]*handedJob   // jobs handed over to the peer, by ID
+		received       map[uint64]*receivedJob // jobs that the peer handed over, by number
 	}
 )
 
@@ -222,13 +233,22 @@
 // Ready reports whether the entry can serve callers.
 func (s *Submitter) Ready() bool { return s.snapshot.Version > 0 && !s.leaving && len(s.sidecars) > 0 }
 
-// ActiveJobs returns the number of active jobs.
-func (s *Submitter) ActiveJobs() int { return len(s.jobs) }
+// ActiveJobs returns the number of active jobs, including those handed over to other entries.
+func (s *Submitter) ActiveJobs() int { return len(s.jobs) + len(s.handover.jobs) }
 
 // Submit accepts a job. If a restartable job with this ID is active already, the caller is added to it.
 func (s *Submitter) Submit(now timer.Millis, j Job) {
 	s.setNow(now)
-	if old := s.jobs[j.ID]; old != nil && !j.Kind.Durable {
+	s.submit(j, false)
+}
+
+// submit accepts a job of a caller, or of another entry that handed it over.
+func (s *Submitter) submit(j Job, received bool) {
+	old := s.jobs[j.ID]
+	if h := s.handover.jobs[j.ID]; old == nil && h != nil {
+		old = h.job
+	}
+	if old != nil && !j.Kind.Durable {
 		old.waiters = append(old.waiters, j.Answer)
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
 		return
@@ -244,17 +264,24 @@
 		return
 	}
 	if !j.Kind.Durable {
-		s.admit(&job{Job: j, steps: newSteps(j.Steps)})
+		s.acceptRestartable(j, received)
 		return
 	}
 	if !s.durable.inUse && s.DurableJobSubmitted != nil {
 		s.DurableJobSubmitted()
 	}
-	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: now + submitRouteTimeout})
+	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: s.now + submitRouteTimeout})
 }
 
 // admit adds a new job and requests capacity for it.
 func (s *Submitter) admit(j *job) {
+	s.setLimits(j)
+	s.jobs[j.ID] = j
+	s.requestReadySteps(j)
+}
+
+// setLimits sets the arrival of a new job and the times until which it is useful.
+func (s *Submitter) setLimits(j *job) {
 	wait := min(j.Deadline, maxDeadline)
 	if wait <= 0 {
 		wait = defaultDeadline
@@ -265,8 +292,6 @@
 	j.targetStart, j.expiresAt = j.arrived+slack, j.arrived+wait
 	useful := min(j.expiresAt, j.arrived+timer.Millis(usefulResponseFactor*float64(j.expectedResponse())))
 	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), useful-timer.Millis(lateRunFactor*float64(j.criticalPath()))))
-	s.jobs[j.ID] = j
-	s.requestReadySteps(j)
 }
 
 // expectedResponse returns the response time that the job's queue promises for its estimated run time.
@@ -286,6 +311,10 @@
 // handed to the store.
 func (s *Submitter) Abort(now timer.Millis, id, reason string) bool {
 	s.setNow(now)
+	if h := s.handover.jobs[id]; h != nil {
+		s.cancelHandover(h, Answer{Kind: AnswerAborted, Reason: reason})
+		return true
+	}
 	j := s.jobs[id]
 	if j == nil || j.durability.storeRequested {
 		return false
@@ -326,6 +355,7 @@
 // expireJobs ends the jobs whose deadline or latest start has passed.
 func (s *Submitter) expireJobs() {
 	now := s.now
+	s.expireHandovers()
 	for _, j := range marshaler.SortedByKey(s.jobs) {
 		switch {
 		case j.durability.storeRequested:
@@ -406,4 +436,7 @@
 	for id := range marshaler.SortedByKey(s.jobs) {
 		s.Abort(now, id, reason)
 	}
+	for id := range marshaler.SortedByKey(s.handover.jobs) {
+		s.Abort(now, id, reason)
+	}
 }
