Test the handover of jobs in the simulation

The simulation of entries and sidecars did not exercise the handover of jobs.

TestFaults now runs each kind of fault and the mixed faults a second time with handovers, with the first entry overloaded, and with faults of the sessions between entries, changing loads and callers that leave. A cut session is noticed by its two ends at different times. checkAnswers also fails for a job without an answer whose entry was not killed.

The load reported to a peer grows by the jobs handed over since its latest report instead of all open ones: with the latter an entry of 400 millicores got at most 40 open jobs.

--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -101,43 +101,60 @@
 	for i := range kinds {
 		for seed := range uint64(12) {
 			t.Run(fmt.Sprintf("%s/%d", kinds[i].name, seed), func(t *testing.T) {
-				w := newSimulation(t, seed*100+uint64(i), 2, 4)
-				w.advance(500)
-				ids, after := w.scheduleJobs(0, 3000, 25), w.scheduleJobs(7000, 8000, 50)
-				w.schedule(3000, w.clearFaults)
-				for n := range 3 {
-					w.schedule(timer.Millis(200+900*n), func() {
-						w.faults = append(w.faults, kinds[i].name)
-						kinds[i].inject(w)
-					})
-				}
-				w.advance(12_000)
-				w.checkAnswers(ids, after)
+				injectOne(newSimulation(t, seed*100+uint64(i), 2, 4), kinds[i])
 			})
 		}
 	}
 	for seed := range uint64(40) {
-		t.Run(fmt.Sprintf("mixed/%d", seed), func(t *testing.T) {
-			w := newSimulation(t, 5000+seed, 3, 5)
-			w.advance(500)
-			ids, after := w.scheduleJobs(0, 5000, 25), w.scheduleJobs(10_000, 11_000, 50)
-			w.schedule(5000, w.clearFaults)
-			for n := range 12 {
-				w.schedule(timer.Millis(100+400*n), func() {
-					k := kinds[w.random.IntN(len(kinds))]
-					w.faults = append(w.faults, fmt.Sprintf("%s at %d", k.name, w.now))
-					k.inject(w)
-				})
-			}
-			w.advance(15_000)
-			w.checkAnswers(ids, after)
+		t.Run(fmt.Sprintf("mixed/%d", seed), func(t *testing.T) { injectMixed(newSimulation(t, 5000+seed, 3, 5), kinds) })
+	}
+	kinds = append(kinds, handoverFaults()...)
+	for i := range kinds {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprintf("handover/%s/%d", kinds[i].name, seed), func(t *testing.T) {
+				injectOne(newHandoverSimulation(t, 10_000+seed*100+uint64(i), 2, 4), kinds[i])
+			})
+		}
+	}
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprintf("handover/mixed/%d", seed), func(t *testing.T) { injectMixed(newHandoverSimulation(t, 15_000+seed, 3, 5), kinds) })
+	}
+}
+
+// injectOne injects a fault three times while jobs arrive.
+func injectOne(w *simulation, f fault) {
+	w.advance(500)
+	ids, after := w.scheduleJobs(0, 3000, 25), w.scheduleJobs(7000, 8000, 50)
+	w.schedule(3000, w.clearFaults)
+	for n := range 3 {
+		w.schedule(timer.Millis(200+900*n), func() {
+			w.faults = append(w.faults, f.name)
+			f.inject(w)
+		})
+	}
+	w.advance(12_000)
+	w.checkAnswers(ids, after)
+}
+
+// injectMixed injects twelve random faults while jobs arrive.
+func injectMixed(w *simulation, kinds []fault) {
+	w.advance(500)
+	ids, after := w.scheduleJobs(0, 5000, 25), w.scheduleJobs(10_000, 11_000, 50)
+	w.schedule(5000, w.clearFaults)
+	for n := range 12 {
+		w.schedule(timer.Millis(100+400*n), func() {
+			k := kinds[w.random.IntN(len(kinds))]
+			w.faults = append(w.faults, fmt.Sprintf("%s at %d", k.name, w.now))
+			k.inject(w)
 		})
 	}
+	w.advance(15_000)
+	w.checkAnswers(ids, after)
 }
 
-// checkAnswers checks that each job has at most one answer, and that no answer denies a run that started. Jobs
-// submitted again to another entry are exempt: that entry cannot know what the first one ran, and the caller got no
-// answer from it. All jobs submitted after the faults must be done.
+// checkAnswers checks that each job has one answer, or at most one if its entry was killed, and that no answer denies a
+// run that started. Jobs submitted again to another entry are exempt from the latter: that entry cannot know what the
+// first one ran, and the caller got no answer from it. All jobs submitted after the faults must be done.
 func (w *simulation) checkAnswers(ids, after []string) {
 	w.t.Helper()
 	for _, id := range append(ids, after...) {
@@ -150,6 +167,9 @@
 				w.t.Errorf("job %s: got the answer not run (%s), but %d runs started", id, a.Reason, w.startedRuns[id])
 			}
 		}
+		if j, ok := w.jobs[id]; ok && len(answers) == 0 && j.entry.incarnation == j.incarnation {
+			w.t.Errorf("job %s: got no answer, want one, as its entry was not killed; decisions: %s", id, strings.Join(w.decisions[id], "\n"))
+		}
 	}
 	for _, id := range after {
 		if answers := w.answers[id]; len(answers) != 1 || answers[0].Kind != AnswerDone {
--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -12,7 +12,7 @@
 	// handoverRate and handoverBurst bound how many jobs an entry hands over, per second and at once.
 	handoverRate  = 400
 	handoverBurst = 40
-	// handoverProcessor is the processor capacity, in millicores, by which an open handover reduces the spare capacity of its
+	// handoverProcessor is the processor capacity, in millicores, by which a handover reduces the spare capacity of its
 	// receiver until the receiver's next report.
 	handoverProcessor = 10
 )
@@ -93,6 +93,7 @@
 		p.handedOver = map[string]*handedJob{}
 	}
 	s.handover.jobs[j.ID], p.handedOver[j.ID] = h, h
+	p.handedSince++
 	p.requestedAt = s.now
 	p.activate(s.now)
 	s.report(Event{Kind: "handOver", Job: j.ID, Queue: j.Queue.Name, Peer: p.hello.Name, Detail: s.load.own.Class.String(), Value: p.spareProcessor()})
--- a/submitter/load.go
+++ b/submitter/load.go
@@ -98,17 +98,17 @@
 
 // setLoad stores the load that a heartbeat carries. A peer of a former release sends none.
 func (p *peer) setLoad(now timer.Millis, m *marshaler.Heartbeat) {
-	p.load, p.loadAt = nil, now
+	p.load, p.loadAt, p.handedSince = nil, now, 0
 	if m.LoadClass != 0 {
 		p.load = m
 	}
 }
 
-// spareProcessor returns the processor capacity of a peer, in millicores, that neither its own work nor the jobs handed
-// over to it use.
+// spareProcessor returns the processor capacity of a peer, in millicores, that neither its work at its latest report nor
+// the jobs handed over to it since then use.
 func (p *peer) spareProcessor() int64 {
 	unused := perMille - int64(min(p.load.ProcessorUse, perMille))
-	return int64(p.hello.Weight)*unused/perMille - int64(len(p.handedOver))*handoverProcessor
+	return int64(p.hello.Weight)*unused/perMille - int64(p.handedSince)*handoverProcessor
 }
 
 // addLoad adds this entry's load to a heartbeat for another entry.
--- a/submitter/receivedjob.go
+++ b/submitter/receivedjob.go
@@ -89,6 +89,9 @@
 		return
 	}
 	r.end(s.now)
+	if r.link == r.from.link {
+		r.from.lastSent = s.now // the answer also serves as a heartbeat
+	}
 	r.link.Send(&marshaler.JobAnswer{Number: r.number, Job: r.job, Kind: uint8(a.Kind), Reason: truncateReason(a.Reason), RetryAfter: a.RetryAfter})
 }
 
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/crocuslb/crocuslb/gauger"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/router"
 	"github.com/crocuslb/crocuslb/supervisor"
@@ -40,6 +41,10 @@
 		resubmitted map[string]bool
 		// decisions holds the events of each job, and of processes under the empty name.
 		decisions map[string][]string
+		// handover enables handovers between entries, each with the load class that it has.
+		handover        bool
+		peerLinks       []*fakeLink
+		unknownOutcomes int
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -52,9 +57,10 @@
 	}
 
 	fakeJob struct {
-		entry    *fakeEntry
-		tasks    int
-		estimate timer.Millis
+		entry       *fakeEntry
+		incarnation uint64 // of the entry
+		tasks       int
+		estimate    timer.Millis
 	}
 
 	event struct {
@@ -73,6 +79,7 @@
 		name        string
 		incarnation uint64
 		core        *Submitter
+		class       gauger.Class // load that the entry measures, in simulations with handover
 	}
 
 	fakeSidecar struct {
@@ -191,7 +198,7 @@
 func (w *simulation) startEntry(e *fakeEntry) {
 	e.incarnation++
 	e.alive, e.pausedUntil = true, 0
-	e.core = &Submitter{Name: e.name, Incarnation: e.incarnation, Weight: 400, Report: func(v Event) {
+	e.core = &Submitter{Name: e.name, Incarnation: e.incarnation, Weight: 400, Handover: w.handover, Report: func(v Event) {
 		w.decisions[v.Job] = append(w.decisions[v.Job], fmt.Sprintf("%d %s %s %s %s %d", w.now, e.name, v.Kind, v.Peer, v.Detail, v.Value))
 	}}
 	e.core.SetSnapshot(w.now, testSnapshot())
@@ -212,6 +219,9 @@
 		})
 	}
 	w.schedule(1, tick)
+	if w.handover {
+		w.measureLoad(e)
+	}
 	for _, s := range w.sidecars {
 		w.connect(e, s)
 	}
@@ -380,46 +390,6 @@
 	})
 }
 
-func (w *simulation) connectEntries(a, b *fakeEntry) {
-	aIncarnation, bIncarnation := a.incarnation, b.incarnation
-	ended := false
-	var atA, atB *marshaler.Link
-	end := func(error) {
-		if ended {
-			return
-		}
-		ended = true
-		w.schedule(1, func() {
-			w.runOn(&a.process, func() bool { return a.incarnation == aIncarnation }, func() { a.core.OnDisconnect(w.now, atA, errConnectionCut) })
-			w.runOn(&b.process, func() bool { return b.incarnation == bIncarnation }, func() { b.core.OnDisconnect(w.now, atB, errConnectionCut) })
-		})
-		w.schedule(60, func() {
-			if a.incarnation == aIncarnation && b.incarnation == bIncarnation {
-				w.connectEntries(a, b)
-			}
-		})
-	}
-	link := func(from, to *fakeEntry, toIncarnation uint64, at func() *marshaler.Link) *marshaler.Link {
-		return &marshaler.Link{
-			Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: to.name, Incarnation: toIncarnation, Weight: 400}, Close: end,
-			Send: func(m marshaler.Message) {
-				w.schedule(linkDelay, func() {
-					w.runOn(&to.process, func() bool { return to.incarnation == toIncarnation && !ended }, func() {
-						to.core.OnMessage(w.now, at(), m)
-						to.core.Flush(w.now)
-					})
-				})
-			},
-		}
-	}
-	atA = link(a, b, bIncarnation, func() *marshaler.Link { return atB })
-	atB = link(b, a, aIncarnation, func() *marshaler.Link { return atA })
-	w.schedule(linkDelay, func() {
-		w.runOn(&a.process, func() bool { return a.incarnation == aIncarnation }, func() { a.core.OnConnect(w.now, atA) })
-		w.runOn(&b.process, func() bool { return b.incarnation == bIncarnation }, func() { b.core.OnConnect(w.now, atB) })
-	})
-}
-
 func (w *simulation) killEntry(e *fakeEntry, restartAfter timer.Millis) {
 	e.alive = false
 	e.incarnation++
@@ -428,17 +398,22 @@
 		if j.entry != e || len(w.answers[id]) > 0 {
 			continue
 		}
-		delete(w.jobs, id)
-		w.schedule(resubmitDelay, func() {
-			other := w.entries[w.random.IntN(len(w.entries))]
-			if other.alive {
-				w.resubmitted[id] = true
-				w.submit(other, id, j.tasks, j.estimate)
-			}
-		})
+		w.resubmit(id, j)
 	}
 }
 
+// resubmit submits a restartable job again, as callers do whose connection was lost.
+func (w *simulation) resubmit(id string, j fakeJob) {
+	delete(w.jobs, id)
+	w.schedule(resubmitDelay, func() {
+		other := w.entries[w.random.IntN(len(w.entries))]
+		if other.alive {
+			w.resubmitted[id] = true
+			w.submit(other, id, j.tasks, j.estimate)
+		}
+	})
+}
+
 func (w *simulation) killSidecar(s *fakeSidecar, restartAfter timer.Millis) {
 	s.alive = false
 	s.incarnation++
@@ -448,12 +423,18 @@
 // submit submits a job to an entry. If the entry is killed, killEntry resubmits it elsewhere, as callers do.
 func (w *simulation) submit(e *fakeEntry, id string, tasks int, estimate timer.Millis) {
 	incarnation := e.incarnation
-	w.jobs[id] = fakeJob{e, tasks, estimate}
+	j := fakeJob{e, incarnation, tasks, estimate}
+	w.jobs[id] = j
 	w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 		e.core.Submit(w.now, Job{
-			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate}}, Deadline: 2000,
+			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate}}, Deadline: max(2000, 4*estimate),
 			Answer: func(a Answer) {
-				if e.incarnation == incarnation {
+				switch {
+				case e.incarnation != incarnation:
+				case a.Kind == AnswerUnknown: // the entry ends the caller's connection
+					w.unknownOutcomes++
+					w.resubmit(id, j)
+				default:
 					w.answers[id] = append(w.answers[id], a)
 				}
 			},
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -195,6 +195,7 @@
 		loadAt         timer.Millis            // time of the latest heartbeat
 		loadSentAt     timer.Millis            // time of the latest heartbeat to the peer
 		closed         *marshaler.Link         // latest session that ended
+		handedSince    int                     // jobs handed over to the peer since loadAt
 		handedOver     map[string]*handedJob   // jobs handed over to the peer, by ID
 		received       map[uint64]*receivedJob // jobs that the peer handed over, by number
 	}
