--- a/runner/entry.go
+++ b/runner/entry.go
@@ -98,7 +98,7 @@
 	store := newStore(e.StoreAddress, configurationPollTimeout)
 	go e.config.follow(runCtx, e.loop, store)
 	go e.directory.follow(runCtx, func() { e.sessions.broadcast(&marshaler.Peers{Peers: e.directory.peers()}) })
-	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.CallersAddress}).Info("entry: started")
+	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.CallersAddress, "handover": e.Handover}).Info("entry: started")
 	loopErr := make(chan error, 1)
 	go func() { loopErr <- e.loop.run(runCtx) }()
 	go e.measureLoad(runCtx)
--- a/runner/gauge.go
+++ b/runner/gauge.go
@@ -33,10 +33,10 @@
 		case <-ticker.C:
 		}
 		posted := e.loop.clock.Now()
-		e.query(ctx, func(timer.Millis) bool {
-			now := e.loop.clock.Now() // later than the time of the batch that the event is in
+		e.query(ctx, func(now timer.Millis) bool {
 			reading := readProcess(&e.node.Traffic)
-			reading.Time, reading.LoopDelay = now, now-posted
+			reading.Time = e.loop.clock.Now() // now is the time at which the batch of events began
+			reading.LoopDelay = reading.Time - posted
 			e.applyLoad(now, gauge.Add(reading))
 			return true
 		})
