--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -30,24 +30,6 @@
 	attemptGap = 16
 	// schedulerGrace is how long after a job's latest start this entry waits for an answer of the placing entry.
 	schedulerGrace = 100 * timer.Millisecond
-	// responseWaitShare is the share of the expected response time that a job may wait for its first start. The rest
-	// covers its run and estimates that are off by 40%. A caller that is refused within this time can still retry
-	// elsewhere.
-	responseWaitShare = 0.35
-	// deadlineWaitShare is the share of a caller's deadline that a job may wait for its first start. A caller prefers
-	// an answer after the expected response time to a refusal, and after a refusal within this time it still has most
-	// of its deadline to retry elsewhere.
-	deadlineWaitShare = 0.4
-	// maxStartWait bounds the wait of jobs with long deadlines.
-	maxStartWait = 2 * timer.Second
-	// usefulResponseFactor is the multiple of the expected response time after which an answer is useless to a caller.
-	usefulResponseFactor = 3
-	// lateRunFactor is the multiple of a job's estimated run time that must remain before its deadline at a late start.
-	lateRunFactor = 1.4
-	// maxDeadline bounds the deadlines set by callers, so that sums with them do not overflow.
-	maxDeadline = 60 * timer.Minute
-	// defaultDeadline applies to jobs whose callers set no deadline.
-	defaultDeadline = 30 * timer.Second
 	// requestRepeatInterval is how long a capacity request of a job that can no longer be refused may stay without a
 	// grant before it is repeated. The placing entry may have dropped the request with a session whose loss only it
 	// detected.
@@ -83,6 +65,8 @@
 		Domain      string
 		Weight      uint64
 		Report      func(e Event)
+		// Handover enables handing restartable jobs over to other entries and taking theirs (jobhandover.go).
+		Handover bool
 		// Partitions is the number of partitions of the durable jobs.
 		Partitions uint64
 		// Record appends a record of a partition to the store, under the epoch of its owner. done is called in the
@@ -94,6 +78,8 @@
 		DurableJobSubmitted func()
 
 		durable                durableJobs
+		load                   loadState
+		handover               handoverState
 		snapshot               router.Snapshot
 		relay                  router.Relay
 		placer                 placer.Placer
@@ -129,7 +115,9 @@
 	job struct {
 		Job
 		waiters         []func(a Answer)
+		leftWaiters     int // number of waiters whose handover was withdrawn
 		arrived         timer.Millis
+		priorWait       timer.Millis // time that the caller had waited before it sent the job again
 		targetStart     timer.Millis // latest first start that meets the expected response time
 		latestStart     timer.Millis // latest first start; after it the job is refused
 		expiresAt       timer.Millis // time of the deadline
@@ -181,13 +169,20 @@
 		hello marshaler.Hello
 		link  *marshaler.Link
 		liveness
-		requestedAt    timer.Millis // time of the latest capacity request in either direction
+		requestedAt    timer.Millis // time of the latest capacity request or handover in either direction
 		mayHaveDurable bool         // it reports that durable jobs may be in use
 		offset         uint64
 		leaving        bool
 		suspect        bool              // silent for suspectTimeout; requests open there were rerouted
 		ownedEpochs    map[uint64]uint64 // epochs of its partitions, by partition
 		waitingJobs    map[string]uint64 // its durable jobs that have not started a task, by queue
+		load           *marshaler.Heartbeat
+		loadAt         timer.Millis            // time of the latest heartbeat
+		loadSentAt     timer.Millis            // time of the latest heartbeat to the peer
+		closed         *marshaler.Link         // latest session that ended
+		handedSince    int                     // jobs handed over to the peer since loadAt
+		handedOver     map[string]*handedJob   // jobs handed over to the peer, by ID
+		received       map[uint64]*receivedJob // jobs that the peer handed over, by number
 	}
 )
 
@@ -224,13 +219,22 @@
 // Ready reports whether the entry can serve callers.
 func (s *Submitter) Ready() bool { return s.snapshot.Version > 0 && !s.leaving && len(s.sidecars) > 0 }
 
-// ActiveJobs returns the number of active jobs.
-func (s *Submitter) ActiveJobs() int { return len(s.jobs) }
+// ActiveJobs returns the number of active jobs, including those handed over to other entries.
+func (s *Submitter) ActiveJobs() int { return len(s.jobs) + len(s.handover.jobs) }
 
 // Submit accepts a job. If a restartable job with this ID is active already, the caller is added to it.
 func (s *Submitter) Submit(now timer.Millis, j Job) {
 	s.setNow(now)
-	if old := s.jobs[j.ID]; old != nil && !j.Kind.Durable {
+	s.submit(j, false)
+}
+
+// submit accepts a job of a caller, or of another entry that handed it over.
+func (s *Submitter) submit(j Job, received bool) {
+	old := s.jobs[j.ID]
+	if h := s.handover.jobs[j.ID]; old == nil && h != nil {
+		old = h.job
+	}
+	if old != nil && !j.Kind.Durable {
 		old.waiters = append(old.waiters, j.Answer)
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
 		return
@@ -246,50 +250,33 @@
 		return
 	}
 	if !j.Kind.Durable {
-		s.admit(&job{Job: j, steps: newSteps(j.Steps)})
+		s.acceptRestartable(j, received)
 		return
 	}
 	if !s.durable.inUse && s.DurableJobSubmitted != nil {
 		s.DurableJobSubmitted()
 	}
-	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: now + submitRouteTimeout})
+	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: s.now + submitRouteTimeout})
 }
 
 // admit adds a new job and requests capacity for it.
 func (s *Submitter) admit(j *job) {
-	wait := min(j.Deadline, maxDeadline)
-	if wait <= 0 {
-		wait = defaultDeadline
+	s.setLimits(j)
+	if j.priorWait > 0 {
+		s.report(Event{Kind: "returning", Job: j.ID, Queue: j.Queue.Name, Took: j.priorWait, Deadline: j.Deadline})
 	}
-	j.waiters = []func(a Answer){j.Answer}
-	j.arrived = s.now - j.Waited
-	j.expiresAt = j.arrived + wait
-	prior := s.priorWait(&j.Job)
-	if prior > 0 {
-		s.report(Event{Kind: "returning", Job: j.ID, Queue: j.Queue.Name, Took: prior, Deadline: j.Deadline})
-	}
-	j.setStartLimits(s.now, prior)
 	s.jobs[j.ID] = j
 	s.requestReadySteps(j)
 }
 
-// expectedResponse returns the response time that the job's queue promises for its estimated run time.
-func (j *Job) expectedResponse() timer.Millis {
-	return timer.Millis(j.Queue.Stretch*float64(j.criticalPath())) + j.Queue.ResponseAllowance
-}
-
-// StartWaitLimit returns how long a job may wait for its first start, given its caller's deadline; 0 means unset.
-func StartWaitLimit(deadline timer.Millis) timer.Millis {
-	if deadline <= 0 {
-		return maxStartWait
-	}
-	return min(timer.Millis(deadlineWaitShare*float64(deadline)), maxStartWait)
-}
-
 // Abort aborts a job whose caller disconnected or cancelled it. It returns false if the job is unknown or its record was
 // handed to the store.
 func (s *Submitter) Abort(now timer.Millis, id, reason string) bool {
 	s.setNow(now)
+	if h := s.handover.jobs[id]; h != nil {
+		s.cancelHandover(h, Answer{Kind: AnswerAborted, Reason: reason})
+		return true
+	}
 	j := s.jobs[id]
 	if j == nil || j.durability.storeRequested {
 		return false
@@ -330,6 +317,7 @@
 // expireJobs ends the jobs whose deadline or latest start has passed.
 func (s *Submitter) expireJobs() {
 	now := s.now
+	s.expireHandovers()
 	for _, j := range marshaler.SortedByKey(s.jobs) {
 		switch {
 		case j.durability.storeRequested:
@@ -410,4 +398,7 @@
 	for id := range marshaler.SortedByKey(s.jobs) {
 		s.Abort(now, id, reason)
 	}
+	for id := range marshaler.SortedByKey(s.handover.jobs) {
+		s.Abort(now, id, reason)
+	}
 }
