placer: put the queue behind a type and add the setting admission

Cause: admission by cost and the index of the queue are built side by side and both need the queue behind a few operations. Conclusion: no change of decisions.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,10 +36,12 @@
 		Grant  func(entry string, g marshaler.Grant)
 		Reject func(entry string, r marshaler.Reject)
 		Report func(e Event)
+		// Admission is the policy for overload.
+		Admission Admission
 
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
-		queue          []*request
+		queue          requestQueue
 		requests       map[requestKey]*request
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
@@ -116,7 +118,7 @@
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
 		p.requests[key] = r
-		p.enqueue(r)
+		p.queue.insert(r)
 		return
 	}
 	r := &request{
@@ -135,7 +137,7 @@
 		p.requests = map[requestKey]*request{}
 	}
 	p.requests[key] = r
-	p.enqueue(r)
+	p.queue.insert(r)
 }
 
 // Cancel removes a request from the queue. Grants already made stay valid.
@@ -147,7 +149,7 @@
 
 // RemoveEntry removes all requests of an entry from the queue.
 func (p *Placer) RemoveEntry(entry string) {
-	for _, r := range slices.Clone(p.queue) {
+	for _, r := range p.queue.snapshot() {
 		if r.key.entry == entry {
 			p.dequeue(r)
 		}
@@ -156,18 +158,18 @@
 
 // RejectAll rejects all queued requests with ReasonMoved, so that the entries send them to another placing entry.
 func (p *Placer) RejectAll() {
-	for _, r := range slices.Clone(p.queue) {
+	for _, r := range p.queue.snapshot() {
 		p.dequeue(r)
 		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: ReasonMoved})
 	}
 }
 
 // QueueLen returns the number of queued requests.
-func (p *Placer) QueueLen() int { return len(p.queue) }
+func (p *Placer) QueueLen() int { return p.queue.length() }
 
 func (p *Placer) dequeue(r *request) {
 	delete(p.requests, r.key)
-	p.queue = slices.DeleteFunc(p.queue, func(o *request) bool { return o == r })
+	p.queue.remove(r)
 }
 
 // Place refuses requests that can no longer be served in time and grants free resources to the others.
@@ -176,7 +178,7 @@
 		w.expireReservations(now)
 	}
 	p.expireRequests(now)
-	if len(p.queue) == 0 {
+	if p.queue.length() == 0 {
 		return
 	}
 	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
@@ -184,7 +186,7 @@
 	}
 	blocked := 0
 	var served []*request
-	for _, r := range p.queue {
+	for r := range p.queue.all() {
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
@@ -215,19 +217,17 @@
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
 // Partially granted ones count as started and move to the front.
 func (p *Placer) sendGrants(served []*request) {
-	needsSort := false
 	for _, r := range served {
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
 		r.granted = nil
 		if r.remaining == 0 {
 			p.dequeue(r)
 		} else if !r.started {
-			r.started, needsSort = true, true
+			p.queue.remove(r)
+			r.started = true
+			p.queue.insert(r)
 		}
 	}
-	if needsSort {
-		slices.SortStableFunc(p.queue, compareRequests)
-	}
 }
 
 // selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
--- a/placer/request.go
+++ b/placer/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
@@ -33,17 +32,6 @@
 	}
 )
 
-// enqueue inserts a request in queue order. Requests that compare equal keep their order of arrival.
-func (p *Placer) enqueue(r *request) {
-	i, _ := slices.BinarySearchFunc(p.queue, r, func(queued, r *request) int {
-		if compareRequests(queued, r) <= 0 {
-			return -1
-		}
-		return 1
-	})
-	p.queue = slices.Insert(p.queue, i, r)
-}
-
 // compareRequests defines the queue order: requests of jobs that have started, then requests that can meet their expected
 // response time, then late ones, each by deadline.
 func compareRequests(a, b *request) int {
@@ -63,6 +51,14 @@
 	return 2
 }
 
+// maxWork bounds the work of a request, so that sums over the queue do not overflow.
+const maxWork = 1 << 46
+
+// work returns the work of the tasks that are not granted yet, in millicores times milliseconds.
+func (r *request) work() int64 {
+	return int64(min(float64(r.remaining)*float64(r.resources.CPU)*float64(r.estimate), maxWork))
+}
+
 // deadline returns the latest useful start of a request, which moves to the hard deadline once the request is late.
 func (r *request) deadline() timer.Millis {
 	if r.late {
@@ -75,7 +71,7 @@
 // cannot be expected to be granted before their hard deadline.
 func (p *Placer) expireRequests(now timer.Millis) {
 	var expired []*request
-	for _, r := range p.queue {
+	for r := range p.queue.all() {
 		if !r.started && r.deadline() <= now {
 			expired = append(expired, r)
 		}
@@ -88,7 +84,7 @@
 			continue
 		}
 		p.requests[r.key] = r
-		p.enqueue(r)
+		p.queue.insert(r)
 	}
 }
 
@@ -101,7 +97,7 @@
 // rejectReason returns why a request cannot be served in time and the time after which a retry may be. The reason is empty
 // if the request can be served. It marks the request late if the soft deadline cannot be met.
 func (p *Placer) rejectReason(now timer.Millis, r *request) (reason string, wait timer.Millis) {
-	if len(p.queue) >= maxQueued {
+	if p.queue.length() >= maxQueued {
 		return "queue is full", p.estimateWait(r)
 	}
 	if now-p.firstRequestAt < startupGrace {
@@ -132,17 +128,13 @@
 
 // estimateWait estimates how long it takes to serve the queued requests that are ordered before r.
 func (p *Placer) estimateWait(r *request) timer.Millis {
-	var capacity, work float64 // in millicores, and in millicores times milliseconds
+	var capacity float64 // in millicores
 	for _, w := range p.workersByName {
 		if w.accepting && w.service == r.service && !w.breaker.open {
 			capacity += float64(w.total.CPU) * max(w.speed, 1) / 1000
 		}
 	}
-	for _, q := range p.queue {
-		if q.service == r.service && compareRequests(q, r) <= 0 {
-			work += float64(q.remaining) * float64(q.resources.CPU) * float64(q.estimate)
-		}
-	}
+	work := float64(p.queue.workBefore(r))
 	if work == 0 {
 		return 0
 	}
@@ -176,7 +168,7 @@
 		free += w.free.CPU
 	}
 	return fmt.Sprintf(" (workers %d, accepting %d, breaker open %d, slow %d, with room %d, free cpu %d, wanted %d, queue %d)",
-		workers, accepting, open, slow, withRoom, free, r.resources.CPU, len(p.queue))
+		workers, accepting, open, slow, withRoom, free, r.resources.CPU, p.queue.length())
 }
 
 // reject refuses a request that has no grants.
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -54,7 +54,10 @@
 	e.loop = newEventLoop()
 	e.monitor.logger, e.monitor.droppedLogLines = e.Logger, e.DroppedLogLines
 	e.loop.onPanic = func(err error) { e.monitor.reportPanic("loop", err) }
-	e.core = submitter.Submitter{Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report, Partitions: e.Partitions}
+	e.core = submitter.Submitter{
+		Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report,
+		Partitions: e.Partitions, Admission: e.Admission,
+	}
 	e.owner = partitionOwner{
 		logger: e.Logger, store: newStore(e.StoreAddress, 0), loop: e.loop, core: &e.core, memberName: e.Name, heartbeatDue: make(chan struct{}, 1),
 		limiter: writeLimiter{rate: writeCallShare * float64(e.WritesPerSecond) / float64(max(e.Partitions, 1))},
@@ -98,7 +101,7 @@
 	store := newStore(e.StoreAddress, configurationPollTimeout)
 	go e.config.follow(runCtx, e.loop, store)
 	go e.directory.follow(runCtx, func() { e.sessions.broadcast(&marshaler.Peers{Peers: e.directory.peers()}) })
-	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.CallersAddress}).Info("entry: started")
+	e.Logger.WithFields(log.Fields{"name": e.Name, "domain": e.Domain, "address": e.Address, "callers": e.CallersAddress, "admission": e.Admission.String()}).Info("entry: started")
 	loopErr := make(chan error, 1)
 	go func() { loopErr <- e.loop.run(runCtx) }()
 	select {
--- a/runner/options.go
+++ b/runner/options.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/connector"
+	"github.com/crocuslb/crocuslb/placer"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/recoverer"
 	"github.com/crocuslb/crocuslb/reporter"
@@ -57,6 +58,8 @@
 	Partitions uint64
 	// WritesPerSecond is the store's rate limit for write calls from all processes together.
 	WritesPerSecond uint64
+	// Admission is the policy by which an entry refuses jobs when capacity does not suffice.
+	Admission placer.Admission
 	// DrainTime bounds the time to finish in-flight work after SIGTERM.
 	DrainTime timer.Millis
 	Logger    log.Interface
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/loader"
+	"github.com/crocuslb/crocuslb/placer"
 )
 
 const (
@@ -35,6 +36,7 @@
 	{Name: "writes", Unit: loader.UnitCount, Default: "800", Min: 1, Max: 1_000_000, Description: "rate limit of the platform's store for write calls from all processes together, per second"},
 	{Name: "seeds", Unit: loader.UnitAddresses, Description: "addresses on machines that may run an entry; only their IP addresses are used"},
 	{Name: "cores", Unit: loader.UnitRatio, Default: "1", Description: "number of processor cores that the process may use"},
+	{Name: "admission", Default: "cost", Description: "which jobs are refused when capacity does not suffice: deadline (those that cannot start in time) or cost (those whose refusal costs callers least); entries only"},
 	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Description: "maximum time to finish in-flight work after SIGTERM"},
 	{Name: "metricsPort", Unit: loader.UnitCount, Default: defaultMetricsPort, Min: 0, Max: 65535, Description: "port of the metrics endpoint; 0 disables it"},
 	{Name: "logLines", Unit: loader.UnitCount, Default: "4000", Min: 1, Max: 1_000_000, Description: "maximum number of log lines per second; the excess is dropped and counted"},
@@ -74,6 +76,11 @@
 			options.Seeds = append(options.Seeds, net.JoinHostPort(host, values.Text("internalPort")))
 		}
 	}
+	admission, err := placer.ParseAdmission(values.Text("admission"))
+	if err != nil {
+		return options, 0, trace.BadParameter("%s: %v", loaded.Values.Source("admission"), err)
+	}
+	options.Admission = admission
 	var missing string
 	switch role {
 	case roleEntry:
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -85,6 +85,8 @@
 		Report      func(e Event)
 		// Partitions is the number of partitions of the durable jobs.
 		Partitions uint64
+		// Admission is the policy for overload while this entry is the placing entry.
+		Admission placer.Admission
 		// Record appends a record of a partition to the store, under the epoch of its owner. done is called in the
 		// order of the records, or not at all if the partition is lost.
 		Record func(partition, epoch uint64, body []byte, done func(now timer.Millis, offset uint64))
@@ -200,6 +202,7 @@
 	}
 	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
 	s.durable.owned, s.durable.finished, s.durable.calls = map[uint64]*partition{}, map[string]*finishedJob{}, map[uint64]*operation{}
+	s.placer.Admission = s.Admission
 	s.placer.Grant = s.sendGrant
 	s.placer.Reject = s.sendReject
 	s.placer.Report = func(e placer.Event) {
