placer: shed the requests whose refusal costs callers least

Cause: under overload the highest priority is refused most, and requests wait for a refusal that is known at arrival. Change: packages forecaster and shedder, used by the placer with admission cost: forecast of the wait from the queued work and the arrivals that overtake, passes after Moore and Hodgson with a floor per group, refusals with their reason. Nothing is measured with cost yet.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -1,6 +1,14 @@
 package placer
 
-import "github.com/gravitational/trace"
+import (
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/shedder"
+	"github.com/crocuslb/crocuslb/timer"
+)
 
 // Admission is the policy that decides which requests are refused when capacity does not suffice. The zero value is
 // AdmissionDeadline.
@@ -13,6 +21,31 @@
 	AdmissionCost
 )
 
+// Reasons of refusals for lack of capacity.
+const (
+	reasonGaveWay = "gave way to work that costs callers more"
+	reasonTooLong = "queue is too long"
+	reasonExpired = "no room in time"
+)
+
+const (
+	admitted verdict = iota
+	delayed          // admitted, but expected to start late
+	refused
+	contested // admitted only if other requests or the request itself are given up
+)
+
+type (
+	verdict uint8
+
+	// assessment is what is decided about an arriving request, and why.
+	assessment struct {
+		verdict verdict
+		reason  string       // of a refusal
+		wait    timer.Millis // forecast
+	}
+)
+
 var admissionNames = [...]string{AdmissionDeadline: "deadline", AdmissionCost: "cost"}
 
 // ParseAdmission returns the policy with a name.
@@ -27,3 +60,162 @@
 
 // String returns the name of the policy.
 func (a Admission) String() string { return admissionNames[a] }
+
+// servable reports whether a worker is known on which the tasks of a request fit.
+func (p *Placer) servable(now timer.Millis, r *request) bool {
+	return p.assessWorkers(now, r).verdict != refused
+}
+
+// assess decides about an arriving request without changing the state. A contested request is queued and decided by the
+// next pass; explain returns that decision.
+func (p *Placer) assess(now timer.Millis, r *request) assessment {
+	if p.queue.length() >= maxQueued {
+		return assessment{refused, "queue is full", p.estimateWait(r)}
+	}
+	if a := p.assessWorkers(now, r); a.verdict == refused || now-p.firstRequestAt < startupGrace {
+		return a
+	}
+	if l := p.loads[r.service]; p.costDecides(now, l) {
+		wait := p.forecastWait(now, l, r)
+		if r.started || now+wait <= shedder.RetainedStart(now, r.softDeadline) {
+			return assessment{admitted, "", wait}
+		}
+		return assessment{contested, "", wait}
+	}
+	wait := p.estimateWait(r)
+	if now+wait <= r.softDeadline {
+		return assessment{admitted, "", wait}
+	}
+	if now+lateWaitFactor*wait < r.hardDeadline {
+		return assessment{delayed, "", wait}
+	}
+	return assessment{refused, reasonTooLong, wait}
+}
+
+// assessWorkers decides whether any worker can run the tasks of a request, whatever its load.
+func (p *Placer) assessWorkers(now timer.Millis, r *request) assessment {
+	if now-p.firstRequestAt < startupGrace {
+		return assessment{}
+	}
+	service, fits := false, false
+	for _, w := range p.workersByName {
+		if w.service == r.service {
+			service = true
+			fits = fits || w.total.Contains(r.resources) && r.constraints.matchesLabel(w)
+		}
+	}
+	switch {
+	case !service:
+		return assessment{refused, "no backend server of the service is known", timer.Second}
+	case !fits:
+		return assessment{refused, "no worker is large enough", timer.Minute}
+	}
+	return assessment{}
+}
+
+// explain decides about a request as if it arrived now, without changing the state.
+func (p *Placer) explain(now timer.Millis, r *request) assessment {
+	l := p.loads[r.service]
+	if l != nil {
+		l.setCost(r)
+	}
+	a := p.assess(now, r)
+	if a.verdict != contested {
+		return a
+	}
+	if p.selectWorker(now, r) != nil {
+		return assessment{admitted, "", 0}
+	}
+	for _, d := range p.decide(now, l, r.service, r) {
+		if l.requests[d.Index] == r {
+			return assessOutcome(d, now, r)
+		}
+	}
+	return assessment{admitted, "", a.wait}
+}
+
+// assessOutcome translates a decision of the shedder.
+func assessOutcome(d shedder.Decision, now timer.Millis, r *request) assessment {
+	switch {
+	case d.Verdict == shedder.Delayed:
+		return assessment{delayed, "", d.Wait}
+	case d.GaveWay:
+		return assessment{refused, reasonGaveWay, d.Wait}
+	case r.arrived == now || !r.passed:
+		return assessment{refused, reasonTooLong, d.Wait}
+	}
+	return assessment{refused, reasonExpired, d.Wait}
+}
+
+// costDecides reports whether the cost of refusals decides in a service.
+func (p *Placer) costDecides(now timer.Millis, l *serviceLoad) bool {
+	return p.Admission == AdmissionCost && l.costDecides(now)
+}
+
+// contest decides about a queued request that is not expected to start in time. If capacity was freed since the latest
+// Place, or a pass has just been done, the next Place decides.
+func (p *Placer) contest(now timer.Millis, r *request) {
+	l := p.loads[r.service]
+	l.passDue = true
+	if p.placed {
+		p.pass(now, r.service, l)
+	}
+}
+
+// shed does the passes that are due.
+func (p *Placer) shed(now timer.Millis) {
+	for service, l := range marshaler.SortedByKey(p.loads) {
+		if (l.passDue || l.saturated) && p.costDecides(now, l) {
+			p.pass(now, service, l)
+		}
+	}
+}
+
+// pass refuses or delays the requests whose refusal costs least, until the others are expected to start in time. There is
+// at most one pass in passInterval.
+func (p *Placer) pass(now timer.Millis, service string, l *serviceLoad) {
+	if now-l.passAt < passInterval {
+		return
+	}
+	l.passAt, l.passDue = now, false
+	refusals, delays := 0, 0
+	queued := p.queue.length()
+	for _, d := range p.decide(now, l, service, nil) {
+		r := l.requests[d.Index]
+		if p.selectWorker(now, r) != nil {
+			p.grantAhead(now, r)
+			continue
+		}
+		a := assessOutcome(d, now, r)
+		p.dequeue(r)
+		if a.verdict == refused {
+			refusals++
+			p.reject(now, r, a.reason, a.wait)
+			continue
+		}
+		delays++
+		r.late = true
+		p.requests[r.key] = r
+		p.queue.insert(r)
+	}
+	for _, r := range l.requests {
+		r.passed = true
+	}
+	if refusals+delays == 0 {
+		return
+	}
+	p.report(Event{Kind: "shed", Value: int64(refusals), Detail: fmt.Sprintf(
+		"%s: refused %d, delayed %d of %d queued, capacity %.0f, efficiency %.2f, utilization %.2f, served share %.2f", service, refusals, delays, queued,
+		l.forecast.DrainRate()/l.forecast.Efficiency(), l.forecast.Efficiency(), l.forecast.Utilization(now), l.floor.Served(now),
+	)})
+}
+
+// grantAhead grants free resources that fit a request on time behind requests that they do not fit. A late request stays
+// queued instead, because the others may need the resources.
+func (p *Placer) grantAhead(now timer.Millis, r *request) {
+	if r.late {
+		return
+	}
+	p.grantTasks(now, r)
+	p.sendGrants([]*request{r})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -46,6 +46,8 @@
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
+		loads          map[string]*serviceLoad // by service; used by AdmissionCost
+		placed         bool                    // no capacity was freed since the latest Place
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -56,6 +58,16 @@
 		Worker string
 		Detail string
 		Value  int64
+		Took   timer.Millis // time since the arrival of the request
+		// Refusal is set with the kind "reject".
+		Refusal Refusal
+	}
+
+	// Refusal classifies a refused request for metrics.
+	Refusal struct {
+		Reason   string
+		Priority uint64
+		Size     string // small, medium or large, compared with the mean of the queue
 	}
 )
 
@@ -101,6 +113,7 @@
 	for _, job := range l.HandledStarts {
 		w.releaseReservation(job)
 	}
+	p.placed = false
 	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
@@ -121,23 +134,27 @@
 		p.queue.insert(r)
 		return
 	}
-	r := &request{
-		key: key, domain: domain, service: a.Service, resources: a.Resources, estimate: a.Estimate, remaining: a.Tasks,
-		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
-		constraints: newConstraints(a),
-	}
+	r := newRequest(now, entry, domain, a)
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
-	if reason, wait := p.rejectReason(now, r); reason != "" && !r.started {
-		p.reject(r, reason, wait)
+	if p.Admission == AdmissionCost && p.servable(now, r) {
+		p.load(r.service).observeArrival(now, r)
+	}
+	d := p.assess(now, r)
+	if d.verdict == refused && !r.started {
+		p.reject(now, r, d.reason, d.wait)
 		return
 	}
+	r.late = d.verdict == delayed
 	if p.requests == nil {
 		p.requests = map[requestKey]*request{}
 	}
 	p.requests[key] = r
 	p.queue.insert(r)
+	if d.verdict == contested {
+		p.contest(now, r)
+	}
 }
 
 // Cancel removes a request from the queue. Grants already made stay valid.
@@ -172,12 +189,27 @@
 	p.queue.remove(r)
 }
 
-// Place refuses requests that can no longer be served in time and grants free resources to the others.
+// Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
 	for _, w := range p.workersByName {
 		w.expireReservations(now)
 	}
-	p.expireRequests(now)
+	if p.Admission == AdmissionCost {
+		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
+		p.grantQueued(now)
+	}
+	p.expireRequests(now, (*request).deadline)
+	if p.Admission == AdmissionDeadline {
+		p.grantQueued(now)
+		return
+	}
+	p.observeGrants(now)
+	p.shed(now)
+}
+
+// grantQueued grants free resources to the queued requests in order.
+func (p *Placer) grantQueued(now timer.Millis) {
+	p.placed = true
 	if p.queue.length() == 0 {
 		return
 	}
@@ -190,19 +222,9 @@
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
-		for r.remaining > 0 {
-			w := p.selectWorker(now, r)
-			if w == nil {
-				blocked++
-				break
-			}
-			w.reserve(now, r.key.job, r.resources)
-			if w.breaker.open {
-				w.breaker.probeAt = now + maxProbeDelay
-			}
-			r.remaining--
-			r.constraints.countPlaced(w.name)
-			r.granted = append(r.granted, w.name)
+		if !p.grantTasks(now, r) {
+			blocked++
+			p.noteBlocked(r)
 		}
 		if len(r.granted) > 0 {
 			served = append(served, r)
@@ -214,11 +236,30 @@
 	p.sendGrants(served)
 }
 
+// grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
+func (p *Placer) grantTasks(now timer.Millis, r *request) bool {
+	for r.remaining > 0 {
+		w := p.selectWorker(now, r)
+		if w == nil {
+			return false
+		}
+		w.reserve(now, r.key.job, r.resources)
+		if w.breaker.open {
+			w.breaker.probeAt = now + maxProbeDelay
+		}
+		r.remaining--
+		r.constraints.countPlaced(w.name)
+		r.granted = append(r.granted, w.name)
+	}
+	return true
+}
+
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
 // Partially granted ones count as started and move to the front.
 func (p *Placer) sendGrants(served []*request) {
 	for _, r := range served {
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
+		p.noteGranted(r)
 		r.granted = nil
 		if r.remaining == 0 {
 			p.dequeue(r)
--- a/placer/request.go
+++ b/placer/request.go
@@ -27,11 +27,21 @@
 		started      bool
 		arrived      timer.Millis
 		granted      []string
+		cost         requestCost
+		passed       bool     // it was in a pass of the shedder
 		avoided      []string // workers that get none of its tasks while others serve its service
 		constraints  placementConstraints
 	}
 )
 
+func newRequest(now timer.Millis, entry, domain string, a *marshaler.ResourceRequest) *request {
+	return &request{
+		key: requestKey{entry, a.Job, a.Step}, domain: domain, service: a.Service, resources: a.Resources, estimate: a.Estimate, remaining: a.Tasks,
+		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
+		constraints: newConstraints(a), cost: requestCost{queue: a.Queue, priority: a.Priority},
+	}
+}
+
 // compareRequests defines the queue order: requests of jobs that have started, then requests that can meet their expected
 // response time, then late ones, each by deadline.
 func compareRequests(a, b *request) int {
@@ -67,12 +77,15 @@
 	return r.softDeadline
 }
 
+// lastStart returns the latest start of a request, on time or late.
+func (r *request) lastStart() timer.Millis { return r.hardDeadline }
+
 // expireRequests marks requests late whose deadline has passed, which moves them behind the others. It refuses those that
 // cannot be expected to be granted before their hard deadline.
-func (p *Placer) expireRequests(now timer.Millis) {
+func (p *Placer) expireRequests(now timer.Millis, deadline func(r *request) timer.Millis) {
 	var expired []*request
 	for r := range p.queue.all() {
-		if !r.started && r.deadline() <= now {
+		if !r.started && deadline(r) <= now {
 			expired = append(expired, r)
 		}
 	}
@@ -80,7 +93,7 @@
 		p.dequeue(r)
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
-			p.reject(r, "no room in time", wait)
+			p.reject(now, r, reasonExpired, wait)
 			continue
 		}
 		p.requests[r.key] = r
@@ -90,42 +103,14 @@
 
 // lateWait returns the estimated wait of a late request and whether it ends before the request's hard deadline.
 func (p *Placer) lateWait(now timer.Millis, r *request) (wait timer.Millis, ok bool) {
+	if l := p.loads[r.service]; p.costDecides(now, l) {
+		wait = l.forecast.LateWait(now, float64(p.queue.workBefore(r)))
+		return wait, now+wait < r.hardDeadline
+	}
 	wait = p.estimateWait(r)
 	return wait, now+lateWaitFactor*wait < r.hardDeadline
 }
 
-// rejectReason returns why a request cannot be served in time and the time after which a retry may be. The reason is empty
-// if the request can be served. It marks the request late if the soft deadline cannot be met.
-func (p *Placer) rejectReason(now timer.Millis, r *request) (reason string, wait timer.Millis) {
-	if p.queue.length() >= maxQueued {
-		return "queue is full", p.estimateWait(r)
-	}
-	if now-p.firstRequestAt < startupGrace {
-		return "", 0
-	}
-	service, fits := false, false
-	for _, w := range p.workersByName {
-		if w.service == r.service {
-			service = true
-			fits = fits || w.total.Contains(r.resources) && r.constraints.matchesLabel(w)
-		}
-	}
-	switch {
-	case !service:
-		return "no backend server of the service is known", timer.Second
-	case !fits:
-		return "no worker is large enough", timer.Minute
-	}
-	if wait = p.estimateWait(r); now+wait <= r.softDeadline {
-		return "", 0
-	}
-	r.late = true
-	if wait, ok := p.lateWait(now, r); !ok {
-		return "queue is too long", wait
-	}
-	return "", 0
-}
-
 // estimateWait estimates how long it takes to serve the queued requests that are ordered before r.
 func (p *Placer) estimateWait(r *request) timer.Millis {
 	var capacity float64 // in millicores
@@ -172,7 +157,13 @@
 }
 
 // reject refuses a request that has no grants.
-func (p *Placer) reject(r *request, reason string, wait timer.Millis) {
-	p.report(Event{Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.describeWorkers(r), Value: int64(wait)})
+func (p *Placer) reject(now timer.Millis, r *request, reason string, wait timer.Millis) {
+	if r.cost.counted {
+		p.load(r.service).floor.Shed(now, r.cost.groups, float64(r.cost.work))
+	}
+	p.report(Event{
+		Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.describeWorkers(r), Value: int64(wait), Took: now - r.arrived,
+		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: r.cost.size.String()},
+	})
 	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: reason, RetryAfter: wait})
 }
