--- a/placer/admission.go
+++ b/placer/admission.go
@@ -76,8 +76,9 @@
 		return a
 	}
 	if l := p.loads[r.service]; p.costDecides(now, l) {
+		item := l.item(now, r)
 		wait := p.forecastWait(now, l, r)
-		if r.started || now+wait <= shedder.RetainedStart(now, r.softDeadline) {
+		if r.started || now+wait <= shedder.RetainedStart(&item) {
 			return assessment{admitted, "", wait}
 		}
 		return assessment{contested, "", wait}
@@ -117,7 +118,7 @@
 func (p *Placer) explain(now timer.Millis, r *request) assessment {
 	l := p.loads[r.service]
 	if l != nil {
-		l.setCost(r)
+		l.setCost(now, r)
 	}
 	a := p.assess(now, r)
 	if a.verdict != contested {
@@ -141,7 +142,7 @@
 		return assessment{delayed, "", d.Wait}
 	case d.GaveWay:
 		return assessment{refused, reasonGaveWay, d.Wait}
-	case r.arrived == now || !r.passed:
+	case !r.passed:
 		return assessment{refused, reasonTooLong, d.Wait}
 	}
 	return assessment{refused, reasonExpired, d.Wait}
--- a/placer/load.go
+++ b/placer/load.go
@@ -44,6 +44,9 @@
 		work     int64
 		groups   [3]shedder.Group
 		counted  bool // as an arrival of its groups
+		// protected is set if a group of the request was served too little when it was queued. It does not change while the
+		// request is queued, because all queued requests of a group would otherwise be refused when the group recovers.
+		protected bool
 	}
 
 	// queueArrivals are the expected arrivals of a queue during a pass.
@@ -72,10 +75,9 @@
 	return l != nil && l.differedAt > 0 && now-l.differedAt < diversityWindow && l.forecast.Ready(now)
 }
 
-// observeArrival records a request that was not queued before, and sets its cost.
+// observeArrival records a request that was not queued before.
 func (l *serviceLoad) observeArrival(now timer.Millis, r *request) {
 	c := &r.cost
-	c.work = max(r.work(), 1)
 	if c.priority != l.latest.priority || c.work != l.latest.work {
 		if l.latest.work > 0 {
 			l.differedAt = now
@@ -88,19 +90,18 @@
 		return
 	}
 	l.forecast.Arrive(now, c.queue, weight, work, r.softDeadline-now)
-	l.setCost(r)
-	c.counted = true
 	l.floor.Arrive(now, c.groups, work)
 }
 
-// setCost sets the cost of refusing a request, which has no side effects on the load.
-func (l *serviceLoad) setCost(r *request) {
+// setCost sets the cost of refusing a request. It does not change the load.
+func (l *serviceLoad) setCost(now timer.Millis, r *request) {
 	c := &r.cost
 	c.work = max(r.work(), 1)
 	mean := l.forecast.MeanWork(c.queue)
 	c.size = shedder.SizeOf(float64(c.work), mean)
 	c.perWork = shedder.Cost(shedder.Weight(c.priority), float64(c.work), mean)
 	c.groups = shedder.Groups(c.queue, r.domain, c.size)
+	c.protected = l.floor.Starving(now, c.groups[:]...)
 }
 
 // noteBlocked records that a request waits for capacity. One that waits because of its placement constraints does not
@@ -178,7 +179,7 @@
 func (l *serviceLoad) item(now timer.Millis, r *request) shedder.Item {
 	return shedder.Item{
 		Work: max(r.work(), 1), SoftDeadline: r.softDeadline, HardDeadline: r.hardDeadline, Cost: r.cost.perWork, Arrived: r.arrived, New: !r.passed,
-		Begun: r.started, Late: r.late, Protected: l.floor.Starving(now, r.cost.groups[:]...),
+		Begun: r.started, Late: r.late, Protected: r.cost.protected || l.floor.Starving(now, r.cost.groups[:]...),
 	}
 }
 
@@ -193,7 +194,7 @@
 func (l *serviceLoad) overtaking(now timer.Millis, i *shedder.Item) (work float64) {
 	for n := range l.arrivals {
 		a := &l.arrivals[n]
-		if a.Queue == "" || a.starving && !i.Protected || a.starving == i.Protected && a.Weight >= i.Cost {
+		if a.Queue == "" || a.starving && !i.Protected || a.starving == i.Protected && a.Weight > i.Cost {
 			work += a.Overtaking(i.SoftDeadline - now)
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -139,7 +139,10 @@
 		p.firstRequestAt = now
 	}
 	if p.Admission == AdmissionCost && p.servable(now, r) {
-		p.load(r.service).observeArrival(now, r)
+		l := p.load(r.service)
+		l.setCost(now, r)
+		r.cost.counted = !r.started
+		defer l.observeArrival(now, r) // decisions about r rely on the arrivals before it
 	}
 	d := p.assess(now, r)
 	if d.verdict == refused && !r.started {
--- a/placer/request.go
+++ b/placer/request.go
@@ -104,8 +104,8 @@
 // lateWait returns the estimated wait of a late request and whether it ends before the request's hard deadline.
 func (p *Placer) lateWait(now timer.Millis, r *request) (wait timer.Millis, ok bool) {
 	if l := p.loads[r.service]; p.costDecides(now, l) {
-		wait = l.forecast.LateWait(now, float64(p.queue.workBefore(r)))
-		return wait, now+wait < r.hardDeadline
+		work := float64(p.queue.workBefore(r))
+		return l.forecast.Wait(work), now+l.forecast.LateWait(now, work) < r.hardDeadline
 	}
 	wait = p.estimateWait(r)
 	return wait, now+lateWaitFactor*wait < r.hardDeadline
--- a/shedder/floor.go
+++ b/shedder/floor.go
@@ -99,6 +99,14 @@
 // Served returns the served share of all requests, from 0 to 1.
 func (f *Floor) Served(now timer.Millis) float64 { return f.all.served(now) }
 
+// Share returns the served share of a group, from 0 to 1.
+func (f *Floor) Share(now timer.Millis, g Group) float64 {
+	if s := f.groups[g]; s != nil {
+		return s.served(now)
+	}
+	return 1
+}
+
 func (f *Floor) group(g Group) *share {
 	s := f.groups[g]
 	if s != nil || len(f.groups) >= maxGroups {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -65,7 +65,7 @@
 		Verdict Verdict
 		// GaveWay is set if the item was given up in favor of another one.
 		GaveWay bool
-		// Wait is the forecast wait.
+		// Wait is the forecast wait without the other items that are given up.
 		Wait timer.Millis
 	}
 
@@ -96,7 +96,8 @@
 // valid until the next call.
 //
 // It follows Moore and Hodgson: where an item would start too late, the items of lowest cost among those up to this point
-// are given up until it fits. Items with a lower cost are spared if giving all of them up does not suffice.
+// are given up until it fits. They are spared if giving all of them up does not suffice, or if the item is new and its own
+// refusal costs less than that of the first of them.
 func (s *Shedder) Pass(now timer.Millis, items []Item, f Forecast) []Decision {
 	s.prepare(items)
 	if f.DrainRate <= 0 {
@@ -144,12 +145,19 @@
 
 // makeRoom gives items up until item i fits behind the given work, and returns the work of those before item i.
 func (s *Shedder) makeRoom(now timer.Millis, items []Item, i int, before float64, f Forecast) (freed int64) {
-	allowed := f.DrainRate * float64(items[i].latestStart(now)-now)
-	excess := before + f.Overtaking(&items[i]) - allowed
+	work := before + f.Overtaking(&items[i])
+	excess := work - f.DrainRate*float64(RetainedStart(&items[i])-now)
 	if excess <= 0 {
 		return 0
 	}
 	if excess > float64(s.candidate.before(s.rank[i])) {
+		if items[i].New || work > f.DrainRate*float64(items[i].SoftDeadline-now) {
+			s.giveUp(items, i, false, f, before)
+		}
+		return 0
+	}
+	first := &items[s.order[s.candidate.first()]]
+	if items[i].New && !items[i].Protected && first.total() > items[i].total() {
 		s.giveUp(items, i, false, f, before)
 		return 0
 	}
@@ -161,23 +169,18 @@
 	return freed
 }
 
-// latestStart returns the latest start on time, less the reserve for errors of the forecast.
-func (i *Item) latestStart(now timer.Millis) timer.Millis {
-	if !i.New {
-		return i.SoftDeadline
-	}
-	return RetainedStart(now, i.SoftDeadline)
+// RetainedStart returns the latest start on time, less the reserve for errors of the forecast.
+func RetainedStart(i *Item) timer.Millis {
+	return i.Arrived + timer.Millis(retainedShare*float64(i.SoftDeadline-i.Arrived))
 }
 
-// RetainedStart returns the latest start that is forecast for a new request on time.
-func RetainedStart(now, softDeadline timer.Millis) timer.Millis {
-	return now + timer.Millis(retainedShare*float64(softDeadline-now))
-}
+// total returns the cost of refusing an item.
+func (i *Item) total() float64 { return i.Cost * float64(i.Work) }
 
 func (s *Shedder) giveUp(items []Item, i int, gaveWay bool, f Forecast, before float64) {
 	s.given[i] = true
 	s.candidate.add(s.rank[i], -items[i].Work)
-	s.decisions = append(s.decisions, Decision{Index: i, Verdict: Refused, GaveWay: gaveWay, Wait: timer.Millis(before / f.DrainRate)})
+	s.decisions = append(s.decisions, Decision{Index: i, Verdict: Refused, GaveWay: gaveWay, Wait: timer.Millis((before + f.Overtaking(&items[i])) / f.DrainRate)})
 }
 
 // placeLate keeps those of the given-up and late items that are expected to start before their hard deadlines, and refuses
@@ -185,7 +188,7 @@
 func (s *Shedder) placeLate(now timer.Millis, items []Item, work int64, f Forecast) {
 	for i := range items {
 		if items[i].Late && !items[i].Begun {
-			s.decisions = append(s.decisions, Decision{Index: i, Verdict: Refused})
+			s.decisions = append(s.decisions, Decision{Index: i, Verdict: Refused, Wait: timer.Millis(float64(work) / f.DrainRate)})
 		}
 	}
 	slices.SortStableFunc(s.decisions, func(a, b Decision) int {
@@ -203,7 +206,6 @@
 		if fits && item.Late {
 			continue // as before
 		}
-		d.Wait = max(d.Wait, wait)
 		s.decisions[n] = d
 		n++
 	}
