placer: count refusals by reason, priority and size; test the floor, the order and the passes

Cause: operators cannot see who is refused; protected requests counted all arrivals of another starving queue as ordered before them.

--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/shedder"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -36,13 +37,15 @@
 	mixedResult struct {
 		cost, goodput, refused float64 // shares of the weighted work, the work and the jobs
 		refusalWaits           []timer.Millis
-		served                 map[shedder.Group]float64 // share of the work
+		refusedBesideFree      int                       // jobs refused with cost while resources were free for one of their tasks
+		served                 map[shedder.Group]float64 // share of the work that was not refused
 	}
 )
 
 const (
-	seeds    = 3
-	allKinds = -1
+	seeds      = 3
+	floorShare = 0.7
+	allKinds   = -1
 )
 
 var (
@@ -133,6 +136,14 @@
 	}
 	arrivals := rand.New(rand.NewPCG(seed, 3))
 	var all []*simJob
+	reject := s.p.Reject
+	s.p.Reject = func(entry string, m marshaler.Reject) {
+		j := s.jobs[m.Job]
+		if s.p.Admission == AdmissionCost && s.p.selectWorker(s.now, newRequest(s.now, entry, j.domain, s.message(j, j.tasks))) != nil {
+			result.refusedBesideFree++
+		}
+		reject(entry, m)
+	}
 	for at := timer.Millis(0); at < (seconds+4)*timer.Second; at++ {
 		if at < seconds*timer.Second {
 			for _, spec := range l.jobs(arrivals, at, workers) {
@@ -153,9 +164,12 @@
 		if j.value() == 1 {
 			inTime += j.work()
 		}
-		for _, g := range []shedder.Group{{}, {Queue: j.queue}, {Domain: j.domain}} {
+		kind := &kinds[slices.IndexFunc(kinds, func(k jobKind) bool { return k.queue == j.queue })]
+		size := shedder.SizeOf(float64(j.tasks)*float64(j.estimate), kind.meanTasks()*float64(kind.run))
+		groups := shedder.Groups(j.queue, j.domain, size)
+		for _, g := range append(groups[:], shedder.Group{}) {
 			arrived[g] += j.work()
-			if j.endedAt != 0 {
+			if s.jobs[j.id] != nil {
 				served[g] += j.work()
 			}
 		}
@@ -165,6 +179,7 @@
 	}
 	result.cost /= weighted
 	result.goodput, result.refused, result.refusalWaits, result.served = inTime/work, float64(s.refused)/float64(len(all)), s.refusalWaits, served
+	slices.Sort(result.refusalWaits)
 	return result
 }
 
@@ -214,6 +229,70 @@
 	}
 }
 
+// TestOverload guards against refusals while resources are free, against a cost to
+// callers near that of the former policy, and against callers that wait for their refusal.
+func TestOverload(t *testing.T) {
+	for _, l := range overloads {
+		deadline, cost := l.run(AdmissionDeadline, 40, 6, 1), l.run(AdmissionCost, 40, 6, 1)
+		if want := 0.85 * deadline.cost; cost.cost > want {
+			t.Errorf("%s: got a cost of %.3f, want at most %.3f", l.name, cost.cost, want)
+		}
+		if got := cost.refusalWait(0.5); got > 40 {
+			t.Errorf("%s: got a median of %s until a refusal, want at most 40 ms", l.name, got)
+		}
+		if cost.refusedBesideFree > 0 {
+			t.Errorf("%s: got %d refusals while resources were free, want 0", l.name, cost.refusedBesideFree)
+		}
+	}
+}
+
+// TestFloor guards against groups of requests that starve during a long overload. Groups by size are small, so their shares
+// vary more.
+func TestFloor(t *testing.T) {
+	for _, l := range []mixedLoad{overloads[0], overloads[3]} {
+		for seed := range uint64(2) {
+			served := l.run(AdmissionCost, 40, 15, seed).served
+			for g, share := range served {
+				tolerance := 0.05
+				if g.Size > 0 {
+					tolerance = 0.12
+				}
+				if want := (floorShare - tolerance) * served[shedder.Group{}]; share < want {
+					t.Errorf("%s: seed %d: got a share of %.3f for %+v, want at least %.3f", l.name, seed, share, g, want)
+				}
+			}
+		}
+	}
+}
+
+// TestSufficientCapacity guards against decisions that differ from the former policy where capacity suffices.
+func TestSufficientCapacity(t *testing.T) {
+	var grants [2][]string
+	for _, admission := range []Admission{AdmissionDeadline, AdmissionCost} {
+		s := newSimulation(1, 40)
+		s.p.Admission = admission
+		grant := s.p.Grant
+		s.p.Grant = func(entry string, g marshaler.Grant) {
+			grants[admission] = append(grants[admission], fmt.Sprint(s.now, g))
+			grant(entry, g)
+		}
+		for at := timer.Millis(0); at < 6*timer.Second; at++ {
+			for _, spec := range moderate.jobs(s.r, at, 40) {
+				j := &simJob{jobSpec: spec, arrivedAt: s.now}
+				s.jobs[j.id] = j
+				s.request(j, j.tasks)
+			}
+			s.advance()
+		}
+		if s.refused > 0 {
+			t.Errorf("%s: got %d refusals, want 0", admission, s.refused)
+		}
+	}
+	if len(grants[0]) < 1000 || !slices.Equal(grants[AdmissionDeadline], grants[AdmissionCost]) {
+		t.Errorf("got %d grants, want those of the former policy, %d", len(grants[AdmissionCost]), len(grants[AdmissionDeadline]))
+	}
+}
+
 // TestExplain guards against an explanation that differs from the decision about a request, or that changes it.
 func TestExplain(t *testing.T) {
 	got := map[verdict]int{}
--- a/placer/load.go
+++ b/placer/load.go
@@ -33,6 +33,7 @@
 		items    []shedder.Item
 		requests []*request // by item
 		arrivals []queueArrivals
+		reserved float64 // share of the work of a starving queue that is served
 	}
 
 	// requestCost is what a refusal of a request costs.
@@ -184,7 +185,7 @@
 }
 
 func (l *serviceLoad) prepareArrivals(now timer.Millis) {
-	l.arrivals = l.arrivals[:0]
+	l.arrivals, l.reserved = l.arrivals[:0], l.floor.Reserved(now)
 	for a := range l.forecast.Arrivals(now) {
 		l.arrivals = append(l.arrivals, queueArrivals{a, l.floor.Starving(now, shedder.Group{Queue: a.Queue})})
 	}
@@ -194,9 +195,19 @@
 func (l *serviceLoad) overtaking(now timer.Millis, i *shedder.Item) (work float64) {
 	for n := range l.arrivals {
 		a := &l.arrivals[n]
-		if a.Queue == "" || a.starving && !i.Protected || a.starving == i.Protected && a.Weight > i.Cost {
-			work += a.Overtaking(i.SoftDeadline - now)
-		}
+		work += a.Overtaking(i.SoftDeadline-now) * l.outranking(a, i)
 	}
 	return work
 }
+
+// outranking returns the share of a queue's arrivals that do not give way to an item.
+func (l *serviceLoad) outranking(a *queueArrivals, i *shedder.Item) float64 {
+	costsMore := a.Weight > i.Cost
+	switch {
+	case a.Queue == "", costsMore && !i.Protected:
+		return 1
+	case a.starving && (costsMore || !i.Protected):
+		return l.reserved
+	}
+	return 0
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -256,10 +256,13 @@
 
 func (e *Entry) report(event submitter.Event) {
 	detail, _, _ := strings.Cut(event.Detail, " ")
-	if event.Kind == "reject" || event.Kind == "release" || event.Kind == "sidecarLost" || event.Kind == "entryLost" {
+	if event.Kind == "reject" || event.Kind == "shed" || event.Kind == "release" || event.Kind == "sidecarLost" || event.Kind == "entryLost" {
 		detail = ""
 	}
 	e.monitor.countEvent(event.Kind, detail)
+	if event.Kind == "reject" {
+		e.monitor.countRefusal(event)
+	}
 	if event.Kind == "answer" {
 		e.monitor.metrics.Observe(`crocuslb_job_response_seconds{answer="`+detail+`"}`, event.Took)
 	}
--- a/runner/options.go
+++ b/runner/options.go
@@ -13,6 +13,7 @@
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/recoverer"
 	"github.com/crocuslb/crocuslb/reporter"
+	"github.com/crocuslb/crocuslb/submitter"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -33,6 +34,8 @@
 	// headerTimeout and idleTimeout bound how long a connection may stay open without a complete request.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// maxPriorityLabel bounds the label values of metrics by priority.
+	maxPriorityLabel = 7
 )
 
 // Options are the settings of a process.
@@ -98,6 +101,14 @@
 	m.metrics.Count("crocuslb_events_total{kind=" + strconv.Quote(kind) + ",detail=" + strconv.Quote(detail) + "}")
 }
 
+// countRefusal counts a request that the placing entry refused. Priorities above maxPriorityLabel share a label.
+func (m *monitor) countRefusal(e submitter.Event) {
+	reason := strconv.Quote(e.Refusal.Reason)
+	priority := strconv.FormatUint(min(e.Refusal.Priority, maxPriorityLabel), 10)
+	m.metrics.Count("crocuslb_refused_requests_total{reason=" + reason + `,priority="` + priority + `",size="` + e.Refusal.Size + `"}`)
+	m.metrics.Observe("crocuslb_refusal_wait_seconds{reason="+reason+"}", e.Took)
+}
+
 // recoverPanics wraps the endpoint's handler. A panic fails the request with status 500.
 func (m *monitor) recoverPanics(e endpoint) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/shedder/floor.go
+++ b/shedder/floor.go
@@ -87,7 +87,7 @@
 
 // Starving reports whether one of the groups is served too little.
 func (f *Floor) Starving(now timer.Millis, groups ...Group) bool {
-	limit := floorShare * f.all.served(now)
+	limit := f.Reserved(now)
 	for _, g := range groups {
 		if s := f.groups[g]; s != nil && s.served(now) < limit {
 			return true
@@ -96,6 +96,9 @@
 	return false
 }
 
+// Reserved returns the share of its work that each group is served at least.
+func (f *Floor) Reserved(now timer.Millis) float64 { return floorShare * f.all.served(now) }
+
 // Served returns the served share of all requests, from 0 to 1.
 func (f *Floor) Served(now timer.Millis) float64 { return f.all.served(now) }
 
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -119,6 +119,8 @@
 		Value  int64
 		Count  int64
 		Took   timer.Millis
+		// Refusal is set with the kind "reject".
+		Refusal placer.Refusal
 		// Expected is the response time promised by the job's queue. Set with the kind "answer".
 		Expected timer.Millis
 		// Deadline is the deadline set by the caller, or 0. Set with the kind "answer".
@@ -206,7 +208,7 @@
 	s.placer.Grant = s.sendGrant
 	s.placer.Reject = s.sendReject
 	s.placer.Report = func(e placer.Event) {
-		s.report(Event{Kind: e.Kind, Job: e.Job, Peer: e.Entry + e.Worker, Detail: e.Detail, Value: e.Value})
+		s.report(Event{Kind: e.Kind, Job: e.Job, Peer: e.Entry + e.Worker, Detail: e.Detail, Value: e.Value, Took: e.Took, Refusal: e.Refusal})
 	}
 }
 
