--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,14 +36,18 @@
 		Grant  func(entry string, g marshaler.Grant)
 		Reject func(entry string, r marshaler.Reject)
 		Report func(e Event)
+		// Admission is the policy for overload.
+		Admission Admission
 
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
-		queue          []*request
+		queue          requestQueue
 		requests       map[requestKey]*request
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
+		loads          map[string]*serviceLoad // by service; used by AdmissionCost
+		placed         bool                    // no capacity was freed since the latest Place
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -54,6 +58,16 @@
 		Worker string
 		Detail string
 		Value  int64
+		Took   timer.Millis // time since the arrival of the request
+		// Refusal is set with the kind "reject".
+		Refusal Refusal
+	}
+
+	// Refusal classifies a refused request for metrics.
+	Refusal struct {
+		Reason   string
+		Priority uint64
+		Size     string // small, medium or large, compared with the mean of the queue
 	}
 )
 
@@ -99,6 +113,7 @@
 	for _, job := range l.HandledStarts {
 		w.releaseReservation(job)
 	}
+	p.placed = false
 	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
@@ -116,26 +131,33 @@
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
 		p.requests[key] = r
-		p.enqueue(r)
+		p.queue.insert(r)
 		return
 	}
-	r := &request{
-		key: key, domain: domain, service: a.Service, resources: a.Resources, estimate: a.Estimate, remaining: a.Tasks,
-		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
-		constraints: newConstraints(a),
-	}
+	r := newRequest(now, entry, domain, a)
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
-	if reason, wait := p.rejectReason(now, r); reason != "" && !r.started {
-		p.reject(r, reason, wait)
+	if p.Admission == AdmissionCost && p.servable(now, r) {
+		l := p.load(r.service)
+		l.setCost(now, r)
+		r.cost.counted = !r.started
+		defer l.observeArrival(now, r) // decisions about r rely on the arrivals before it
+	}
+	d := p.assess(now, r)
+	if d.verdict == refused && !r.started {
+		p.reject(now, r, d.reason, d.wait)
 		return
 	}
+	r.late = d.verdict == delayed
 	if p.requests == nil {
 		p.requests = map[requestKey]*request{}
 	}
 	p.requests[key] = r
-	p.enqueue(r)
+	p.queue.insert(r)
+	if d.verdict == contested {
+		p.contest(now, r)
+	}
 }
 
 // Cancel removes a request from the queue. Grants already made stay valid.
@@ -147,7 +169,7 @@
 
 // RemoveEntry removes all requests of an entry from the queue.
 func (p *Placer) RemoveEntry(entry string) {
-	for _, r := range slices.Clone(p.queue) {
+	for _, r := range p.queue.snapshot() {
 		if r.key.entry == entry {
 			p.dequeue(r)
 		}
@@ -156,27 +178,42 @@
 
 // RejectAll rejects all queued requests with ReasonMoved, so that the entries send them to another placing entry.
 func (p *Placer) RejectAll() {
-	for _, r := range slices.Clone(p.queue) {
+	for _, r := range p.queue.snapshot() {
 		p.dequeue(r)
 		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: ReasonMoved})
 	}
 }
 
 // QueueLen returns the number of queued requests.
-func (p *Placer) QueueLen() int { return len(p.queue) }
+func (p *Placer) QueueLen() int { return p.queue.length() }
 
 func (p *Placer) dequeue(r *request) {
 	delete(p.requests, r.key)
-	p.queue = slices.DeleteFunc(p.queue, func(o *request) bool { return o == r })
+	p.queue.remove(r)
 }
 
-// Place refuses requests that can no longer be served in time and grants free resources to the others.
+// Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
 	for _, w := range p.workersByName {
 		w.expireReservations(now)
 	}
-	p.expireRequests(now)
-	if len(p.queue) == 0 {
+	if p.Admission == AdmissionCost {
+		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
+		p.grantQueued(now)
+	}
+	p.expireRequests(now, (*request).deadline)
+	if p.Admission == AdmissionDeadline {
+		p.grantQueued(now)
+		return
+	}
+	p.observeGrants(now)
+	p.shed(now)
+}
+
+// grantQueued grants free resources to the queued requests in order.
+func (p *Placer) grantQueued(now timer.Millis) {
+	p.placed = true
+	if p.queue.length() == 0 {
 		return
 	}
 	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
@@ -184,23 +221,13 @@
 	}
 	blocked := 0
 	var served []*request
-	for _, r := range p.queue {
+	for r := range p.queue.all() {
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
-		for r.remaining > 0 {
-			w := p.selectWorker(now, r)
-			if w == nil {
-				blocked++
-				break
-			}
-			w.reserve(now, r.key.job, r.resources)
-			if w.breaker.open {
-				w.breaker.probeAt = now + maxProbeDelay
-			}
-			r.remaining--
-			r.constraints.countPlaced(w.name)
-			r.granted = append(r.granted, w.name)
+		if !p.grantTasks(now, r) {
+			blocked++
+			p.noteBlocked(r)
 		}
 		if len(r.granted) > 0 {
 			served = append(served, r)
@@ -212,22 +239,39 @@
 	p.sendGrants(served)
 }
 
+// grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
+func (p *Placer) grantTasks(now timer.Millis, r *request) bool {
+	for r.remaining > 0 {
+		w := p.selectWorker(now, r)
+		if w == nil {
+			return false
+		}
+		w.reserve(now, r.key.job, r.resources)
+		if w.breaker.open {
+			w.breaker.probeAt = now + maxProbeDelay
+		}
+		r.remaining--
+		r.constraints.countPlaced(w.name)
+		r.granted = append(r.granted, w.name)
+	}
+	return true
+}
+
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
 // Partially granted ones count as started and move to the front.
 func (p *Placer) sendGrants(served []*request) {
-	needsSort := false
 	for _, r := range served {
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
+		p.noteGranted(r)
 		r.granted = nil
 		if r.remaining == 0 {
 			p.dequeue(r)
 		} else if !r.started {
-			r.started, needsSort = true, true
+			p.queue.remove(r)
+			r.started = true
+			p.queue.insert(r)
 		}
 	}
-	if needsSort {
-		slices.SortStableFunc(p.queue, compareRequests)
-	}
 }
 
 // selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -69,6 +69,8 @@
 		Handover bool
 		// Partitions is the number of partitions of the durable jobs.
 		Partitions uint64
+		// Admission is the policy for overload while this entry is the placing entry.
+		Admission placer.Admission
 		// Record appends a record of a partition to the store, under the epoch of its owner. done is called in the
 		// order of the records, or not at all if the partition is lost.
 		Record func(partition, epoch uint64, body []byte, done func(now timer.Millis, offset uint64))
@@ -105,6 +107,8 @@
 		Value  int64
 		Count  int64
 		Took   timer.Millis
+		// Refusal is set with the kind "reject".
+		Refusal placer.Refusal
 		// Expected is the response time promised by the job's queue. Set with the kind "answer".
 		Expected timer.Millis
 		// Deadline is the deadline set by the caller, or 0. Set with the kind "answer".
@@ -197,10 +201,11 @@
 	}
 	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
 	s.durable.owned, s.durable.finished, s.durable.calls = map[uint64]*partition{}, map[string]*finishedJob{}, map[uint64]*operation{}
+	s.placer.Admission = s.Admission
 	s.placer.Grant = s.sendGrant
 	s.placer.Reject = s.sendReject
 	s.placer.Report = func(e placer.Event) {
-		s.report(Event{Kind: e.Kind, Job: e.Job, Peer: e.Entry + e.Worker, Detail: e.Detail, Value: e.Value})
+		s.report(Event{Kind: e.Kind, Job: e.Job, Peer: e.Entry + e.Worker, Detail: e.Detail, Value: e.Value, Took: e.Took, Refusal: e.Refusal})
 	}
 }
 
