indexer: add an ordered tree with aggregates and a queue with sums of work

Cause: the placing entry scans all workers and the whole queue for each decision. Change: a weight-balanced tree with subtree aggregates, whose nodes are reused, with searches for the first and last element that fits and passes a filter; a queue ordered by rank, deadline and arrival with sums of work by service. Not used yet.

--- /dev/null
+++ b/indexer/queue.go
@@ -0,0 +1,136 @@
+package indexer
+
+import (
+	"cmp"
+
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+type (
+	// Position orders the elements of a queue: by rank, then by deadline, then by arrival.
+	Position struct {
+		Rank     int
+		Deadline timer.Millis
+		Arrival  uint64 // number of the insertion
+	}
+
+	// Queue holds elements in the order of their positions, with the sum of their work by service. The zero value is ready
+	// to use.
+	Queue[T any] struct {
+		order    Tree[entry[T], struct{}]
+		services map[string]*Tree[Position, float64]
+		spare    []*Tree[Position, float64] // trees of services without elements
+		arrivals uint64
+	}
+
+	// entry is an element of a queue, as its tree orders it.
+	entry[T any] struct {
+		position Position
+		item     T
+		service  string
+		work     Handle // in the tree of the service
+	}
+)
+
+// Compare is negative if p is ordered before o.
+func (p Position) Compare(o Position) int {
+	switch {
+	case p.Rank != o.Rank:
+		return cmp.Compare(p.Rank, o.Rank)
+	case p.Deadline != o.Deadline:
+		return cmp.Compare(p.Deadline, o.Deadline)
+	}
+	return cmp.Compare(p.Arrival, o.Arrival)
+}
+
+// Insert adds an element behind those with an equal rank and deadline. Sums are exact while they stay below 2^53 and the
+// work has no fraction.
+func (q *Queue[T]) Insert(item T, service string, rank int, deadline timer.Millis, work float64) Handle {
+	if q.services == nil {
+		q.services = map[string]*Tree[Position, float64]{}
+		q.order.Compare = func(a, b entry[T]) int { return a.position.Compare(b.position) }
+		q.order.Merge = func(a, _ struct{}) struct{} { return a }
+	}
+	q.arrivals++
+	position := Position{rank, deadline, q.arrivals}
+	handle := q.worksOf(service).Insert(position, work)
+	return q.order.Insert(entry[T]{position, item, service, handle}, struct{}{})
+}
+
+// Remove removes an element.
+func (q *Queue[T]) Remove(h Handle) {
+	e := q.order.Key(h)
+	q.order.Remove(h)
+	works := q.services[e.service]
+	works.Remove(e.work)
+	if works.Len() == 0 {
+		delete(q.services, e.service)
+		q.spare = append(q.spare, works)
+	}
+}
+
+// SetWork replaces the work of an element.
+func (q *Queue[T]) SetWork(h Handle, work float64) {
+	e := q.order.Key(h)
+	q.services[e.service].Update(e.work, work)
+}
+
+// Len returns the number of elements.
+func (q *Queue[T]) Len() int { return q.order.Len() }
+
+// First returns the first element in order, or 0.
+func (q *Queue[T]) First() Handle { return q.order.First() }
+
+// Next returns the element after another one, or 0.
+func (q *Queue[T]) Next(h Handle) Handle { return q.order.Next(h) }
+
+// FirstOfRank returns the first element whose rank is at least rank, or 0.
+func (q *Queue[T]) FirstOfRank(rank int) Handle {
+	return q.order.Seek(func(e entry[T]) bool { return e.position.Rank >= rank })
+}
+
+// Item returns an element.
+func (q *Queue[T]) Item(h Handle) T { return q.order.Key(h).item }
+
+// Position returns the position of an element.
+func (q *Queue[T]) Position(h Handle) Position { return q.order.Key(h).position }
+
+// EarliestDeadline returns the earliest deadline of a rank, and whether the rank has elements.
+func (q *Queue[T]) EarliestDeadline(rank int) (timer.Millis, bool) {
+	h := q.FirstOfRank(rank)
+	if h == 0 {
+		return 0, false
+	}
+	position := q.Position(h)
+	return position.Deadline, position.Rank == rank
+}
+
+// Work returns the work of all elements of a service.
+func (q *Queue[T]) Work(service string) float64 {
+	if works := q.services[service]; works != nil {
+		return works.Sum()
+	}
+	return 0
+}
+
+// WorkBefore returns the work of a service that would be ordered before an element inserted now with a rank and deadline.
+func (q *Queue[T]) WorkBefore(service string, rank int, deadline timer.Millis) float64 {
+	if works := q.services[service]; works != nil {
+		return works.SumBefore(Position{rank, deadline, q.arrivals + 1})
+	}
+	return 0
+}
+
+func (q *Queue[T]) worksOf(service string) *Tree[Position, float64] {
+	works := q.services[service]
+	if works != nil {
+		return works
+	}
+	if last := len(q.spare) - 1; last >= 0 {
+		works, q.spare = q.spare[last], q.spare[:last]
+	} else {
+		works = &Tree[Position, float64]{Compare: Position.Compare, Merge: func(a, b float64) float64 { return a + b }}
+	}
+	q.services[service] = works
+	return works
+}
