placer: select workers by index instead of scans

Cause: selectWorker, excludes, computeMedianSpeed, mayOpenBreaker, describeWorkers, rejectReason, estimateWait and the expiry of reservations read all workers, some of them for each task. Change: workers are held in trees by service and failure domain, and by service and label once a request has named the label. Each tree offers a worker's free resources, or none while the worker may get no task (not accepting, breaker open and no probe due, slow and busy). Slow workers stay in the trees rather than in a list, because a third of a fleet can be slow. The median comes from a tree of the accepting workers by speed; a change of it touches only workers that become slow or cease to be. Reservations expire from a queue in order of time. Sums by service replace the other scans. selectSlowest finds the slowest worker of at least a given speed; nothing calls it yet. The capacity is summed in whole numbers and divided once, so the estimated wait may differ from the former one in the last bit. Conclusion: the cost of a decision no longer depends on the number of workers. The queue is still a slice.

--- a/placer/constraints.go
+++ b/placer/constraints.go
@@ -44,11 +44,3 @@
 func (c *placementConstraints) allows(w *worker) bool {
 	return c.matchesLabel(w) && (c.perServer == 0 || c.placed[w.name] < c.perServer)
 }
-
-// rackFactor returns the factor on the worker's speed for its distance from the step's data.
-func (c *placementConstraints) rackFactor(w *worker) float64 {
-	if c.rack == "" || slices.Contains(w.labels, c.rack) {
-		return 1
-	}
-	return remoteRackFactor
-}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,6 +39,12 @@
 
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
+		services       map[string]*serviceIndex
+		speeds         speedGroup
+		openBreakers   []*worker
+		expirations    expirationQueue
+		avoidMark      uint64       // of the workers that the latest request avoids
+		placedAt       timer.Millis // time of the latest call of Place
 		queue          []*request
 		requests       map[requestKey]*request
 		firstRequestAt timer.Millis // 0 before the first request
@@ -64,7 +70,7 @@
 	}
 	w := p.workers[name]
 	if w == nil {
-		w = &worker{name: name, speed: 1000}
+		w = &worker{name: name, speed: defaultSpeed}
 		p.workers[name] = w
 		i, _ := slices.BinarySearchFunc(p.workersByName, name, func(w *worker, n string) int {
 			if w.name < n {
@@ -74,11 +80,20 @@
 		})
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
+	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
+	p.indexWorker(w)
 }
 
 // RemoveWorker removes a worker.
 func (p *Placer) RemoveWorker(name string) {
+	w := p.workers[name]
+	if w == nil {
+		return
+	}
+	p.unindexWorker(w)
+	w.breaker = breaker{}
+	p.listBreaker(w)
 	delete(p.workers, name)
 	p.workersByName = slices.DeleteFunc(p.workersByName, func(w *worker) bool { return w.name == name })
 }
@@ -87,6 +102,7 @@
 func (p *Placer) SetAccepting(name string, accepting bool) {
 	if w := p.workers[name]; w != nil {
 		w.accepting = accepting
+		p.updateIndex(w)
 	}
 }
 
@@ -99,11 +115,12 @@
 	for _, job := range l.HandledStarts {
 		w.releaseReservation(job)
 	}
-	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
+	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed))
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
 	}
+	p.updateIndex(w)
 }
 
 // Request queues or refuses a resource request. A repeated request adds its tasks to the queued one and replaces its
@@ -172,16 +189,13 @@
 
 // Place refuses requests that can no longer be served in time and grants free resources to the others.
 func (p *Placer) Place(now timer.Millis) {
-	for _, w := range p.workersByName {
-		w.expireReservations(now)
-	}
+	p.expireReservations(now)
+	p.updateProbes(now)
 	p.expireRequests(now)
 	if len(p.queue) == 0 {
 		return
 	}
-	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
-		p.medianSpeed, p.medianSpeedAt = p.computeMedianSpeed(), now
-	}
+	p.updateMedianSpeed(now)
 	blocked := 0
 	var served []*request
 	for _, r := range p.queue {
@@ -189,15 +203,12 @@
 			break // late requests get only resources that no other request waits for
 		}
 		for r.remaining > 0 {
-			w := p.selectWorker(now, r)
+			w := p.selectWorker(r)
 			if w == nil {
 				blocked++
 				break
 			}
-			w.reserve(now, r.key.job, r.resources)
-			if w.breaker.open {
-				w.breaker.probeAt = now + maxProbeDelay
-			}
+			p.reserve(now, w, r)
 			r.remaining--
 			r.constraints.countPlaced(w.name)
 			r.granted = append(r.granted, w.name)
@@ -230,58 +241,6 @@
 	}
 }
 
-// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
-func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range p.workersByName {
-		if !w.free.Contains(r.resources) || !p.eligible(now, r, w) {
-			continue
-		}
-		score := w.speed / p.medianSpeed * r.constraints.rackFactor(w)
-		if w.domain == r.domain {
-			score += sameDomainBonus
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
-// eligible reports whether a worker may get a task of a request, regardless of its free resources.
-func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	if !w.accepting || w.service != r.service || !w.breakerAllows(now) || p.excludes(r, w) || !r.constraints.allows(w) {
-		return false
-	}
-	return w.speed/p.medianSpeed >= slowSpeedRatio || !w.busy()
-}
-
-// excludes reports whether a request avoids a worker. If it avoids all accepting workers of its service, none is excluded.
-func (p *Placer) excludes(r *request, w *worker) bool {
-	if !slices.Contains(r.avoided, w.name) {
-		return false
-	}
-	return slices.ContainsFunc(p.workersByName, func(o *worker) bool {
-		return o.accepting && o.service == r.service && !slices.Contains(r.avoided, o.name)
-	})
-}
-
-// computeMedianSpeed returns the median speed of the accepting workers.
-func (p *Placer) computeMedianSpeed() float64 {
-	var speeds []float64
-	for _, w := range p.workersByName {
-		if w.accepting {
-			speeds = append(speeds, w.speed)
-		}
-	}
-	if len(speeds) == 0 {
-		return 1000
-	}
-	slices.Sort(speeds)
-	return max(speeds[len(speeds)/2], 1)
-}
-
 func (p *Placer) report(e Event) {
 	if p.Report != nil {
 		p.Report(e)
--- a/placer/request.go
+++ b/placer/request.go
@@ -107,13 +107,7 @@
 	if now-p.firstRequestAt < startupGrace {
 		return "", 0
 	}
-	service, fits := false, false
-	for _, w := range p.workersByName {
-		if w.service == r.service {
-			service = true
-			fits = fits || w.total.Contains(r.resources) && r.constraints.matchesLabel(w)
-		}
-	}
+	service, fits := p.serves(r)
 	switch {
 	case !service:
 		return "no backend server of the service is known", timer.Second
@@ -132,12 +126,8 @@
 
 // estimateWait estimates how long it takes to serve the queued requests that are ordered before r.
 func (p *Placer) estimateWait(r *request) timer.Millis {
-	var capacity, work float64 // in millicores, and in millicores times milliseconds
-	for _, w := range p.workersByName {
-		if w.accepting && w.service == r.service && !w.breaker.open {
-			capacity += float64(w.total.CPU) * max(w.speed, 1) / 1000
-		}
-	}
+	capacity := float64(p.tallyOf(r.service).capacity) / 1000 // in millicores
+	work := 0.0                                               // in millicores times milliseconds
 	for _, q := range p.queue {
 		if q.service == r.service && compareRequests(q, r) <= 0 {
 			work += float64(q.remaining) * float64(q.resources.CPU) * float64(q.estimate)
@@ -154,29 +144,9 @@
 
 // describeWorkers summarizes the current state of the workers of a request's service for logs.
 func (p *Placer) describeWorkers(r *request) string {
-	var workers, accepting, open, slow, withRoom int
-	var free int64
-	medianSpeed := p.computeMedianSpeed()
-	for _, w := range p.workersByName {
-		if w.service != r.service {
-			continue
-		}
-		workers++
-		switch {
-		case !w.accepting:
-			continue
-		case w.breaker.open:
-			open++
-		case w.speed/medianSpeed < slowSpeedRatio:
-			slow++
-		case w.free.Contains(r.resources):
-			withRoom++
-		}
-		accepting++
-		free += w.free.CPU
-	}
+	t := p.tallyOf(r.service)
 	return fmt.Sprintf(" (workers %d, accepting %d, breaker open %d, slow %d, with room %d, free cpu %d, wanted %d, queue %d)",
-		workers, accepting, open, slow, withRoom, free, r.resources.CPU, len(p.queue))
+		t.workers, t.accepting, t.open, t.slow, p.countWithRoom(r), t.freeCPU, r.resources.CPU, len(p.queue))
 }
 
 // reject refuses a request that has no grants.
--- /dev/null
+++ b/placer/selection.go
@@ -0,0 +1,155 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+)
+
+// maxCountedWorkers is the number of workers with free resources up to which a refusal's log line counts them.
+const maxCountedWorkers = 32
+
+// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil. Within one failure
+// domain and rack the fastest one is the best, so the best of each is found without reading the others.
+func (p *Placer) selectWorker(r *request) *worker {
+	s := p.services[r.service]
+	if s == nil {
+		return nil
+	}
+	avoids := p.markAvoided(s, r)
+	group, rack := p.group(s, r.constraints.label), r.constraints.rack
+	if rack == "" {
+		best, _ := p.fastest(group, r, 1, func(k workerKey) bool { return p.allows(r, k.w, avoids) })
+		return best
+	}
+	best, score := p.fastest(p.group(s, rack), r, 1, func(k workerKey) bool { return p.allows(r, k.w, avoids) })
+	remote, remoteScore := p.fastest(group, r, remoteRackFactor, func(k workerKey) bool {
+		return !slices.Contains(k.w.labels, rack) && p.allows(r, k.w, avoids)
+	})
+	if precedes(remote, remoteScore, best, score) {
+		return remote
+	}
+	return best
+}
+
+// fastest returns the worker of a group with the highest score for a task of r, or nil. factor is the factor on its speed.
+func (p *Placer) fastest(g *workerGroup, r *request, factor float64, passes func(workerKey) bool) (best *worker, score float64) {
+	if g == nil {
+		return nil, 0
+	}
+	for _, d := range g.domains {
+		h := d.tree.FirstFit(nil, func(free marshaler.Resources) bool { return free.Contains(r.resources) }, passes)
+		if h == 0 {
+			continue
+		}
+		w := d.tree.Key(h).w
+		s := w.speed / p.medianSpeed * factor
+		if d.domain == r.domain {
+			s += sameDomainBonus
+		}
+		if precedes(w, s, best, score) {
+			best, score = w, s
+		}
+	}
+	return best, score
+}
+
+// precedes reports whether w is a better choice than another worker, if any. Equal scores go to the first by name.
+func precedes(w *worker, score float64, other *worker, otherScore float64) bool {
+	switch {
+	case w == nil || other == nil:
+		return w != nil
+	case score != otherScore:
+		return score > otherScore
+	}
+	return w.name < other.name
+}
+
+// selectSlowest returns the slowest eligible worker of at least a speed with enough free resources for a task of r, or nil.
+// Of equally fast ones, those in the request's failure domain go first, then the first by name. With a rack preference, only
+// workers of the rack count. Slow workers and those with an open breaker do not count.
+func (p *Placer) selectSlowest(r *request, minSpeed float64) *worker {
+	s := p.services[r.service]
+	if s == nil {
+		return nil
+	}
+	label := r.constraints.label
+	if r.constraints.rack != "" {
+		label = r.constraints.rack
+	}
+	group := p.group(s, label)
+	if group == nil {
+		return nil
+	}
+	avoids := p.markAvoided(s, r)
+	fits := func(free marshaler.Resources) bool { return free.Contains(r.resources) }
+	passes := func(k workerKey) bool { return !k.w.slow && !k.w.breaker.open && p.allows(r, k.w, avoids) }
+	var best *worker
+	for _, d := range group.domains {
+		h := d.tree.LastFit(func(k workerKey) bool { return k.speed >= minSpeed }, fits, passes)
+		if h == 0 {
+			continue
+		}
+		speed := d.tree.Key(h).speed
+		w := d.tree.Key(d.tree.FirstFit(func(k workerKey) bool { return k.speed <= speed }, fits, passes)).w
+		if best == nil || slowerFirst(r, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func slowerFirst(r *request, w, other *worker) bool {
+	switch {
+	case w.speed != other.speed:
+		return w.speed < other.speed
+	case (w.domain == r.domain) != (other.domain == r.domain):
+		return w.domain == r.domain
+	}
+	return w.name < other.name
+}
+
+// markAvoided marks the workers that a request avoids and reports whether they are excluded. If it avoids all accepting
+// workers of its service, none is excluded.
+func (p *Placer) markAvoided(s *serviceIndex, r *request) bool {
+	if len(r.avoided) == 0 {
+		return false
+	}
+	p.avoidMark++
+	avoided := 0
+	for _, name := range r.avoided {
+		w := p.workers[name]
+		if w == nil || w.avoidMark == p.avoidMark {
+			continue
+		}
+		w.avoidMark = p.avoidMark
+		if w.accepting && w.indexed.service == s {
+			avoided++
+		}
+	}
+	return avoided < s.tally.accepting
+}
+
+// allows reports whether the constraints of a request and the workers that it avoids permit a worker.
+func (p *Placer) allows(r *request, w *worker, avoids bool) bool {
+	return (!avoids || w.avoidMark != p.avoidMark) && r.constraints.allows(w)
+}
+
+// countWithRoom returns the number of workers with a closed breaker that are not slow and have free resources for a task of
+// r, up to maxCountedWorkers.
+func (p *Placer) countWithRoom(r *request) int {
+	count := 0
+	s := p.services[r.service]
+	if s == nil {
+		return count
+	}
+	for _, d := range s.all.domains {
+		d.tree.FirstFit(nil, func(free marshaler.Resources) bool { return free.Contains(r.resources) }, func(k workerKey) bool {
+			if !k.w.slow && !k.w.breaker.open {
+				count++
+			}
+			return count >= maxCountedWorkers
+		})
+	}
+	return min(count, maxCountedWorkers)
+}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -40,6 +40,20 @@
 		reservations []reservation
 		free         marshaler.Resources // reportedFree minus reservations
 		breaker      breaker
+		slow         bool // so much slower than usual that it gets one task at a time
+		avoidMark    uint64
+		indexed      indexed
+	}
+
+	// expirationQueue holds the grants in order of time whose reservations may have to expire.
+	expirationQueue struct {
+		grants []expiration
+		next   int // index of the first grant that is left
+	}
+
+	expiration struct {
+		at timer.Millis
+		w  *worker
 	}
 
 	// reservation is an amount of granted resources that the sidecar's reports do not reflect yet.
@@ -79,6 +93,55 @@
 	}
 }
 
+// push adds a grant. It moves the grants to the front of their array when at least half of it is unused.
+func (q *expirationQueue) push(at timer.Millis, w *worker) {
+	if len(q.grants) == cap(q.grants) && q.next > len(q.grants)/2 {
+		left := copy(q.grants, q.grants[q.next:])
+		clear(q.grants[left:])
+		q.grants, q.next = q.grants[:left], 0
+	}
+	q.grants = append(q.grants, expiration{at, w})
+}
+
+// pop returns the worker of the first grant if it expires at or before a time, and nil otherwise.
+func (q *expirationQueue) pop(until timer.Millis) *worker {
+	if q.next == len(q.grants) || q.grants[q.next].at > until {
+		return nil
+	}
+	w := q.grants[q.next].w
+	q.grants[q.next].w = nil
+	q.next++
+	return w
+}
+
+// reserve reserves resources on a worker for a task of r.
+func (p *Placer) reserve(now timer.Millis, w *worker, r *request) {
+	w.reserve(now, r.key.job, r.resources)
+	p.expirations.push(now+reservationTTL+1, w)
+	if w.breaker.open {
+		w.breaker.probeAt = now + maxProbeDelay
+	}
+	p.updateIndex(w)
+}
+
+// expireReservations removes reservations whose starts the sidecars did not report in time.
+func (p *Placer) expireReservations(now timer.Millis) {
+	for w := p.expirations.pop(now); w != nil; w = p.expirations.pop(now) {
+		w.expireReservations(now)
+		p.updateIndex(w)
+	}
+}
+
+// updateProbes offers the workers for a probe whose open breaker is due for one.
+func (p *Placer) updateProbes(now timer.Millis) {
+	p.placedAt = now
+	for _, w := range p.openBreakers {
+		if w.indexed.probeDue != (now >= w.breaker.probeAt) {
+			p.updateIndex(w)
+		}
+	}
+}
+
 // expireReservations removes reservations whose starts the sidecar did not report in time. They are sorted by time.
 func (w *worker) expireReservations(now timer.Millis) {
 	expired := 0
@@ -117,17 +180,25 @@
 			p.report(Event{Kind: "breakerOpen", Worker: w.name, Detail: s.Status.String(), Value: int64(b.failedJobs)})
 		}
 	}
+	p.listBreaker(w)
+}
+
+// listBreaker adds a worker to the list of open breakers or removes it.
+func (p *Placer) listBreaker(w *worker) {
+	switch {
+	case w.breaker.open == w.indexed.open:
+		return
+	case w.breaker.open:
+		p.openBreakers = append(p.openBreakers, w)
+	default:
+		p.openBreakers = slices.DeleteFunc(p.openBreakers, func(o *worker) bool { return o == w })
+	}
+	w.indexed.open = w.breaker.open
 }
 
 // mayOpenBreaker reports whether workersPerOpenBreaker permits one more open breaker.
 func (p *Placer) mayOpenBreaker() bool {
-	openCount := 1
-	for _, w := range p.workers {
-		if w.breaker.open {
-			openCount++
-		}
-	}
-	return openCount*workersPerOpenBreaker <= len(p.workers)
+	return (len(p.openBreakers)+1)*workersPerOpenBreaker <= len(p.workers)
 }
 
 // breakerAllows reports whether the breaker is closed or due for a probe. A worker is busy while its probe runs, so a
