--- a/indexer/indexer_test.go
+++ b/indexer/indexer_test.go
@@ -160,6 +160,7 @@
 			want = slices.Delete(want, i, i+1)
 		}
 		var work, workBefore float64
+		waiting := 0
 		var due timer.Millis
 		found := false
 		h := q.First()
@@ -174,7 +175,7 @@
 			if o.service != e.service {
 				continue
 			}
-			work += o.work
+			work, waiting = work+o.work, waiting+1
 			if before(o, e) {
 				workBefore += o.work
 			}
@@ -185,8 +186,8 @@
 		if got, ok := q.EarliestDeadline(e.rank); ok != found || ok && got != due {
 			t.Fatalf("got earliest deadline %d, %v, want %d, %v", got, ok, due, found)
 		}
-		if q.Len() != len(want) {
-			t.Fatalf("got length %d, want %d", q.Len(), len(want))
+		if q.Len() != len(want) || q.LenOf(e.service) != waiting {
+			t.Fatalf("got length %d, %d of the service, want %d, %d", q.Len(), q.LenOf(e.service), len(want), waiting)
 		}
 	}
 }
--- a/indexer/queue.go
+++ b/indexer/queue.go
@@ -78,6 +78,14 @@
 // Len returns the number of elements.
 func (q *Queue[T]) Len() int { return q.order.Len() }
 
+// LenOf returns the number of elements of a service.
+func (q *Queue[T]) LenOf(service string) int {
+	if works := q.services[service]; works != nil {
+		return works.Len()
+	}
+	return 0
+}
+
 // First returns the first element in order, or 0.
 func (q *Queue[T]) First() Handle { return q.order.First() }
 
--- a/placer/scan_test.go
+++ b/placer/scan_test.go
@@ -125,7 +125,7 @@
 	switch name, k := f.name(), f.r.IntN(100); {
 	case k < 12:
 		total := marshaler.Resources{CPU: pick(f.r, int64(4000), 8000), MemoryMB: 3, Accelerators: int64(f.r.IntN(2))}
-		labels := []string{pick(f.r, "big", "small"), pick(f.r, "r1", "r2", "r3", "r3")}
+		labels := []string{pick(f.r, "big", "small"), pick(f.r, "r1", "r2", "r3", "r3"), pick(f.r, "r1", "r4")}
 		f.p.SetWorker(name, pick(f.r, "d1", "d2", "d3"), &marshaler.Backend{Service: pick(f.r, "a", "a", "a", "b"), Labels: labels, Capacity: total})
 	case k < 14:
 		f.p.RemoveWorker(name)
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -1,10 +1,6 @@
 package placer
 
-import (
-	"slices"
-
-	"github.com/crocuslb/crocuslb/marshaler"
-)
+import "github.com/crocuslb/crocuslb/marshaler"
 
 // maxCountedWorkers is the number of workers with free resources up to which a refusal's log line counts them.
 const maxCountedWorkers = 32
@@ -18,14 +14,14 @@
 	}
 	avoids := p.markAvoided(s, r)
 	group, rack := p.group(s, r.constraints.label), r.constraints.rack
+	passes := func(k workerKey) bool { return p.allows(r, k.w, avoids) }
 	if rack == "" {
-		best, _ := p.fastest(group, r, 1, func(k workerKey) bool { return p.allows(r, k.w, avoids) })
+		best, _ := p.fastest(group, r, 1, passes)
 		return best
 	}
-	best, score := p.fastest(p.group(s, rack), r, 1, func(k workerKey) bool { return p.allows(r, k.w, avoids) })
-	remote, remoteScore := p.fastest(group, r, remoteRackFactor, func(k workerKey) bool {
-		return !slices.Contains(k.w.labels, rack) && p.allows(r, k.w, avoids)
-	})
+	// The second search may find a worker of the rack again, but no better one than the first search: its score is lower.
+	best, score := p.fastest(p.group(s, rack), r, 1, passes)
+	remote, remoteScore := p.fastest(group, r, remoteRackFactor, passes)
 	if precedes(remote, remoteScore, best, score) {
 		return remote
 	}
