--- a/indexer/search.go
+++ b/indexer/search.go
@@ -112,10 +112,12 @@
 			h = n.right
 			continue
 		}
-		if found := t.firstFit(n.left, from, fits, passes); found != 0 {
-			return found
+		if n.left != 0 {
+			if found := t.firstFit(n.left, from, fits, passes); found != 0 {
+				return found
+			}
 		}
-		if fits(n.value) && passes(n.key) {
+		if (n.size == 1 || fits(n.value)) && passes(n.key) {
 			return h
 		}
 		h, from = n.right, nil
@@ -139,10 +141,12 @@
 			h = n.left
 			continue
 		}
-		if found := t.lastFit(n.right, until, fits, passes); found != 0 {
-			return found
+		if n.right != 0 {
+			if found := t.lastFit(n.right, until, fits, passes); found != 0 {
+				return found
+			}
 		}
-		if fits(n.value) && passes(n.key) {
+		if (n.size == 1 || fits(n.value)) && passes(n.key) {
 			return h
 		}
 		h, until = n.left, nil
--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -42,6 +42,10 @@
 	arrival := marshaler.ResourceRequest{
 		Job: "job", Service: "svc", Tasks: 1, Resources: task, Estimate: 100, Slack: benchmarkSlack + timer.Millis(benchmarkQueued/2),
 	}
+	constraints := marshaler.ResourceRequest{Label: "kind", Rack: "rack-3", ServerTaskLimit: 2}
+	constrained := &request{
+		service: "svc", domain: "domain-1", resources: task, avoided: []string{"worker-0003", "worker-0090"}, constraints: newConstraints(&constraints),
+	}
 	r := &request{key: requestKey{job: "job"}, service: "svc", domain: "domain-1", resources: task}
 	var loads []*marshaler.Load
 	for i := range 97 { // a prime number, so that each report of a worker differs from its previous one
@@ -65,6 +69,7 @@
 				w.updateFree()
 				p.updateIndex(w)
 			}},
+			{"constrained", func(p *Placer, _ int) { p.selectWorker(constrained) }},
 			{"arrival", func(p *Placer, _ int) {
 				p.Request(now, "entry", "domain-1", &arrival)
 				p.Cancel("entry", "job", 0)
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -9,12 +9,24 @@
 // domain and rack the fastest one is the best, so the best of each is found without reading the others.
 func (p *Placer) selectWorker(r *request) *worker {
 	s := p.services[r.service]
-	if s == nil {
+	if s == nil || s.unfit.covers(r.resources) {
 		return nil
 	}
-	avoids := p.markAvoided(s, r)
-	group, rack := p.group(s, r.constraints.label), r.constraints.rack
-	passes := func(k workerKey) bool { return p.allows(r, k.w, avoids) }
+	avoids, fits := p.markAvoided(s, r), false
+	group := p.group(s, r.constraints.label)
+	best := p.fastestByRack(s, group, r, func(k workerKey) bool {
+		fits = true
+		return p.allows(r, k.w, avoids)
+	})
+	if group == &s.all && !fits {
+		s.unfit = unfitSize{r.resources, true}
+	}
+	return best
+}
+
+// fastestByRack returns the best worker of a group for a task of r with regard to its preferred rack, or nil.
+func (p *Placer) fastestByRack(s *serviceIndex, group *workerGroup, r *request, passes func(workerKey) bool) *worker {
+	rack := r.constraints.rack
 	if rack == "" {
 		best, _ := p.fastest(group, r, 1, passes)
 		return best
--- a/placer/workerindex.go
+++ b/placer/workerindex.go
@@ -42,6 +42,14 @@
 		all    workerGroup
 		sizes  sizeCounts
 		labels map[string]*labelIndex
+		unfit  unfitSize
+	}
+
+	// unfitSize is a size of tasks that fits on no worker at present. Without it, requests that wait for different resources
+	// on different workers would each search most of the tree, since an aggregate fits them where no worker does.
+	unfitSize struct {
+		resources marshaler.Resources
+		known     bool
 	}
 
 	// labelIndex indexes the workers of a service that have a label. The group is nil until a request names the label.
@@ -160,6 +168,9 @@
 	w.indexed.probeDue = p.placedAt >= w.breaker.probeAt
 	p.speeds.update(w)
 	offered := p.offered(w)
+	if offered.Contains(s.unfit.resources) {
+		s.unfit.known = false
+	}
 	for i := range w.indexed.places {
 		w.indexed.places[i].update(w, offered)
 	}
@@ -168,6 +179,11 @@
 	w.indexed.tally = t
 }
 
+// covers reports whether tasks of a size are known to fit on no worker.
+func (u unfitSize) covers(resources marshaler.Resources) bool {
+	return u.known && resources.Contains(u.resources)
+}
+
 // offered returns the free resources of a worker if it may get a task now, and noResources otherwise.
 func (p *Placer) offered(w *worker) marshaler.Resources {
 	if !w.accepting || !w.breakerAllows(p.placedAt) || w.slow && w.busy() {
