indexer: keep the queue's elements outside the tree

Cause: a comparison copied two whole elements of 56 bytes. Change: the tree holds positions; the elements lie in an array by handle and know the tree of their service.

--- a/indexer/queue.go
+++ b/indexer/queue.go
@@ -17,18 +17,19 @@
 	// Queue holds elements in the order of their positions, with the sum of their work by service. The zero value is ready
 	// to use.
 	Queue[T any] struct {
-		order    Tree[entry[T], struct{}]
+		order    Tree[Position, struct{}]
+		entries  []entry[T] // by handle in order
 		services map[string]*Tree[Position, float64]
 		spare    []*Tree[Position, float64] // trees of services without elements
 		arrivals uint64
 	}
 
-	// entry is an element of a queue, as its tree orders it.
+	// entry is an element of a queue.
 	entry[T any] struct {
-		position Position
-		item     T
-		service  string
-		work     Handle // in the tree of the service
+		item    T
+		service string
+		works   *Tree[Position, float64] // of the service
+		work    Handle                   // in works
 	}
 )
 
@@ -48,31 +49,35 @@
 func (q *Queue[T]) Insert(item T, service string, rank int, deadline timer.Millis, work float64) Handle {
 	if q.services == nil {
 		q.services = map[string]*Tree[Position, float64]{}
-		q.order.Compare = func(a, b entry[T]) int { return a.position.Compare(b.position) }
+		q.order.Compare = Position.Compare
 		q.order.Merge = func(a, _ struct{}) struct{} { return a }
 	}
 	q.arrivals++
 	position := Position{rank, deadline, q.arrivals}
-	handle := q.worksOf(service).Insert(position, work)
-	return q.order.Insert(entry[T]{position, item, service, handle}, struct{}{})
+	works := q.worksOf(service)
+	h := q.order.Insert(position, struct{}{})
+	for len(q.entries) <= int(h) {
+		q.entries = append(q.entries, entry[T]{})
+	}
+	q.entries[h] = entry[T]{item, service, works, works.Insert(position, work)}
+	return h
 }
 
 // Remove removes an element.
 func (q *Queue[T]) Remove(h Handle) {
-	e := q.order.Key(h)
+	e := q.entries[h]
 	q.order.Remove(h)
-	works := q.services[e.service]
-	works.Remove(e.work)
-	if works.Len() == 0 {
+	q.entries[h] = entry[T]{}
+	e.works.Remove(e.work)
+	if e.works.Len() == 0 {
 		delete(q.services, e.service)
-		q.spare = append(q.spare, works)
+		q.spare = append(q.spare, e.works)
 	}
 }
 
 // SetWork replaces the work of an element.
 func (q *Queue[T]) SetWork(h Handle, work float64) {
-	e := q.order.Key(h)
-	q.services[e.service].Update(e.work, work)
+	q.entries[h].works.Update(q.entries[h].work, work)
 }
 
 // Len returns the number of elements.
@@ -94,14 +99,14 @@
 
 // FirstOfRank returns the first element whose rank is at least rank, or 0.
 func (q *Queue[T]) FirstOfRank(rank int) Handle {
-	return q.order.Seek(func(e entry[T]) bool { return e.position.Rank >= rank })
+	return q.order.Seek(func(p Position) bool { return p.Rank >= rank })
 }
 
 // Item returns an element.
-func (q *Queue[T]) Item(h Handle) T { return q.order.Key(h).item }
+func (q *Queue[T]) Item(h Handle) T { return q.entries[h].item }
 
 // Position returns the position of an element.
-func (q *Queue[T]) Position(h Handle) Position { return q.order.Key(h).position }
+func (q *Queue[T]) Position(h Handle) Position { return q.order.Key(h) }
 
 // EarliestDeadline returns the earliest deadline of a rank, and whether the rank has elements.
 func (q *Queue[T]) EarliestDeadline(rank int) (timer.Millis, bool) {
