placer: select the fastest or slowest worker that passes a filter

Cause: the choice of a worker by its expected end needs conditions on the worker, such as its kind. Change: selectFastest and selectSlowest take a filter; selectWorker passes none. Result: TestEqualToScan compares both with the scan, with and without a filter, and finds a filter that is left out. go test ./placer ./indexer ./submitter pass. Conclusion: a filter that rejects many workers that fit makes a search longer; a tree for each kind would avoid that.

--- a/placer/scan_test.go
+++ b/placer/scan_test.go
@@ -25,11 +25,11 @@
 	return w.speed/p.medianSpeed >= slowSpeedRatio || !w.busy()
 }
 
-// scanSelect is the definition of selectWorker: the highest score, then the first by name.
-func scanSelect(p *Placer, now timer.Millis, r *request) (best *worker) {
+// scanSelect is the definition of selectFastest: the highest score, then the first by name.
+func scanSelect(p *Placer, now timer.Millis, r *request, filter func(*worker) bool) (best *worker) {
 	var bestScore float64
 	for _, w := range p.workersByName {
-		if !w.free.Contains(r.resources) || !scanEligible(p, now, r, w) {
+		if !filter(w) || !w.free.Contains(r.resources) || !scanEligible(p, now, r, w) {
 			continue
 		}
 		factor := 1.0
@@ -48,13 +48,13 @@
 }
 
 // scanSlowest is the definition of selectSlowest.
-func scanSlowest(p *Placer, now timer.Millis, r *request, minSpeed float64) (best *worker) {
+func scanSlowest(p *Placer, now timer.Millis, r *request, minSpeed float64, filter func(*worker) bool) (best *worker) {
 	for _, w := range p.workersByName {
 		rack := r.constraints.rack
 		if w.speed < minSpeed || w.breaker.open || w.speed/p.medianSpeed < slowSpeedRatio || rack != "" && !slices.Contains(w.labels, rack) {
 			continue
 		}
-		if !w.free.Contains(r.resources) || !scanEligible(p, now, r, w) {
+		if !filter(w) || !w.free.Contains(r.resources) || !scanEligible(p, now, r, w) {
 			continue
 		}
 		local, bestLocal := w.domain == r.domain, best != nil && best.domain == r.domain
@@ -184,13 +184,17 @@
 	gotTally := f.p.tallyOf(r.service)
 	service, fits := f.p.serves(r)
 	minSpeed := float64(f.r.IntN(1500))
+	kind := pick(f.r, "big", "small")
+	all, some := func(*worker) bool { return true }, func(w *worker) bool { return w.labels[0] == kind }
 	best := f.p.selectWorker(r)
 	cases := []struct {
 		name      string
 		got, want any
 	}{
-		{"worker", best, scanSelect(&f.p, f.now, r)},
-		{"slowest worker", f.p.selectSlowest(r, minSpeed), scanSlowest(&f.p, f.now, r, minSpeed)},
+		{"worker", best, scanSelect(&f.p, f.now, r, all)},
+		{"worker that passes", f.p.selectFastest(r, some), scanSelect(&f.p, f.now, r, some)},
+		{"slowest worker", f.p.selectSlowest(r, minSpeed, nil), scanSlowest(&f.p, f.now, r, minSpeed, all)},
+		{"slowest worker that passes", f.p.selectSlowest(r, minSpeed, some), scanSlowest(&f.p, f.now, r, minSpeed, some)},
 		{"tally", gotTally, wantTally},
 		{"served", service, wantTally.workers > 0},
 		{"large enough", fits, wantFits},
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -7,7 +7,10 @@
 
 // selectWorker returns the best eligible worker with enough free resources for a task of r, or nil. Within one failure
 // domain and rack the fastest one is the best, so the best of each is found without reading the others.
-func (p *Placer) selectWorker(r *request) *worker {
+func (p *Placer) selectWorker(r *request) *worker { return p.selectFastest(r, nil) }
+
+// selectFastest returns the same among the workers that pass a filter. A nil filter passes all.
+func (p *Placer) selectFastest(r *request, filter func(*worker) bool) *worker {
 	s := p.services[r.service]
 	if s == nil || s.unfit.covers(r.resources) {
 		return nil
@@ -16,7 +19,7 @@
 	group := p.group(s, r.constraints.label)
 	best := p.fastestByRack(s, group, r, func(k workerKey) bool {
 		fits = true
-		return p.allows(r, k.w, avoids)
+		return p.allows(r, k.w, avoids) && (filter == nil || filter(k.w))
 	})
 	if group == &s.all && !fits {
 		s.unfit = unfitSize{r.resources, true}
@@ -73,10 +76,10 @@
 	return w.name < other.name
 }
 
-// selectSlowest returns the slowest eligible worker of at least a speed with enough free resources for a task of r, or nil.
-// Of equally fast ones, those in the request's failure domain go first, then the first by name. With a rack preference, only
+// selectSlowest returns the slowest eligible worker of at least a speed that has enough free resources for a task of r and
+// passes a filter, or nil. A nil filter passes all. Of equally fast ones, those in the request's failure domain go first, then the first by name. With a rack preference, only
 // workers of the rack count. Slow workers and those with an open breaker do not count.
-func (p *Placer) selectSlowest(r *request, minSpeed float64) *worker {
+func (p *Placer) selectSlowest(r *request, minSpeed float64, filter func(*worker) bool) *worker {
 	s := p.services[r.service]
 	if s == nil {
 		return nil
@@ -91,7 +94,9 @@
 	}
 	avoids := p.markAvoided(s, r)
 	fits := func(free marshaler.Resources) bool { return free.Contains(r.resources) }
-	passes := func(k workerKey) bool { return !k.w.slow && !k.w.breaker.open && p.allows(r, k.w, avoids) }
+	passes := func(k workerKey) bool {
+		return !k.w.slow && !k.w.breaker.open && p.allows(r, k.w, avoids) && (filter == nil || filter(k.w))
+	}
 	var best *worker
 	for _, d := range group.domains {
 		h := d.tree.LastFit(func(k workerKey) bool { return k.speed >= minSpeed }, fits, passes)
