--- a/placer/admission.go
+++ b/placer/admission.go
@@ -98,13 +98,7 @@
 	if now-p.firstRequestAt < startupGrace {
 		return assessment{}
 	}
-	service, fits := false, false
-	for _, w := range p.workersByName {
-		if w.service == r.service {
-			service = true
-			fits = fits || w.total.Contains(r.resources) && r.constraints.matchesLabel(w)
-		}
-	}
+	service, fits := p.serves(r)
 	switch {
 	case !service:
 		return assessment{refused, "no backend server of the service is known", timer.Second}
@@ -124,7 +118,7 @@
 	if a.verdict != contested {
 		return a
 	}
-	if p.selectWorker(now, r) != nil {
+	if p.selectWorker(r) != nil {
 		return assessment{admitted, "", 0}
 	}
 	for _, d := range p.decide(now, l, r.service, r) {
@@ -183,7 +177,7 @@
 	queued := p.queue.length()
 	for _, d := range p.decide(now, l, service, nil) {
 		r := l.requests[d.Index]
-		if p.selectWorker(now, r) != nil {
+		if p.selectWorker(r) != nil {
 			p.grantAhead(now, r)
 			continue
 		}
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -139,7 +139,7 @@
 	reject := s.p.Reject
 	s.p.Reject = func(entry string, m marshaler.Reject) {
 		j := s.jobs[m.Job]
-		if s.p.Admission == AdmissionCost && s.p.selectWorker(s.now, newRequest(s.now, entry, j.domain, s.message(j, j.tasks))) != nil {
+		if s.p.Admission == AdmissionCost && s.p.selectWorker(newRequest(s.now, entry, j.domain, s.message(j, j.tasks))) != nil {
 			result.refusedBesideFree++
 		}
 		reject(entry, m)
--- a/placer/load.go
+++ b/placer/load.go
@@ -124,7 +124,7 @@
 func (p *Placer) observeGrants(now timer.Millis) {
 	for service, l := range p.loads {
 		if now-l.capacityAt >= capacityInterval {
-			l.forecast.SetCapacity(p.usableCapacity(service))
+			l.forecast.SetCapacity(float64(p.tallyOf(service).usable) / 1000)
 			l.capacityAt = now
 		}
 		l.forecast.Observe(now, l.granted, l.saturated)
@@ -132,17 +132,6 @@
 	}
 }
 
-// usableCapacity returns the capacity of the workers of a service that get more than single probes, weighted by their
-// speeds.
-func (p *Placer) usableCapacity(service string) (capacity float64) {
-	for _, w := range p.workersByName {
-		if w.accepting && w.service == service && !w.breaker.open && w.speed >= slowSpeedRatio*p.medianSpeed {
-			capacity += float64(w.total.CPU) * max(w.speed, 1) / 1000
-		}
-	}
-	return capacity
-}
-
 // forecastWait returns the expected wait of a request on time.
 func (p *Placer) forecastWait(now timer.Millis, l *serviceLoad, r *request) timer.Millis {
 	l.prepareArrivals(now)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -42,6 +42,12 @@
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
 		queue          requestQueue
+		services       map[string]*serviceIndex
+		speeds         speedGroup
+		openBreakers   []*worker
+		expirations    expirationQueue
+		avoidMark      uint64       // of the workers that the latest request avoids
+		placedAt       timer.Millis // time of the latest call of Place
 		requests       map[requestKey]*request
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
@@ -78,7 +84,7 @@
 	}
 	w := p.workers[name]
 	if w == nil {
-		w = &worker{name: name, speed: 1000}
+		w = &worker{name: name, speed: defaultSpeed}
 		p.workers[name] = w
 		i, _ := slices.BinarySearchFunc(p.workersByName, name, func(w *worker, n string) int {
 			if w.name < n {
@@ -88,11 +94,20 @@
 		})
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
+	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
+	p.indexWorker(w)
 }
 
 // RemoveWorker removes a worker.
 func (p *Placer) RemoveWorker(name string) {
+	w := p.workers[name]
+	if w == nil {
+		return
+	}
+	p.unindexWorker(w)
+	w.breaker = breaker{}
+	p.listBreaker(w)
 	delete(p.workers, name)
 	p.workersByName = slices.DeleteFunc(p.workersByName, func(w *worker) bool { return w.name == name })
 }
@@ -101,6 +116,7 @@
 func (p *Placer) SetAccepting(name string, accepting bool) {
 	if w := p.workers[name]; w != nil {
 		w.accepting = accepting
+		p.updateIndex(w)
 	}
 }
 
@@ -114,11 +130,12 @@
 		w.releaseReservation(job)
 	}
 	p.placed = false
-	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
+	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed))
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
 	}
+	p.updateIndex(w)
 }
 
 // Request queues or refuses a resource request. A repeated request adds its tasks to the queued one and replaces its
@@ -194,9 +211,8 @@
 
 // Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
-	for _, w := range p.workersByName {
-		w.expireReservations(now)
-	}
+	p.expireReservations(now)
+	p.updateProbes(now)
 	if p.Admission == AdmissionCost {
 		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
 		p.grantQueued(now)
@@ -216,9 +232,7 @@
 	if p.queue.length() == 0 {
 		return
 	}
-	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
-		p.medianSpeed, p.medianSpeedAt = p.computeMedianSpeed(), now
-	}
+	p.updateMedianSpeed(now)
 	blocked := 0
 	var served []*request
 	for r := range p.queue.all() {
@@ -242,14 +256,11 @@
 // grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
 func (p *Placer) grantTasks(now timer.Millis, r *request) bool {
 	for r.remaining > 0 {
-		w := p.selectWorker(now, r)
+		w := p.selectWorker(r)
 		if w == nil {
 			return false
 		}
-		w.reserve(now, r.key.job, r.resources)
-		if w.breaker.open {
-			w.breaker.probeAt = now + maxProbeDelay
-		}
+		p.reserve(now, w, r)
 		r.remaining--
 		r.constraints.countPlaced(w.name)
 		r.granted = append(r.granted, w.name)
@@ -274,58 +285,6 @@
 	}
 }
 
-// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
-func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range p.workersByName {
-		if !w.free.Contains(r.resources) || !p.eligible(now, r, w) {
-			continue
-		}
-		score := w.speed / p.medianSpeed * r.constraints.rackFactor(w)
-		if w.domain == r.domain {
-			score += sameDomainBonus
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
-// eligible reports whether a worker may get a task of a request, regardless of its free resources.
-func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	if !w.accepting || w.service != r.service || !w.breakerAllows(now) || p.excludes(r, w) || !r.constraints.allows(w) {
-		return false
-	}
-	return w.speed/p.medianSpeed >= slowSpeedRatio || !w.busy()
-}
-
-// excludes reports whether a request avoids a worker. If it avoids all accepting workers of its service, none is excluded.
-func (p *Placer) excludes(r *request, w *worker) bool {
-	if !slices.Contains(r.avoided, w.name) {
-		return false
-	}
-	return slices.ContainsFunc(p.workersByName, func(o *worker) bool {
-		return o.accepting && o.service == r.service && !slices.Contains(r.avoided, o.name)
-	})
-}
-
-// computeMedianSpeed returns the median speed of the accepting workers.
-func (p *Placer) computeMedianSpeed() float64 {
-	var speeds []float64
-	for _, w := range p.workersByName {
-		if w.accepting {
-			speeds = append(speeds, w.speed)
-		}
-	}
-	if len(speeds) == 0 {
-		return 1000
-	}
-	slices.Sort(speeds)
-	return max(speeds[len(speeds)/2], 1)
-}
-
 func (p *Placer) report(e Event) {
 	if p.Report != nil {
 		p.Report(e)
--- a/placer/request.go
+++ b/placer/request.go
@@ -113,12 +113,7 @@
 
 // estimateWait estimates how long it takes to serve the queued requests that are ordered before r.
 func (p *Placer) estimateWait(r *request) timer.Millis {
-	var capacity float64 // in millicores
-	for _, w := range p.workersByName {
-		if w.accepting && w.service == r.service && !w.breaker.open {
-			capacity += float64(w.total.CPU) * max(w.speed, 1) / 1000
-		}
-	}
+	capacity := float64(p.tallyOf(r.service).capacity) / 1000 // in millicores
 	work := float64(p.queue.workBefore(r))
 	if work == 0 {
 		return 0
@@ -131,29 +126,9 @@
 
 // describeWorkers summarizes the current state of the workers of a request's service for logs.
 func (p *Placer) describeWorkers(r *request) string {
-	var workers, accepting, open, slow, withRoom int
-	var free int64
-	medianSpeed := p.computeMedianSpeed()
-	for _, w := range p.workersByName {
-		if w.service != r.service {
-			continue
-		}
-		workers++
-		switch {
-		case !w.accepting:
-			continue
-		case w.breaker.open:
-			open++
-		case w.speed/medianSpeed < slowSpeedRatio:
-			slow++
-		case w.free.Contains(r.resources):
-			withRoom++
-		}
-		accepting++
-		free += w.free.CPU
-	}
+	t := p.tallyOf(r.service)
 	return fmt.Sprintf(" (workers %d, accepting %d, breaker open %d, slow %d, with room %d, free cpu %d, wanted %d, queue %d)",
-		workers, accepting, open, slow, withRoom, free, r.resources.CPU, p.queue.length())
+		t.workers, t.accepting, t.open, t.slow, p.countWithRoom(r), t.freeCPU, r.resources.CPU, p.queue.length())
 }
 
 // reject refuses a request that has no grants.
