placer: put the queue of admission on the index

Cause: an arrival and a pass that grants nothing read a queue of 5,000 requests, 100 to 113 us and 51 to 53 us. A grant or refusal may cancel requests or make new ones at once (an entry's own job), so nothing is reused while a decision is in progress, and a request is released once.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -177,6 +177,9 @@
 	queued := p.queue.length()
 	for _, d := range p.decide(now, l, service, nil) {
 		r := l.requests[d.Index]
+		if !p.queued(r) {
+			continue
+		}
 		if p.selectWorker(r) != nil {
 			p.grantAhead(now, r)
 			continue
@@ -193,8 +196,8 @@
 		p.requests[r.key] = r
 		p.queue.insert(r)
 	}
-	for _, r := range l.requests {
-		r.passed = true
+	for i, r := range l.requests {
+		r.passed, l.requests[i] = true, nil
 	}
 	if refusals+delays == 0 {
 		return
--- a/placer/load.go
+++ b/placer/load.go
@@ -136,7 +136,7 @@
 func (p *Placer) forecastWait(now timer.Millis, l *serviceLoad, r *request) timer.Millis {
 	l.prepareArrivals(now)
 	item := l.item(now, r)
-	return l.forecast.Wait(float64(p.queue.workBefore(r)) + l.overtaking(now, &item))
+	return l.forecast.Wait(p.queue.workBefore(r) + l.overtaking(now, &item))
 }
 
 // decide returns the requests of the service to give up. If extra is not nil, it is treated as queued.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,10 @@
 		avoidMark      uint64       // of the workers that the latest request avoids
 		placedAt       timer.Millis // time of the latest call of Place
 		requests       map[requestKey]*request
+		unused         []*request   // for reuse
+		deciding       int          // number of calls in progress that refer to requests and may call Grant or Reject
+		expired        []*request   // buffer of expireRequests
+		served         []*request   // buffer of grantQueued
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
@@ -151,7 +155,10 @@
 		p.queue.insert(r)
 		return
 	}
-	r := newRequest(now, entry, domain, a)
+	r := p.unusedRequest()
+	r.set(now, entry, domain, a)
+	p.deciding++
+	defer p.endDecision()
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
@@ -181,6 +188,7 @@
 func (p *Placer) Cancel(entry, job string, step uint64) {
 	if r := p.requests[requestKey{entry, job, step}]; r != nil {
 		p.dequeue(r)
+		p.release(r)
 	}
 }
 
@@ -189,15 +197,19 @@
 	for _, r := range p.queue.snapshot() {
 		if r.key.entry == entry {
 			p.dequeue(r)
+			p.release(r)
 		}
 	}
 }
 
 // RejectAll rejects all queued requests with ReasonMoved, so that the entries send them to another placing entry.
 func (p *Placer) RejectAll() {
+	p.deciding++
+	defer p.endDecision()
 	for _, r := range p.queue.snapshot() {
 		p.dequeue(r)
 		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: ReasonMoved})
+		p.release(r)
 	}
 }
 
@@ -205,12 +217,21 @@
 func (p *Placer) QueueLen() int { return p.queue.length() }
 
 func (p *Placer) dequeue(r *request) {
-	delete(p.requests, r.key)
+	if p.queued(r) {
+		delete(p.requests, r.key)
+	}
 	p.queue.remove(r)
 }
 
+// queued reports whether a request is still queued. A grant or refusal may cancel other requests of the job.
+func (p *Placer) queued(r *request) bool { return p.requests[r.key] == r }
+
+func (p *Placer) endDecision() { p.deciding-- }
+
 // Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
+	p.deciding++
+	defer p.endDecision()
 	p.expireReservations(now)
 	p.updateProbes(now)
 	if p.Admission == AdmissionCost {
@@ -234,7 +255,6 @@
 	}
 	p.updateMedianSpeed(now)
 	blocked := 0
-	var served []*request
 	for r := range p.queue.all() {
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
@@ -244,13 +264,15 @@
 			p.noteBlocked(r)
 		}
 		if len(r.granted) > 0 {
-			served = append(served, r)
+			p.served = append(p.served, r)
 		}
 		if blocked >= maxBlockedRequests {
 			break
 		}
 	}
-	p.sendGrants(served)
+	p.sendGrants(p.served)
+	clear(p.served)
+	p.served = p.served[:0]
 }
 
 // grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
@@ -275,9 +297,14 @@
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
 		p.noteGranted(r)
 		r.granted = nil
-		if r.remaining == 0 {
+		switch {
+		case r.remaining == 0:
 			p.dequeue(r)
-		} else if !r.started {
+			p.release(r)
+		case !p.queued(r):
+		case r.started:
+			p.queue.updateWork(r)
+		default:
 			p.queue.remove(r)
 			r.started = true
 			p.queue.insert(r)
--- a/placer/request.go
+++ b/placer/request.go
@@ -3,10 +3,18 @@
 import (
 	"fmt"
 
+	"github.com/crocuslb/crocuslb/indexer"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// Ranks in the queue order.
+const (
+	rankStarted = iota
+	rankInTime
+	rankLate
+)
+
 type (
 	requestKey struct {
 		entry, job string
@@ -31,17 +39,47 @@
 		passed       bool     // it was in a pass of the shedder
 		avoided      []string // workers that get none of its tasks while others serve its service
 		constraints  placementConstraints
+		queued       indexer.Handle // in the queue, or 0
+		released     bool
 	}
 )
 
 func newRequest(now timer.Millis, entry, domain string, a *marshaler.ResourceRequest) *request {
-	return &request{
+	r := &request{}
+	r.set(now, entry, domain, a)
+	return r
+}
+
+// set replaces the request.
+func (r *request) set(now timer.Millis, entry, domain string, a *marshaler.ResourceRequest) {
+	*r = request{
 		key: requestKey{entry, a.Job, a.Step}, domain: domain, service: a.Service, resources: a.Resources, estimate: a.Estimate, remaining: a.Tasks,
 		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
 		constraints: newConstraints(a), cost: requestCost{queue: a.Queue, priority: a.Priority},
 	}
 }
 
+// unusedRequest returns a request to be set.
+func (p *Placer) unusedRequest() *request {
+	last := len(p.unused) - 1
+	if last < 0 || p.deciding > 0 {
+		return &request{}
+	}
+	r := p.unused[last]
+	p.unused[last] = nil
+	p.unused = p.unused[:last]
+	return r
+}
+
+// release makes a request that is not queued any more available for reuse. Its fields remain valid until the decisions in
+// progress end, which may still refer to it: a grant or refusal may cancel other requests and lead to new ones.
+func (p *Placer) release(r *request) {
+	if !r.released {
+		r.released = true
+		p.unused = append(p.unused, r)
+	}
+}
+
 // compareRequests defines the queue order: requests of jobs that have started, then requests that can meet their expected
 // response time, then late ones, each by deadline.
 func compareRequests(a, b *request) int {
@@ -54,11 +92,11 @@
 func (r *request) rank() int {
 	switch {
 	case r.started:
-		return 0
+		return rankStarted
 	case !r.late:
-		return 1
+		return rankInTime
 	}
-	return 2
+	return rankLate
 }
 
 // maxWork bounds the work of a request, so that sums over the queue do not overflow.
@@ -83,13 +121,11 @@
 // expireRequests marks requests late whose deadline has passed, which moves them behind the others. It refuses those that
 // cannot be expected to be granted before their hard deadline.
 func (p *Placer) expireRequests(now timer.Millis, deadline func(r *request) timer.Millis) {
-	var expired []*request
-	for r := range p.queue.all() {
-		if !r.started && deadline(r) <= now {
-			expired = append(expired, r)
+	p.expired = p.queue.appendExpired(p.expired, now, deadline)
+	for _, r := range p.expired {
+		if !p.queued(r) {
+			continue // canceled because another step of the job was refused
 		}
-	}
-	for _, r := range expired {
 		p.dequeue(r)
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
@@ -99,12 +135,14 @@
 		p.requests[r.key] = r
 		p.queue.insert(r)
 	}
+	clear(p.expired)
+	p.expired = p.expired[:0]
 }
 
 // lateWait returns the estimated wait of a late request and whether it ends before the request's hard deadline.
 func (p *Placer) lateWait(now timer.Millis, r *request) (wait timer.Millis, ok bool) {
 	if l := p.loads[r.service]; p.costDecides(now, l) {
-		work := float64(p.queue.workBefore(r))
+		work := p.queue.workBefore(r)
 		return l.forecast.Wait(work), now+l.forecast.LateWait(now, work) < r.hardDeadline
 	}
 	wait = p.estimateWait(r)
@@ -114,7 +152,7 @@
 // estimateWait estimates how long it takes to serve the queued requests that are ordered before r.
 func (p *Placer) estimateWait(r *request) timer.Millis {
 	capacity := float64(p.tallyOf(r.service).capacity) / 1000 // in millicores
-	work := float64(p.queue.workBefore(r))
+	work := p.queue.workBefore(r)
 	if work == 0 {
 		return 0
 	}
@@ -131,7 +169,7 @@
 		t.workers, t.accepting, t.open, t.slow, p.countWithRoom(r), t.freeCPU, r.resources.CPU, p.queue.length())
 }
 
-// reject refuses a request that has no grants.
+// reject refuses a request that has no grants and is not queued, and releases it.
 func (p *Placer) reject(now timer.Millis, r *request, reason string, wait timer.Millis) {
 	if r.cost.counted {
 		p.load(r.service).floor.Shed(now, r.cost.groups, float64(r.cost.work))
@@ -141,4 +179,5 @@
 		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: r.cost.size.String()},
 	})
 	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: reason, RetryAfter: wait})
+	p.release(r)
 }
