--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,14 +36,28 @@
 		Grant  func(entry string, g marshaler.Grant)
 		Reject func(entry string, r marshaler.Reject)
 		Report func(e Event)
+		// Admission is the policy for overload.
+		Admission Admission
 
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
-		queue          []*request
+		queue          requestQueue
+		services       map[string]*serviceIndex
+		speeds         speedGroup
+		openBreakers   []*worker
+		expirations    expirationQueue
+		avoidMark      uint64       // of the workers that the latest request avoids
+		placedAt       timer.Millis // time of the latest call of Place
 		requests       map[requestKey]*request
+		unused         []*request   // for reuse
+		deciding       int          // number of calls in progress that refer to requests and may call Grant or Reject
+		expired        []*request   // buffer of expireRequests
+		served         []*request   // buffer of grantQueued
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
+		loads          map[string]*serviceLoad // by service; used by AdmissionCost
+		placed         bool                    // no capacity was freed since the latest Place
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -54,6 +68,16 @@
 		Worker string
 		Detail string
 		Value  int64
+		Took   timer.Millis // time since the arrival of the request
+		// Refusal is set with the kind "reject".
+		Refusal Refusal
+	}
+
+	// Refusal classifies a refused request for metrics.
+	Refusal struct {
+		Reason   string
+		Priority uint64
+		Size     string // small, medium or large, compared with the mean of the queue
 	}
 )
 
@@ -64,7 +88,7 @@
 	}
 	w := p.workers[name]
 	if w == nil {
-		w = &worker{name: name, speed: 1000}
+		w = &worker{name: name, speed: defaultSpeed}
 		p.workers[name] = w
 		i, _ := slices.BinarySearchFunc(p.workersByName, name, func(w *worker, n string) int {
 			if w.name < n {
@@ -74,11 +98,20 @@
 		})
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
+	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
+	p.indexWorker(w)
 }
 
 // RemoveWorker removes a worker.
 func (p *Placer) RemoveWorker(name string) {
+	w := p.workers[name]
+	if w == nil {
+		return
+	}
+	p.unindexWorker(w)
+	w.breaker = breaker{}
+	p.listBreaker(w)
 	delete(p.workers, name)
 	p.workersByName = slices.DeleteFunc(p.workersByName, func(w *worker) bool { return w.name == name })
 }
@@ -87,6 +120,7 @@
 func (p *Placer) SetAccepting(name string, accepting bool) {
 	if w := p.workers[name]; w != nil {
 		w.accepting = accepting
+		p.updateIndex(w)
 	}
 }
 
@@ -99,11 +133,13 @@
 	for _, job := range l.HandledStarts {
 		w.releaseReservation(job)
 	}
-	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
+	p.placed = false
+	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed))
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
 	}
+	p.updateIndex(w)
 }
 
 // Request queues or refuses a resource request. A repeated request adds its tasks to the queued one and replaces its
@@ -116,170 +152,164 @@
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
 		p.requests[key] = r
-		p.enqueue(r)
+		p.queue.insert(r)
 		return
 	}
-	r := &request{
-		key: key, domain: domain, service: a.Service, resources: a.Resources, estimate: a.Estimate, remaining: a.Tasks,
-		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
-		constraints: newConstraints(a),
-	}
+	r := p.unusedRequest()
+	r.set(now, entry, domain, a)
+	p.deciding++
+	defer p.endDecision()
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
-	if reason, wait := p.rejectReason(now, r); reason != "" && !r.started {
-		p.reject(r, reason, wait)
+	if p.Admission == AdmissionCost && p.servable(now, r) {
+		l := p.load(r.service)
+		l.setCost(now, r)
+		r.cost.counted = !r.started
+		defer l.observeArrival(now, r) // decisions about r rely on the arrivals before it
+	}
+	d := p.assess(now, r)
+	if d.verdict == refused && !r.started {
+		p.reject(now, r, d.reason, d.wait)
 		return
 	}
+	r.late = d.verdict == delayed
 	if p.requests == nil {
 		p.requests = map[requestKey]*request{}
 	}
 	p.requests[key] = r
-	p.enqueue(r)
+	p.queue.insert(r)
+	if d.verdict == contested {
+		p.contest(now, r)
+	}
 }
 
 // Cancel removes a request from the queue. Grants already made stay valid.
 func (p *Placer) Cancel(entry, job string, step uint64) {
 	if r := p.requests[requestKey{entry, job, step}]; r != nil {
 		p.dequeue(r)
+		p.release(r)
 	}
 }
 
 // RemoveEntry removes all requests of an entry from the queue.
 func (p *Placer) RemoveEntry(entry string) {
-	for _, r := range slices.Clone(p.queue) {
+	for _, r := range p.queue.snapshot() {
 		if r.key.entry == entry {
 			p.dequeue(r)
+			p.release(r)
 		}
 	}
 }
 
 // RejectAll rejects all queued requests with ReasonMoved, so that the entries send them to another placing entry.
 func (p *Placer) RejectAll() {
-	for _, r := range slices.Clone(p.queue) {
+	p.deciding++
+	defer p.endDecision()
+	for _, r := range p.queue.snapshot() {
 		p.dequeue(r)
 		p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: ReasonMoved})
+		p.release(r)
 	}
 }
 
 // QueueLen returns the number of queued requests.
-func (p *Placer) QueueLen() int { return len(p.queue) }
+func (p *Placer) QueueLen() int { return p.queue.length() }
 
 func (p *Placer) dequeue(r *request) {
-	delete(p.requests, r.key)
-	p.queue = slices.DeleteFunc(p.queue, func(o *request) bool { return o == r })
+	if p.queued(r) {
+		delete(p.requests, r.key)
+	}
+	p.queue.remove(r)
 }
 
-// Place refuses requests that can no longer be served in time and grants free resources to the others.
+// queued reports whether a request is still queued. A grant or refusal may cancel other requests of the job.
+func (p *Placer) queued(r *request) bool { return p.requests[r.key] == r }
+
+func (p *Placer) endDecision() { p.deciding-- }
+
+// Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
-	for _, w := range p.workersByName {
-		w.expireReservations(now)
+	p.deciding++
+	defer p.endDecision()
+	p.expireReservations(now)
+	p.updateProbes(now)
+	if p.Admission == AdmissionCost {
+		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
+		p.grantQueued(now)
 	}
-	p.expireRequests(now)
-	if len(p.queue) == 0 {
+	p.expireRequests(now, (*request).deadline)
+	if p.Admission == AdmissionDeadline {
+		p.grantQueued(now)
 		return
 	}
-	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
-		p.medianSpeed, p.medianSpeedAt = p.computeMedianSpeed(), now
+	p.observeGrants(now)
+	p.shed(now)
+}
+
+// grantQueued grants free resources to the queued requests in order.
+func (p *Placer) grantQueued(now timer.Millis) {
+	p.placed = true
+	if p.queue.length() == 0 {
+		return
 	}
+	p.updateMedianSpeed(now)
 	blocked := 0
-	var served []*request
-	for _, r := range p.queue {
+	for r := range p.queue.all() {
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
-		for r.remaining > 0 {
-			w := p.selectWorker(now, r)
-			if w == nil {
-				blocked++
-				break
-			}
-			w.reserve(now, r.key.job, r.resources)
-			if w.breaker.open {
-				w.breaker.probeAt = now + maxProbeDelay
-			}
-			r.remaining--
-			r.constraints.countPlaced(w.name)
-			r.granted = append(r.granted, w.name)
+		if !p.grantTasks(now, r) {
+			blocked++
+			p.noteBlocked(r)
 		}
 		if len(r.granted) > 0 {
-			served = append(served, r)
+			p.served = append(p.served, r)
 		}
 		if blocked >= maxBlockedRequests {
 			break
 		}
 	}
-	p.sendGrants(served)
+	p.sendGrants(p.served)
+	clear(p.served)
+	p.served = p.served[:0]
+}
+
+// grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
+func (p *Placer) grantTasks(now timer.Millis, r *request) bool {
+	for r.remaining > 0 {
+		w := p.selectWorker(r)
+		if w == nil {
+			return false
+		}
+		p.reserve(now, w, r)
+		r.remaining--
+		r.constraints.countPlaced(w.name)
+		r.granted = append(r.granted, w.name)
+	}
+	return true
 }
 
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
 // Partially granted ones count as started and move to the front.
 func (p *Placer) sendGrants(served []*request) {
-	needsSort := false
 	for _, r := range served {
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
+		p.noteGranted(r)
 		r.granted = nil
-		if r.remaining == 0 {
+		switch {
+		case r.remaining == 0:
 			p.dequeue(r)
-		} else if !r.started {
-			r.started, needsSort = true, true
-		}
-	}
-	if needsSort {
-		slices.SortStableFunc(p.queue, compareRequests)
-	}
-}
-
-// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
-func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range p.workersByName {
-		if !w.free.Contains(r.resources) || !p.eligible(now, r, w) {
-			continue
-		}
-		score := w.speed / p.medianSpeed * r.constraints.rackFactor(w)
-		if w.domain == r.domain {
-			score += sameDomainBonus
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
+			p.release(r)
+		case !p.queued(r):
+		case r.started:
+			p.queue.updateWork(r)
+		default:
+			p.queue.remove(r)
+			r.started = true
+			p.queue.insert(r)
 		}
 	}
-	return best
-}
-
-// eligible reports whether a worker may get a task of a request, regardless of its free resources.
-func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	if !w.accepting || w.service != r.service || !w.breakerAllows(now) || p.excludes(r, w) || !r.constraints.allows(w) {
-		return false
-	}
-	return w.speed/p.medianSpeed >= slowSpeedRatio || !w.busy()
-}
-
-// excludes reports whether a request avoids a worker. If it avoids all accepting workers of its service, none is excluded.
-func (p *Placer) excludes(r *request, w *worker) bool {
-	if !slices.Contains(r.avoided, w.name) {
-		return false
-	}
-	return slices.ContainsFunc(p.workersByName, func(o *worker) bool {
-		return o.accepting && o.service == r.service && !slices.Contains(r.avoided, o.name)
-	})
-}
-
-// computeMedianSpeed returns the median speed of the accepting workers.
-func (p *Placer) computeMedianSpeed() float64 {
-	var speeds []float64
-	for _, w := range p.workersByName {
-		if w.accepting {
-			speeds = append(speeds, w.speed)
-		}
-	}
-	if len(speeds) == 0 {
-		return 1000
-	}
-	slices.Sort(speeds)
-	return max(speeds[len(speeds)/2], 1)
 }
 
 func (p *Placer) report(e Event) {
