--- a/placer/admission.go
+++ b/placer/admission.go
@@ -43,6 +43,8 @@
 		verdict verdict
 		reason  string       // of a refusal
 		wait    timer.Millis // forecast
+		// unservable is set if no worker can run the request, whatever the load.
+		unservable bool
 	}
 )
 
@@ -61,16 +63,11 @@
 // String returns the name of the policy.
 func (a Admission) String() string { return admissionNames[a] }
 
-// servable reports whether a worker is known on which the tasks of a request fit.
-func (p *Placer) servable(now timer.Millis, r *request) bool {
-	return p.assessWorkers(now, r).verdict != refused
-}
-
 // assess decides about an arriving request without changing the state. A contested request is queued and decided by the
 // next pass; explain returns that decision.
 func (p *Placer) assess(now timer.Millis, r *request) assessment {
 	if p.queue.length() >= maxQueued {
-		return assessment{refused, "queue is full", p.estimateWait(r)}
+		return assessment{verdict: refused, reason: "queue is full", wait: p.estimateWait(r)}
 	}
 	if a := p.assessWorkers(now, r); a.verdict == refused || now-p.firstRequestAt < startupGrace {
 		return a
@@ -79,18 +76,18 @@
 		item := l.item(now, r)
 		wait := p.forecastWait(now, l, r)
 		if r.started || now+wait <= shedder.RetainedStart(&item) {
-			return assessment{admitted, "", wait}
+			return assessment{verdict: admitted, wait: wait}
 		}
-		return assessment{contested, "", wait}
+		return assessment{verdict: contested, wait: wait}
 	}
 	wait := p.estimateWait(r)
 	if now+wait <= r.softDeadline {
-		return assessment{admitted, "", wait}
+		return assessment{verdict: admitted, wait: wait}
 	}
 	if now+lateWaitFactor*wait < r.hardDeadline {
-		return assessment{delayed, "", wait}
+		return assessment{verdict: delayed, wait: wait}
 	}
-	return assessment{refused, reasonTooLong, wait}
+	return assessment{verdict: refused, reason: reasonTooLong, wait: wait}
 }
 
 // assessWorkers decides whether any worker can run the tasks of a request, whatever its load.
@@ -107,9 +104,9 @@
 	}
 	switch {
 	case !service:
-		return assessment{refused, "no backend server of the service is known", timer.Second}
+		return assessment{refused, "no backend server of the service is known", timer.Second, true}
 	case !fits:
-		return assessment{refused, "no worker is large enough", timer.Minute}
+		return assessment{refused, "no worker is large enough", timer.Minute, true}
 	}
 	return assessment{}
 }
@@ -117,35 +114,33 @@
 // explain decides about a request as if it arrived now, without changing the state.
 func (p *Placer) explain(now timer.Millis, r *request) assessment {
 	l := p.loads[r.service]
-	if l != nil {
-		l.setCost(now, r)
-	}
+	p.setCost(now, r)
 	a := p.assess(now, r)
 	if a.verdict != contested {
 		return a
 	}
 	if p.selectWorker(now, r) != nil {
-		return assessment{admitted, "", 0}
+		return assessment{verdict: admitted}
 	}
 	for _, d := range p.decide(now, l, r.service, r) {
 		if l.requests[d.Index] == r {
 			return assessOutcome(d, now, r)
 		}
 	}
-	return assessment{admitted, "", a.wait}
+	return assessment{verdict: admitted, wait: a.wait}
 }
 
 // assessOutcome translates a decision of the shedder.
 func assessOutcome(d shedder.Decision, now timer.Millis, r *request) assessment {
 	switch {
 	case d.Verdict == shedder.Delayed:
-		return assessment{delayed, "", d.Wait}
+		return assessment{verdict: delayed, wait: d.Wait}
 	case d.GaveWay:
-		return assessment{refused, reasonGaveWay, d.Wait}
+		return assessment{verdict: refused, reason: reasonGaveWay, wait: d.Wait}
 	case !r.passed:
-		return assessment{refused, reasonTooLong, d.Wait}
+		return assessment{verdict: refused, reason: reasonTooLong, wait: d.Wait}
 	}
-	return assessment{refused, reasonExpired, d.Wait}
+	return assessment{verdict: refused, reason: reasonExpired, wait: d.Wait}
 }
 
 // costDecides reports whether the cost of refusals decides in a service.
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -293,6 +293,47 @@
 	}
 }
 
+// TestRefusedAtArrival guards against queueing a request with much slack that arrivals with less slack will overtake, and
+// against forecasts of a new placing entry before it has observed arrivals.
+func TestRefusedAtArrival(t *testing.T) {
+	l := mixedLoad{offered: func(kind int, _ timer.Millis) float64 { return []float64{6, 0, 0}[kind] }, speeds: []float64{1}}
+	cases := []struct {
+		name   string
+		forget bool
+		want   int // at least
+	}{{"overload", false, 19}, {"new placing entry", true, 0}}
+	for _, c := range cases {
+		s := newSimulation(1, 40)
+		s.p.Admission = AdmissionCost
+		refusedAtOnce := 0
+		for at := timer.Millis(0); at < 3000; at++ {
+			for _, spec := range l.jobs(s.r, at, 40) {
+				s.jobs[spec.id] = &simJob{jobSpec: spec, arrivedAt: s.now}
+				s.request(s.jobs[spec.id], spec.tasks)
+			}
+			s.advance()
+		}
+		if c.forget {
+			s.p.loads = nil
+		}
+		for i := range 20 {
+			j := &simJob{jobSpec: kinds[2].job(s.r, timer.Millis(i), 0), arrivedAt: s.now}
+			s.jobs[j.id] = j
+			if l := s.p.loads["svc"]; l != nil {
+				l.passAt = 0 // a pass is possible at once
+				l.floor = shedder.Floor{}
+			}
+			s.request(j, 1)
+			if s.jobs[j.id] == nil {
+				refusedAtOnce++
+			}
+		}
+		if refusedAtOnce < c.want || c.want == 0 && refusedAtOnce > 0 {
+			t.Errorf("%s: got %d of 20 requests refused at once, want %d", c.name, refusedAtOnce, c.want)
+		}
+	}
+}
+
 // TestExplain guards against an explanation that differs from the decision about a request, or that changes it.
 func TestExplain(t *testing.T) {
 	got := map[verdict]int{}
--- a/placer/load.go
+++ b/placer/load.go
@@ -70,10 +70,10 @@
 	return l
 }
 
-// costDecides reports whether the cost of refusals decides which requests are refused. Requests that all cost the same
-// and forecasts without observed arrivals leave the decision to the deadlines.
+// costDecides reports whether the cost of refusals decides which requests are refused. Requests that all cost the same,
+// forecasts without observed arrivals and services without capacity leave the decision to the deadlines.
 func (l *serviceLoad) costDecides(now timer.Millis) bool {
-	return l != nil && l.differedAt > 0 && now-l.differedAt < diversityWindow && l.forecast.Ready(now)
+	return l != nil && l.differedAt > 0 && now-l.differedAt < diversityWindow && l.forecast.Ready(now) && l.forecast.DrainRate() > 0
 }
 
 // observeArrival records a request that was not queued before.
@@ -94,10 +94,14 @@
 	l.floor.Arrive(now, c.groups, work)
 }
 
-// setCost sets the cost of refusing a request. It does not change the load.
-func (l *serviceLoad) setCost(now timer.Millis, r *request) {
+// setCost sets the cost of refusing an arriving request.
+func (p *Placer) setCost(now timer.Millis, r *request) {
 	c := &r.cost
 	c.work = max(r.work(), 1)
+	l := p.loads[r.service]
+	if l == nil {
+		return
+	}
 	mean := l.forecast.MeanWork(c.queue)
 	c.size = shedder.SizeOf(float64(c.work), mean)
 	c.perWork = shedder.Cost(shedder.Weight(c.priority), float64(c.work), mean)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -138,13 +138,12 @@
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
-	if p.Admission == AdmissionCost && p.servable(now, r) {
-		l := p.load(r.service)
-		l.setCost(now, r)
+	p.setCost(now, r)
+	d := p.assess(now, r)
+	if p.Admission == AdmissionCost && !d.unservable {
 		r.cost.counted = !r.started
-		defer l.observeArrival(now, r) // decisions about r rely on the arrivals before it
+		defer p.load(r.service).observeArrival(now, r) // decisions about r rely on the arrivals before it
 	}
-	d := p.assess(now, r)
 	if d.verdict == refused && !r.started {
 		p.reject(now, r, d.reason, d.wait)
 		return
