placer: drop requests that the refusal of another step has canceled

Cause: found by reading: a refusal ends the job, which cancels its other requests; expireRequests had them on its list, queued them again as late and later granted them to a job that no longer exists. The passes of the shedder would do the same. Change: requests that are no longer queued are skipped.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -178,6 +178,9 @@
 	queued := p.queue.length()
 	for _, d := range p.decide(now, l, service, nil) {
 		r := l.requests[d.Index]
+		if !p.queued(r) {
+			continue
+		}
 		if p.selectWorker(now, r) != nil {
 			p.grantAhead(now, r)
 			continue
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -365,3 +365,26 @@
 		t.Errorf("got %v verdicts, want at least 100 admitted and refused", got)
 	}
 }
+
+// TestCanceledByRefusal guards against requests that stay queued although the refusal of another step of their job has
+// canceled them.
+func TestCanceledByRefusal(t *testing.T) {
+	for _, admission := range []Admission{AdmissionDeadline, AdmissionCost} {
+		p := Placer{Admission: admission, Grant: func(string, marshaler.Grant) {}}
+		p.Reject = func(entry string, r marshaler.Reject) {
+			for step := range uint64(2) {
+				p.Cancel(entry, r.Job, step)
+			}
+		}
+		capacity := marshaler.Resources{CPU: 1000}
+		p.SetWorker("a", "", &marshaler.Backend{Service: "svc", Capacity: capacity})
+		p.OnLoad(1000, "a", &marshaler.Load{Accepting: true, Speed: 1000})
+		for step, wait := range []timer.Millis{20, 900} {
+			p.Request(1000, "entry", "", &marshaler.ResourceRequest{Job: "a", Service: "svc", Step: uint64(step), Tasks: 1, Resources: capacity, Estimate: 20, Slack: 20, MaxWait: wait})
+		}
+		p.Place(1020)
+		if got := p.QueueLen(); got != 0 {
+			t.Errorf("%s: got %d queued requests, want 0", admission, got)
+		}
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -191,6 +191,9 @@
 	p.queue.remove(r)
 }
 
+// queued reports whether a request is still queued. A grant or refusal may cancel other requests of the job.
+func (p *Placer) queued(r *request) bool { return p.requests[r.key] == r }
+
 // Place grants free resources to queued requests and refuses requests that can no longer be served in time.
 func (p *Placer) Place(now timer.Millis) {
 	for _, w := range p.workersByName {
@@ -265,7 +268,7 @@
 		r.granted = nil
 		if r.remaining == 0 {
 			p.dequeue(r)
-		} else if !r.started {
+		} else if !r.started && p.queued(r) {
 			p.queue.remove(r)
 			r.started = true
 			p.queue.insert(r)
--- a/placer/request.go
+++ b/placer/request.go
@@ -90,6 +90,9 @@
 		}
 	}
 	for _, r := range expired {
+		if !p.queued(r) {
+			continue // canceled because another step of the job was refused
+		}
 		p.dequeue(r)
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
