forecaster: learn nothing from a pause, observe arrivals anew after two seconds without any

Cause: found by reading: after a pause of 3 s while requests waited the efficiency fell to its lower bound, because nothing had been granted; an entry that becomes the placing entry again had old averages. Change: intervals over 100 ms are skipped; arrivals after 2 s without any count as the first ones. Result: TestEfficiency has the pause; go test ./forecaster ./placer passes. Conclusion: mended.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -23,6 +23,11 @@
 	efficiencyWindow = timer.Second
 	minEfficiency    = 0.3
 	maxEfficiency    = 1.2
+	// maxObservation is the longest interval from which the efficiency is learned. In a longer one the process was paused and
+	// granted nothing.
+	maxObservation = 100 * timer.Millisecond
+	// idleTime is the time without arrivals after which they are observed anew. The process was probably not the placing entry.
+	idleTime = 2 * timer.Second
 	// learningTime is how long arrivals must have been observed before forecasts from their averages are usable.
 	learningTime = 200 * timer.Millisecond
 	// maxUtilization is the utilization from which on late requests get no capacity.
@@ -39,8 +44,8 @@
 		capacity       float64
 		efficiencyGain float64 // learned efficiency minus 1
 		observedAt     timer.Millis
-		observed       bool
 		firstArrivalAt timer.Millis
+		lastArrivalAt  timer.Millis
 		arrived        bool
 		queues         []queueAverages // sorted by name
 	}
@@ -73,14 +78,13 @@
 // Observe learns the efficiency from the work that was granted since the previous call. saturated is set if requests
 // waited for capacity during this time.
 func (s *Service) Observe(now timer.Millis, granted float64, saturated bool) {
-	elapsed := float64(now - s.observedAt)
-	first := !s.observed
-	s.observedAt, s.observed = now, true
-	if first || !saturated || elapsed <= 0 || s.capacity == 0 {
+	elapsed := now - s.observedAt
+	s.observedAt = now
+	if !saturated || elapsed <= 0 || elapsed > maxObservation || s.capacity == 0 {
 		return
 	}
-	keep := math.Exp(-elapsed / float64(efficiencyWindow))
-	s.efficiencyGain = keep*s.efficiencyGain + (1-keep)*(granted/(s.capacity*elapsed)-1)
+	keep := math.Exp(-float64(elapsed) / float64(efficiencyWindow))
+	s.efficiencyGain = keep*s.efficiencyGain + (1-keep)*(granted/(s.capacity*float64(elapsed))-1)
 }
 
 // Efficiency returns the rate at which work is granted under saturation, as a ratio to the capacity.
@@ -93,9 +97,10 @@
 
 // Arrive records the arrival of a request.
 func (s *Service) Arrive(now timer.Millis, queue string, weight, work float64, slack timer.Millis) {
-	if !s.arrived {
+	if !s.arrived || now-s.lastArrivalAt > idleTime {
 		s.firstArrivalAt, s.arrived = now, true
 	}
+	s.lastArrivalAt = now
 	q := s.addQueue(now, queue)
 	q.weight, q.lastArrival = weight, now
 	q.work.Add(now, work, arrivalWindow)
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -17,15 +17,16 @@
 	}{
 		{"idle", 100, false, 1, 1},
 		{"half", 500, true, 0.5, 0.52},
-		{"stalled", 0, true, 0.3, 0.3},
+		{"nothing granted", 0, true, 0.3, 0.3},
 		{"underestimated capacity", 3000, true, 1.2, 1.2},
 	}
 	for _, c := range cases {
 		var s Service
 		s.SetCapacity(1000)
-		for now := timer.Millis(0); now < 5000; now++ {
+		for now := timer.Millis(10_000); now < 15_000; now++ {
 			s.Observe(now, c.granted, c.saturated)
 		}
+		s.Observe(18_000, 0, c.saturated) // after a pause of the process
 		if got := s.Efficiency(); got < c.min || got > c.max {
 			t.Errorf("%s: got an efficiency of %.3f, want %.2f to %.2f", c.name, got, c.min, c.max)
 		}
