--- a/placer/load.go
+++ b/placer/load.go
@@ -70,10 +70,10 @@
 	return l
 }
 
-// costDecides reports whether the cost of refusals decides which requests are refused. Requests that all cost the same
-// and forecasts without observed arrivals leave the decision to the deadlines.
+// costDecides reports whether the cost of refusals decides which requests are refused. Requests that all cost the same,
+// forecasts without observed arrivals and services without capacity leave the decision to the deadlines.
 func (l *serviceLoad) costDecides(now timer.Millis) bool {
-	return l != nil && l.differedAt > 0 && now-l.differedAt < diversityWindow && l.forecast.Ready(now)
+	return l != nil && l.differedAt > 0 && now-l.differedAt < diversityWindow && l.forecast.Ready(now) && l.forecast.DrainRate() > 0
 }
 
 // observeArrival records a request that was not queued before.
@@ -94,10 +94,14 @@
 	l.floor.Arrive(now, c.groups, work)
 }
 
-// setCost sets the cost of refusing a request. It does not change the load.
-func (l *serviceLoad) setCost(now timer.Millis, r *request) {
+// setCost sets the cost of refusing an arriving request.
+func (p *Placer) setCost(now timer.Millis, r *request) {
 	c := &r.cost
 	c.work = max(r.work(), 1)
+	l := p.loads[r.service]
+	if l == nil {
+		return
+	}
 	mean := l.forecast.MeanWork(c.queue)
 	c.size = shedder.SizeOf(float64(c.work), mean)
 	c.perWork = shedder.Cost(shedder.Weight(c.priority), float64(c.work), mean)
@@ -191,11 +195,14 @@
 
 // outranking returns the share of a queue's arrivals that do not give way to an item.
 func (l *serviceLoad) outranking(a *queueArrivals, i *shedder.Item) float64 {
-	costsMore := a.Weight > i.Cost
 	switch {
-	case a.Queue == "", costsMore && !i.Protected:
+	case a.Queue == "":
+		return 1
+	case i.Protected:
+		return 0
+	case a.Weight > i.Cost:
 		return 1
-	case a.starving && (costsMore || !i.Protected):
+	case a.starving:
 		return l.reserved
 	}
 	return 0
