--- a/placer/load.go
+++ b/placer/load.go
@@ -79,17 +79,17 @@
 // observeArrival records a request that was not queued before.
 func (l *serviceLoad) observeArrival(now timer.Millis, r *request) {
 	c := &r.cost
+	work, weight := float64(c.work), shedder.Weight(c.priority)
+	if r.started { // ordered before all requests that have not started
+		l.forecast.Arrive(now, "", 1, work, 0)
+		return
+	}
 	if c.priority != l.latest.priority || c.work != l.latest.work {
 		if l.latest.work > 0 {
 			l.differedAt = now
 		}
 		l.latest = requestCost{priority: c.priority, work: c.work}
 	}
-	work, weight := float64(c.work), shedder.Weight(c.priority)
-	if r.started { // ordered before all requests that have not started
-		l.forecast.Arrive(now, "", 1, work, 0)
-		return
-	}
 	l.forecast.Arrive(now, c.queue, weight, work, r.softDeadline-now)
 	l.floor.Arrive(now, c.groups, work)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -67,7 +67,9 @@
 	Refusal struct {
 		Reason   string
 		Priority uint64
-		Size     string // small, medium or large, compared with the mean of the queue
+		// Size is small, medium or large, compared with the mean of the queue. It is unknown with AdmissionDeadline and for
+		// requests that no worker can run.
+		Size string
 	}
 )
 
--- a/placer/request.go
+++ b/placer/request.go
@@ -161,12 +161,14 @@
 
 // reject refuses a request that has no grants.
 func (p *Placer) reject(now timer.Millis, r *request, reason string, wait timer.Millis) {
+	size := "unknown"
 	if r.cost.counted {
+		size = r.cost.size.String()
 		p.load(r.service).floor.Shed(now, r.cost.groups, float64(r.cost.work))
 	}
 	p.report(Event{
 		Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.describeWorkers(r), Value: int64(wait), Took: now - r.arrived,
-		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: r.cost.size.String()},
+		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: size},
 	})
 	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: reason, RetryAfter: wait})
 }
