forecaster: extrapolate arrivals over two seconds at most

Cause: found by reading: the arrivals of the last 500 ms were extrapolated over all of a request's slack, so a burst refused jobs that can wait for minutes. Change: a horizon of 2 s. Result: TestForecast has the case; go test ./forecaster ./placer passes. Conclusion: mended.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -28,6 +28,9 @@
 	maxObservation = 100 * timer.Millisecond
 	// idleTime is the time without arrivals after which they are observed anew. The process was probably not the placing entry.
 	idleTime = 2 * timer.Second
+	// horizon bounds how far the present arrivals are extrapolated. Otherwise a burst of half a second refuses a job that can
+	// wait for minutes.
+	horizon = 2 * timer.Second
 	// learningTime is how long arrivals must have been observed before forecasts from their averages are usable.
 	learningTime = 200 * timer.Millisecond
 	// maxUtilization is the utilization from which on late requests get no capacity.
@@ -132,7 +135,7 @@
 // Overtaking returns the work that is expected to arrive and to be ordered before a request that still has the given
 // slack.
 func (a *Arrivals) Overtaking(slack timer.Millis) float64 {
-	return a.Rate * max(float64(slack)-a.Slack, 0)
+	return a.Rate * min(max(float64(slack)-a.Slack, 0), float64(horizon))
 }
 
 // averaged returns the time over which the sums of arrivals are effectively taken. It is shorter than arrivalWindow at
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -53,6 +53,9 @@
 		if got := a.Overtaking(40); got != 0 {
 			t.Errorf("got %.0f overtaking a slack of 40 ms, want 0", got)
 		}
+		if got := a.Overtaking(10 * timer.Minute); got > 110_000 {
+			t.Errorf("got %.0f overtaking a slack of 10 minutes, want about 100000", got)
+		}
 	}
 	cases := []struct {
 		name      string
