forecaster: expect an overload to last as long as it has lasted

Change: arrivals that overtake a request are counted for as long as the overload has lasted; late requests may wait for its end. A contested request that fits free resources gets them before the pass grants these to others (TestExplain found it with the new forecast). In TestForecast, the bound of a late request after a burst of one request was the longest wait; it is the time of its own work now, because no request has waited. TestOverloadTime holds the new rule.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -28,13 +28,16 @@
 	maxObservation = 100 * timer.Millisecond
 	// idleTime is the time without arrivals after which they are observed anew. The process was probably not the placing entry.
 	idleTime = 2 * timer.Second
-	// horizon bounds how far the present arrivals are extrapolated. Otherwise a burst of half a second refuses a job that can
-	// wait for minutes.
+	// horizon bounds how far the present arrivals are extrapolated.
 	horizon = 2 * timer.Second
 	// learningTime is how long arrivals must have been observed before forecasts from their averages are usable.
 	learningTime = 200 * timer.Millisecond
-	// maxUtilization is the utilization from which on late requests get no capacity.
+	// maxUtilization is the utilization from which on arrivals leave no capacity for late requests.
 	maxUtilization = 0.95
+	// overloadGap is the time without waiting requests after which an overload is over.
+	overloadGap = 200 * timer.Millisecond
+	// lateShare is the share of the capacity that late requests are expected to get after an overload.
+	lateShare = 0.5
 	// maxWait bounds a forecast, also when there is no capacity.
 	maxWait = timer.Minute
 	// maxQueues bounds the number of queues of a service. The averages of the one that was idle longest are dropped.
@@ -49,6 +52,8 @@
 		observedAt     timer.Millis
 		firstArrivalAt timer.Millis
 		lastArrivalAt  timer.Millis
+		overloadedAt   timer.Millis // start of the current overload
+		saturatedAt    timer.Millis // latest time at which requests waited
 		arrived        bool
 		queues         []queueAverages // sorted by name
 	}
@@ -83,6 +88,12 @@
 func (s *Service) Observe(now timer.Millis, granted float64, saturated bool) {
 	elapsed := now - s.observedAt
 	s.observedAt = now
+	if saturated {
+		if now-s.saturatedAt > overloadGap {
+			s.overloadedAt = now
+		}
+		s.saturatedAt = now
+	}
 	if !saturated || elapsed <= 0 || elapsed > maxObservation || s.capacity == 0 {
 		return
 	}
@@ -90,6 +101,15 @@
 	s.efficiencyGain = keep*s.efficiencyGain + (1-keep)*(granted/(s.capacity*float64(elapsed))-1)
 }
 
+// OverloadTime returns how much longer the current overload is expected to last: as long as it has lasted. A crowd that
+// comes at once after an outage is over soon, so requests that can wait for its end are not refused because of it.
+func (s *Service) OverloadTime(now timer.Millis) timer.Millis {
+	if s.saturatedAt == 0 || now-s.saturatedAt > overloadGap {
+		return 0
+	}
+	return min(now-s.overloadedAt, horizon)
+}
+
 // Efficiency returns the rate at which work is granted under saturation, as a ratio to the capacity.
 func (s *Service) Efficiency() float64 {
 	return min(max(1+s.efficiencyGain, minEfficiency), maxEfficiency)
@@ -132,10 +152,10 @@
 	}
 }
 
-// Overtaking returns the work that is expected to arrive and to be ordered before a request that still has the given
-// slack.
-func (a *Arrivals) Overtaking(slack timer.Millis) float64 {
-	return a.Rate * min(max(float64(slack)-a.Slack, 0), float64(horizon))
+// Overtaking returns the work that is expected to arrive during the rest of an overload and to be ordered before a request
+// that still has the given slack.
+func (a *Arrivals) Overtaking(slack, overload timer.Millis) float64 {
+	return a.Rate * min(max(float64(slack)-a.Slack, 0), float64(overload))
 }
 
 // averaged returns the time over which the sums of arrivals are effectively taken. It is shorter than arrivalWindow at
@@ -160,11 +180,12 @@
 // Wait returns the time until the given work is granted.
 func (s *Service) Wait(work float64) timer.Millis { return wait(work, s.DrainRate()) }
 
-// LateWait returns the time until the given work is granted from the capacity that arriving requests leave.
+// LateWait returns the time until the given work is granted from the capacity that arriving requests leave. During an
+// overload they leave none.
 func (s *Service) LateWait(now timer.Millis, work float64) timer.Millis {
 	utilization := s.Utilization(now)
 	if utilization >= maxUtilization {
-		return maxWait
+		return s.OverloadTime(now) + wait(work, s.DrainRate()*lateShare)
 	}
 	return wait(work, s.DrainRate()*(1-utilization))
 }
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -147,7 +147,13 @@
 func (p *Placer) contest(now timer.Millis, r *request) {
 	l := p.loads[r.service]
 	l.passDue = true
-	if p.placed {
+	if !p.placed {
+		return
+	}
+	if p.selectWorker(r) != nil { // before the pass grants these resources to others
+		p.grantAhead(now, r)
+	}
+	if p.queued(r) {
 		p.pass(now, r.service, l)
 	}
 }
--- a/placer/load.go
+++ b/placer/load.go
@@ -186,9 +186,10 @@
 
 // overtaking returns the work that is expected to arrive, to be ordered before an item and not to give way to it.
 func (l *serviceLoad) overtaking(now timer.Millis, i *shedder.Item) (work float64) {
+	overload := l.forecast.OverloadTime(now)
 	for n := range l.arrivals {
 		a := &l.arrivals[n]
-		work += a.Overtaking(i.SoftDeadline-now) * l.outranking(a, i)
+		work += a.Overtaking(i.SoftDeadline-now, overload) * l.outranking(a, i)
 	}
 	return work
 }
