--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -53,7 +53,7 @@
 		if got := a.Overtaking(40, 1000); got != 0 {
 			t.Errorf("got %.0f overtaking a slack of 40 ms, want 0", got)
 		}
-		if got := a.Overtaking(10 * timer.Minute, horizon); got > 110_000 {
+		if got := a.Overtaking(10*timer.Minute, horizon); got > 110_000 {
 			t.Errorf("got %.0f overtaking a slack of 10 minutes, want about 100000", got)
 		}
 	}
