placer: let slow workers run tasks that end in useful time there

Cause: a worker below 0.35 of the median speed gets one task at a time. On a small site up to 75 of about 380 cores were free at refusals, all on slow workers. Change: requests state the end that meets the expected response time and the last useful end (optional fields 17 and 18). Before a refusal, and for late requests that no other worker has room for, all tasks of the job go to slow workers if they are expected to end in useful time there; short tasks first. Log line and counter slowGrant.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -150,7 +150,9 @@
 	for _, name := range m.Placed {
 		dst = appendBytes(dst, 15, []byte(name))
 	}
-	return appendZigZag(dst, 16, int64(m.MaxWait))
+	dst = appendZigZag(dst, 16, int64(m.MaxWait))
+	dst = appendZigZag(dst, 17, int64(m.TargetEnd))
+	return appendZigZag(dst, 18, int64(m.LastUsefulEnd))
 }
 
 func appendLoad(dst []byte, m *Load) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -276,6 +276,10 @@
 		return appendDecodedText(f, &m.Placed)
 	case 16:
 		return setMillis(f, &m.MaxWait)
+	case 17:
+		return setMillis(f, &m.TargetEnd)
+	case 18:
+		return setMillis(f, &m.LastUsefulEnd)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -183,6 +183,10 @@
 		// MaxWait is the maximum time that the request may wait when the expected response time can no longer be met. It is
 		// at least Slack; 0 means Slack.
 		MaxWait timer.Millis
+		// TargetEnd is the time until the end of the step that meets the expected response time, and LastUsefulEnd the time
+		// until the latest end that is still of use to the caller. At least 1; 0 means not stated.
+		TargetEnd     timer.Millis
+		LastUsefulEnd timer.Millis
 	}
 
 	// CancelResourceRequest cancels the part of a resource request that is not granted yet.
--- a/placer/constraints.go
+++ b/placer/constraints.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -45,6 +46,14 @@
 	return c.matchesLabel(w) && (c.perServer == 0 || c.placed[w.name] < c.perServer)
 }
 
+// tasksLeft returns how many more tasks the step may have on the worker.
+func (c *placementConstraints) tasksLeft(w *worker) uint64 {
+	if c.perServer == 0 {
+		return math.MaxInt32
+	}
+	return uint64(max(c.perServer-c.placed[w.name], 0))
+}
+
 // rackFactor returns the factor on the worker's speed for its distance from the step's data.
 func (c *placementConstraints) rackFactor(w *worker) float64 {
 	if c.rack == "" || slices.Contains(w.labels, c.rack) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -115,6 +115,7 @@
 		r.remaining += a.Tasks
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
+		r.setEnds(now, a)
 		p.requests[key] = r
 		p.enqueue(r)
 		return
@@ -124,10 +125,14 @@
 		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
 		constraints: newConstraints(a),
 	}
+	r.setEnds(now, a)
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
 	if reason, wait := p.rejectReason(now, r); reason != "" && !r.started {
+		if p.grantOnSlow(now, r) {
+			return
+		}
 		p.reject(r, reason, wait)
 		return
 	}
@@ -194,13 +199,7 @@
 				blocked++
 				break
 			}
-			w.reserve(now, r.key.job, r.resources)
-			if w.breaker.open {
-				w.breaker.probeAt = now + maxProbeDelay
-			}
-			r.remaining--
-			r.constraints.countPlaced(w.name)
-			r.granted = append(r.granted, w.name)
+			assignTask(now, r, w)
 		}
 		if len(r.granted) > 0 {
 			served = append(served, r)
@@ -209,7 +208,18 @@
 			break
 		}
 	}
-	p.sendGrants(served)
+	p.sendGrants(append(served, p.placeOnSlow(now)...))
+}
+
+// assignTask reserves a worker's resources for a task of a request.
+func assignTask(now timer.Millis, r *request, w *worker) {
+	w.reserve(now, r.key.job, r.resources)
+	if w.breaker.open {
+		w.breaker.probeAt = now + maxProbeDelay
+	}
+	r.remaining--
+	r.constraints.countPlaced(w.name)
+	r.granted = append(r.granted, w.name)
 }
 
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
@@ -251,10 +261,12 @@
 
 // eligible reports whether a worker may get a task of a request, regardless of its free resources.
 func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	if !w.accepting || w.service != r.service || !w.breakerAllows(now) || p.excludes(r, w) || !r.constraints.allows(w) {
-		return false
-	}
-	return w.speed/p.medianSpeed >= slowSpeedRatio || !w.busy()
+	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy())
+}
+
+// allowed reports whether a worker may run a task of a request, regardless of its free resources and its speed.
+func (p *Placer) allowed(now timer.Millis, r *request, w *worker) bool {
+	return w.accepting && w.service == r.service && w.breakerAllows(now) && !p.excludes(r, w) && r.constraints.allows(w)
 }
 
 // excludes reports whether a request avoids a worker. If it avoids all accepting workers of its service, none is excluded.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -31,6 +31,9 @@
 		estimate timer.Millis
 		slack    timer.Millis
 		maxWait  timer.Millis
+		queue    string
+		// target and useful are the times after arrival until the ends that a request states; 0 for none.
+		target, useful timer.Millis
 	}
 
 	// simulation runs a placer against simulated workers without network delay: a granted task starts at once, and load
@@ -48,6 +51,7 @@
 		name        string
 		total       marshaler.Resources
 		speed       float64 // relative to normal speed
+		reported    float64 // speed in the load reports, if it lags behind; 0 if it does not
 		fails       bool
 		stalled     bool
 		unavailable bool
@@ -168,16 +172,34 @@
 		for range w.runs {
 			free = free.Sub(marshaler.Resources{CPU: taskCPU})
 		}
-		s.p.OnLoad(s.now, w.name, &marshaler.Load{Accepting: !w.unavailable, Free: free, Speed: uint64(w.speed * 1000), HandledStarts: w.seen, CompletedRuns: w.settled})
+		s.p.OnLoad(s.now, w.name, &marshaler.Load{Accepting: !w.unavailable, Free: free, Speed: w.measure(), HandledStarts: w.seen, CompletedRuns: w.settled})
 		w.seen, w.settled = nil, nil
 	}
 }
 
+// measure returns the speed that a load report states. It follows the speed of the runs with a time constant of 150 ms and
+// returns to normal in 1 s while there are none, as in a sidecar.
+func (w *simWorker) measure() uint64 {
+	switch {
+	case w.reported == 0:
+		return uint64(w.speed * 1000)
+	case len(w.runs) == 0:
+		w.reported += (1 - w.reported) / 1000
+	default:
+		w.reported += (w.speed - w.reported) / 150
+	}
+	return uint64(w.reported * 1000)
+}
+
 func (s *simulation) request(j *simJob, tasks int) {
-	s.p.Request(s.now, "entry", "", &marshaler.ResourceRequest{
-		Job: j.id, Service: "svc", Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: taskCPU}, Estimate: j.estimate, Slack: j.slack, MaxWait: j.maxWait,
-		Started: j.started,
-	})
+	m := marshaler.ResourceRequest{
+		Job: j.id, Service: "svc", Queue: j.queue, Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: taskCPU}, Estimate: j.estimate, Slack: j.slack,
+		MaxWait: j.maxWait, Started: j.started,
+	}
+	if j.useful > 0 {
+		m.TargetEnd, m.LastUsefulEnd = max(j.arrivedAt+j.target-s.now, 1), max(j.arrivedAt+j.useful-s.now, 1)
+	}
+	s.p.Request(s.now, "entry", "", &m)
 }
 
 func mixedJobs(perSecond float64) func(r *rand.Rand, at timer.Millis) []jobSpec {
--- a/placer/request.go
+++ b/placer/request.go
@@ -25,6 +25,9 @@
 		softDeadline timer.Millis // latest start that meets the expected response time
 		hardDeadline timer.Millis // latest start for which the request may wait
 		late         bool         // softDeadline cannot be met
+		targetEnd    timer.Millis // end that meets the expected response time; 0 if not stated
+		lastEnd      timer.Millis // latest useful end; 0 if not stated
+		queueName    string
 		started      bool
 		arrived      timer.Millis
 		granted      []string
@@ -84,6 +87,9 @@
 		p.dequeue(r)
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
+			if p.grantOnSlow(now, r) {
+				continue
+			}
 			p.reject(r, "no room in time", wait)
 			continue
 		}
@@ -156,7 +162,6 @@
 func (p *Placer) describeWorkers(r *request) string {
 	var workers, accepting, open, slow, withRoom int
 	var free int64
-	medianSpeed := p.computeMedianSpeed()
 	for _, w := range p.workersByName {
 		if w.service != r.service {
 			continue
@@ -167,7 +172,7 @@
 			continue
 		case w.breaker.open:
 			open++
-		case w.speed/medianSpeed < slowSpeedRatio:
+		case p.isSlow(w):
 			slow++
 		case w.free.Contains(r.resources):
 			withRoom++
--- /dev/null
+++ b/placer/slow.go
@@ -0,0 +1,141 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// maxSlowCandidates bounds the late requests that one call of Place considers for slow workers.
+const maxSlowCandidates = 64
+
+// setEnds sets the ends that a request states.
+func (r *request) setEnds(now timer.Millis, a *marshaler.ResourceRequest) {
+	r.queueName = a.Queue
+	if a.TargetEnd > 0 {
+		r.targetEnd = now + a.TargetEnd
+	}
+	if a.LastUsefulEnd > 0 {
+		r.lastEnd = now + a.LastUsefulEnd
+	}
+}
+
+// isSlow reports whether a worker is so much slower than usual that it may be faulty.
+func (p *Placer) isSlow(w *worker) bool {
+	return w.speed < slowSpeedRatio*p.usualSpeed(w)
+}
+
+// usualSpeed returns the speed that a worker like w usually has.
+func (p *Placer) usualSpeed(*worker) float64 {
+	if p.medianSpeed == 0 {
+		return p.computeMedianSpeed()
+	}
+	return p.medianSpeed
+}
+
+// expectedRun returns the expected run time of a task of a request on a worker.
+func (p *Placer) expectedRun(r *request, w *worker) timer.Millis {
+	speed := max(w.speed*r.constraints.rackFactor(w), 1)
+	return timer.Millis(float64(r.estimate) * 1000 / speed)
+}
+
+// slowServes reports whether a slow worker may run a task of a request, because the task is expected to end while its
+// answer is still of use to the caller.
+func (p *Placer) slowServes(now timer.Millis, r *request, w *worker) bool {
+	return r.lastEnd > 0 && p.isSlow(w) && now+p.expectedRun(r, w) <= r.lastEnd && p.allowed(now, r, w)
+}
+
+// slowSlots returns the slow workers that may run tasks of a request, the fastest first, with one element for each task
+// that fits, up to the number of tasks that are not granted yet.
+func (p *Placer) slowSlots(now timer.Millis, r *request) (slots []*worker) {
+	var candidates []*worker
+	for _, w := range p.workersByName {
+		if w.free.Contains(r.resources) && p.slowServes(now, r, w) {
+			candidates = append(candidates, w)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		return cmp.Compare(b.speed*r.constraints.rackFactor(b), a.speed*r.constraints.rackFactor(a))
+	})
+	for _, w := range candidates {
+		n := min(tasksThatFit(w.free, r.resources), r.constraints.tasksLeft(w), r.remaining-uint64(len(slots)))
+		if w.breaker.open {
+			n = min(n, 1)
+		}
+		slots = append(slots, slices.Repeat([]*worker{w}, int(n))...)
+	}
+	return slots
+}
+
+// tasksThatFit returns how many tasks fit into free resources.
+func tasksThatFit(free, task marshaler.Resources) uint64 {
+	n := uint64(math.MaxInt32)
+	for _, d := range [...][2]int64{{free.CPU, task.CPU}, {free.MemoryMB, task.MemoryMB}, {free.Accelerators, task.Accelerators}} {
+		if d[1] > 0 {
+			n = min(n, uint64(max(d[0], 0)/d[1]))
+		}
+	}
+	return n
+}
+
+// assignSlow assigns tasks of a request to slow workers. A job that has not begun gets all of its tasks there or none:
+// the rest would go before the tasks of jobs that can still be in time.
+func (p *Placer) assignSlow(now timer.Millis, r *request) bool {
+	slots := p.slowSlots(now, r)
+	if len(slots) == 0 || !r.started && uint64(len(slots)) < r.remaining {
+		return false
+	}
+	for _, w := range slots {
+		assignTask(now, r, w)
+	}
+	return true
+}
+
+// grantOnSlow grants all tasks of a request that is about to be refused on slow workers. It returns false if the request
+// cannot be served there. The request must not be queued.
+func (p *Placer) grantOnSlow(now timer.Millis, r *request) bool {
+	if !p.assignSlow(now, r) {
+		return false
+	}
+	p.reportSlow(r, "refusal averted")
+	p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
+	r.granted = nil
+	return true
+}
+
+// placeOnSlow assigns queued requests that wait past their target to slow workers, and returns them. Short tasks go first,
+// because more of them end in time there. Place calls it when the other workers have been assigned.
+func (p *Placer) placeOnSlow(now timer.Millis) (served []*request) {
+	if !slices.ContainsFunc(p.workersByName, func(w *worker) bool { return w.accepting && w.free.CPU > 0 && p.isSlow(w) }) {
+		return nil
+	}
+	var candidates []*request
+	for _, r := range p.queue {
+		if r.waitsPastTarget(now) && len(r.granted) == 0 {
+			candidates = append(candidates, r)
+		}
+		if len(candidates) == maxSlowCandidates {
+			break
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *request) int { return cmp.Compare(a.estimate, b.estimate) })
+	for _, r := range candidates {
+		if p.assignSlow(now, r) {
+			p.reportSlow(r, "late")
+			served = append(served, r)
+		}
+	}
+	return served
+}
+
+// waitsPastTarget reports whether a request cannot be expected to start in time on another worker.
+func (r *request) waitsPastTarget(now timer.Millis) bool {
+	return r.lastEnd > 0 && r.remaining > 0 && (r.late || r.started && r.softDeadline <= now)
+}
+
+func (p *Placer) reportSlow(r *request, why string) {
+	p.report(Event{Kind: "slowGrant", Job: r.key.job, Entry: r.key.entry, Worker: r.granted[0], Detail: why, Value: int64(len(r.granted))})
+}
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -52,6 +52,7 @@
 		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Resources: st.Resources, Estimate: st.Estimate,
 		Slack: max(j.targetStart-s.now, 0), MaxWait: max(j.latestStart-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoidedSidecars,
 		Label: st.Label, Rack: st.Rack, ServerTaskLimit: st.ServerTaskLimit, Placed: st.assignedSidecars(),
+		TargetEnd: max(j.targetEnd()-j.remainingPath(step)-s.now, 1), LastUsefulEnd: max(j.lastUsefulEnd()-j.remainingPath(step)-s.now, 1),
 	}
 	at := s.placingEntry()
 	if st.requested > 0 && at != st.requestedFrom {
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -78,6 +78,20 @@
 	return longest
 }
 
+// remainingPath returns the estimated run time of the longest chain of steps that follow step n.
+func (j *Job) remainingPath(n int) (longest timer.Millis) {
+	ends := map[uint64]timer.Millis{uint64(n): 0} // of step n and the steps that depend on it, relative to the end of step n
+	for m := n + 1; m < len(j.Steps); m++ {
+		for _, before := range j.Steps[m].After {
+			if end, ok := ends[before]; ok {
+				ends[uint64(m)] = max(ends[uint64(m)], end+j.Steps[m].Estimate)
+				longest = max(longest, ends[uint64(m)])
+			}
+		}
+	}
+	return longest
+}
+
 // invalidStepsReason returns why the steps of a job are invalid, or "".
 func (j *Job) invalidStepsReason() string {
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -263,8 +263,7 @@
 	j.waiters = []func(a Answer){j.Answer}
 	j.arrived = s.now - j.Waited
 	j.targetStart, j.expiresAt = j.arrived+slack, j.arrived+wait
-	useful := min(j.expiresAt, j.arrived+timer.Millis(usefulResponseFactor*float64(j.expectedResponse())))
-	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), useful-timer.Millis(lateRunFactor*float64(j.criticalPath()))))
+	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), j.lastUsefulEnd()-timer.Millis(lateRunFactor*float64(j.criticalPath()))))
 	s.jobs[j.ID] = j
 	s.requestReadySteps(j)
 }
@@ -274,6 +273,14 @@
 	return timer.Millis(j.Queue.Stretch*float64(j.criticalPath())) + j.Queue.ResponseAllowance
 }
 
+// targetEnd returns the latest end that meets the expected response time.
+func (j *job) targetEnd() timer.Millis { return j.arrived + j.expectedResponse() }
+
+// lastUsefulEnd returns the latest end at which the answer is still of use to the caller.
+func (j *job) lastUsefulEnd() timer.Millis {
+	return min(j.expiresAt, j.arrived+timer.Millis(usefulResponseFactor*float64(j.expectedResponse())))
+}
+
 // StartWaitLimit returns how long a job may wait for its first start, given its caller's deadline; 0 means unset.
 func StartWaitLimit(deadline timer.Millis) timer.Millis {
 	if deadline <= 0 {
