placer: keep jobs that have begun off slow workers, and test a third of the workers slow

Change: only late jobs that have not begun, and jobs about to be refused, go there, all of their tasks or none. A probe goes to a job only if its answer is expected in useful time.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -261,7 +261,7 @@
 
 // eligible reports whether a worker may get a task of a request, regardless of its free resources.
 func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy())
+	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy() && (r.lastEnd == 0 || now+p.expectedRun(r, w) <= r.lastEnd))
 }
 
 // allowed reports whether a worker may run a task of a request, regardless of its free resources and its speed.
--- a/placer/slow.go
+++ b/placer/slow.go
@@ -81,11 +81,11 @@
 	return n
 }
 
-// assignSlow assigns tasks of a request to slow workers. A job that has not begun gets all of its tasks there or none:
-// the rest would go before the tasks of jobs that can still be in time.
+// assignSlow assigns all tasks of a request to slow workers. It assigns none if they do not all fit: the rest would go
+// before the tasks of jobs that can still be in time.
 func (p *Placer) assignSlow(now timer.Millis, r *request) bool {
 	slots := p.slowSlots(now, r)
-	if len(slots) == 0 || !r.started && uint64(len(slots)) < r.remaining {
+	if len(slots) == 0 || uint64(len(slots)) < r.remaining {
 		return false
 	}
 	for _, w := range slots {
@@ -106,15 +106,16 @@
 	return true
 }
 
-// placeOnSlow assigns queued requests that wait past their target to slow workers, and returns them. Short tasks go first,
-// because more of them end in time there. Place calls it when the other workers have been assigned.
+// placeOnSlow assigns late requests to slow workers, and returns them. Short tasks go first, because more of them end in
+// time there. Place calls it when the other workers have been assigned. A job that has begun waits for another worker,
+// because it is first in line.
 func (p *Placer) placeOnSlow(now timer.Millis) (served []*request) {
 	if !slices.ContainsFunc(p.workersByName, func(w *worker) bool { return w.accepting && w.free.CPU > 0 && p.isSlow(w) }) {
 		return nil
 	}
 	var candidates []*request
 	for _, r := range p.queue {
-		if r.waitsPastTarget(now) && len(r.granted) == 0 {
+		if r.late && !r.started && r.lastEnd > 0 && len(r.granted) == 0 && r.remaining > 0 {
 			candidates = append(candidates, r)
 		}
 		if len(candidates) == maxSlowCandidates {
@@ -131,11 +132,6 @@
 	return served
 }
 
-// waitsPastTarget reports whether a request cannot be expected to start in time on another worker.
-func (r *request) waitsPastTarget(now timer.Millis) bool {
-	return r.lastEnd > 0 && r.remaining > 0 && (r.late || r.started && r.softDeadline <= now)
-}
-
 func (p *Placer) reportSlow(r *request, why string) {
 	p.report(Event{Kind: "slowGrant", Job: r.key.job, Entry: r.key.entry, Worker: r.granted[0], Detail: why, Value: int64(len(r.granted))})
 }
--- a/placer/uneven_test.go
+++ b/placer/uneven_test.go
@@ -13,17 +13,20 @@
 	deadline     = 2300 // ms
 )
 
-// unevenLoad is a load on workers of different speeds and sizes, and the mean value of an answer that is required.
+// unevenLoad is a load on workers of different speeds and sizes, and the results required under it relative to requests
+// that do not state their ends.
 type unevenLoad struct {
 	name    string
 	jobs    func(r *rand.Rand, at timer.Millis) []jobSpec
 	workers func(w *simWorker, i int, at timer.Millis)
-	want    float64
+	// minGain is the minimum gain of the mean value of an answer, and maxRefused the maximum share of the refusals.
+	minGain, maxRefused float64
 }
 
-// run applies a load for 8 s and returns the mean value of the answers and the number of refused jobs.
+// run applies a load for 8 s and returns the mean value of an answer and the number of refused jobs. states says whether
+// the requests state their ends.
 func (u *unevenLoad) run(seed uint64, states bool) (value float64, refused int) {
-	s := newSimulation(seed, 12)
+	s, random := newSimulation(seed, 12), rand.New(rand.NewPCG(seed, 8))
 	s.now = 2000
 	s.p.firstRequestAt = 1
 	var all []*simJob
@@ -33,7 +36,7 @@
 			u.workers(w, i, at)
 		}
 		if at < 8000 {
-			for _, spec := range u.jobs(s.r, at) {
+			for _, spec := range u.jobs(random, at) {
 				spec.target = timer.Millis(responseFactor*float64(spec.run)*1.15) + responseOffset
 				spec.useful = min(usefulFactor*spec.target, deadline)
 				if !states {
@@ -60,6 +63,16 @@
 	return value / float64(len(all)), s.refused
 }
 
+// mean returns the means over several seeds.
+func (u *unevenLoad) mean(states bool) (value, refused float64) {
+	const seeds = 5
+	for seed := range uint64(seeds) {
+		v, r := u.run(seed, states)
+		value, refused = value+v/seeds, refused+float64(r)/seeds
+	}
+	return value, refused
+}
+
 func slowThird(from, to timer.Millis) func(w *simWorker, i int, at timer.Millis) {
 	return func(w *simWorker, i int, at timer.Millis) {
 		w.speed = 1
@@ -78,28 +91,21 @@
 	}
 }
 
-func TestUneven(t *testing.T) {
+// TestUnevenLoads guards against a policy that leaves slow workers idle while jobs are refused, or that gives them jobs
+// whose answers are then of no use.
+func TestUnevenLoads(t *testing.T) {
 	loads := []unevenLoad{
-		{"a third slow during a burst", burst(140, 350, 2000, 6000), slowThird(1000, 6000), 0},
-		{"a third slow", burst(140, 140, 2000, 6000), slowThird(1000, 6000), 0},
-		{"a third slow, slightly high", burst(140, 180, 2000, 6000), slowThird(1000, 6000), 0},
-		{"three", burst(140, 250, 2000, 6000), func(w *simWorker, i int, _ timer.Millis) {
-			w.speed, w.total.CPU = 0.7, 32_000
-			if i%3 == 0 {
-				w.speed, w.total.CPU = 1.7, 48_000
-			}
-		}, 0},
+		{"a third four times slower during a burst of 2.5", burst(140, 350, 2000, 6000), slowThird(1000, 6000), 0.005, 0.95},
+		{"a third four times slower", burst(140, 140, 0, 0), slowThird(1000, 6000), 0, 0.5},
+		{"a third four times slower during a burst of 1.3", burst(140, 180, 2000, 6000), slowThird(1000, 6000), 0.01, 0.7},
 	}
 	for _, u := range loads {
-		for _, states := range []bool{false, true} {
-			var v float64
-			var rej int
-			for seed := uint64(1); seed <= 5; seed++ {
-				got, refused := u.run(seed, states)
-				v += got / 5
-				rej += refused
-			}
-			t.Logf("%s states %v: value %.4f refused %d", u.name, states, v, rej)
+		value, refused := u.mean(true)
+		formerValue, formerRefused := u.mean(false)
+		if value < formerValue+u.minGain || refused > u.maxRefused*formerRefused {
+			t.Errorf("%s: got value %.4f and %.1f refused, want at least %.4f and at most %.1f",
+				u.name, value, refused, formerValue+u.minGain, u.maxRefused*formerRefused)
 		}
+		t.Logf("%s: value %.4f, refused %.1f; without stated ends %.4f, %.1f", u.name, value, refused, formerValue, formerRefused)
 	}
 }
--- a/submitter/steps_test.go
+++ b/submitter/steps_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 // TestStepOrder guards against tasks that start before the steps that they depend on are done.
@@ -62,6 +63,16 @@
 	}
 }
 
+// TestRemainingPath guards against steps whose target end leaves no time for the steps that follow.
+func TestRemainingPath(t *testing.T) {
+	j := Job{Steps: []marshaler.Step{{Estimate: 100}, {Estimate: 50, After: []uint64{0}}, {Estimate: 500}, {Estimate: 70, After: []uint64{0, 1}}, {Estimate: 5, After: []uint64{2}}}}
+	for n, want := range []timer.Millis{120, 70, 5, 0, 0} {
+		if got := j.remainingPath(n); got != want {
+			t.Errorf("step %d: got %d ms, want %d", n, got, want)
+		}
+	}
+}
+
 // TestRepeatedRequest guards against a job that waits forever because the placing entry has lost its request.
 func TestRepeatedRequest(t *testing.T) {
 	cases := []struct {
