placer: compare a worker's speed with others of its kind

Cause: slow meant below 0.35 of the median of all workers, so slower kinds of workers beside a fast majority counted as faulty, and a fast worker at a quarter of its speed did not. Change: the median is that of the kind (labels without the rack's, and capacity class), or of all workers for a kind of fewer than three. The label of a rack starts with "rack". Result: with the median of all workers TestSlow fails in three cases (slower kind beside a fast majority, slow worker of a fast kind by label and by size); it passes now. Conclusion: two or three speeds in one fleet do not count as slow.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,7 +17,7 @@
 	// startupGrace is the time after the first request in which no request is refused for lack of workers. All sidecars
 	// report within it.
 	startupGrace = timer.Second
-	// medianSpeedInterval is the interval at which the workers' median speed is recomputed. It follows a change of their
+	// medianSpeedInterval is the interval at which the workers' usual speeds are recomputed. It follows a change of their
 	// speeds within 150 ms.
 	medianSpeedInterval = 50 * timer.Millisecond
 	// maxQueued is the maximum number of queued requests.
@@ -39,6 +39,7 @@
 
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
+		kinds          map[string]*workerKind
 		queue          []*request
 		requests       map[requestKey]*request
 		firstRequestAt timer.Millis // 0 before the first request
@@ -75,12 +76,18 @@
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
+	p.setKind(w, b)
 }
 
 // RemoveWorker removes a worker.
 func (p *Placer) RemoveWorker(name string) {
+	w := p.workers[name]
+	if w == nil {
+		return
+	}
 	delete(p.workers, name)
-	p.workersByName = slices.DeleteFunc(p.workersByName, func(w *worker) bool { return w.name == name })
+	p.workersByName = slices.DeleteFunc(p.workersByName, func(o *worker) bool { return o == w })
+	p.removeKind(w.kind)
 }
 
 // SetAccepting sets whether a worker accepts starts. Its next load report overrides it.
@@ -184,9 +191,7 @@
 	if len(p.queue) == 0 {
 		return
 	}
-	if p.medianSpeed == 0 || now-p.medianSpeedAt >= medianSpeedInterval {
-		p.medianSpeed, p.medianSpeedAt = p.computeMedianSpeed(), now
-	}
+	p.updateSpeeds(now)
 	blocked := 0
 	var served []*request
 	for _, r := range p.queue {
--- a/placer/slow.go
+++ b/placer/slow.go
@@ -23,19 +23,6 @@
 	}
 }
 
-// isSlow reports whether a worker is so much slower than usual that it may be faulty.
-func (p *Placer) isSlow(w *worker) bool {
-	return w.speed < slowSpeedRatio*p.usualSpeed(w)
-}
-
-// usualSpeed returns the speed that a worker like w usually has.
-func (p *Placer) usualSpeed(*worker) float64 {
-	if p.medianSpeed == 0 {
-		return p.computeMedianSpeed()
-	}
-	return p.medianSpeed
-}
-
 // expectedRun returns the expected run time of a task of a request on a worker.
 func (p *Placer) expectedRun(r *request, w *worker) timer.Millis {
 	speed := max(w.speed*r.constraints.rackFactor(w), 1)
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -20,7 +20,7 @@
 	// workersPerOpenBreaker limits open breakers to one in workersPerOpenBreaker workers. When more workers fail, the cause
 	// is more likely in the jobs.
 	workersPerOpenBreaker = 3
-	// slowSpeedRatio is the ratio to the median speed below which a worker gets one task at a time, as a probe.
+	// slowSpeedRatio is the ratio to the usual speed of a worker's kind below which a worker gets one task at a time, as a probe.
 	slowSpeedRatio = 0.35
 	// sameDomainBonus is added to the relative speed of a worker in the requesting entry's failure domain.
 	sameDomainBonus = 0.06
@@ -32,6 +32,7 @@
 		name         string
 		domain       string
 		service      string
+		kind         *workerKind
 		labels       []string
 		total        marshaler.Resources
 		reportedFree marshaler.Resources // free resources in the latest load report
