placer: learn run times by queue and kind, and choose the kind of worker by the target

Cause: run times came from the caller's figure alone, and the fastest worker was taken even for tasks that a slower one serves in time. Start and CompletedRun carry the queue (optional fields 7 and 6). While requests have waited within 200 ms, a task goes to the slowest kind on which it meets its target by the 95th percentile, within a kind to the fastest worker.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -127,7 +127,8 @@
 	dst = appendResources(dst, 3, m.Resources)
 	dst = appendZigZag(dst, 4, int64(m.Estimate))
 	dst = appendZigZag(dst, 5, m.NotAfter)
-	return appender.AppendUint(dst, 6, m.Epoch)
+	dst = appender.AppendUint(dst, 6, m.Epoch)
+	return appender.AppendString(dst, 7, m.Queue)
 }
 
 func appendResourceRequest(dst []byte, m *ResourceRequest) []byte {
@@ -171,7 +172,8 @@
 			b = appender.AppendUint(b, 2, uint64(s.Status))
 			b = appendZigZag(b, 3, int64(s.RunTime))
 			b = appendZigZag(b, 4, int64(s.Estimate))
-			return appendResources(b, 5, s.Resources)
+			b = appendResources(b, 5, s.Resources)
+			return appender.AppendString(b, 6, s.Queue)
 		})
 	}
 	return dst
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -191,6 +191,8 @@
 		return setMillis(f, &s.Estimate)
 	case 5:
 		return setResources(f, &s.Resources)
+	case 6:
+		return f.StoreString(&s.Queue, MaxNameLen)
 	}
 	return nil
 }
@@ -209,6 +211,8 @@
 		return setZigZag(f, &m.NotAfter)
 	case 6:
 		return f.StoreUint(&m.Epoch)
+	case 7:
+		return f.StoreString(&m.Queue, MaxNameLen)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -123,6 +123,7 @@
 		RunTime   timer.Millis
 		Estimate  timer.Millis
 		Resources Resources
+		Queue     string // empty if the start did not state it
 	}
 
 	// Start tells a sidecar to run a task.
@@ -135,6 +136,7 @@
 		NotAfter int64
 		// Epoch is the epoch under which the sender owns the job's partition; 0 for a job that is not durable.
 		Epoch uint64
+		Queue string // of the job; optional
 	}
 
 	// Stop tells a sidecar to stop a run.
--- /dev/null
+++ b/placer/choice.go
@@ -0,0 +1,70 @@
+package placer
+
+import (
+	"github.com/crocuslb/crocuslb/estimator"
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// scarcityWindow is how long capacity counts as scarce after a request has waited.
+	scarcityWindow = 200 * timer.Millisecond
+	// normalSpeed is the speed that stated run times assume.
+	normalSpeed = 1000
+)
+
+// choice says which worker a task of a request should get.
+type choice struct {
+	// slowestKind selects the slowest kind of workers of which one has at least minSpeed, and the fastest worker if there is
+	// none. Within a kind, the fastest worker is selected: one that is slower than others of its kind may be faulty.
+	slowestKind bool
+	// minSpeed is the lowest speed at which the task meets its target if its run time is as stated.
+	minSpeed float64
+}
+
+// choose returns the choice for a task of a request. While capacity is scarce, a task goes to the slowest kind of workers on
+// which it meets its target, so that tasks with less time left find fast workers free.
+func choose(now timer.Millis, r *request, scarce bool) choice {
+	left := r.targetEnd - now
+	if !scarce || r.targetEnd == 0 || left <= 0 {
+		return choice{}
+	}
+	return choice{slowestKind: true, minSpeed: normalSpeed * float64(r.estimate) / float64(left)}
+}
+
+// slowerKind reports whether w is preferred to other when the slowest kind is selected.
+func (p *Placer) slowerKind(r *request, w, other *worker) bool {
+	if usual, of := p.usualSpeed(w), p.usualSpeed(other); usual != of {
+		return usual < of
+	}
+	return p.score(r, w) > p.score(r, other)
+}
+
+// scarce reports whether a request has waited recently.
+func (p *Placer) scarce(now timer.Millis) bool {
+	return p.waitedAt != 0 && now-p.waitedAt <= scarcityWindow
+}
+
+// fastEnough reports whether a worker has the minimum speed of a choice. Of the learned run times, it assumes the 95th
+// percentile, because a job ends with its longest task.
+func (p *Placer) fastEnough(c choice, r *request, w *worker) bool {
+	return w.speed*r.constraints.rackFactor(w) >= c.minSpeed*p.ratio(r, w).High
+}
+
+// expectedRun returns the expected run time of a task of a request on a worker.
+func (p *Placer) expectedRun(r *request, w *worker) timer.Millis {
+	speed := max(w.speed*r.constraints.rackFactor(w), 1)
+	return timer.Millis(float64(r.estimate) * p.ratio(r, w).Mean * normalSpeed / speed)
+}
+
+func (p *Placer) ratio(r *request, w *worker) estimator.Ratio {
+	return p.runTimes.Ratio(r.queueName, w.kind.name)
+}
+
+// learnRunTime learns from a run that has ended. Runs on slow workers do not count, because their speed has changed
+// meanwhile.
+func (p *Placer) learnRunTime(now timer.Millis, w *worker, s marshaler.CompletedRun) {
+	if s.Status == marshaler.StatusDone && s.Queue != "" && s.Estimate > 0 && !p.isSlow(w) {
+		p.runTimes.Add(now, s.Queue, w.kind.name, float64(s.RunTime)*w.speed/normalSpeed/float64(s.Estimate))
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"github.com/crocuslb/crocuslb/estimator"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -45,6 +46,8 @@
 		firstRequestAt timer.Millis // 0 before the first request
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
+		runTimes       estimator.Estimator
+		waitedAt       timer.Millis // when a request last found no worker; 0 if none did
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -110,6 +113,7 @@
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
+		p.learnRunTime(now, w, s)
 	}
 }
 
@@ -213,6 +217,9 @@
 			break
 		}
 	}
+	if blocked > 0 {
+		p.waitedAt = now
+	}
 	p.sendGrants(append(served, p.placeOnSlow(now)...))
 }
 
@@ -245,28 +252,39 @@
 	}
 }
 
-// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil.
+// selectWorker returns the eligible worker with enough free resources that a task of r should get, or nil.
 func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	var best *worker
-	var bestScore float64
+	c := choose(now, r, p.scarce(now))
+	var fastest, sufficient *worker // sufficient is the fastest worker of the slowest kind that is fast enough
 	for _, w := range p.workersByName {
 		if !w.free.Contains(r.resources) || !p.eligible(now, r, w) {
 			continue
 		}
-		score := w.speed / p.medianSpeed * r.constraints.rackFactor(w)
-		if w.domain == r.domain {
-			score += sameDomainBonus
+		if fastest == nil || p.score(r, w) > p.score(r, fastest) {
+			fastest = w
 		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
+		if c.slowestKind && p.fastEnough(c, r, w) && (sufficient == nil || p.slowerKind(r, w, sufficient)) {
+			sufficient = w
 		}
 	}
-	return best
+	if sufficient != nil {
+		return sufficient
+	}
+	return fastest
+}
+
+// score returns the preference for a worker. It is the relative speed, and higher in the requesting entry's failure domain.
+func (p *Placer) score(r *request, w *worker) float64 {
+	score := w.speed / p.medianSpeed * r.constraints.rackFactor(w)
+	if w.domain == r.domain {
+		score += sameDomainBonus
+	}
+	return score
 }
 
 // eligible reports whether a worker may get a task of a request, regardless of its free resources.
 func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy() && (r.lastEnd == 0 || now+p.expectedRun(r, w) <= r.lastEnd))
+	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy() && (r.lastEnd == 0 || p.endsUsefully(now, r, w)))
 }
 
 // allowed reports whether a worker may run a task of a request, regardless of its free resources and its speed.
--- a/placer/slow.go
+++ b/placer/slow.go
@@ -23,16 +23,10 @@
 	}
 }
 
-// expectedRun returns the expected run time of a task of a request on a worker.
-func (p *Placer) expectedRun(r *request, w *worker) timer.Millis {
-	speed := max(w.speed*r.constraints.rackFactor(w), 1)
-	return timer.Millis(float64(r.estimate) * 1000 / speed)
-}
-
-// slowServes reports whether a slow worker may run a task of a request, because the task is expected to end while its
-// answer is still of use to the caller.
-func (p *Placer) slowServes(now timer.Millis, r *request, w *worker) bool {
-	return r.lastEnd > 0 && p.isSlow(w) && now+p.expectedRun(r, w) <= r.lastEnd && p.allowed(now, r, w)
+// endsUsefully reports whether a task of a request is expected to end on a worker while its answer is still of use to the
+// caller.
+func (p *Placer) endsUsefully(now timer.Millis, r *request, w *worker) bool {
+	return r.lastEnd > 0 && now+p.expectedRun(r, w) <= r.lastEnd
 }
 
 // slowSlots returns the slow workers that may run tasks of a request, the fastest first, with one element for each task
@@ -40,7 +34,7 @@
 func (p *Placer) slowSlots(now timer.Millis, r *request) (slots []*worker) {
 	var candidates []*worker
 	for _, w := range p.workersByName {
-		if w.free.Contains(r.resources) && p.slowServes(now, r, w) {
+		if w.free.Contains(r.resources) && p.isSlow(w) && p.allowed(now, r, w) && p.endsUsefully(now, r, w) {
 			candidates = append(candidates, w)
 		}
 	}
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -34,7 +34,7 @@
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
 	}
-	r := &run{key: m.Run, entry: e, room: m.Resources, durable: m.Epoch > 0, estimate: m.Estimate, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
+	r := &run{key: m.Run, entry: e, room: m.Resources, durable: m.Epoch > 0, estimate: m.Estimate, queue: m.Queue, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
 	if k.runs == nil {
 		k.runs = map[taskKey]*run{}
 	}
@@ -156,7 +156,7 @@
 		k.durable.addEnd(outcome)
 	}
 	k.sendOutcome(now, r.entry, outcome)
-	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.room}
+	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.room, Queue: r.queue}
 	for _, e := range marshaler.SortedByKey(k.entries) {
 		if e.subscribed {
 			e.pendingEnds = append(e.pendingEnds, settled)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -156,6 +156,7 @@
 		room       marshaler.Resources
 		durable    bool // whether it belongs to a durable job
 		estimate   timer.Millis
+		queue      string // of the job; empty if not stated
 		state      int
 		startedAt  timer.Millis // when the start was received; from its confirmation on, when it was confirmed
 		startHold  uint64       // holds with a higher number list the run if it is active
