--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -82,6 +82,15 @@
 	return Unknown
 }
 
+// Each calls f for each key with enough samples, the most recently used first.
+func (e *Estimator) Each(f func(queue, kind string, r Ratio, samples int)) {
+	for element := e.used.Front(); element != nil; element = element.Next() {
+		if s := element.Value.(*stats); s.samples >= minSamples {
+			f(s.key.queue, s.key.kind, s.ratio, s.samples)
+		}
+	}
+}
+
 // Len returns the number of keys.
 func (e *Estimator) Len() int { return len(e.stats) }
 
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"testing"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
 	"github.com/crocuslb/crocuslb/timer"
@@ -66,6 +67,31 @@
 	})
 }
 
+// TestOptionalFields guards against a field that a process of the former version needs or cannot skip: a message without the
+// optional fields is encoded as before, and fields of a later version are skipped.
+func TestOptionalFields(t *testing.T) {
+	cases := []struct {
+		name      string
+		with      Message
+		without   Message
+		wantExtra int // bytes
+	}{
+		{"request", &ResourceRequest{Job: "j", TargetEnd: 50, LastUsefulEnd: 60}, &ResourceRequest{Job: "j"}, 6},
+		{"start", &Start{Queue: "queue"}, &Start{}, 7},
+		{"load", &Load{CompletedRuns: []CompletedRun{{Job: "j", Queue: "queue"}}}, &Load{CompletedRuns: []CompletedRun{{Job: "j"}}}, 7},
+	}
+	for _, c := range cases {
+		with, without := Append(nil, c.with), Append(nil, c.without)
+		if got := len(with) - len(without); got != c.wantExtra {
+			t.Errorf("%s: got %d bytes for the optional fields, want %d", c.name, got, c.wantExtra)
+		}
+		later := protowire.AppendVarint(protowire.AppendTag(without, 100, protowire.VarintType), 7)
+		if got, err := Decode(later); err != nil || !reflect.DeepEqual(got, c.without) {
+			t.Errorf("%s: got %+v, %v from a later version, want %+v", c.name, got, err, c.without)
+		}
+	}
+}
+
 // TestKindName guards against a message type that loses its name in metrics, for example when its Go type is renamed.
 func TestKindName(t *testing.T) {
 	want := []string{
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/crocuslb/crocuslb/estimator"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -16,6 +17,8 @@
 	// minKindWorkers is the number of workers from which on the median speed of a kind is its usual speed. With fewer, one
 	// slow worker would change the median.
 	minKindWorkers = 3
+	// speedReportInterval is the minimum interval between two reports of the same slow worker, and of the learned run times.
+	speedReportInterval = 10 * timer.Second
 	// classesPerOctave is the number of capacity classes in which the number of processors doubles.
 	classesPerOctave = 2
 )
@@ -80,6 +83,24 @@
 			k.usualSpeed = max(of[len(of)/2], 1)
 		}
 	}
+	p.reportSpeeds(now)
+}
+
+// reportSpeeds reports the workers that are slow and the learned run times, each at most once in speedReportInterval.
+func (p *Placer) reportSpeeds(now timer.Millis) {
+	for _, w := range p.workersByName {
+		if w.accepting && p.isSlow(w) && (w.slowReportedAt == 0 || now-w.slowReportedAt >= speedReportInterval) {
+			w.slowReportedAt = now
+			p.report(Event{Kind: "workerSlow", Worker: w.name, Detail: fmt.Sprintf("usual speed %.0f, kind %s", p.usualSpeed(w), w.kind.name), Value: int64(w.speed)})
+		}
+	}
+	if now-p.runTimesReportedAt < speedReportInterval {
+		return
+	}
+	p.runTimesReportedAt = now
+	p.runTimes.Each(func(queue, kind string, r estimator.Ratio, samples int) {
+		p.report(Event{Kind: "runTimes", Detail: fmt.Sprintf("learned mean %.2f, 95%% %.2f, queue %s, kind %s", r.Mean, r.High, queue, kind), Value: int64(samples)})
+	})
 }
 
 // usualSpeed returns the median speed of the workers of the same kind as w, or of all workers if the kind has too few.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -47,7 +47,9 @@
 		medianSpeed    float64      // of the accepting workers, computed at medianSpeedAt
 		medianSpeedAt  timer.Millis
 		runTimes       estimator.Estimator
-		waitedAt       timer.Millis // when a request last found no worker; 0 if none did
+		// runTimesReportedAt is the time of the latest report of the learned run times.
+		runTimesReportedAt timer.Millis
+		waitedAt           timer.Millis // when a request last found no worker; 0 if none did
 	}
 
 	// Event describes a decision for logs and metrics.
--- a/placer/slow.go
+++ b/placer/slow.go
@@ -114,5 +114,5 @@
 }
 
 func (p *Placer) reportSlow(r *request, why string) {
-	p.report(Event{Kind: "slowGrant", Job: r.key.job, Entry: r.key.entry, Worker: r.granted[0], Detail: why, Value: int64(len(r.granted))})
+	p.report(Event{Kind: "slowGrant", Job: r.key.job, Worker: r.granted[0], Detail: why, Value: int64(len(r.granted))})
 }
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -41,6 +41,8 @@
 		reservations []reservation
 		free         marshaler.Resources // reportedFree minus reservations
 		breaker      breaker
+		// slowReportedAt is the time at which the worker was last reported as slow; 0 if never.
+		slowReportedAt timer.Millis
 	}
 
 	// reservation is an amount of granted resources that the sidecar's reports do not reflect yet.
