placer: keep a slow worker slow until 0.8 of its usual speed, and probe it with jobs that lose nothing

Cause: the reported speed of an idle worker returns to normal in 1 s, so a slow worker counted as usual again after 0.15 s and got as many tasks as fit. Each probe made a job late that could have been in time elsewhere. Change: the slow state ends at 0.8 of the usual speed. A request that can still meet its target probes a slow worker only if it meets it there. Capacity is scarce by service.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -40,9 +40,18 @@
 	return p.score(r, w) > p.score(r, other)
 }
 
-// scarce reports whether a request has waited recently.
-func (p *Placer) scarce(now timer.Millis) bool {
-	return p.waitedAt != 0 && now-p.waitedAt <= scarcityWindow
+// setScarce records that a request found no worker.
+func (p *Placer) setScarce(now timer.Millis, r *request) {
+	if p.waitedAt == nil {
+		p.waitedAt = map[string]timer.Millis{}
+	}
+	p.waitedAt[r.service] = now
+}
+
+// scarce reports whether a request of the same service has waited recently.
+func (p *Placer) scarce(now timer.Millis, r *request) bool {
+	at, waited := p.waitedAt[r.service]
+	return waited && now-at <= scarcityWindow
 }
 
 // fastEnough reports whether a worker has the minimum speed of a choice. Of the learned run times, it assumes the 95th
--- a/placer/kind.go
+++ b/placer/kind.go
@@ -83,6 +83,9 @@
 			k.usualSpeed = max(of[len(of)/2], 1)
 		}
 	}
+	for _, w := range p.workersByName {
+		p.updateSlow(w)
+	}
 	p.reportSpeeds(now)
 }
 
@@ -115,4 +118,11 @@
 }
 
 // isSlow reports whether a worker is so much slower than others of its kind that it may be faulty.
-func (p *Placer) isSlow(w *worker) bool { return w.speed < slowSpeedRatio*p.usualSpeed(w) }
+func (p *Placer) isSlow(w *worker) bool { return w.slow }
+
+// updateSlow updates whether a worker is slow. It stays slow until its speed is nearly usual, because the reported speed
+// returns to normal while a worker has no runs, whether it has recovered or not.
+func (p *Placer) updateSlow(w *worker) {
+	ratio := w.speed / p.usualSpeed(w)
+	w.slow = ratio < slowSpeedRatio || w.slow && ratio < recoveredSpeedRatio
+}
--- a/placer/kind_test.go
+++ b/placer/kind_test.go
@@ -58,3 +58,20 @@
 		}
 	}
 }
+
+// TestRecovery guards against a slow worker that counts as recovered as soon as its reported speed rises, which it does
+// while the worker has no runs.
+func TestRecovery(t *testing.T) {
+	p := newFleet()
+	w := p.workers["kind1-0"] // its usual speed is 1000
+	steps := []struct {
+		speed uint64
+		want  bool
+	}{{1000, false}, {400, false}, {340, true}, {400, true}, {790, true}, {800, false}, {400, false}}
+	for i, s := range steps {
+		p.OnLoad(testNow, w.name, &marshaler.Load{Accepting: true, Speed: s.speed})
+		if got := p.isSlow(w); got != s.want {
+			t.Errorf("step %d, speed %d: got slow %v, want %v", i, s.speed, got, s.want)
+		}
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,7 +49,7 @@
 		runTimes       estimator.Estimator
 		// runTimesReportedAt is the time of the latest report of the learned run times.
 		runTimesReportedAt timer.Millis
-		waitedAt           timer.Millis // when a request last found no worker; 0 if none did
+		waitedAt           map[string]timer.Millis // when a request of a service last found no worker
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -113,6 +113,7 @@
 	}
 	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
 	w.updateFree()
+	p.updateSlow(w)
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
 		p.learnRunTime(now, w, s)
@@ -208,6 +209,7 @@
 			w := p.selectWorker(now, r)
 			if w == nil {
 				blocked++
+				p.setScarce(now, r)
 				break
 			}
 			assignTask(now, r, w)
@@ -219,9 +221,6 @@
 			break
 		}
 	}
-	if blocked > 0 {
-		p.waitedAt = now
-	}
 	p.sendGrants(append(served, p.placeOnSlow(now)...))
 }
 
@@ -256,7 +255,7 @@
 
 // selectWorker returns the eligible worker with enough free resources that a task of r should get, or nil.
 func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	c := choose(now, r, p.scarce(now))
+	c := choose(now, r, p.scarce(now, r))
 	var fastest, sufficient *worker // sufficient is the fastest worker of the slowest kind that is fast enough
 	for _, w := range p.workersByName {
 		if !w.free.Contains(r.resources) || !p.eligible(now, r, w) {
@@ -286,7 +285,7 @@
 
 // eligible reports whether a worker may get a task of a request, regardless of its free resources.
 func (p *Placer) eligible(now timer.Millis, r *request, w *worker) bool {
-	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy() && (r.lastEnd == 0 || p.endsUsefully(now, r, w)))
+	return p.allowed(now, r, w) && (!p.isSlow(w) || !w.busy() && p.mayProbe(now, r, w))
 }
 
 // allowed reports whether a worker may run a task of a request, regardless of its free resources and its speed.
--- a/placer/slow.go
+++ b/placer/slow.go
@@ -29,6 +29,12 @@
 	return r.lastEnd > 0 && now+p.expectedRun(r, w) <= r.lastEnd
 }
 
+// mayProbe reports whether a request may run a task on an idle slow worker. A request that can still meet its target may
+// only if it meets it there; otherwise the probe would make its answer late.
+func (p *Placer) mayProbe(now timer.Millis, r *request, w *worker) bool {
+	return now >= r.targetEnd || now+p.expectedRun(r, w) <= r.targetEnd
+}
+
 // slowSlots returns the slow workers that may run tasks of a request, the fastest first, with one element for each task
 // that fits, up to the number of tasks that are not granted yet.
 func (p *Placer) slowSlots(now timer.Millis, r *request) (slots []*worker) {
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -22,6 +22,8 @@
 	workersPerOpenBreaker = 3
 	// slowSpeedRatio is the ratio to the usual speed of a worker's kind below which a worker gets one task at a time, as a probe.
 	slowSpeedRatio = 0.35
+	// recoveredSpeedRatio is the same ratio from which on a slow worker is not slow any more.
+	recoveredSpeedRatio = 0.8
 	// sameDomainBonus is added to the relative speed of a worker in the requesting entry's failure domain.
 	sameDomainBonus = 0.06
 )
@@ -41,6 +43,7 @@
 		reservations []reservation
 		free         marshaler.Resources // reportedFree minus reservations
 		breaker      breaker
+		slow         bool // as updateSlow defines
 		// slowReportedAt is the time at which the worker was last reported as slow; 0 if never.
 		slowReportedAt timer.Millis
 	}
