placer: do not compute the median speed with each load report before the first placement

Cause: on entries that do not place, every load report computed the median of all workers to see whether one is slow. Result: tests of placer and submitter pass.

--- a/placer/kind.go
+++ b/placer/kind.go
@@ -108,21 +108,21 @@
 
 // usualSpeed returns the median speed of the workers of the same kind as w, or of all workers if the kind has too few.
 func (p *Placer) usualSpeed(w *worker) float64 {
-	switch {
-	case w.kind.usualSpeed > 0:
+	if w.kind.usualSpeed > 0 {
 		return w.kind.usualSpeed
-	case p.medianSpeed > 0:
-		return p.medianSpeed
 	}
-	return p.computeMedianSpeed()
+	return p.medianSpeed
 }
 
 // isSlow reports whether a worker is so much slower than others of its kind that it may be faulty.
 func (p *Placer) isSlow(w *worker) bool { return w.slow }
 
-// updateSlow updates whether a worker is slow. It stays slow until its speed is nearly usual, because the reported speed
+// updateSlow updates whether a worker is slow, once the usual speeds are known. It stays slow until its speed is nearly usual, because the reported speed
 // returns to normal while a worker has no runs, whether it has recovered or not.
 func (p *Placer) updateSlow(w *worker) {
+	if p.medianSpeed == 0 {
+		return // this entry has not placed anything yet
+	}
 	ratio := w.speed / p.usualSpeed(w)
 	w.slow = ratio < slowSpeedRatio || w.slow && ratio < recoveredSpeedRatio
 }
--- a/placer/uneven_test.go
+++ b/placer/uneven_test.go
@@ -26,6 +26,24 @@
 	minGain, maxRefused float64
 }
 
+// measure returns the speed that a load report states. It follows the speed of the runs with a time constant of 150 ms and
+// returns to normal in 1 s while there are none, as in a sidecar.
+func (w *simWorker) measure() uint64 {
+	switch {
+	case w.reported == 0:
+		return uint64(w.speed * 1000)
+	case len(w.runs) == 0:
+		w.reported += (1 - w.reported) / 1000
+	default:
+		var ratios float64
+		for _, r := range w.runs {
+			ratios += r.ratio
+		}
+		w.reported += (w.speed*ratios/float64(len(w.runs)) - w.reported) / 150
+	}
+	return uint64(w.reported * 1000)
+}
+
 // run applies a load for 8 s and returns the mean value of an answer and the number of refused jobs. states says whether
 // the requests state their ends.
 func (u *unevenLoad) run(seed uint64, states bool) (value float64, refused int) {
