--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -191,6 +191,8 @@
 		return setMillis(f, &s.Estimate)
 	case 5:
 		return setResources(f, &s.Resources)
+	case 6:
+		return f.StoreString(&s.Queue, MaxNameLen)
 	}
 	return nil
 }
@@ -209,6 +211,8 @@
 		return setZigZag(f, &m.NotAfter)
 	case 6:
 		return f.StoreUint(&m.Epoch)
+	case 7:
+		return f.StoreString(&m.Queue, MaxNameLen)
 	}
 	return nil
 }
@@ -276,6 +280,10 @@
 		return appendDecodedText(f, &m.Placed)
 	case 16:
 		return setMillis(f, &m.MaxWait)
+	case 17:
+		return setMillis(f, &m.TargetEnd)
+	case 18:
+		return setMillis(f, &m.LastUsefulEnd)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -131,6 +131,7 @@
 		RunTime   timer.Millis
 		Estimate  timer.Millis
 		Resources Resources
+		Queue     string // empty if the start did not state it
 	}
 
 	// Start tells a sidecar to run a task.
@@ -143,6 +144,7 @@
 		NotAfter int64
 		// Epoch is the epoch under which the sender owns the job's partition; 0 for a job that is not durable.
 		Epoch uint64
+		Queue string // of the job; optional
 	}
 
 	// Stop tells a sidecar to stop a run.
@@ -191,6 +193,10 @@
 		// MaxWait is the maximum time that the request may wait when the expected response time can no longer be met. It is
 		// at least Slack; 0 means Slack.
 		MaxWait timer.Millis
+		// TargetEnd is the time until the end of the step that meets the expected response time, and LastUsefulEnd the time
+		// until the latest end that is still of use to the caller. At least 1; 0 means not stated.
+		TargetEnd     timer.Millis
+		LastUsefulEnd timer.Millis
 	}
 
 	// CancelResourceRequest cancels the part of a resource request that is not granted yet.
--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -63,13 +63,13 @@
 			{"decision", func(p *Placer, i int) {
 				at := now + timer.Millis(i/64)
 				p.expireReservations(at)
-				w := p.selectWorker(r)
+				w := p.selectWorker(at, r)
 				p.reserve(at, w, r)
 				w.releaseReservation("job")
 				w.updateFree()
 				p.updateIndex(w)
 			}},
-			{"constrained", func(p *Placer, _ int) { p.selectWorker(constrained) }},
+			{"constrained", func(p *Placer, _ int) { p.selectWorker(now, constrained) }},
 			{"arrival", func(p *Placer, _ int) {
 				p.Request(now, "entry", "domain-1", &arrival)
 				p.Cancel("entry", "job", 0)
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -1,15 +1,25 @@
 package placer
 
-import "github.com/crocuslb/crocuslb/marshaler"
+import (
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
 
 // maxCountedWorkers is the number of workers with free resources up to which a refusal's log line counts them.
 const maxCountedWorkers = 32
 
-// selectWorker returns the best eligible worker with enough free resources for a task of r, or nil. Within one failure
-// domain and rack the fastest one is the best, so the best of each is found without reading the others.
-func (p *Placer) selectWorker(r *request) *worker { return p.selectFastest(r, nil) }
+// selectWorker returns the eligible worker with enough free resources that a task of r should get, or nil.
+func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
+	mayRun := func(w *worker) bool { return !w.slow || p.mayProbe(now, r, w) }
+	if w := p.selectByTarget(now, r, mayRun); w != nil {
+		return w
+	}
+	return p.selectFastest(r, mayRun)
+}
 
-// selectFastest returns the same among the workers that pass a filter. A nil filter passes all.
+// selectFastest returns the best eligible worker with enough free resources for a task of r that passes a filter, or nil.
+// Within one failure domain and rack the fastest one is the best, so the best of each is found without reading the others.
+// A nil filter passes all.
 func (p *Placer) selectFastest(r *request, filter func(*worker) bool) *worker {
 	s := p.services[r.service]
 	if s == nil || s.unfit.covers(r.resources) {
@@ -17,7 +27,7 @@
 	}
 	avoids, fits := p.markAvoided(s, r), false
 	group := p.group(s, r.constraints.label)
-	best := p.fastestByRack(s, group, r, func(k workerKey) bool {
+	best, _ := p.fastestByRack(s, group, nil, 0, r, func(k workerKey) bool {
 		fits = true
 		return p.allows(r, k.w, avoids) && (filter == nil || filter(k.w))
 	})
@@ -27,30 +37,32 @@
 	return best
 }
 
-// fastestByRack returns the best worker of a group for a task of r with regard to its preferred rack, or nil.
-func (p *Placer) fastestByRack(s *serviceIndex, group *workerGroup, r *request, passes func(workerKey) bool) *worker {
+// fastestByRack returns the best worker of a group for a task of r with regard to its preferred rack, or nil, and its score.
+// kind is the kind whose workers the group holds, or nil. Workers slower than minSpeed with the factor of their rack do not
+// count.
+func (p *Placer) fastestByRack(s *serviceIndex, group *workerGroup, kind *workerKind, minSpeed float64, r *request, passes func(workerKey) bool) (*worker, float64) {
 	rack := r.constraints.rack
 	if rack == "" {
-		best, _ := p.fastest(group, r, 1, passes)
-		return best
+		return p.fastest(group, r, 1, minSpeed, passes)
 	}
 	// The second search may find a worker of the rack again, but no better one than the first search: its score is lower.
-	best, score := p.fastest(p.group(s, rack), r, 1, passes)
-	remote, remoteScore := p.fastest(group, r, remoteRackFactor, passes)
+	best, score := p.fastest(p.group(s, rack), r, 1, minSpeed, func(k workerKey) bool { return (kind == nil || k.w.kind == kind) && passes(k) })
+	remote, remoteScore := p.fastest(group, r, remoteRackFactor, minSpeed, passes)
 	if precedes(remote, remoteScore, best, score) {
-		return remote
+		return remote, remoteScore
 	}
-	return best
+	return best, score
 }
 
-// fastest returns the worker of a group with the highest score for a task of r, or nil. factor is the factor on its speed.
-func (p *Placer) fastest(g *workerGroup, r *request, factor float64, passes func(workerKey) bool) (best *worker, score float64) {
+// fastest returns the worker of a group with the highest score for a task of r, or nil. factor is the factor on its speed,
+// which must be at least minSpeed.
+func (p *Placer) fastest(g *workerGroup, r *request, factor, minSpeed float64, passes func(workerKey) bool) (best *worker, score float64) {
 	if g == nil {
 		return nil, 0
 	}
 	for _, d := range g.domains {
 		h := d.tree.FirstFit(nil, func(free marshaler.Resources) bool { return free.Contains(r.resources) }, passes)
-		if h == 0 {
+		if h == 0 || d.tree.Key(h).speed*factor < minSpeed {
 			continue
 		}
 		w := d.tree.Key(h).w
--- a/placer/workerindex.go
+++ b/placer/workerindex.go
@@ -40,6 +40,8 @@
 	serviceIndex struct {
 		tally  tally
 		all    workerGroup
+		kinds  []*workerKind // by usual speed
+		slow   workerTree    // the accepting workers that are slow, with all their free resources
 		sizes  sizeCounts
 		labels map[string]*labelIndex
 		unfit  unfitSize
@@ -86,8 +88,11 @@
 		service *serviceIndex
 		places  []place
 		speed   indexer.Handle // in the placer's speeds
-		tally   tally
-		open    bool // listed among the open breakers
+		// kindSpeed is the place in the speeds of the kind, and slow the one among the slow workers of the service.
+		kindSpeed indexer.Handle
+		slow      place
+		tally     tally
+		open      bool // listed among the open breakers
 		// probeDue is whether an open breaker is due for a probe.
 		probeDue bool
 	}
@@ -111,12 +116,13 @@
 	}
 	s := p.services[w.service]
 	if s == nil {
-		s = &serviceIndex{labels: map[string]*labelIndex{}}
+		s = &serviceIndex{labels: map[string]*labelIndex{}, slow: workerTree{Compare: compareWorkers, Merge: maxResources}}
 		p.services[w.service] = s
 	}
 	w.indexed.service = s
 	s.sizes.add(w.total, 1)
 	w.indexed.places = append(w.indexed.places, s.all.insert(w))
+	s.addToKind(p, w)
 	for i, label := range w.labels {
 		if slices.Index(w.labels, label) < i {
 			continue
@@ -151,7 +157,11 @@
 			delete(s.labels, label)
 		}
 	}
-	p.speeds.remove(w)
+	p.speeds.remove(&w.indexed.speed)
+	s.removeFromKind(p, w)
+	if w.indexed.slow.handle != 0 {
+		s.slow.Remove(w.indexed.slow.handle)
+	}
 	s.tally.replace(w.indexed.tally, tally{})
 	if s.sizes.add(w.total, -1) == 0 {
 		delete(p.services, w.service)
@@ -165,9 +175,13 @@
 	if s == nil {
 		return
 	}
-	w.slow = p.isSlow(w)
+	if w.accepting {
+		p.updateSlow(w)
+	}
 	w.indexed.probeDue = p.placedAt >= w.breaker.probeAt
-	p.speeds.update(w)
+	p.speeds.update(w, &w.indexed.speed)
+	w.kind.speeds.update(w, &w.indexed.kindSpeed)
+	p.updateSlowPlace(s, w)
 	offered := p.offered(w)
 	if offered.Contains(s.unfit.resources) {
 		s.unfit.known = false
@@ -180,6 +194,25 @@
 	w.indexed.tally = t
 }
 
+// updateSlowPlace adds, updates or removes a worker among the slow ones. There it offers all its free resources, also while
+// it is busy.
+func (p *Placer) updateSlowPlace(s *serviceIndex, w *worker) {
+	free := noResources
+	if w.breakerAllows(p.placedAt) {
+		free = w.free
+	}
+	at := &w.indexed.slow
+	switch {
+	case w.accepting && w.slow && at.handle != 0:
+		at.update(w, free)
+	case w.accepting && w.slow:
+		*at = place{&s.slow, s.slow.Insert(workerKey{w.speed, w}, free)}
+	case at.handle != 0:
+		s.slow.Remove(at.handle)
+		*at = place{}
+	}
+}
+
 // covers reports whether tasks of a size are known to fit on no worker.
 func (u unfitSize) covers(resources marshaler.Resources) bool {
 	return u.known && resources.Contains(u.resources)
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -61,6 +61,7 @@
 		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Resources: st.Resources, Estimate: st.Estimate,
 		Slack: max(j.targetStart-s.now, 0), MaxWait: max(j.latestStart-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoidedSidecars,
 		Label: st.Label, Rack: st.Rack, ServerTaskLimit: st.ServerTaskLimit, Placed: st.assignedSidecars(),
+		TargetEnd: max(j.targetEnd-j.remainingPath(step)-s.now, 1), LastUsefulEnd: max(j.lastUsefulEnd-j.remainingPath(step)-s.now, 1),
 	}
 	at := s.placingEntry()
 	if st.requested > 0 && at != st.requestedFrom {
@@ -196,6 +197,7 @@
 	}
 	sc.link.Send(&marshaler.Start{
 		Run: key, Epoch: epoch, Spec: j.Spec, Resources: st.Resources, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startTTL),
+		Queue: j.Queue.Name,
 	})
 	return true
 }
