--- a/placer/admission.go
+++ b/placer/admission.go
@@ -84,7 +84,9 @@
 	if now+wait <= r.softDeadline {
 		return assessment{verdict: admitted, wait: wait}
 	}
-	if now+lateWaitFactor*wait < r.hardDeadline {
+	late := *r
+	late.late = true
+	if wait = p.estimateWait(&late); now+lateWaitFactor*wait < r.hardDeadline {
 		return assessment{verdict: delayed, wait: wait}
 	}
 	return assessment{verdict: refused, reason: reasonTooLong, wait: wait}
@@ -107,13 +109,22 @@
 
 // explain decides about a request as if it arrived now, without changing the state.
 func (p *Placer) explain(now timer.Millis, r *request) assessment {
+	a := p.explainWithoutSlow(now, r)
+	if a.verdict == refused && !r.started && p.fitsOnSlow(now, r) {
+		return assessment{verdict: admitted}
+	}
+	return a
+}
+
+// explainWithoutSlow does the same without the slow workers that may run a request that would be refused.
+func (p *Placer) explainWithoutSlow(now timer.Millis, r *request) assessment {
 	l := p.loads[r.service]
 	p.setCost(now, r)
 	a := p.assess(now, r)
 	if a.verdict != contested {
 		return a
 	}
-	if p.selectWorker(r) != nil {
+	if p.selectWorker(now, r) != nil {
 		return assessment{verdict: admitted}
 	}
 	for _, d := range p.decide(now, l, r.service, r) {
@@ -150,7 +161,7 @@
 	if !p.placed {
 		return
 	}
-	if p.selectWorker(r) != nil { // before the pass grants these resources to others
+	if p.selectWorker(now, r) != nil { // before the pass grants these resources to others
 		p.grantAhead(now, r)
 	}
 	if p.queued(r) {
@@ -181,15 +192,17 @@
 		if !p.queued(r) {
 			continue
 		}
-		if p.selectWorker(r) != nil {
+		if p.selectWorker(now, r) != nil {
 			p.grantAhead(now, r)
 			continue
 		}
 		a := assessOutcome(d, now, r)
 		p.dequeue(r)
 		if a.verdict == refused {
-			refusals++
-			p.reject(now, r, a.reason, a.wait)
+			if !p.grantOnSlow(now, r) {
+				refusals++
+				p.reject(now, r, a.reason, a.wait)
+			}
 			continue
 		}
 		delays++
--- a/placer/load.go
+++ b/placer/load.go
@@ -117,10 +117,11 @@
 	}
 }
 
-// noteGranted records the tasks that are granted to a request.
+// noteGranted records that a task of a request is granted. Grants on slow workers beyond probes are not recorded, because
+// the capacity of these workers does not count.
 func (p *Placer) noteGranted(r *request) {
 	if l := p.loads[r.service]; l != nil {
-		l.granted += float64(len(r.granted)) * float64(r.resources.CPU) * float64(r.estimate)
+		l.granted += float64(r.resources.CPU) * float64(r.estimate)
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"github.com/crocuslb/crocuslb/estimator"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -17,7 +18,7 @@
 	// startupGrace is the time after the first request in which no request is refused for lack of workers. All sidecars
 	// report within it.
 	startupGrace = timer.Second
-	// medianSpeedInterval is the interval at which the workers' median speed is recomputed. It follows a change of their
+	// medianSpeedInterval is the interval at which the workers' usual speeds are recomputed. It follows a change of their
 	// speeds within 150 ms.
 	medianSpeedInterval = 50 * timer.Millisecond
 	// maxQueued is the maximum number of queued requests.
@@ -42,6 +43,7 @@
 		workers        map[string]*worker
 		workersByName  []*worker // sorted by name
 		queue          requestQueue
+		kinds          map[string]*workerKind
 		services       map[string]*serviceIndex
 		speeds         speedGroup
 		openBreakers   []*worker
@@ -58,6 +60,10 @@
 		medianSpeedAt  timer.Millis
 		loads          map[string]*serviceLoad // by service; used by AdmissionCost
 		placed         bool                    // no capacity was freed since the latest Place
+		runTimes       estimator.Estimator
+		// runTimesReportedAt is the time of the latest report of the learned run times.
+		runTimesReportedAt timer.Millis
+		waitedAt           map[string]timer.Millis // when a request of a service last found no worker
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -102,6 +108,7 @@
 	}
 	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
+	w.kind = p.kindOf(b)
 	p.indexWorker(w)
 }
 
@@ -115,7 +122,7 @@
 	w.breaker = breaker{}
 	p.listBreaker(w)
 	delete(p.workers, name)
-	p.workersByName = slices.DeleteFunc(p.workersByName, func(w *worker) bool { return w.name == name })
+	p.workersByName = slices.DeleteFunc(p.workersByName, func(o *worker) bool { return o == w })
 }
 
 // SetAccepting sets whether a worker accepts starts. Its next load report overrides it.
@@ -138,8 +145,10 @@
 	p.placed = false
 	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed))
 	w.updateFree()
+	p.updateSlow(w)
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
+		p.learnRunTime(now, w, s)
 	}
 	p.updateIndex(w)
 }
@@ -153,6 +162,7 @@
 		r.remaining += a.Tasks
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
+		r.setEnds(now, a)
 		p.requests[key] = r
 		p.queue.insert(r)
 		return
@@ -171,7 +181,9 @@
 		defer p.load(r.service).observeArrival(now, r) // decisions about r rely on the arrivals before it
 	}
 	if d.verdict == refused && !r.started {
-		p.reject(now, r, d.reason, d.wait)
+		if !p.grantOnSlow(now, r) {
+			p.reject(now, r, d.reason, d.wait)
+		}
 		return
 	}
 	r.late = d.verdict == delayed
@@ -254,7 +266,7 @@
 	if p.queue.length() == 0 {
 		return
 	}
-	p.updateMedianSpeed(now)
+	p.updateSpeeds(now)
 	blocked := 0
 	for r := range p.queue.all() {
 		if r.late && !r.started && blocked > 0 {
@@ -263,6 +275,7 @@
 		if !p.grantTasks(now, r) {
 			blocked++
 			p.noteBlocked(r)
+			p.setScarce(now, r)
 		}
 		if len(r.granted) > 0 {
 			p.served = append(p.served, r)
@@ -271,6 +284,7 @@
 			break
 		}
 	}
+	p.placeOnSlow(now)
 	p.sendGrants(p.served)
 	clear(p.served)
 	p.served = p.served[:0]
@@ -279,24 +293,29 @@
 // grantTasks reserves free resources for tasks of a request. It returns false if some tasks fit on no worker.
 func (p *Placer) grantTasks(now timer.Millis, r *request) bool {
 	for r.remaining > 0 {
-		w := p.selectWorker(r)
+		w := p.selectWorker(now, r)
 		if w == nil {
 			return false
 		}
-		p.reserve(now, w, r)
-		r.remaining--
-		r.constraints.countPlaced(w.name)
-		r.granted = append(r.granted, w.name)
+		p.assignTask(now, r, w)
+		p.noteGranted(r)
 	}
 	return true
 }
 
+// assignTask reserves a worker's resources for a task of a request.
+func (p *Placer) assignTask(now timer.Millis, r *request, w *worker) {
+	p.reserve(now, w, r)
+	r.remaining--
+	r.constraints.countPlaced(w.name)
+	r.granted = append(r.granted, w.name)
+}
+
 // sendGrants sends the grants to the entries and dequeues the requests that are fully granted.
 // Partially granted ones count as started and move to the front.
 func (p *Placer) sendGrants(served []*request) {
 	for _, r := range served {
 		p.Grant(r.key.entry, marshaler.Grant{Job: r.key.job, Step: r.key.step, Sidecars: r.granted})
-		p.noteGranted(r)
 		r.granted = nil
 		switch {
 		case r.remaining == 0:
--- a/placer/speeds.go
+++ b/placer/speeds.go
@@ -1,9 +1,6 @@
 package placer
 
-import (
-	"github.com/crocuslb/crocuslb/indexer"
-	"github.com/crocuslb/crocuslb/timer"
-)
+import "github.com/crocuslb/crocuslb/indexer"
 
 const (
 	// defaultSpeed is the speed of a worker before its first report, and the usual speed without accepting workers, in
@@ -22,26 +19,25 @@
 	speedGroup struct{ tree speedTree }
 )
 
-// update adds, moves or removes a worker according to its speed and to whether it accepts starts.
-func (g *speedGroup) update(w *worker) {
-	h := w.indexed.speed
-	if h != 0 && w.accepting && g.tree.Key(h).speed == w.speed {
+// update adds, moves or removes a worker according to its speed and to whether it accepts starts. h is its place.
+func (g *speedGroup) update(w *worker, h *indexer.Handle) {
+	if *h != 0 && w.accepting && g.tree.Key(*h).speed == w.speed {
 		return
 	}
-	g.remove(w)
+	g.remove(h)
 	if !w.accepting {
 		return
 	}
 	if g.tree.Compare == nil {
 		g.tree.Compare, g.tree.Merge = compareWorkers, func(a, _ struct{}) struct{} { return a }
 	}
-	w.indexed.speed = g.tree.Insert(workerKey{w.speed, w}, struct{}{})
+	*h = g.tree.Insert(workerKey{w.speed, w}, struct{}{})
 }
 
-func (g *speedGroup) remove(w *worker) {
-	if w.indexed.speed != 0 {
-		g.tree.Remove(w.indexed.speed)
-		w.indexed.speed = 0
+func (g *speedGroup) remove(h *indexer.Handle) {
+	if *h != 0 {
+		g.tree.Remove(*h)
+		*h = 0
 	}
 }
 
@@ -54,35 +50,18 @@
 	return max(g.tree.Key(g.tree.At(n-1-n/2)).speed, 1) // the tree is ordered by falling speed
 }
 
-// reclassify calls changed for the workers whose slow state is not as isSlow tells. Faster workers must not be slow where
-// slower ones are not, so these workers lie on both sides of the first slow one.
-func (g *speedGroup) reclassify(isSlow func(*worker) bool, changed func(*worker)) {
-	firstSlow := g.tree.Seek(func(k workerKey) bool { return isSlow(k.w) })
-	for h := firstSlow; h != 0 && !g.tree.Key(h).w.slow; h = g.tree.Next(h) {
-		changed(g.tree.Key(h).w)
-	}
-	h := g.tree.At(g.tree.Len() - 1)
-	if firstSlow != 0 {
-		h = g.tree.Previous(firstSlow)
+// reclassify calls changed for the workers that may become slow or cease to be slow because the usual speed changes: those
+// between the limits of the former and the current one.
+func (g *speedGroup) reclassify(former, current float64, changed func(*worker)) {
+	below := func(ratio, usual float64) func(workerKey) bool {
+		return func(k workerKey) bool { return k.speed/usual < ratio }
 	}
-	for ; h != 0 && g.tree.Key(h).w.slow; h = g.tree.Previous(h) {
+	isSlow, wasSlow := below(slowSpeedRatio, current), below(slowSpeedRatio, former)
+	for h := g.tree.Seek(isSlow); h != 0 && !wasSlow(g.tree.Key(h)); h = g.tree.Next(h) {
 		changed(g.tree.Key(h).w)
 	}
-}
-
-// isSlow reports whether a worker is so much slower than usual that it gets one task at a time, as a probe.
-func (p *Placer) isSlow(w *worker) bool { return w.speed/p.medianSpeed < slowSpeedRatio }
-
-// updateMedianSpeed recomputes the median speed if it is due, and which workers are slow.
-func (p *Placer) updateMedianSpeed(now timer.Millis) {
-	if p.medianSpeed != 0 && now-p.medianSpeedAt < medianSpeedInterval {
-		return
-	}
-	p.medianSpeedAt = now
-	median := p.speeds.median()
-	if median == p.medianSpeed {
-		return
+	isBelow, wasBelow := below(recoveredSpeedRatio, current), below(recoveredSpeedRatio, former)
+	for h := g.tree.Seek(wasBelow); h != 0 && !isBelow(g.tree.Key(h)); h = g.tree.Next(h) {
+		changed(g.tree.Key(h).w)
 	}
-	p.medianSpeed = median
-	p.speeds.reclassify(p.isSlow, p.updateIndex)
 }
--- a/submitter/limits.go
+++ b/submitter/limits.go
@@ -43,7 +43,8 @@
 	if j.priorWait > 0 && useful < s.now+run {
 		useful = j.expiresAt
 	}
-	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), min(useful, j.expiresAt)-run))
+	j.targetEnd, j.lastUsefulEnd = sent+timer.Millis(response), min(useful, j.expiresAt)
+	j.latestStart = max(j.targetStart, min(j.arrived+StartWaitLimit(j.Deadline), j.lastUsefulEnd-run))
 }
 
 // priorWait returns the time that a job's caller has waited at least before it sent the job to this entry. Callers whose
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -124,6 +124,8 @@
 		priorWait       timer.Millis // time that the caller had waited before it sent the job again
 		targetStart     timer.Millis // latest first start that meets the expected response time
 		latestStart     timer.Millis // latest first start; after it the job is refused
+		targetEnd       timer.Millis // latest end that meets the expected response time
+		lastUsefulEnd   timer.Millis // latest end at which the answer is still of use to the caller
 		expiresAt       timer.Millis // time of the deadline
 		steps           []step
 		done            int
