placer: test the estimated wait of a request that arrives late

Change: TestLateArrival, with late requests of earlier and of later deadlines in the queue. Result: it fails with the former estimate.

--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -366,6 +366,40 @@
 	}
 }
 
+// TestLateArrival guards against an estimate for a request that arrives late which leaves out the late requests before it.
+func TestLateArrival(t *testing.T) {
+	cases := []struct {
+		name    string
+		maxWait timer.Millis
+		queued  int // late requests
+		refused bool
+	}{
+		{"few late requests", 600, 1, false},
+		{"many late requests with earlier deadlines", 600, 4, true},
+		{"many late requests with later deadlines", 300, 4, false},
+	}
+	for _, c := range cases {
+		var refusals int
+		p := Placer{Grant: func(string, marshaler.Grant) {}, Reject: func(string, marshaler.Reject) { refusals++ }}
+		p.firstRequestAt = 1
+		capacity := marshaler.Resources{CPU: 1000}
+		p.SetWorker("a", "", &marshaler.Backend{Service: "svc", Capacity: capacity})
+		p.OnLoad(5000, "a", &marshaler.Load{Accepting: true, Speed: 1000})
+		request := func(job string, slack, wait timer.Millis) {
+			p.Request(5000, "entry", "", &marshaler.ResourceRequest{Job: job, Service: "svc", Tasks: 1, Resources: capacity, Estimate: 100, Slack: slack, MaxWait: wait})
+		}
+		request("first", 0, 0)
+		for i := range c.queued {
+			request(fmt.Sprint("late-", i), 10, 580-timer.Millis(i)) // each before the former ones, so none of them is refused
+		}
+		queued := p.QueueLen()
+		request("arrival", 10, c.maxWait)
+		if got := p.QueueLen() == queued; got != c.refused {
+			t.Errorf("%s: got refused %v with %d queued requests, want %v", c.name, got, queued, c.refused)
+		}
+	}
+}
+
 // TestCanceledByRefusal guards against requests that stay queued although the refusal of another step of their job has
 // canceled them.
 func TestCanceledByRefusal(t *testing.T) {
