explainer: explain what the system would decide about a job

Cause: operators can find out after a refusal why it happened, but cannot ask before a job is sent whether it would run, on which workers, and on which data the decision would rest.

Change: "platformnode explain" sends a job as callers write it, or one described by flags, to the metrics address of an entry (/explain, 10 questions per second of 64 KiB). The entry derives the resource requests by submitting the job to a Submitter without state, and the placing entry decides about them on a copy of its Placer with Request and Place, so that no logic is repeated.

Result: for 2,000 drawn states the explanation equals the decision that follows (verdict, reason, Retry-After, place in the queue, workers with their tasks), and a dump of the placer's whole state is the same before and after it (placer.TestExplainAgrees).

--- a/cmd/platformnode/main.go
+++ b/cmd/platformnode/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	p := runner.Program{Args: os.Args[1:], Environ: os.Environ(), Stdout: os.Stdout}
+	p := runner.Program{Args: os.Args[1:], Environ: os.Environ(), Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	status := p.Run(ctx)
 	stop()
 	os.Exit(status)
--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -36,6 +36,8 @@
 	kindQueueBacklog
 	kindOwnerRecord
 	kindHandover
+	kindQuestion
+	kindExplanation
 )
 
 // Append appends the encoding of m to dst. It panics if m is not a pointer to a message type of this package.
@@ -109,7 +111,7 @@
 		dst = appendZigZag(dst, 3, int64(m.RetryAfter))
 		return appender.AppendUint(dst, 4, m.Step)
 	}
-	return appendDurable(dst, m)
+	return appendExplanation(dst, m)
 }
 
 func appendOutcome(dst []byte, m *Outcome) []byte {
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -14,7 +14,7 @@
 	return []Message{
 		&Hello{}, &Heartbeat{}, &Peers{}, &Configuration{}, &Backend{}, &Load{}, &Start{}, &Stop{}, &Outcome{}, &ActiveRuns{}, &LoadSubscription{},
 		&ResourceRequest{}, &CancelResourceRequest{}, &Grant{}, &Reject{}, &JobRecord{}, &EndRecord{}, &CancelRecord{}, &OwnedPartitions{}, &Claim{}, &Release{}, &Census{},
-		&OutcomeAck{}, &Call{}, &Reply{}, &QueueBacklog{}, &OwnerRecord{}, &Handover{},
+		&OutcomeAck{}, &Call{}, &Reply{}, &QueueBacklog{}, &OwnerRecord{}, &Handover{}, &Question{}, &Explanation{},
 	}
 }
 
@@ -71,7 +71,7 @@
 	want := []string{
 		"hello", "beat", "peers", "configuration", "backend", "load", "start", "stop", "outcome", "held", "subscribe",
 		"ask", "withdraw", "grant", "reject", "jobRecord", "endRecord", "cancelRecord", "owned", "claim", "release", "census",
-		"noted", "call", "reply", "waiting", "ownerRecord", "handover",
+		"noted", "call", "reply", "waiting", "ownerRecord", "handover", "question", "explanation",
 	}
 	messages := allMessages()
 	if len(messages) != len(want) {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -74,7 +74,7 @@
 		m := &Reject{}
 		return m, m.setField
 	}
-	return durableDecoder(kind)
+	return explanationDecoder(kind)
 }
 
 func (m *Hello) setField(f appender.Field) error {
--- a/marshaler/kindname.go
+++ b/marshaler/kindname.go
@@ -32,6 +32,8 @@
 	kindQueueBacklog:          "waiting",
 	kindOwnerRecord:           "ownerRecord",
 	kindHandover:              "handover",
+	kindQuestion:              "question",
+	kindExplanation:           "explanation",
 }
 
 // KindName returns the name in metrics of a message type, for example "load", or "type" and the number of an unknown
--- /dev/null
+++ b/placer/explain_test.go
@@ -0,0 +1,217 @@
+package placer
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+// drawState returns a placer after a random history, and the time of its end.
+func drawState(r *rand.Rand) (*Placer, timer.Millis) {
+	p := &Placer{Grant: func(string, marshaler.Grant) {}, Reject: func(string, marshaler.Reject) {}}
+	workers := r.IntN(14)
+	for i := range workers {
+		p.SetWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("d%d", i%3), &marshaler.Backend{
+			Service: []string{"svc", "svc", "svc", "other"}[r.IntN(4)], Labels: []string{fmt.Sprintf("rack%d", i%4)},
+			Capacity: marshaler.Resources{CPU: int64(1+r.IntN(4)) * 8000, MemoryMB: 64_000, Accelerators: int64(r.IntN(2))},
+		})
+	}
+	now := timer.Millis(1 + r.IntN(5000))
+	p.Request(now, "entry-0", "d0", drawRequest(r, "first"))
+	arrivals := r.IntN(5)
+	for i := range r.IntN(60) {
+		now += timer.Millis(r.IntN(120))
+		if workers > 0 {
+			reportLoad(r, p, now, fmt.Sprintf("w%02d", r.IntN(workers)))
+		}
+		for j := range r.IntN(1 + arrivals) {
+			p.Request(now, fmt.Sprintf("entry-%d", r.IntN(3)), fmt.Sprintf("d%d", r.IntN(3)), drawRequest(r, fmt.Sprintf("job%d-%d", i, j)))
+		}
+		if r.IntN(3) > 0 {
+			p.Place(now)
+		}
+	}
+	return p, now + timer.Millis(r.IntN(2)*r.IntN(700))
+}
+
+func reportLoad(r *rand.Rand, p *Placer, now timer.Millis, name string) {
+	total := p.workers[name].total
+	l := &marshaler.Load{
+		Accepting: r.IntN(8) > 0, Speed: uint64(150 + r.IntN(1300)),
+		Free: marshaler.Resources{CPU: total.CPU * int64(r.IntN(5)) / 4, MemoryMB: total.MemoryMB, Accelerators: total.Accelerators},
+	}
+	for range r.IntN(3) {
+		status := []marshaler.Status{marshaler.StatusDone, marshaler.StatusFailed, marshaler.StatusStalled}[r.IntN(3)]
+		l.CompletedRuns = append(l.CompletedRuns, marshaler.CompletedRun{Job: fmt.Sprint(r.IntN(99)), Status: status})
+	}
+	p.OnLoad(now, name, l)
+}
+
+func drawRequest(r *rand.Rand, job string) *marshaler.ResourceRequest {
+	slack := timer.Millis(r.IntN(3) * r.IntN(600))
+	return &marshaler.ResourceRequest{
+		Job: job, Service: []string{"svc", "svc", "svc", "svc", "svc", "other", "unknown"}[r.IntN(7)], Tasks: uint64(1 + r.IntN(1+r.IntN(9))),
+		Resources: marshaler.Resources{CPU: int64(1+r.IntN(1+r.IntN(34))) * 500, MemoryMB: 100, Accelerators: int64(r.IntN(8) / 7)},
+		Estimate:  timer.Millis(10 + r.IntN(900)), Slack: slack, MaxWait: slack + timer.Millis(r.IntN(1500)), Priority: uint64(r.IntN(3)),
+		Label: []string{"", "", "", "rack1", "rack9"}[r.IntN(5)], Rack: []string{"", "", "rack2"}[r.IntN(3)], ServerTaskLimit: uint64(r.IntN(3) / 2 * 2),
+	}
+}
+
+// dumpState appends the whole state below v except functions, also that of types which other packages define.
+func dumpState(b *strings.Builder, v reflect.Value, seen map[uintptr]bool) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() || seen[v.Pointer()] {
+			return
+		}
+		seen[v.Pointer()] = true
+		dumpState(b, v.Elem(), seen)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			b.WriteString(v.Type().Field(i).Name + ":")
+			dumpState(b, v.Field(i), seen)
+		}
+	case reflect.Slice, reflect.Array:
+		for i := range v.Len() {
+			dumpState(b, v.Index(i), seen)
+		}
+	case reflect.Map:
+		keys := slices.SortedFunc(slices.Values(v.MapKeys()), func(a, b reflect.Value) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+		for _, k := range keys {
+			fmt.Fprintf(b, "%v=", k)
+			dumpState(b, v.MapIndex(k), seen)
+		}
+	case reflect.Func:
+	default:
+		fmt.Fprintf(b, "%v,", v)
+	}
+}
+
+func stateOf(p *Placer) string {
+	var b strings.Builder
+	dumpState(&b, reflect.ValueOf(p), map[uintptr]bool{})
+	return b.String()
+}
+
+// TestExplainAgrees guards against explanations that differ from the decision that follows, and against explanations that
+// change the state.
+func TestExplainAgrees(t *testing.T) {
+	verdicts := map[marshaler.Verdict]int{}
+	for seed := range uint64(2000) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		p, now := drawState(r)
+		a := drawRequest(r, "asked")
+		before := stateOf(p)
+		s := p.Explain(now, "entry-1", "d1", []marshaler.ResourceRequest{*a})[0]
+		if got := stateOf(p); got != before {
+			t.Fatalf("seed %d: got another state after the explanation:\n%s\nwant\n%s", seed, got, before)
+		}
+		verdicts[s.Verdict]++
+		checkDecision(t, seed, p, now, a, &s)
+	}
+	for v := marshaler.VerdictRuns; v <= marshaler.VerdictRefused; v++ {
+		if verdicts[v] < 200 {
+			t.Errorf("got %d states with the verdict %s, want at least 200 of 2000", verdicts[v], v)
+		}
+	}
+}
+
+// checkDecision makes the decision and compares it with its explanation.
+func checkDecision(t *testing.T, seed uint64, p *Placer, now timer.Millis, a *marshaler.ResourceRequest, s *marshaler.StepExplanation) {
+	var granted []string
+	var rejected *marshaler.Reject
+	p.Grant = func(_ string, g marshaler.Grant) {
+		if g.Job == a.Job {
+			granted = g.Sidecars
+		}
+	}
+	p.Reject = func(_ string, r marshaler.Reject) {
+		if r.Job == a.Job {
+			rejected = &r
+		}
+	}
+	p.Request(now, "entry-1", "d1", a)
+	r := p.requests[requestKey{"entry-1", a.Job, a.Step}]
+	if got := slices.Index(p.queue, r); r != nil && got != int(s.Ahead) {
+		t.Errorf("seed %d: got place %d in the queue, want %d as explained", seed, got, s.Ahead)
+	}
+	p.Place(now)
+	got, want := marshaler.VerdictWaits, s.Verdict
+	switch {
+	case rejected != nil:
+		got = marshaler.VerdictRefused
+		if rejected.Reason != s.Reason || rejected.RetryAfter != s.RetryAfter {
+			t.Errorf("seed %d: got refusal %+v, want %q after %d ms", seed, rejected, s.Reason, s.RetryAfter)
+		}
+	case len(granted) == int(a.Tasks):
+		got = marshaler.VerdictRuns
+	}
+	if got != want || len(granted) != int(s.Granted) {
+		t.Errorf("seed %d: got %s with %d tasks granted, want %s with %d", seed, got, len(granted), want, s.Granted)
+	}
+	tasks, named := map[string]uint64{}, map[string]uint64{}
+	var order []string
+	for _, name := range granted {
+		if tasks[name]++; tasks[name] == 1 {
+			order = append(order, name)
+		}
+	}
+	for i, w := range s.Workers {
+		if w.Tasks > 0 {
+			named[w.Name] = w.Tasks
+		}
+		if i < len(order) && order[i] != w.Name {
+			t.Errorf("seed %d: got worker %s at place %d, want %s", seed, order[i], i, w.Name)
+		}
+	}
+	if len(order) <= maxExplainedWorkers && !maps.Equal(tasks, named) {
+		t.Errorf("seed %d: got tasks %v, want %v", seed, tasks, named)
+	}
+}
+
+// TestTrialSharesNoState guards against an explanation that changes the state of workers or requests through memory that
+// its copy shares. Names and labels are never changed in place.
+func TestTrialSharesNoState(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		p, now := drawState(r)
+		trial := p.newTrial(now)
+		before := stateOf(p)
+		for i := range 20 {
+			at := now + timer.Millis(i)*100
+			trial.Request(at, "entry-0", "d0", drawRequest(r, fmt.Sprintf("new%d", i)))
+			for name := range trial.workers {
+				reportLoad(r, &trial.Placer, at, name)
+			}
+			trial.Place(at)
+		}
+		if got := stateOf(p); got != before {
+			t.Fatalf("seed %d: got another state after decisions on the copy:\n%s\nwant\n%s", seed, got, before)
+		}
+	}
+}
+
+// BenchmarkExplain measures an explanation with a long queue in a large deployment.
+func BenchmarkExplain(b *testing.B) {
+	p := &Placer{Grant: func(string, marshaler.Grant) {}, Reject: func(string, marshaler.Reject) {}}
+	for i := range 1730 {
+		name := fmt.Sprintf("w%04d", i)
+		p.SetWorker(name, fmt.Sprintf("d%d", i%3), &marshaler.Backend{Service: "svc", Capacity: marshaler.Resources{CPU: 32_000}})
+		p.OnLoad(1, name, &marshaler.Load{Accepting: true, Speed: 1000})
+	}
+	a := marshaler.ResourceRequest{Service: "svc", Tasks: 8, Resources: marshaler.Resources{CPU: 3400}, Estimate: 60, Slack: 60_000, MaxWait: 60_000}
+	for i := range 5000 {
+		a.Job = fmt.Sprint(i)
+		p.Request(1, "entry-0", "d0", &a)
+	}
+	for b.Loop() {
+		p.Explain(2, "entry-1", "d1", []marshaler.ResourceRequest{a})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,7 +99,7 @@
 	for _, job := range l.HandledStarts {
 		w.releaseReservation(job)
 	}
-	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(l.Speed)
+	w.reportedFree, w.accepting, w.speed, w.loadAt = l.Free, l.Accepting, float64(l.Speed), now
 	w.updateFree()
 	for _, s := range l.CompletedRuns {
 		p.recordOutcome(now, w, s)
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -40,6 +40,7 @@
 		reservations []reservation
 		free         marshaler.Resources // reportedFree minus reservations
 		breaker      breaker
+		loadAt       timer.Millis // time of the latest load report
 	}
 
 	// reservation is an amount of granted resources that the sidecar's reports do not reflect yet.
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -144,7 +144,7 @@
 		}
 	})
 	return startServers(ctx, &e.monitor, []endpoint{
-		{e.CallersAddress, callers}, {e.ReadyAddress, ready}, {e.MetricsAddress, e.monitor.metricsHandler()},
+		{e.CallersAddress, callers}, {e.ReadyAddress, ready}, {e.MetricsAddress, e.metricsHandler()},
 	})
 }
 
--- a/runner/program.go
+++ b/runner/program.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/crocuslb/crocuslb/explainer"
 	"github.com/crocuslb/crocuslb/recorder"
 )
 
@@ -24,11 +25,16 @@
 type Program struct {
 	Args    []string // without the program name; the first argument is the role
 	Environ []string
+	Stdin   io.Reader
 	Stdout  io.Writer
+	Stderr  io.Writer
 }
 
 // Run runs the role named by the first argument until ctx is canceled, and returns the exit status.
 func (p *Program) Run(ctx context.Context) int {
+	if len(p.Args) > 0 && p.Args[0] == roleExplain {
+		return (&explainer.Command{Args: p.Args[1:], Stdin: p.Stdin, Stdout: p.Stdout, Stderr: p.Stderr}).Run(ctx)
+	}
 	rec := &recorder.Handler{Writer: p.Stdout}
 	logger := &log.Logger{Handler: rec, Level: log.InfoLevel}
 	stopRecorder, recorderDone := make(chan struct{}), make(chan struct{})
@@ -45,9 +51,10 @@
 		role, args = args[0], args[1:]
 	}
 	if helpRequested(p.Args) {
-		_, _ = fmt.Fprintf(p.Stdout, "usage: platformnode %s|%s [flags]\n\nRuns a crocuslb process on the users' platform (docs/PLATFORM.md).\n\n"+
+		_, _ = fmt.Fprintf(p.Stdout, "usage: platformnode %s|%s [flags]\n       platformnode %s [flags]\n\nRuns a crocuslb process on the users' platform (docs/PLATFORM.md),\n"+
+			"or explains what the entries would decide about a job (platformnode %s -help).\n\n"+
 			"settings (flag, unit, default, variable, meaning):\n%s\nExit status: 0 success, 1 failure, 2 invalid settings.\n",
-			roleEntry, roleSidecar, Settings.Text())
+			roleEntry, roleSidecar, roleExplain, roleExplain, Settings.Text())
 		return exitSuccess
 	}
 	options, logRate, err := LoadOptions(role, args, p.Environ)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -12,6 +12,8 @@
 const (
 	roleEntry   = "entry"
 	roleSidecar = "sidecar"
+	// roleExplain is not a process that runs on: it asks an entry and prints the answer.
+	roleExplain = "explain"
 	// defaultMetricsPort is the default metrics port on the process's own address.
 	defaultMetricsPort = "9464"
 	millicoresPerCore  = 1000
--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -85,7 +85,7 @@
 	if s.lastTick == 0 || pause < marshaler.PauseThreshold {
 		return
 	}
-	s.lastTick = s.now
+	s.lastTick, s.explainer.pause, s.explainer.pausedUntil = s.now, pause, s.now
 	s.report(Event{Kind: "paused", Value: int64(pause)})
 	s.checkTimeouts()
 	s.expireJobs()
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -191,6 +191,10 @@
 		s.onCall(p, m)
 	case *marshaler.Reply:
 		s.onReply(m)
+	case *marshaler.Question:
+		s.onQuestion(p, m)
+	case *marshaler.Explanation:
+		s.onExplanation(p, m)
 	case *marshaler.QueueBacklog:
 		if p.waitingJobs == nil {
 			p.waitingJobs = map[string]uint64{}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -96,6 +96,7 @@
 		durable                durableJobs
 		snapshot               router.Snapshot
 		relay                  router.Relay
+		explainer              explainer
 		placer                 placer.Placer
 		now                    timer.Millis // time of the current call
 		leaving                bool
@@ -214,7 +215,7 @@
 // than the active one.
 func (s *Submitter) SetSnapshot(now timer.Millis, snapshot router.Snapshot) {
 	s.setNow(now)
-	s.snapshot = snapshot
+	s.snapshot, s.explainer.snapshotAt = snapshot, now
 	s.relay.OnConfigurationChanged(now)
 	s.sendAllHeartbeats()
 }
@@ -319,6 +320,7 @@
 	s.repeatRequests()
 	s.expireJobs()
 	s.tickDurable()
+	s.expireQuestions()
 	s.sendDueHeartbeats()
 	s.Flush(now)
 }
