--- a/explainer/server.go
+++ b/explainer/server.go
@@ -45,8 +45,7 @@
 		return
 	}
 	if !s.limiter.Allow() {
-		w.Header().Set("Retry-After", "1")
-		writeError(w, http.StatusTooManyRequests, fmt.Sprintf("an entry answers at most %d questions per second", questionsPerSecond))
+		tooMany(w)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQuestionBytes))
@@ -83,6 +82,8 @@
 		writeError(w, http.StatusGatewayTimeout, "the entry is too busy to answer in time, or it ends")
 	case e.Answer.Kind == submitter.AnswerMalformed:
 		writeError(w, http.StatusBadRequest, "the job is invalid: "+e.Answer.Reason)
+	case e.Failure == submitter.FailureRate:
+		tooMany(w)
 	case e.Failure != "":
 		writeError(w, http.StatusGatewayTimeout, fmt.Sprintf("%s was asked, and %s places tasks: %s", e.Asked.Entry, e.Placing.Entry, e.Failure))
 	default:
@@ -90,6 +91,11 @@
 	}
 }
 
+func tooMany(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	writeError(w, http.StatusTooManyRequests, fmt.Sprintf("an entry answers at most %d questions per second", questionsPerSecond))
+}
+
 // findQueue returns the queue with a name, or the one that serves a host and path.
 func findQueue(s *router.Snapshot, name string) (router.Queue, bool) {
 	for _, q := range s.Queues() {
--- a/explainer/text.go
+++ b/explainer/text.go
@@ -57,8 +57,12 @@
 		b.WriteString("  workers that come first\n")
 	}
 	for i, w := range s.Workers {
-		fmt.Fprintf(b, "    %d. %s in %s: %d tasks; free %d millicores, %d MB, %d accelerators; %s; expected run %d ms; load report %d ms old\n",
-			i+1, w.Name, w.Domain, w.Tasks, w.CPU, w.MemoryMB, w.Accelerators, w.Reason, w.ExpectedRun, w.LoadAge)
+		free := fmt.Sprintf("%d millicores, %d MB", w.CPU, w.MemoryMB)
+		if w.Accelerators > 0 {
+			free += fmt.Sprintf(", %d accelerators", w.Accelerators)
+		}
+		fmt.Fprintf(b, "    %d. %s in %s: tasks %d; free %s; %s; a task ends %d ms after its start; load report %d ms old\n",
+			i+1, w.Name, w.Domain, w.Tasks, free, w.Reason, w.ExpectedRun, w.LoadAge)
 	}
 	if len(s.Excluded) > 0 {
 		b.WriteString("  other workers\n")
--- a/placer/explain.go
+++ b/placer/explain.go
@@ -45,17 +45,21 @@
 
 func (p *Placer) newTrial(now timer.Millis) *trial {
 	t := &trial{Placer: *p, granted: map[uint64][]string{}, rejected: map[uint64]marshaler.Reject{}}
-	t.workers, t.requests = map[string]*worker{}, map[requestKey]*request{}
-	t.workersByName, t.queue = slices.Clone(p.workersByName), slices.Clone(p.queue)
-	for i, w := range t.workersByName {
-		c := *w
+	t.workers, t.workersByName = make(map[string]*worker, len(p.workersByName)), make([]*worker, len(p.workersByName))
+	workers := make([]worker, len(p.workersByName))
+	for i, w := range p.workersByName {
+		c := &workers[i]
+		*c = *w
 		c.reservations = slices.Clone(w.reservations)
-		t.workersByName[i], t.workers[c.name] = &c, &c
+		t.workersByName[i], t.workers[c.name] = c, c
 	}
-	for i, r := range t.queue {
-		c := *r
+	t.requests, t.queue = make(map[requestKey]*request, len(p.queue)+1), make([]*request, len(p.queue), len(p.queue)+1)
+	requests := make([]request, len(p.queue))
+	for i, r := range p.queue {
+		c := &requests[i]
+		*c = *r
 		c.granted, c.constraints.placed = slices.Clone(r.granted), maps.Clone(r.constraints.placed)
-		t.queue[i], t.requests[c.key] = &c, &c
+		t.queue[i], t.requests[c.key] = c, c
 	}
 	if t.firstRequestAt == 0 {
 		t.firstRequestAt = now
@@ -130,6 +134,9 @@
 	if !slices.ContainsFunc(t.workersByName, func(w *worker) bool { return w.service == r.service }) {
 		return "no backend server of the service is known yet"
 	}
+	if now-t.firstRequestAt < startupGrace {
+		return fmt.Sprintf("no worker has capacity for a further task, and nothing is refused in the first %d ms of requests", startupGrace)
+	}
 	return "no worker has capacity for a further task"
 }
 
--- a/submitter/explain.go
+++ b/submitter/explain.go
@@ -14,8 +14,11 @@
 	// explainTimeout is how long an entry waits for the placing entry's answer to a question. An entry of a version
 	// without explanations ignores the question.
 	explainTimeout = timer.Second
-	// questionsPerSecond limits the questions that an entry answers for other entries.
+	// questionsPerSecond limits the questions that the placing entry answers, for its own callers and other entries
+	// together.
 	questionsPerSecond = 10
+	// FailureRate is the failure of a question beyond that limit.
+	FailureRate = "the placing entry answers at most 10 questions per second"
 	// maxOpenQuestions bounds the questions that wait for the placing entry.
 	maxOpenQuestions = 32
 )
@@ -89,7 +92,8 @@
 	case refusal.Kind != 0:
 		answer(e)
 	case at == s.Name:
-		e.Placing, e.Steps = view, s.placer.Explain(now, s.Name, s.Domain, requests)
+		e.Placing = view
+		e.Steps, e.Failure = s.explainRequests(s.Name, s.Domain, requests)
 		answer(e)
 	case p == nil || p.link == nil || len(s.explainer.open) >= maxOpenQuestions:
 		e.Placing.Entry, e.Failure = at, "the placing entry cannot be asked now"
@@ -130,19 +134,24 @@
 	if p.link == nil {
 		return
 	}
+	e := &marshaler.Explanation{Number: m.Number, View: s.view(s.now)}
+	if s.placingEntry() == s.Name {
+		e.Steps, e.Failure = s.explainRequests(p.hello.Name, p.hello.Domain, m.Requests)
+	} else {
+		e.Failure = "the asked entry does not place tasks any more"
+	}
+	p.link.Send(e)
+}
+
+// explainRequests explains the requests of an entry, within the limit of questions per second.
+func (s *Submitter) explainRequests(entry, domain string, requests []marshaler.ResourceRequest) (steps []marshaler.StepExplanation, failure string) {
 	if s.explainer.limiter == nil {
 		s.explainer.limiter = rate.NewLimiter(questionsPerSecond, questionsPerSecond)
 	}
-	e := &marshaler.Explanation{Number: m.Number, View: s.view(s.now)}
-	switch {
-	case s.placingEntry() != s.Name:
-		e.Failure = "asked an entry that is not the placing entry any more"
-	case !s.explainer.limiter.AllowN(time.UnixMilli(int64(s.now)), 1):
-		e.Failure = fmt.Sprintf("the placing entry answers at most %d questions per second", questionsPerSecond)
-	default:
-		e.Steps = s.placer.Explain(s.now, p.hello.Name, p.hello.Domain, m.Requests)
+	if !s.explainer.limiter.AllowN(time.UnixMilli(int64(s.now)), 1) {
+		return nil, FailureRate
 	}
-	p.link.Send(e)
+	return s.placer.Explain(s.now, entry, domain, requests), ""
 }
 
 // onExplanation answers an open question.
