--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -45,6 +45,7 @@
 		{"no configuration", "POST", "/explain?queue=q", `{}`, testServer(0, submitter.Explanation{}, true), 503, "no configuration"},
 		{"no answer", "POST", "/explain?queue=q", `{}`, testServer(1, submitter.Explanation{}, false), 504, "too busy"},
 		{"old placing entry", "POST", "/explain?queue=q", `{}`, testServer(1, submitter.Explanation{Failure: "did not answer"}, true), 504, "did not answer"},
+		{"too many tasks for the workers", "POST", "/explain?queue=q", `{}`, testServer(1, submitter.Explanation{Failure: submitter.FailureSize}, true), 422, "too many tasks"},
 		{"rate of the placing entry", "POST", "/explain?queue=q", `{}`, testServer(1, submitter.Explanation{Failure: submitter.FailureRate}, true), 429, "10 questions"},
 	}
 	for _, c := range cases {
--- a/explainer/server.go
+++ b/explainer/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -21,6 +22,8 @@
 	questionsPerSecond = 10
 	// maxQuestionBytes is the maximum size of a request's body.
 	maxQuestionBytes = 64 << 10
+	// bodyTimeout bounds the time in which a caller sends the body.
+	bodyTimeout = 5 * time.Second
 	// maxListedQueues is the number of queues that an error about an unknown queue names.
 	maxListedQueues = 20
 )
@@ -48,6 +51,7 @@
 		tooMany(w)
 		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // not supported in tests
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQuestionBytes))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		writeError(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the job exceeds %d bytes", maxQuestionBytes))
@@ -84,6 +88,8 @@
 		writeError(w, http.StatusBadRequest, "the job is invalid: "+e.Answer.Reason)
 	case e.Failure == submitter.FailureRate:
 		tooMany(w)
+	case e.Failure == submitter.FailureSize:
+		writeError(w, http.StatusUnprocessableEntity, e.Failure)
 	case e.Failure != "":
 		writeError(w, http.StatusGatewayTimeout, fmt.Sprintf("%s was asked, and %s places tasks: %s", e.Asked.Entry, e.Placing.Entry, e.Failure))
 	default:
--- a/submitter/explain.go
+++ b/submitter/explain.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/recoverer"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -19,6 +20,13 @@
 	questionsPerSecond = 10
 	// FailureRate is the failure of a question beyond that limit.
 	FailureRate = "the placing entry answers at most 10 questions per second"
+	// FailureSize is the failure of a question about more than maxExplainedPairs.
+	FailureSize = "the job has too many tasks to be explained with so many workers"
+	// maxExplainedPairs is the maximum product of the tasks of a question and the workers. A decision about 710,000 pairs
+	// took 39 ms, in which the entry does nothing else.
+	maxExplainedPairs = 1_000_000
+	// pairsPerQuestion is the number of pairs that count as one more question.
+	pairsPerQuestion = 125_000
 	// maxOpenQuestions bounds the questions that wait for the placing entry.
 	maxOpenQuestions = 32
 )
@@ -75,12 +83,25 @@
 	return worst
 }
 
+// outcome returns the verdict or the failure, and the queue, for logs.
+func (e *Explanation) outcome() string {
+	if e.Failure != "" {
+		return "failed " + e.Queue + ": " + e.Failure
+	}
+	return e.Verdict().String() + " " + e.Queue
+}
+
 // Explain explains what would be decided about a job that was submitted now, without submitting it. askedAt is the time at
 // which the question arrived. answer is called exactly once, at the latest after explainTimeout.
 func (s *Submitter) Explain(now, askedAt timer.Millis, j Job, answer func(e Explanation)) {
 	view := s.view(now)
 	view.LoopDelay = now - askedAt
 	s.setNow(now)
+	deliver := answer
+	answer = func(e Explanation) {
+		s.report(Event{Kind: "explain", Peer: e.Placing.Entry, Detail: e.outcome()})
+		deliver(e)
+	}
 	view.Pause, view.SincePause = s.latestPause()
 	at := s.placingEntry()
 	e := Explanation{Queue: j.Queue.Name, Service: j.Queue.Service, Asked: view, Durable: j.Kind.Durable, WithdrawnDomains: s.snapshot.WithdrawnDomains()}
@@ -143,15 +164,29 @@
 	p.link.Send(e)
 }
 
-// explainRequests explains the requests of an entry, within the limit of questions per second.
+// explainRequests explains the requests of an entry, within the limit of questions per second. A question about many tasks
+// counts as several.
 func (s *Submitter) explainRequests(entry, domain string, requests []marshaler.ResourceRequest) (steps []marshaler.StepExplanation, failure string) {
 	if s.explainer.limiter == nil {
 		s.explainer.limiter = rate.NewLimiter(questionsPerSecond, questionsPerSecond)
 	}
-	if !s.explainer.limiter.AllowN(time.UnixMilli(int64(s.now)), 1) {
+	var tasks uint64
+	for i := range requests {
+		tasks += min(requests[i].Tasks, maxTasks+1)
+	}
+	pairs := tasks * uint64(len(s.sidecars))
+	if pairs > maxExplainedPairs {
+		return nil, FailureSize
+	}
+	if !s.explainer.limiter.AllowN(time.UnixMilli(int64(s.now)), 1+int(pairs/pairsPerQuestion)) {
 		return nil, FailureRate
 	}
-	return s.placer.Explain(s.now, entry, domain, requests), ""
+	// A fault in the explanation, which works on a copy, must not end the session that carried the question.
+	if err := recoverer.Call(func() { steps = s.placer.Explain(s.now, entry, domain, requests) }); err != nil {
+		s.report(Event{Kind: "explainPanicked", Peer: entry, Detail: err.Error()})
+		return nil, "internal error"
+	}
+	return steps, ""
 }
 
 // onExplanation answers an open question.
--- a/submitter/explain_test.go
+++ b/submitter/explain_test.go
@@ -189,6 +189,19 @@
 				p.explain(p.placing, explainJob(1, 1000))
 			}
 		}, explainJob(1, 1000), FailureRate},
+		{"too many tasks for the workers", func(p *explainPair) {
+			for i := range 100 {
+				p.connectSidecar(p.placing, fmt.Sprintf("more-%d", i), "north")
+			}
+		}, explainJob(9999, 1), FailureSize},
+		{"questions about many tasks", func(p *explainPair) {
+			for i := range 50 {
+				p.connectSidecar(p.placing, fmt.Sprintf("more-%d", i), "north")
+			}
+			for range 2 {
+				p.explain(p.placing, explainJob(9999, 1))
+			}
+		}, explainJob(1, 1000), FailureRate},
 		{"no tasks", func(*explainPair) {}, explainJob(0, 1000), "a step has no tasks, or the job has too many"},
 		{"100,000 tasks", func(*explainPair) {}, explainJob(100_000, 1000), "a step has no tasks, or the job has too many"},
 		{"more than 64 bits of tasks", func(*explainPair) {}, explainJob(1<<64-1, 1000), "a step has no tasks, or the job has too many"},
