--- a/explainer/document.go
+++ b/explainer/document.go
@@ -25,6 +25,7 @@
 		RetryAfter       timer.Millis   `json:"retryAfterMs,omitempty"`
 		Steps            []stepDocument `json:"steps"`
 		LaterSteps       int            `json:"laterSteps,omitempty"`
+		Forwarded        bool           `json:"forwarded"`
 		Asked            viewDocument   `json:"asked"`
 		Placing          viewDocument   `json:"placing"`
 		WithdrawnDomains []string       `json:"withdrawnDomains,omitempty"`
@@ -87,7 +88,7 @@
 	d := document{
 		Verdict: e.Verdict().String(), Queue: e.Queue, Service: e.Service, Durable: e.Durable, Refusal: e.Answer.Reason, RetryAfter: e.Answer.RetryAfter,
 		LaterSteps: e.LaterSteps, Asked: viewDocument(e.Asked), Placing: viewDocument(e.Placing), WithdrawnDomains: e.WithdrawnDomains,
-		Steps: []stepDocument{},
+		Forwarded: e.Placing.Entry != "" && e.Placing.Entry != e.Asked.Entry, Steps: []stepDocument{},
 	}
 	for i := range e.Steps {
 		d.Steps = append(d.Steps, encodeStep(&e.Steps[i]))
@@ -116,10 +117,10 @@
 // decode parses the document of an explanation.
 func decode(body []byte) (d document, err error) {
 	if err := json.Unmarshal(body, &d); err != nil {
-		return d, trace.BadParameter("the entry's answer is not an explanation: %v", err)
+		return d, trace.BadParameter("the answer is not an explanation; -entry wants the metrics address of an entry: %v", err)
 	}
 	if d.Verdict == "" {
-		return d, trace.BadParameter("the entry's answer is not an explanation")
+		return d, trace.BadParameter("the answer is not an explanation; -entry wants the metrics address of an entry")
 	}
 	return d, nil
 }
--- a/explainer/text.go
+++ b/explainer/text.go
@@ -31,7 +31,7 @@
 		b.WriteString("the job is durable: the owner of its partition requests the resources\n")
 	}
 	b.WriteString("data\n")
-	if d.Placing.Entry != "" && d.Placing.Entry != d.Asked.Entry {
+	if d.Forwarded {
 		fmt.Fprintf(&b, "  %s was asked, %s places tasks and decided\n", d.Asked.Entry, d.Placing.Entry)
 		writeView(&b, &d.Placing)
 	}
