--- a/marshaler/kindname.go
+++ b/marshaler/kindname.go
@@ -35,6 +35,8 @@
 	kindJobHandover:           "jobHandover",
 	kindJobAnswer:             "jobAnswer",
 	kindCancelJobHandover:     "cancelJobHandover",
+	kindQuestion:              "question",
+	kindExplanation:           "explanation",
 }
 
 // KindName returns the name in metrics of a message type, for example "load", or "type" and the number of an unknown
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -157,6 +157,14 @@
 	}
 }
 
+// nextPass returns the time of the pass that is due in a service, or now if none is.
+func (p *Placer) nextPass(now timer.Millis, service string) timer.Millis {
+	if l := p.loads[service]; p.costDecides(now, l) && l.passDue {
+		return max(now, l.passAt+passInterval)
+	}
+	return now
+}
+
 // shed does the passes that are due.
 func (p *Placer) shed(now timer.Millis) {
 	for service, l := range marshaler.SortedByKey(p.loads) {
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -42,6 +42,7 @@
 		breaker      breaker
 		slow         bool // so much slower than usual that it gets one task at a time
 		avoidMark    uint64
+		loadAt       timer.Millis // time of the latest load report
 		indexed      indexed
 	}
 
--- a/shedder/floor.go
+++ b/shedder/floor.go
@@ -65,6 +65,16 @@
 	return [...]Group{{Queue: queue}, {Queue: queue, Size: int(size) + 1}, {Domain: domain}}
 }
 
+// Clone returns a copy that shares no memory with f.
+func (f *Floor) Clone() Floor {
+	c := Floor{all: f.all, groups: make(map[Group]*share, len(f.groups))}
+	for g, s := range f.groups {
+		copied := *s
+		c.groups[g] = &copied
+	}
+	return c
+}
+
 // Arrive counts the work of an arriving request.
 func (f *Floor) Arrive(now timer.Millis, groups [3]Group, work float64) {
 	f.all.arrived.Add(now, work, shareWindow)
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -84,6 +84,7 @@
 		handover               handoverState
 		snapshot               router.Snapshot
 		relay                  router.Relay
+		explainer              explainer
 		placer                 placer.Placer
 		now                    timer.Millis // time of the current call
 		leaving                bool
@@ -216,7 +217,7 @@
 // than the active one.
 func (s *Submitter) SetSnapshot(now timer.Millis, snapshot router.Snapshot) {
 	s.setNow(now)
-	s.snapshot = snapshot
+	s.snapshot, s.explainer.snapshotAt = snapshot, now
 	s.relay.OnConfigurationChanged(now)
 	s.sendAllHeartbeats()
 }
@@ -315,6 +316,7 @@
 	s.repeatRequests()
 	s.expireJobs()
 	s.tickDurable()
+	s.expireQuestions()
 	s.sendDueHeartbeats()
 	s.Flush(now)
 }
