placer: compare explanations with decisions of admission by cost

Cause: TestExplainAgrees and TestTrialSharesNoState drew states of the order by deadline only, so state that admission by cost changes was not covered. Change: both also draw overloads with admission by cost (2,000 more states), with lower bounds for states that cost decides, late requests and requests that gave way. The forecast and the lateness are compared, too. Grants of Request and of several passes are added up.

--- a/placer/explain_test.go
+++ b/placer/explain_test.go
@@ -13,9 +13,10 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-// drawState returns a placer after a random history, and the time of its end.
-func drawState(r *rand.Rand) (*Placer, timer.Millis) {
-	p := &Placer{Grant: func(string, marshaler.Grant) {}, Reject: func(string, marshaler.Reject) {}}
+// drawState returns a placer after a random history, and the time of its end. With AdmissionCost, most histories are
+// overloads.
+func drawState(r *rand.Rand, admission Admission) (*Placer, timer.Millis) {
+	p := &Placer{Grant: func(string, marshaler.Grant) {}, Reject: func(string, marshaler.Reject) {}, Admission: admission}
 	workers := r.IntN(20)
 	for i := range workers {
 		p.SetWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("d%d", i%3), &marshaler.Backend{
@@ -25,9 +26,12 @@
 	}
 	now := timer.Millis(1 + r.IntN(5000))
 	p.Request(now, "entry-0", "d0", drawRequest(r, "first"))
-	arrivals := r.IntN(5)
-	for i := range r.IntN(60) {
-		now += timer.Millis(r.IntN(120))
+	arrivals, steps, interval := r.IntN(5), r.IntN(60), 120
+	if admission == AdmissionCost {
+		arrivals, steps, interval = arrivals+2, steps+40, 60
+	}
+	for i := range steps {
+		now += timer.Millis(r.IntN(interval))
 		if workers > 0 {
 			reportLoad(r, p, now, fmt.Sprintf("w%02d", r.IntN(workers)))
 		}
@@ -67,6 +71,7 @@
 		Job:   job, Service: []string{"svc", "svc", "svc", "svc", "svc", "other", "unknown"}[r.IntN(7)], Tasks: uint64(1 + r.IntN(1+r.IntN(9))),
 		Resources: marshaler.Resources{CPU: int64(1+r.IntN(1+r.IntN(34))) * 500, MemoryMB: 100, Accelerators: int64(r.IntN(8) / 7)},
 		Estimate:  timer.Millis(10 + r.IntN(900)), Slack: slack, MaxWait: slack + timer.Millis(r.IntN(1500)), Priority: uint64(r.IntN(3)),
+		Queue: fmt.Sprint("q", len(job)%3),
 		Label: []string{"", "", "", "rack1", "rack9"}[r.IntN(5)], Rack: []string{"", "", "rack2"}[r.IntN(3)], ServerTaskLimit: uint64(r.IntN(3) / 2 * 2),
 	}
 }
@@ -110,22 +115,39 @@
 // TestExplainAgrees guards against explanations that differ from the decision that follows, and against explanations that
 // change the state.
 func TestExplainAgrees(t *testing.T) {
-	verdicts := map[marshaler.Verdict]int{}
-	for seed := range uint64(2000) {
-		r := rand.New(rand.NewPCG(seed, 3))
-		p, now := drawState(r)
-		a := drawRequest(r, "asked")
-		before := stateOf(p)
-		s := p.Explain(now, "entry-1", "d1", []marshaler.ResourceRequest{*a})[0]
-		if got := stateOf(p); got != before {
-			t.Fatalf("seed %d: got another state after the explanation:\n%s\nwant\n%s", seed, got, before)
+	for _, admission := range []Admission{AdmissionDeadline, AdmissionCost} {
+		verdicts, reasons, decidedByCost, late := map[marshaler.Verdict]int{}, map[string]int{}, 0, 0
+		for seed := range uint64(2000) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			p, now := drawState(r, admission)
+			a := drawRequest(r, "asked")
+			if admission == AdmissionCost && seed%2 == 0 { // a request that most workers can run, of the lowest priority
+				a.Service, a.Label, a.Resources, a.Priority = "svc", "", marshaler.Resources{CPU: int64(1+r.IntN(8)) * 1000, MemoryMB: 100}, 3
+				a.Slack, a.MaxWait = timer.Millis(100+r.IntN(600)), timer.Millis(2000+r.IntN(4000))
+			}
+			before := stateOf(p)
+			s := p.Explain(now, "entry-1", "d1", []marshaler.ResourceRequest{*a})[0]
+			if got := stateOf(p); got != before {
+				t.Fatalf("%s, seed %d: got another state after the explanation:\n%s\nwant\n%s", admission, seed, got, before)
+			}
+			verdicts[s.Verdict]++
+			reasons[s.Reason]++
+			if p.costDecides(now, p.loads[a.Service]) {
+				decidedByCost++
+			}
+			if s.Verdict == marshaler.VerdictWaits && s.Late {
+				late++
+			}
+			checkDecision(t, seed, p, now, a, &s)
 		}
-		verdicts[s.Verdict]++
-		checkDecision(t, seed, p, now, a, &s)
-	}
-	for v := marshaler.VerdictRuns; v <= marshaler.VerdictRefused; v++ {
-		if verdicts[v] < 200 {
-			t.Errorf("got %d states with the verdict %s, want at least 200 of 2000", verdicts[v], v)
+		for v := marshaler.VerdictRuns; v <= marshaler.VerdictRefused; v++ {
+			if verdicts[v] < 200 {
+				t.Errorf("%s: got %d states with the verdict %s, want at least 200 of 2000", admission, verdicts[v], v)
+			}
+		}
+		if admission == AdmissionCost && (decidedByCost < 1000 || late < 20 || reasons[reasonGaveWay] < 20 || reasons[reasonTooLong] < 100) {
+			t.Errorf("got %d states decided by cost, %d late requests and the reasons %v, want at least 1000 and 20, and 20 and 100 refusals that gave way or are too late",
+				decidedByCost, late, reasons)
 		}
 	}
 }
@@ -136,7 +158,7 @@
 	var rejected *marshaler.Reject
 	p.Grant = func(_ string, g marshaler.Grant) {
 		if g.Job == a.Job {
-			granted = g.Sidecars
+			granted = append(granted, g.Sidecars...)
 		}
 	}
 	p.Reject = func(_ string, r marshaler.Reject) {
@@ -144,12 +166,21 @@
 			rejected = &r
 		}
 	}
+	if got := p.explain(now, newRequest(now, "entry-1", "d1", a)).wait; got != s.Wait {
+		t.Errorf("seed %d: got a forecast of %d ms, want %d as explained", seed, got, s.Wait)
+	}
 	p.Request(now, "entry-1", "d1", a)
 	r := p.requests[requestKey{"entry-1", a.Job, a.Step}]
 	if got := slices.Index(p.queue.snapshot(), r); r != nil && got != int(s.Ahead) {
 		t.Errorf("seed %d: got place %d in the queue, want %d as explained", seed, got, s.Ahead)
 	}
 	p.Place(now)
+	if l := p.loads[a.Service]; p.costDecides(now, l) && l.passDue && l.passAt+passInterval > now {
+		p.Place(l.passAt + passInterval)
+	}
+	if r := p.requests[requestKey{"entry-1", a.Job, a.Step}]; r != nil && r.late != s.Late {
+		t.Errorf("seed %d: got late %t, want %t as explained", seed, r.late, s.Late)
+	}
 	got, want := marshaler.VerdictWaits, s.Verdict
 	switch {
 	case rejected != nil:
@@ -224,9 +255,9 @@
 // TestTrialSharesNoState guards against an explanation that changes the state of workers or requests through memory that
 // its copy shares. Names and labels are never changed in place.
 func TestTrialSharesNoState(t *testing.T) {
-	for seed := range uint64(50) {
+	for seed := range uint64(100) {
 		r := rand.New(rand.NewPCG(seed, 5))
-		p, now := drawState(r)
+		p, now := drawState(r, Admission(seed%2))
 		trial := p.newTrial(now)
 		before := stateOf(p)
 		for i := range 20 {
