--- a/placer/explain.go
+++ b/placer/explain.go
@@ -44,9 +44,9 @@
 	if decidedAt > now {
 		t.Place(decidedAt)
 	}
-	t.updateMedianSpeed(decidedAt) // Place does not if the queue is empty
+	t.updateSpeeds(decidedAt) // Place does not if the queue is empty
 	for i := range steps {
-		t.describeStep(now, copies[i], &steps[i])
+		t.describeStep(decidedAt, copies[i], &steps[i])
 	}
 	return steps
 }
@@ -55,13 +55,14 @@
 	t := &trial{
 		Placer: Placer{
 			Admission: p.Admission, avoidMark: p.avoidMark, placedAt: p.placedAt, firstRequestAt: p.firstRequestAt, medianSpeed: p.medianSpeed,
-			medianSpeedAt: p.medianSpeedAt, placed: p.placed,
+			medianSpeedAt: p.medianSpeedAt, placed: p.placed, runTimesReportedAt: p.runTimesReportedAt, waitedAt: maps.Clone(p.waitedAt),
 		},
 		granted: map[uint64][]string{}, rejected: map[uint64]marshaler.Reject{},
 	}
 	if t.firstRequestAt == 0 {
 		t.firstRequestAt = now
 	}
+	t.runTimes.CopyFrom(&p.runTimes)
 	t.copyWorkers(p)
 	t.requests = make(map[requestKey]*request, p.queue.length()+1)
 	requests := make([]request, 0, p.queue.length())
@@ -92,11 +93,16 @@
 // copyWorkers copies the workers of p and builds their indexes anew, because the trees of p refer to its own workers.
 func (t *trial) copyWorkers(p *Placer) {
 	t.workers, t.workersByName = make(map[string]*worker, len(p.workersByName)), make([]*worker, len(p.workersByName))
+	t.kinds = make(map[string]*workerKind, len(p.kinds))
+	for name, k := range p.kinds {
+		t.kinds[name] = &workerKind{name: name, medianSpeed: k.medianSpeed, reference: k.reference}
+	}
 	workers := make([]worker, len(p.workersByName))
 	for i, w := range p.workersByName {
 		c := &workers[i]
 		*c = *w
 		c.reservations, c.indexed = slices.Clone(w.reservations), indexed{open: w.indexed.open}
+		c.kind = t.kinds[w.kind.name]
 		t.workersByName[i], t.workers[c.name] = c, c
 		t.indexWorker(c)
 	}
@@ -166,7 +172,7 @@
 }
 
 func (t *trial) waitReason(now timer.Millis, r *request) string {
-	if t.selectWorker(r) != nil {
+	if t.selectWorker(now, r) != nil {
 		return "requests that are ordered before it wait"
 	}
 	if known, _ := t.serves(r); !known {
@@ -196,7 +202,7 @@
 		s.Workers[i].Free = s.Workers[i].Free.Add(r.resources)
 	}
 	for len(s.Workers) < maxExplainedWorkers {
-		w := t.selectFastest(r, func(w *worker) bool { return listed(w) < 0 })
+		w := t.selectAmong(now, r, func(w *worker) bool { return listed(w) < 0 })
 		if w == nil {
 			return
 		}
@@ -220,11 +226,11 @@
 		reasons = append(reasons, "probe of an open breaker")
 	}
 	if w.slow {
-		reasons = append(reasons, "probe of a slow worker")
+		reasons = append(reasons, "slow for its kind")
 	}
 	return marshaler.WorkerExplanation{
 		Name: w.name, Domain: w.domain, Reason: strings.Join(reasons, ", "), Free: w.free, Speed: uint64(w.speed),
-		ExpectedRun: timer.Millis(float64(r.estimate) * 1000 / (max(w.speed, 1) * factor)), LoadAge: now - w.loadAt,
+		ExpectedRun: t.expectedRun(r, w), LoadAge: now - w.loadAt,
 	}
 }
 
@@ -243,7 +249,7 @@
 		if slices.ContainsFunc(s.Workers, func(e marshaler.WorkerExplanation) bool { return e.Name == w.name }) {
 			continue
 		}
-		reason := t.exclusionReason(r, w, avoids)
+		reason := t.exclusionReason(now, r, w, avoids)
 		i := slices.IndexFunc(s.Excluded, func(e marshaler.ExcludedWorkers) bool { return e.Reason == reason })
 		if i < 0 {
 			i = len(s.Excluded)
@@ -254,7 +260,7 @@
 }
 
 // exclusionReason returns why a worker is not among those that come first. avoids is the result of markAvoided.
-func (t *trial) exclusionReason(r *request, w *worker, avoids bool) string {
+func (t *trial) exclusionReason(now timer.Millis, r *request, w *worker, avoids bool) string {
 	switch offered := t.offered(w); {
 	case w.service != r.service:
 		return "serves another service"
@@ -274,6 +280,8 @@
 		return "slow, and a task is running there as a probe"
 	case !offered.Contains(r.resources):
 		return "not enough free resources"
+	case w.slow && !t.mayProbe(now, r, w):
+		return "slow, and a probe would end after the expected response time"
 	}
 	return "has capacity, and comes after the listed workers"
 }
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -30,9 +30,14 @@
 func (q *requestQueue) length() int { return q.index.Len() }
 
 // all returns the requests in order. The queue must not change during the iteration.
-func (q *requestQueue) all() iter.Seq[*request] {
+func (q *requestQueue) all() iter.Seq[*request] { return q.from(rankStarted) }
+
+// late returns the late requests that have not started in order. The queue must not change during the iteration.
+func (q *requestQueue) late() iter.Seq[*request] { return q.from(rankLate) }
+
+func (q *requestQueue) from(rank int) iter.Seq[*request] {
 	return func(yield func(*request) bool) {
-		for h := q.index.First(); h != 0; h = q.index.Next(h) {
+		for h := q.index.FirstOfRank(rank); h != 0; h = q.index.Next(h) {
 			if !yield(q.index.Item(h)) {
 				return
 			}
--- a/placer/request.go
+++ b/placer/request.go
@@ -32,6 +32,8 @@
 		softDeadline timer.Millis // latest start that meets the expected response time
 		hardDeadline timer.Millis // latest start for which the request may wait
 		late         bool         // softDeadline cannot be met
+		targetEnd    timer.Millis // end that meets the expected response time; 0 if not stated
+		lastEnd      timer.Millis // latest useful end; 0 if not stated
 		started      bool
 		arrived      timer.Millis
 		granted      []string
@@ -57,6 +59,7 @@
 		softDeadline: now + a.Slack, hardDeadline: now + max(a.Slack, a.MaxWait), started: a.Started, arrived: now, avoided: a.Avoid,
 		constraints: newConstraints(a), cost: requestCost{queue: a.Queue, priority: a.Priority},
 	}
+	r.setEnds(now, a)
 }
 
 // unusedRequest returns a request to be set.
@@ -129,7 +132,9 @@
 		p.dequeue(r)
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
-			p.reject(now, r, reasonExpired, wait)
+			if !p.grantOnSlow(now, r) {
+				p.reject(now, r, reasonExpired, wait)
+			}
 			continue
 		}
 		p.requests[r.key] = r
@@ -171,12 +176,14 @@
 
 // reject refuses a request that has no grants and is not queued, and releases it.
 func (p *Placer) reject(now timer.Millis, r *request, reason string, wait timer.Millis) {
+	size := "unknown"
 	if r.cost.counted {
+		size = r.cost.size.String()
 		p.load(r.service).floor.Shed(now, r.cost.groups, float64(r.cost.work))
 	}
 	p.report(Event{
 		Kind: "reject", Job: r.key.job, Entry: r.key.entry, Detail: reason + p.describeWorkers(r), Value: int64(wait), Took: now - r.arrived,
-		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: r.cost.size.String()},
+		Refusal: Refusal{Reason: reason, Priority: r.cost.priority, Size: size},
 	})
 	p.Reject(r.key.entry, marshaler.Reject{Job: r.key.job, Step: r.key.step, Reason: reason, RetryAfter: wait})
 	p.release(r)
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -20,8 +20,10 @@
 	// workersPerOpenBreaker limits open breakers to one in workersPerOpenBreaker workers. When more workers fail, the cause
 	// is more likely in the jobs.
 	workersPerOpenBreaker = 3
-	// slowSpeedRatio is the ratio to the median speed below which a worker gets one task at a time, as a probe.
+	// slowSpeedRatio is the ratio to the usual speed of a worker's kind below which a worker gets one task at a time, as a probe.
 	slowSpeedRatio = 0.35
+	// recoveredSpeedRatio is the same ratio from which on a slow worker is not slow any more.
+	recoveredSpeedRatio = 0.8
 	// sameDomainBonus is added to the relative speed of a worker in the requesting entry's failure domain.
 	sameDomainBonus = 0.06
 )
@@ -32,6 +34,7 @@
 		name         string
 		domain       string
 		service      string
+		kind         *workerKind
 		labels       []string
 		total        marshaler.Resources
 		reportedFree marshaler.Resources // free resources in the latest load report
@@ -40,10 +43,12 @@
 		reservations []reservation
 		free         marshaler.Resources // reportedFree minus reservations
 		breaker      breaker
-		slow         bool // so much slower than usual that it gets one task at a time
-		avoidMark    uint64
-		loadAt       timer.Millis // time of the latest load report
-		indexed      indexed
+		slow         bool // so much slower than usual that it gets one task at a time; see updateSlow
+		// slowReportedAt is the time at which the worker was last reported as slow; 0 if never.
+		slowReportedAt timer.Millis
+		avoidMark      uint64
+		loadAt         timer.Millis // time of the latest load report
+		indexed        indexed
 	}
 
 	// expirationQueue holds the grants in order of time whose reservations may have to expire.
