--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// CopyFrom replaces the state by a copy of another estimator's.
+func (e *Estimator) CopyFrom(o *Estimator) {
+	e.stats = make(map[key]*list.Element, len(o.stats))
+	e.used.Init()
+	for element := o.used.Front(); element != nil; element = element.Next() {
+		s := *element.Value.(*stats)
+		e.stats[s.key] = e.used.PushBack(&s)
+	}
+}
+
 // Len returns the number of keys.
 func (e *Estimator) Len() int { return len(e.stats) }
 
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -80,6 +80,13 @@
 	}
 )
 
+// Clone returns a copy that shares no memory with s.
+func (s *Service) Clone() Service {
+	c := *s
+	c.queues = slices.Clone(s.queues)
+	return c
+}
+
 // SetCapacity sets the capacity of the accepting workers, weighted by their speeds.
 func (s *Service) SetCapacity(capacity float64) { s.capacity = capacity }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -143,7 +143,7 @@
 		w.releaseReservation(job)
 	}
 	p.placed = false
-	w.reportedFree, w.accepting, w.speed = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed))
+	w.reportedFree, w.accepting, w.speed, w.loadAt = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed)), now
 	w.updateFree()
 	p.updateSlow(w)
 	for _, s := range l.CompletedRuns {
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -10,7 +10,12 @@
 
 // selectWorker returns the eligible worker with enough free resources that a task of r should get, or nil.
 func (p *Placer) selectWorker(now timer.Millis, r *request) *worker {
-	mayRun := func(w *worker) bool { return !w.slow || p.mayProbe(now, r, w) }
+	return p.selectAmong(now, r, nil)
+}
+
+// selectAmong returns the same among the workers that pass a filter. A nil filter passes all.
+func (p *Placer) selectAmong(now timer.Millis, r *request, filter func(*worker) bool) *worker {
+	mayRun := func(w *worker) bool { return (!w.slow || p.mayProbe(now, r, w)) && (filter == nil || filter(w)) }
 	if w := p.selectByTarget(now, r, mayRun); w != nil {
 		return w
 	}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -47,6 +47,7 @@
 		// slowReportedAt is the time at which the worker was last reported as slow; 0 if never.
 		slowReportedAt timer.Millis
 		avoidMark      uint64
+		loadAt         timer.Millis // time of the latest load report
 		indexed        indexed
 	}
 
--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -89,6 +89,7 @@
 		return
 	}
 	s.lastTick, s.handover.pausedAt = s.now, s.now
+	s.explainer.pause, s.explainer.pausedUntil = pause, s.now
 	s.report(Event{Kind: "paused", Value: int64(pause)})
 	s.checkTimeouts()
 	s.expireJobs()
