supervisor: log entries that the grace period keeps and withheld lease renewals

The logs of a sidecar showed that it was paused and that an entry was lost, but not how long an entry had been silent, that a grace period kept its runs, or that the lease was not renewed meanwhile. Each of the three has a line now, once per silence. No decision changes; tests of supervisor and submitter pass.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -45,13 +45,25 @@
 	}
 	k.lastHold++
 	h := HoldRequest{Number: k.lastHold, LastProcessedEnd: k.processed(), HasRuns: len(k.runs) > 0, HasUnrecordedEnds: len(k.durable.unrecorded) > 0, ID: k.backend.ID, StartTime: k.backend.StartTime}
-	if k.renewalDue = !k.entriesAlive(now); k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.renewalDue {
+	wasDue := k.renewalDue
+	if k.renewalDue = !k.entriesAlive(now); k.renewalDue != wasDue {
+		k.report(Event{Kind: "leaseRenewal", Detail: renewalDetail(k.renewalDue), Value: k.durable.leaseEnd - k.Clock(now)})
+	}
+	if k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.renewalDue {
 		h.LeaseUntil = k.Clock(now) + int64(LeaseDuration)
 		k.durable.extendLease(h.LeaseUntil)
 	}
 	return h, true
 }
 
+// renewalDetail describes for logs whether the lease is renewed.
+func renewalDetail(due bool) string {
+	if due {
+		return "withheld while an entry with runs is silent"
+	}
+	return "resumed"
+}
+
 // Clock estimates the backend server's clock. It returns 0 before the first hold response.
 func (k *Supervisor) Clock(now timer.Millis) int64 {
 	if k.backendClockAt == 0 {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -179,6 +179,7 @@
 		synced            bool // the outcomes and the list of its runs were sent on this session
 		durableInUse      bool // the entry reported that durable jobs are in use, or does not know
 		heartbeatReceived bool // on this session
+		silenceReported   bool // the current silence was reported
 		subscribed        bool
 		pendingStarts     []string
 		pendingEnds       []marshaler.CompletedRun
@@ -320,9 +321,13 @@
 		if now-e.lastReceived >= k.entryTimeout(e) {
 			if now >= k.graceEnd {
 				k.removeEntry(now, name, e)
+			} else if !e.silenceReported {
+				e.silenceReported = true
+				k.report(Event{Kind: "entrySilent", Entry: name, Detail: "kept for the grace period after a pause", Value: int64(now - e.lastReceived)})
 			}
 			continue
 		}
+		e.silenceReported = false
 		e.outcomes = slices.DeleteFunc(e.outcomes, func(o sentOutcome) bool { return now-o.at > outcomeRetention })
 		if e.link != nil && now-e.lastSent >= k.heartbeatInterval(e) {
 			k.sendLoad(now, e)
@@ -398,7 +403,7 @@
 		e.link.Close(errEntryTimeout)
 		e.link = nil
 	}
-	k.report(Event{Kind: "entryLost", Entry: name, Value: int64(stopped)})
+	k.report(Event{Kind: "entryLost", Entry: name, Detail: "silent for " + (now - e.lastReceived).String(), Value: int64(stopped)})
 }
 
 func (k *Supervisor) report(e Event) {
