supervisor: bound the time for which grace periods keep the runs of a silent entry

A caller whose entry was lost sent its job to another entry, which started tasks that still ran for the lost one.

Cause: every gap of 100 ms between two ticks counts as a pause of the sidecar and starts a grace period of 200 ms in which no entry is timed out. A sidecar that gets processor time late has such gaps all the time, so the period never ended, and the runs were not stopped.

Evidence: TestRunOutlivesLostEntry failed in four cases with ticks 120 or 400 ms apart, with runs alive for 3.4 s, the length of the test.

Change: an entry that was silent for 900 ms is lost in spite of a grace period. A pause longer than that lets the lease lapse anyway.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -22,6 +22,9 @@
 	// resumeGracePeriod is how long entries are not timed out after this process was paused: their messages may be unread,
 	// or their sessions have to be reopened. The lease is not renewed meanwhile, so its expiry still bounds their runs.
 	resumeGracePeriod = 200 * timer.Millisecond
+	// maxSilence is the time without a message from an entry after which no grace period keeps its runs. On a machine that is
+	// short of processors every tick is late, and grace periods follow each other.
+	maxSilence = 900 * timer.Millisecond
 	// maxStartDelay is the longest time after which the backend server may still execute a start that it did not answer.
 	maxStartDelay = 15 * timer.Second
 	// outcomeRetention is how long outcomes are kept for an entry whose session broke before it received them.
@@ -319,7 +322,7 @@
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
 		if now-e.lastReceived >= k.entryTimeout(e) {
-			if now >= k.graceEnd {
+			if now >= k.graceEnd || now-e.lastReceived >= maxSilence {
 				k.removeEntry(now, name, e)
 			} else if !e.silenceReported {
 				e.silenceReported = true
