supervisor: let the lease end while the runs of a silent entry have not ended

Cause: the lease is the only bound on a run whose stop does not arrive, and all runs on a backend server share it. It was renewed as soon as the runs of a lost entry were being stopped, whether the backend server had received the stops or not, and each start by another entry extended it by 0.4 s, also while an entry was silent and holds did not renew it.

Evidence: three new cases of TestRunOutlivesLostEntry, in which stops have no effect, failed with a run alive for 3.6 s and longer.

Change: renewals stay withheld until the runs of a silent entry have ended, and a start extends the lease no further than its present end meanwhile. Starts are still accepted.

--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -40,9 +40,20 @@
 	}
 	k.runs[at] = r
 	k.free = k.free.Sub(r.room)
-	k.durable.extendLease(m.NotAfter)
 	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
-	k.Start(*m)
+	start := *m
+	start.NotAfter = k.limitLease(now, m.NotAfter)
+	k.durable.extendLease(start.NotAfter)
+	k.Start(start)
+}
+
+// limitLease returns the latest time of a start, which also extends the lease of all runs. While an entry with runs is
+// silent, it does not exceed the end of the present lease, so that this entry's runs end with it.
+func (k *Supervisor) limitLease(now timer.Millis, notAfter int64) int64 {
+	if k.durable.leaseEnd == 0 || k.entriesAlive(now) {
+		return notAfter
+	}
+	return min(notAfter, k.durable.leaseEnd)
 }
 
 // OnStarted handles the backend server's response to a start.
--- a/supervisor/starved_test.go
+++ b/supervisor/starved_test.go
@@ -22,10 +22,11 @@
 // the backend server. The server's lease is extended by holds and by starts, and its clock is 2% slow.
 type survivor struct {
 	*fixture
-	other      *marshaler.Link // session of an entry that goes on starting runs
-	startedAt  timer.Millis
-	leaseUntil timer.Millis
-	attempt    uint64
+	other        *marshaler.Link // session of an entry that goes on starting runs
+	startedAt    timer.Millis
+	leaseUntil   timer.Millis
+	attempt      uint64
+	stopsIgnored bool
 }
 
 func newSurvivor() *survivor {
@@ -59,7 +60,7 @@
 		v.extendLease(h.LeaseUntil)
 	}
 	var running []RunProgress
-	if len(v.stops) == 0 && (v.leaseUntil == 0 || v.now < v.leaseUntil) {
+	if (len(v.stops) == 0 || v.stopsIgnored) && (v.leaseUntil == 0 || v.now < v.leaseUntil) {
 		running = []RunProgress{{Run: firstRun, Percent: int((v.now - v.startedAt) * 100 / longRun)}}
 	}
 	v.k.OnHoldResponse(v.now, HoldResponse{Number: h.Number, StartTime: 10, Clock: int64(v.now), Running: running})
@@ -75,7 +76,7 @@
 
 // aliveUntil returns the time until which the run may be alive.
 func (v *survivor) aliveUntil(stoppedAt timer.Millis) timer.Millis {
-	if stoppedAt == 0 {
+	if stoppedAt == 0 || v.stopsIgnored {
 		return v.leaseUntil
 	}
 	return min(v.leaseUntil, stoppedAt+stopDuration)
@@ -90,20 +91,25 @@
 		delay   timer.Millis // of the lost entry's messages
 		starts  bool         // another entry starts runs all the time
 		session bool         // the session to the lost entry ends at once
+		ignored bool         // the backend server ignores stops, so that only the end of the lease ends the run
 	}{
-		{"calm", 25, 0, true, true},
-		{"silent connection", 25, 0, true, false},
-		{"late ticks", 120, 0, false, true},
-		{"late ticks, other starts", 120, 0, true, true},
-		{"late ticks, other starts, silent connection", 120, 0, true, false},
-		{"late messages", 25, 800, false, false},
-		{"late messages, other starts", 25, 800, true, false},
-		{"late ticks and messages, other starts", 120, 300, true, false},
-		{"long pauses, other starts", 400, 0, true, true},
+		{"calm", 25, 0, true, true, false},
+		{"silent connection", 25, 0, true, false, false},
+		{"late ticks", 120, 0, false, true, false},
+		{"late ticks, other starts", 120, 0, true, true, false},
+		{"late ticks, other starts, silent connection", 120, 0, true, false, false},
+		{"late messages", 25, 800, false, false, false},
+		{"late messages, other starts", 25, 800, true, false, false},
+		{"late ticks and messages, other starts", 120, 300, true, false, false},
+		{"long pauses, other starts", 400, 0, true, true, false},
+		{"stops are ignored", 25, 0, false, true, true},
+		{"stops are ignored, other starts", 25, 0, true, true, true},
+		{"stops are ignored, late ticks, other starts", 120, 0, true, false, true},
 	}
 	for _, c := range cases {
 		v := newSurvivor()
 		lostAt := v.now
+		v.stopsIgnored = c.ignored
 		if c.session {
 			v.k.OnDisconnect(v.link)
 		}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -382,10 +382,11 @@
 	return marshaler.IdleHeartbeatInterval
 }
 
-// entriesAlive reports whether each entry with a run on this sidecar has sent a message within the entry timeout.
+// entriesAlive reports whether each entry with a run on this sidecar has sent a message within the entry timeout. Runs that
+// are being stopped count until they have ended, because the backend server may not have received the stop.
 func (k *Supervisor) entriesAlive(now timer.Millis) bool {
 	for _, r := range k.runs {
-		if r.state != stateStopping && now-r.entry.lastReceived >= EntryTimeout {
+		if now-r.entry.lastReceived >= EntryTimeout {
 			return false
 		}
 	}
