Count entries as alive from the time at which they sent a message, not from its handling

Cause: a sidecar took an entry for alive at the time at which it handled a message. A message that waited in a socket or in the event queue, because the sidecar got processor time late, kept the runs of an entry that was lost meanwhile for as long as it had waited. The sum of 450 ms timeout, 700 ms lease and 50 ms stop leaves 86 ms for that before the caller sends again.

Evidence: the remaining cases of TestRunOutlivesLostEntry, with messages handled 0.8 s late, failed with a run alive for 1.31 s.

Change: load reports state the time on the sidecar's clock. From them an entry estimates that clock (remoteClock; delays make the estimate early, never late) and states the time of sending with heartbeats and starts. Timeout and lease count from it. Processes of the former release state no time and are treated as before; the fields are optional. Heartbeats grow by 4 to 10 bytes.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -134,7 +134,8 @@
 	dst = appendZigZag(dst, 4, int64(m.Estimate))
 	dst = appendZigZag(dst, 5, m.NotAfter)
 	dst = appender.AppendUint(dst, 6, m.Epoch)
-	return appender.AppendString(dst, 7, m.Queue)
+	dst = appender.AppendString(dst, 7, m.Queue)
+	return appendZigZag(dst, 8, int64(m.SentAt))
 }
 
 func appendResourceRequest(dst []byte, m *ResourceRequest) []byte {
@@ -182,7 +183,7 @@
 			return appender.AppendString(b, 6, s.Queue)
 		})
 	}
-	return dst
+	return appendZigZag(dst, 8, int64(m.Time))
 }
 
 func appendPeer(b []byte, p *Peer) []byte {
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -78,8 +78,9 @@
 		wantExtra int // bytes
 	}{
 		{"request", &ResourceRequest{Job: "j", TargetEnd: 50, LastUsefulEnd: 60}, &ResourceRequest{Job: "j"}, 6},
-		{"start", &Start{Queue: "queue"}, &Start{}, 7},
-		{"load", &Load{CompletedRuns: []CompletedRun{{Job: "j", Queue: "queue"}}}, &Load{CompletedRuns: []CompletedRun{{Job: "j"}}}, 7},
+		{"start", &Start{Queue: "queue", SentAt: 60}, &Start{}, 9},
+		{"heartbeat", &Heartbeat{Offset: 1, Time: 50, SentAt: 60}, &Heartbeat{Offset: 1}, 4},
+		{"load", &Load{CompletedRuns: []CompletedRun{{Job: "j", Queue: "queue"}}, Time: 50}, &Load{CompletedRuns: []CompletedRun{{Job: "j"}}}, 9},
 	}
 	for _, c := range cases {
 		with, without := Append(nil, c.with), Append(nil, c.without)
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -175,6 +175,8 @@
 			return err
 		}
 		return decodeNested(f, s.setField)
+	case 8:
+		return setMillis(f, &m.Time)
 	}
 	return nil
 }
@@ -213,6 +215,8 @@
 		return f.StoreUint(&m.Epoch)
 	case 7:
 		return f.StoreString(&m.Queue, MaxNameLen)
+	case 8:
+		return setMillis(f, &m.SentAt)
 	}
 	return nil
 }
--- a/marshaler/jobhandover.go
+++ b/marshaler/jobhandover.go
@@ -36,17 +36,19 @@
 	}
 )
 
-// appendEntryLoad appends the load fields of a heartbeat.
+// appendEntryLoad appends the load fields and the times of a heartbeat.
 func appendEntryLoad(dst []byte, m *Heartbeat) []byte {
 	dst = appender.AppendUint(dst, 4, uint64(m.LoadClass))
 	dst = appender.AppendUint(dst, 5, m.ProcessorUse)
 	dst = appendZigZag(dst, 6, int64(m.LoopDelay))
 	dst = appender.AppendUint(dst, 7, m.BytesPerSecond)
 	dst = appender.AppendUint(dst, 8, m.MemoryBytes)
-	return appendBool(dst, 9, m.SteppedDown)
+	dst = appendBool(dst, 9, m.SteppedDown)
+	dst = appendZigZag(dst, 10, int64(m.Time))
+	return appendZigZag(dst, 11, int64(m.SentAt))
 }
 
-// setLoadField decodes a load field of a heartbeat.
+// setLoadField decodes a load field or a time of a heartbeat.
 func (m *Heartbeat) setLoadField(f appender.Field) error {
 	switch f.Tag {
 	case 4:
@@ -61,6 +63,10 @@
 		return f.StoreUint(&m.MemoryBytes)
 	case 9:
 		return setBool(f, &m.SteppedDown)
+	case 10:
+		return setMillis(f, &m.Time)
+	case 11:
+		return setMillis(f, &m.SentAt)
 	}
 	return nil
 }
--- a/marshaler/link.go
+++ b/marshaler/link.go
@@ -12,6 +12,15 @@
 	PauseThreshold = 100 * timer.Millisecond
 )
 
+// TimeSent returns when a message was sent, on the receiver's clock. stated is the time that the message states; a message without
+// one, from a sender that has no estimate of the receiver's clock, counts as sent now.
+func TimeSent(now, stated timer.Millis) timer.Millis {
+	if stated == 0 {
+		return now
+	}
+	return min(stated, now)
+}
+
 // Link is the sending side of a session. Its functions never block.
 type Link struct {
 	Remote Hello
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -96,6 +96,11 @@
 		BytesPerSecond uint64 // sent to other processes
 		MemoryBytes    uint64
 		SteppedDown    bool // the sender is overloaded and does not want to be the placing entry
+		// Time is the time on the sender's clock. Only entries state it to each other; a sidecar states its own with Load.
+		Time timer.Millis
+		// SentAt is the time of sending on the receiver's clock, as estimated by the sender. It is never late by more than the
+		// drift of the clocks. 0 if the sender has no estimate.
+		SentAt timer.Millis
 	}
 
 	// Peers lists the entries known to the sender.
@@ -122,6 +127,7 @@
 		Speed         uint64   // thousandths of the speed that run time estimates assume
 		HandledStarts []string // job of each start handled since the previous report on this session
 		CompletedRuns []CompletedRun
+		Time          timer.Millis // on the sidecar's clock
 	}
 
 	// CompletedRun describes a run that ended. Receivers use it to track failures and run times.
@@ -145,6 +151,8 @@
 		// Epoch is the epoch under which the sender owns the job's partition; 0 for a job that is not durable.
 		Epoch uint64
 		Queue string // of the job; optional
+		// SentAt is the time of sending on the sidecar's clock, as in Heartbeat.
+		SentAt timer.Millis
 	}
 
 	// Stop tells a sidecar to stop a run.
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -26,6 +26,9 @@
 		link.Close(trace.CompareFailed("a newer session of %s exists", h.Name))
 		return
 	}
+	if sc.incarnation != h.Incarnation {
+		sc.remote = remoteClock{}
+	}
 	sc.remoteSession = h.Session
 	if sc.link != nil {
 		sc.link.Close(trace.ConnectionProblem(nil, "replaced by a newer session"))
@@ -222,6 +225,9 @@
 		if m.Clock != 0 {
 			sc.clock, sc.clockAt = m.Clock, s.now
 		}
+		if m.Time != 0 {
+			sc.remote.observe(s.now, m.Time)
+		}
 		s.placer.OnLoad(s.now, sc.name, m)
 	case *marshaler.Outcome:
 		s.onOutcome(sc, m)
@@ -315,7 +321,9 @@
 		sc.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
 	sc.lastSent = s.now
-	sc.link.Send(s.newHeartbeat())
+	m := s.newHeartbeat()
+	m.SentAt = sc.remote.at(s.now)
+	sc.link.Send(m)
 }
 
 func (s *Submitter) sendPeerHeartbeat(p *peer) {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -157,6 +157,7 @@
 		backend    *marshaler.Backend
 		clock      int64
 		clockAt    timer.Millis
+		remote     remoteClock // of the sidecar process
 		offset     uint64
 		subscribed bool
 		session    uint64 // number of the current session, counted by this entry
--- a/supervisor/durable_test.go
+++ b/supervisor/durable_test.go
@@ -199,7 +199,7 @@
 		}
 		f.now += EntryTimeout + 1
 		for _, e := range f.k.entries {
-			e.lastReceived = f.now
+			e.aliveAt = f.now
 		}
 		f.k.Tick(f.now)
 		if r := f.k.findRun(durableRun(0, 1)); (r.state == stateStopping) == claimed {
--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -28,14 +28,14 @@
 		e = nil
 	}
 	if e == nil {
-		e = &entry{name: h.Name, incarnation: h.Incarnation}
+		e = &entry{name: h.Name, incarnation: h.Incarnation, aliveAt: now}
 		k.entries[h.Name] = e
 		k.reattachRuns(e)
 	}
 	if e.link != nil {
 		e.link.Close(trace.ConnectionProblem(nil, "replaced by a newer session"))
 	}
-	e.link, e.lastReceived, e.synced, e.subscribed, e.heartbeatReceived = link, now, false, false, false
+	e.link, e.synced, e.subscribed, e.heartbeatReceived = link, false, false, false
 	e.pendingStarts, e.pendingEnds = nil, nil
 	k.sendBackend(e)
 	k.syncSession(e)
@@ -65,7 +65,7 @@
 	if e == nil {
 		return
 	}
-	e.lastReceived = now
+	e.aliveAt = max(e.aliveAt, sentAt(now, m))
 	if k.renewalDue && k.entriesAlive(now) {
 		k.renewalDue = false
 		k.HoldNow() // renews the lease immediately
@@ -94,6 +94,18 @@
 	}
 }
 
+// sentAt returns the time at which a heartbeat or start was sent, or 0 for other messages. A message may have waited for long
+// before it is handled, and its sender may be lost since.
+func sentAt(now timer.Millis, m marshaler.Message) timer.Millis {
+	switch m := m.(type) {
+	case *marshaler.Heartbeat:
+		return marshaler.TimeSent(now, m.SentAt)
+	case *marshaler.Start:
+		return marshaler.TimeSent(now, m.SentAt)
+	}
+	return 0
+}
+
 // replayStarts queues the recent starts for a new placing entry, because they may precede its subscription.
 func (k *Supervisor) replayStarts(e *entry) {
 	e.pendingStarts = nil
@@ -179,7 +191,7 @@
 	ok, _ := k.Accepting()
 	e.link.Send(&marshaler.Load{
 		Offset: k.offset, Accepting: ok, Free: k.free, Clock: k.Clock(now), Speed: uint64(max(k.speed, 0)),
-		HandledStarts: e.pendingStarts, CompletedRuns: e.pendingEnds,
+		HandledStarts: e.pendingStarts, CompletedRuns: e.pendingEnds, Time: now,
 	})
 	e.pendingStarts, e.pendingEnds, e.lastSent = nil, nil, now
 }
--- a/supervisor/starved_test.go
+++ b/supervisor/starved_test.go
@@ -139,4 +139,6 @@
 }
 
 // heartbeat returns a heartbeat that an entry sent at the given time.
-func (v *survivor) heartbeat(timer.Millis) *marshaler.Heartbeat { return &marshaler.Heartbeat{} }
+func (v *survivor) heartbeat(at timer.Millis) *marshaler.Heartbeat {
+	return &marshaler.Heartbeat{SentAt: at}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// EntryTimeout is the time without a message from an entry after which its runs are stopped.
+	// EntryTimeout is the time after which an entry's runs are stopped if it has not shown that it is alive.
 	EntryTimeout = 450 * timer.Millisecond
 	// LeaseDuration is the duration of the lease that each hold requests. The entry timeout, this duration on a slow backend
 	// server clock and the time to stop a run add up to less than the time after which a caller resubmits a job.
@@ -22,7 +22,7 @@
 	// resumeGracePeriod is how long entries are not timed out after this process was paused: their messages may be unread,
 	// or their sessions have to be reopened. The lease is not renewed meanwhile, so its expiry still bounds their runs.
 	resumeGracePeriod = 200 * timer.Millisecond
-	// maxSilence is the time without a message from an entry after which no grace period keeps its runs. On a machine that is
+	// maxSilence is the time without a sign of life of an entry after which no grace period keeps its runs. On a machine that is
 	// short of processors every tick is late, and grace periods follow each other.
 	maxSilence = 900 * timer.Millisecond
 	// maxStartDelay is the longest time after which the backend server may still execute a start that it did not answer.
@@ -177,7 +177,7 @@
 		name              string
 		incarnation       uint64
 		link              *marshaler.Link // nil while disconnected
-		lastReceived      timer.Millis
+		aliveAt           timer.Millis    // latest time at which the entry is known to have been alive
 		lastSent          timer.Millis
 		synced            bool // the outcomes and the list of its runs were sent on this session
 		durableInUse      bool // the entry reported that durable jobs are in use, or does not know
@@ -321,12 +321,12 @@
 	k.tickDurable(now)
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
-		if now-e.lastReceived >= k.entryTimeout(e) {
-			if now >= k.graceEnd || now-e.lastReceived >= maxSilence {
+		if now-e.aliveAt >= k.entryTimeout(e) {
+			if now >= k.graceEnd || now-e.aliveAt >= maxSilence {
 				k.removeEntry(now, name, e)
 			} else if !e.silenceReported {
 				e.silenceReported = true
-				k.report(Event{Kind: "entrySilent", Entry: name, Detail: "kept for the grace period after a pause", Value: int64(now - e.lastReceived)})
+				k.report(Event{Kind: "entrySilent", Entry: name, Detail: "kept for the grace period after a pause", Value: int64(now - e.aliveAt)})
 			}
 			continue
 		}
@@ -382,11 +382,11 @@
 	return marshaler.IdleHeartbeatInterval
 }
 
-// entriesAlive reports whether each entry with a run on this sidecar has sent a message within the entry timeout. Runs that
+// entriesAlive reports whether each entry with a run on this sidecar was alive within the entry timeout. Runs that
 // are being stopped count until they have ended, because the backend server may not have received the stop.
 func (k *Supervisor) entriesAlive(now timer.Millis) bool {
 	for _, r := range k.runs {
-		if now-r.entry.lastReceived >= EntryTimeout {
+		if now-r.entry.aliveAt >= EntryTimeout {
 			return false
 		}
 	}
@@ -407,7 +407,7 @@
 		e.link.Close(errEntryTimeout)
 		e.link = nil
 	}
-	k.report(Event{Kind: "entryLost", Entry: name, Detail: "silent for " + (now - e.lastReceived).String(), Value: int64(stopped)})
+	k.report(Event{Kind: "entryLost", Entry: name, Detail: "silent for " + (now - e.aliveAt).String(), Value: int64(stopped)})
 }
 
 func (k *Supervisor) report(e Event) {
