submitter: end jobs that were handed over once their sender is silent by the time of sending

Cause: an entry that runs jobs for another took the sender for alive when it handled the sender's messages, however long they had waited. A sender that is lost leaves callers who send their jobs again after 1.3 s, and no lease bounds the runs, because the receiver itself is alive.

Evidence: TestSilentSender failed: with messages handled 0.3 s late, the run was stopped 750 ms after the loss of the sender instead of 450 ms, and a handover that was handled 0.8 s late started a run.

Change: entries state the time on their clock and the time of sending to each other. A receiver ends the jobs of a sender that has not shown for 450 ms that it is alive, and refuses a handover that is as old. While a peer has jobs of it, an entry sends heartbeats every 150 ms also when other messages are sent.

--- a/marshaler/jobhandover.go
+++ b/marshaler/jobhandover.go
@@ -18,6 +18,7 @@
 		Steps    []Step
 		Deadline timer.Millis // how long the caller waits; 0 if unset
 		Waited   timer.Millis // time that the caller has waited already
+		SentAt   timer.Millis // as in Heartbeat
 	}
 
 	// JobAnswer is the answer to a JobHandover. It is sent on the same session.
@@ -83,7 +84,8 @@
 			dst = appendNested(dst, 5, func(b []byte) []byte { return appendStep(b, &m.Steps[i]) })
 		}
 		dst = appendZigZag(dst, 6, int64(m.Deadline))
-		return appendZigZag(dst, 7, int64(m.Waited))
+		dst = appendZigZag(dst, 7, int64(m.Waited))
+		return appendZigZag(dst, 8, int64(m.SentAt))
 	case *JobAnswer:
 		dst = appender.AppendUint(append(dst, kindJobAnswer), 1, m.Number)
 		dst = appender.AppendString(dst, 2, m.Job)
@@ -133,6 +135,8 @@
 		return setMillis(f, &m.Deadline)
 	case 7:
 		return setMillis(f, &m.Waited)
+	case 8:
+		return setMillis(f, &m.SentAt)
 	}
 	return nil
 }
--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -99,9 +99,16 @@
 	s.report(Event{Kind: "handOver", Job: j.ID, Queue: j.Queue.Name, Peer: p.hello.Name, Detail: s.load.own.Class.String(), Value: p.spareProcessor()})
 	p.send(s.now, &marshaler.JobHandover{
 		Number: h.number, Job: j.ID, Queue: j.Queue.Name, Spec: j.Spec, Steps: j.Steps, Deadline: j.Deadline, Waited: s.now - j.arrived,
+		SentAt: p.remote.at(s.now),
 	})
 }
 
+// senderHeartbeatDue reports whether a peer that has jobs of this entry must get a heartbeat although other messages were sent,
+// because these do not show when they were sent.
+func (s *Submitter) senderHeartbeatDue(p *peer) bool {
+	return len(p.handedOver) > 0 && s.now-p.loadSentAt >= heartbeatInterval
+}
+
 // endHandover removes a handover and answers its callers.
 func (s *Submitter) endHandover(h *handedJob, a Answer) {
 	j := h.job
--- a/submitter/receivedjob.go
+++ b/submitter/receivedjob.go
@@ -40,8 +40,10 @@
 func (s *Submitter) onJobHandover(p *peer, link *marshaler.Link, m *marshaler.JobHandover) {
 	p.requestedAt = s.now
 	p.activate(s.now)
+	sentAt := marshaler.TimeSent(s.now, m.SentAt)
+	p.aliveAt = max(p.aliveAt, sentAt)
 	r := &receivedJob{job: m.Job, number: m.Number, from: p, link: link}
-	if a := s.refuseHandover(p, link, m); a.Kind != 0 {
+	if a := s.refuseHandover(p, link, m, sentAt); a.Kind != 0 {
 		s.report(Event{Kind: "handOverRefused", Job: m.Job, Queue: m.Queue, Peer: p.hello.Name, Detail: a.Kind.String() + " " + a.Reason})
 		s.answerReceived(r, a)
 		return
@@ -61,7 +63,7 @@
 
 // refuseHandover returns the answer to a job that this entry does not take, or the zero Answer. No task of it has run
 // here.
-func (s *Submitter) refuseHandover(p *peer, link *marshaler.Link, m *marshaler.JobHandover) Answer {
+func (s *Submitter) refuseHandover(p *peer, link *marshaler.Link, m *marshaler.JobHandover, sentAt timer.Millis) Answer {
 	refusal := Answer{Kind: AnswerNotRun, RetryAfter: handoverRetryAfter + jitter(m.Job)}
 	switch {
 	case !s.Handover:
@@ -70,6 +72,8 @@
 		refusal.Reason = "the session has ended"
 	case s.handover.pausedAt != 0 && s.now-s.handover.pausedAt < pausedHandoverTime:
 		refusal.Reason = "the entry was paused"
+	case s.now-sentAt >= HeartbeatTimeout:
+		refusal.Reason = "the handover arrived late"
 	case len(p.received) >= maxOpenHandovers:
 		refusal.Reason = "too many jobs are handed over"
 	case s.handover.jobs[m.Job] != nil:
@@ -111,6 +115,14 @@
 	}
 }
 
+// dropReceived ends the jobs that a peer handed over and tells the peer, which may be alive, that their outcome is unknown.
+func (s *Submitter) dropReceived(p *peer, cause string) {
+	for _, r := range marshaler.SortedByKey(p.received) {
+		s.withdrawReceived(r, cause)
+		r.link.Send(&marshaler.JobAnswer{Number: r.number, Job: r.job, Kind: uint8(AnswerUnknown), Reason: cause})
+	}
+}
+
 // withdrawReceived ends a received job without an answer. Its runs are stopped unless callers of this entry wait for the
 // same job.
 func (s *Submitter) withdrawReceived(r *receivedJob, cause string) {
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -60,11 +60,11 @@
 		s.peers[h.Name] = p
 	}
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
-	p.hello, p.link, p.lastReceived, p.leaving, p.suspect = h, link, s.now, false, false
+	p.hello, p.link, p.lastReceived, p.aliveAt, p.leaving, p.suspect = h, link, s.now, s.now, false, false
 	s.endHandovers(p, "the session was replaced")
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
 	s.relay.OnConnect(s.now, h.Name)
-	p.send(s.now, s.addLoad(s.newHeartbeat()))
+	p.send(s.now, s.newPeerHeartbeat(p))
 	if s.durable.inUse {
 		p.send(s.now, &marshaler.OwnedPartitions{Partitions: s.ownedPartitions()})
 	}
@@ -121,7 +121,12 @@
 			link := p.link
 			s.onPeerLost(p, "silent")
 			link.Close(errHeartbeatTimeout)
-		} else if p.link != nil && !p.suspect && p.active && p.silence(s.now) >= suspectTimeout {
+			continue
+		}
+		if len(p.received) > 0 && s.now-p.aliveAt >= HeartbeatTimeout {
+			s.dropReceived(p, "the entry that handed the job over is silent")
+		}
+		if p.link != nil && !p.suspect && p.active && p.silence(s.now) >= suspectTimeout {
 			p.suspect = true
 			s.report(Event{Kind: "entrySuspect", Peer: p.hello.Name, Value: int64(s.now - p.lastReceived)})
 			s.rerouteRequests(p.hello.Name)
@@ -165,11 +170,18 @@
 
 func (s *Submitter) onPeerMessage(p *peer, link *marshaler.Link, m marshaler.Message) {
 	p.lastReceived, p.suspect = s.now, false
+	if !p.remote.known { // a process of a former release does not state times
+		p.aliveAt = s.now
+	}
 	if p.link == nil {
 		p.link = link
 	}
 	switch m := m.(type) {
 	case *marshaler.Heartbeat:
+		if m.Time != 0 {
+			p.remote.observe(s.now, m.Time)
+		}
+		p.aliveAt = max(p.aliveAt, marshaler.TimeSent(s.now, m.SentAt))
 		p.offset, p.mayHaveDurable = m.Offset, m.DurableInUse
 		p.setLoad(s.now, m)
 		if m.Leaving && !p.leaving {
@@ -300,7 +312,7 @@
 		}
 	}
 	for _, p := range marshaler.SortedByKey(s.peers) {
-		if p.link != nil && (s.now-p.lastSent >= p.heartbeatInterval() || s.loadReportDue(p)) {
+		if p.link != nil && (s.now-p.lastSent >= p.heartbeatInterval() || s.loadReportDue(p) || s.senderHeartbeatDue(p)) {
 			s.sendPeerHeartbeat(p)
 		}
 	}
@@ -331,7 +343,14 @@
 		p.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
 	p.loadSentAt = s.now
-	p.send(s.now, s.addLoad(s.newHeartbeat()))
+	p.send(s.now, s.newPeerHeartbeat(p))
+}
+
+// newPeerHeartbeat returns a heartbeat for another entry.
+func (s *Submitter) newPeerHeartbeat(p *peer) *marshaler.Heartbeat {
+	m := s.addLoad(s.newHeartbeat())
+	m.Time, m.SentAt = s.now, p.remote.at(s.now)
+	return m
 }
 
 func (p *peer) send(now timer.Millis, m marshaler.Message) {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -177,6 +177,8 @@
 		hello marshaler.Hello
 		link  *marshaler.Link
 		liveness
+		aliveAt        timer.Millis // latest time at which the entry is known to have been alive, by its heartbeats and handovers
+		remote         remoteClock
 		requestedAt    timer.Millis // time of the latest capacity request or handover in either direction
 		mayHaveDurable bool         // it reports that durable jobs may be in use
 		offset         uint64
