supervisor, submitter: test leases after stops without an answer

What callers saw: two runs of one task at once. Cause: a run that is being stopped does not count when the lease is renewed. If the backend server leaves its stops unanswered, the run goes on under the lease of all runs, past the 1.3 s after which its caller sends the job again. Runs of a previous sidecar process do so too.

--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -35,6 +35,7 @@
 		// server execute them later.
 		lostShare   float64
 		executeLate bool
+		ordersOnly  bool // lostShare applies to starts and stops only, not to holds
 		faults      []string
 		links       []*fakeLink
 		jobs        map[string]fakeJob
@@ -107,6 +108,7 @@
 		slowdown       float64
 		leaseExpiredAt timer.Millis            // latest time without a valid lease
 		endedAt        map[uint64]timer.Millis // by number
+		lapsedRuns     int                     // number of runs that ended because the lease expired
 	}
 
 	fakeRun struct {
@@ -450,9 +452,11 @@
 }
 
 // call executes a call to the backend server, loses its answer, or executes it seconds late.
-func (b *fakeBackend) call(do func(answered bool), onLost func()) {
+func (b *fakeBackend) call(do func(answered bool), onLost func()) { b.callWithLoss(b.w.lostShare, do, onLost) }
+
+func (b *fakeBackend) callWithLoss(share float64, do func(answered bool), onLost func()) {
 	w := b.w
-	if w.random.Float64() < w.lostShare {
+	if w.random.Float64() < share {
 		if w.executeLate {
 			w.schedule(2000+timer.Millis(w.random.IntN(4000)), func() { do(false) })
 		} else if w.random.IntN(2) == 0 {
@@ -563,6 +567,7 @@
 		r := b.runs[key]
 		switch {
 		case b.leaseUntil <= b.w.now:
+			b.lapsedRuns++
 			b.finish(key, marshaler.StatusLost)
 		case b.stalledUntil > b.w.now:
 			r.end++
@@ -576,7 +581,11 @@
 
 func (b *fakeBackend) hold(h supervisor.HoldRequest, wait timer.Millis, answer func(l supervisor.HoldResponse, err error)) {
 	failed := func() { answer(supervisor.HoldResponse{}, errors.New("no answer")) }
-	b.call(func(answered bool) {
+	share := b.w.lostShare
+	if b.w.ordersOnly {
+		share = 0
+	}
+	b.callWithLoss(share, func(answered bool) {
 		if !b.up {
 			return
 		}
