supervisor: let the lease lapse when a stop stays unconfirmed

What callers saw: two runs of one task at once. Cause: holds renewed the lease of all runs while a run was being stopped, however long the backend server left the stops unanswered. Starts of other entries extended it as well, by up to 400 ms. Change: neither extends the lease while a run of a silent or lost entry is not known to have ended, 200 ms after the first stop of any other run, or while the latest hold response lists a run that this process does not know. A start is still taken if its deadline is within the lease.

--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -66,7 +66,7 @@
 		return
 	}
 	e.lastReceived = now
-	if k.renewalDue && k.entriesAlive(now) {
+	if k.renewalDue && k.mayExtendLease(now) {
 		k.renewalDue = false
 		k.HoldNow() // renews the lease immediately
 	}
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -45,7 +45,7 @@
 	}
 	k.lastHold++
 	h := HoldRequest{Number: k.lastHold, LastProcessedEnd: k.processed(), HasRuns: len(k.runs) > 0, HasUnrecordedEnds: len(k.durable.unrecorded) > 0, ID: k.backend.ID, StartTime: k.backend.StartTime}
-	if k.renewalDue = !k.entriesAlive(now); k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.renewalDue {
+	if k.renewalDue = !k.mayExtendLease(now); k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.renewalDue {
 		h.LeaseUntil = k.Clock(now) + int64(LeaseDuration)
 		k.durable.extendLease(h.LeaseUntil)
 	}
@@ -151,7 +151,7 @@
 		r.listed = true
 		k.checkStalled(now, r)
 	}
-	if unknown == 0 {
+	if k.unknownRuns = unknown; unknown == 0 {
 		k.reconciled = true
 	} else {
 		k.report(Event{Kind: "strangers", Value: int64(unknown)})
--- /dev/null
+++ b/supervisor/lease.go
@@ -0,0 +1,23 @@
+package supervisor
+
+import "github.com/crocuslb/crocuslb/timer"
+
+// stopTimeout is the time without a confirmed end, after the first stop of a run, from which the lease is not extended. It
+// exceeds the 50 ms that a backend server takes to end a run, and three calls. Together with the lease and the time in which
+// an entry notices that its caller has left, it is below the 1300 ms after which the caller sends the job again.
+const stopTimeout = 200 * timer.Millisecond
+
+// mayExtendLease reports whether the lease of all runs may be extended, by a hold or by a start. A run whose entry is silent,
+// whose stop is unconfirmed or that is unknown to this process must not continue for long, and only the expiry of the lease
+// ends it if the backend server does not carry out its stop. That also ends the other runs of the backend server.
+func (k *Supervisor) mayExtendLease(now timer.Millis) bool {
+	if k.unknownRuns > 0 || !k.entriesAlive(now) {
+		return false
+	}
+	for _, r := range k.runs {
+		if r.state == stateStopping && (now-r.stopBegan >= stopTimeout || now-r.entry.lastReceived >= EntryTimeout) {
+			return false
+		}
+	}
+	return true
+}
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -28,6 +28,8 @@
 		ok, reason = false, "no room"
 	case m.NotAfter <= k.Clock(now):
 		ok, reason = false, "start is late"
+	case m.NotAfter > k.durable.leaseEnd && !k.mayExtendLease(now):
+		ok, reason = false, "lease must not be extended"
 	}
 	if !ok {
 		k.sendOutcome(now, e, marshaler.Outcome{Run: m.Run, Status: marshaler.StatusRefused, Reason: reason})
@@ -80,7 +82,7 @@
 	if r.state == stateStopping {
 		return
 	}
-	r.state, r.status, r.reason = stateStopping, status, reason
+	r.state, r.status, r.reason, r.stopBegan = stateStopping, status, reason, now
 	k.sendStop(now, r)
 	k.report(Event{Kind: "stop", Run: r.key, Entry: r.entry.name, Detail: reason})
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -119,7 +119,8 @@
 		durable        durableState
 		lastTick       timer.Millis
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
-		renewalDue     bool         // the latest hold did not renew the lease, because an entry with runs was silent
+		renewalDue     bool         // the latest hold did not renew the lease, because mayExtendLease forbade it
+		unknownRuns    int          // active runs in the latest hold response that this process does not know
 	}
 
 	// recentStart is a start that this process has handled, whether or not it was admitted.
@@ -162,6 +163,7 @@
 		startHold  uint64       // holds with a higher number list the run if it is active
 		stopHold   uint64       // holds with a higher number omit the run if the stop took effect; 0 while no stop was answered
 		stopSentAt timer.Millis
+		stopBegan  timer.Millis     // when the first stop was sent
 		status     marshaler.Status // reported instead of StatusStopped after a stop
 		reason     string
 		listed     bool
