--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -66,9 +66,11 @@
 		return
 	}
 	e.aliveAt = max(e.aliveAt, sentAt(now, m))
-	if k.renewalDue && k.entriesAlive(now) {
-		k.renewalDue = false
-		k.HoldNow() // renews the lease immediately
+	if k.leaseWithheld {
+		k.updateLease(now)
+		if !k.leaseWithheld {
+			k.HoldNow() // renews the lease immediately
+		}
 	}
 	switch m := m.(type) {
 	case *marshaler.Start:
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -17,7 +17,7 @@
 		}
 	}
 	ok, reason := k.Accepting()
-	at := taskKey{m.Run.Job, m.Run.Index}
+	at, notAfter := taskKey{m.Run.Job, m.Run.Index}, k.limitLease(now, m.NotAfter)
 	switch {
 	case !ok:
 	case !k.mayStart(e, m):
@@ -26,7 +26,7 @@
 		ok, reason = false, "task runs already"
 	case !k.free.Contains(m.Resources):
 		ok, reason = false, "no room"
-	case m.NotAfter <= k.Clock(now):
+	case notAfter <= k.Clock(now):
 		ok, reason = false, "start is late"
 	}
 	if !ok {
@@ -41,21 +41,12 @@
 	k.runs[at] = r
 	k.free = k.free.Sub(r.room)
 	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
+	k.durable.extendLease(notAfter)
 	start := *m
-	start.NotAfter = k.limitLease(now, m.NotAfter)
-	k.durable.extendLease(start.NotAfter)
+	start.NotAfter = notAfter
 	k.Start(start)
 }
 
-// limitLease returns the latest time of a start, which also extends the lease of all runs. While an entry with runs is
-// silent, it does not exceed the end of the present lease, so that this entry's runs end with it.
-func (k *Supervisor) limitLease(now timer.Millis, notAfter int64) int64 {
-	if k.durable.leaseEnd == 0 || k.entriesAlive(now) {
-		return notAfter
-	}
-	return min(notAfter, k.durable.leaseEnd)
-}
-
 // OnStarted handles the backend server's response to a start.
 func (k *Supervisor) OnStarted(now timer.Millis, s StartResult) {
 	r := k.findRun(s.Run)
@@ -91,7 +82,7 @@
 	if r.state == stateStopping {
 		return
 	}
-	r.state, r.status, r.reason = stateStopping, status, reason
+	r.state, r.status, r.reason, r.stopBegan = stateStopping, status, reason, now
 	k.sendStop(now, r)
 	k.report(Event{Kind: "stop", Run: r.key, Entry: r.entry.name, Detail: reason})
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -122,7 +122,8 @@
 		durable        durableState
 		lastTick       timer.Millis
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
-		renewalDue     bool         // the latest hold did not renew the lease, because an entry with runs was silent
+		leaseWithheld  bool         // the lease is not extended, because of a run that must end
+		unknownRuns    int          // active runs in the latest hold response that this process does not know
 	}
 
 	// recentStart is a start that this process has handled, whether or not it was admitted.
@@ -165,6 +166,7 @@
 		startHold  uint64       // holds with a higher number list the run if it is active
 		stopHold   uint64       // holds with a higher number omit the run if the stop took effect; 0 while no stop was answered
 		stopSentAt timer.Millis
+		stopBegan  timer.Millis     // when the first stop was sent
 		status     marshaler.Status // reported instead of StatusStopped after a stop
 		reason     string
 		listed     bool
@@ -382,17 +384,6 @@
 	return marshaler.IdleHeartbeatInterval
 }
 
-// entriesAlive reports whether each entry with a run on this sidecar was alive within the entry timeout. Runs that
-// are being stopped count until they have ended, because the backend server may not have received the stop.
-func (k *Supervisor) entriesAlive(now timer.Millis) bool {
-	for _, r := range k.runs {
-		if now-r.entry.aliveAt >= EntryTimeout {
-			return false
-		}
-	}
-	return true
-}
-
 func (k *Supervisor) removeEntry(now timer.Millis, name string, e *entry) {
 	delete(k.entries, name)
 	k.onOwnerLost(e)
