submitter: count the expiry of runs from the last message that kept them alive

Cause: an entry took the runs on a sidecar for ended 1.75 s after it had last heard from it. A session that follows and ends before the sidecar has listed its runs lets the entry send heartbeats again, which keep the runs alive there, but did not move that time. Connections that are reset again and again do this.

Evidence: TestRunExpiry failed: a restart 700 ms (475 ms with late ticks) after the entry's last heartbeat, although the runs end up to 1,214 ms after it.

Change: the expiry is at least 1.3 s after the last heartbeat or start that the entry sent to the sidecar, on any session. The first expiry of a calm loss is unchanged.

--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -190,7 +190,7 @@
 	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt}
 	sc.assignedRuns[key] = sc.session
 	sc.activate(s.now)
-	sc.lastSent = s.now // the start also serves as a heartbeat
+	sc.lastSent, sc.vouchedAt = s.now, s.now // the start also serves as a heartbeat
 	var epoch uint64
 	if j.durability.partition != nil {
 		epoch = j.durability.partition.epoch
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -109,6 +109,7 @@
 	if !sc.runsUnconfirmed {
 		sc.runsUnconfirmed, sc.runsExpireAt = true, sc.heartbeatDueSince()+runExpiry
 	}
+	sc.runsExpireAt = max(sc.runsExpireAt, sc.vouchedAt+vouchExpiry)
 	s.placer.SetAccepting(sc.name, false)
 	s.report(Event{Kind: "sidecarLost", Peer: sc.name, Detail: cause, Value: int64(len(sc.assignedRuns))})
 }
@@ -332,7 +333,7 @@
 	if sc.offset < s.snapshot.Offset && s.relay.ShouldSend(s.now, s.Name, sc.name, sc.offset == 0) {
 		sc.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
-	sc.lastSent = s.now
+	sc.lastSent, sc.vouchedAt = s.now, s.now
 	m := s.newHeartbeat()
 	m.SentAt = sc.remote.at(s.now)
 	sc.link.Send(m)
