supervisor: send a refusal only after the other run of the task has ended

What callers saw: two runs of one task at once. Change: a start that is refused while another run of its task may be active gets its refusal once that run is known to have ended, whatever the reason of the refusal. Until then the start is in the list of runs on new sessions of its entry, and the entry counts as active.

--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -49,6 +49,11 @@
 		if r.entry.name == e.name && r.entry.incarnation == e.incarnation {
 			r.entry = e
 		}
+		for i, d := range r.refusals {
+			if d.entry.name == e.name && d.entry.incarnation == e.incarnation {
+				r.refusals[i].entry = e
+			}
+		}
 	}
 }
 
@@ -149,6 +154,7 @@
 		if r.entry == e {
 			held.Runs = append(held.Runs, r.key)
 		}
+		held.Runs = append(held.Runs, r.refusalsFor(e)...)
 	}
 	e.link.Send(held)
 }
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -30,6 +30,10 @@
 		ok, reason = false, "start is late"
 	}
 	if !ok {
+		if other := k.runs[at]; other != nil {
+			k.deferRefusal(other, deferredRefusal{e, m.Run, reason})
+			return
+		}
 		k.sendOutcome(now, e, marshaler.Outcome{Run: m.Run, Status: marshaler.StatusRefused, Reason: reason})
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
@@ -158,6 +162,7 @@
 		k.durable.addEnd(outcome)
 	}
 	k.sendOutcome(now, r.entry, outcome)
+	k.sendRefusals(now, r)
 	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.room, Queue: r.queue}
 	for _, e := range marshaler.SortedByKey(k.entries) {
 		if e.subscribed {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -172,6 +172,7 @@
 		listed     bool
 		percent    int
 		progressAt timer.Millis // when percent last increased
+		refusals   []deferredRefusal
 	}
 
 	// entry is one incarnation of an entry process.
@@ -363,7 +364,7 @@
 		}
 	}
 	for _, r := range k.runs {
-		if r.entry == e && r.state != stateStopping {
+		if r.entry == e && r.state != stateStopping || r.isAwaitedBy(e) {
 			return true
 		}
 	}
