submitter: test starts that are carried out after their sidecar was restarted

What callers saw: two runs of one task at once. Cause: a restarted sidecar lists its runs to the entries after the first hold response without an unknown run. A start of the previous process that got no answer may be carried out after that, until its deadline of 400 ms. The entries have started the task elsewhere by then.

--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -35,7 +35,8 @@
 		// server execute them later.
 		lostShare   float64
 		executeLate bool
-		ordersOnly  bool // lostShare applies to starts and stops only, not to holds
+		ordersOnly  bool         // lostShare applies to starts and stops only, not to holds
+		lateAfter   timer.Millis // delay of calls that are executed late; 0 for 2 to 6 s
 		faults      []string
 		links       []*fakeLink
 		jobs        map[string]fakeJob
@@ -460,7 +461,11 @@
 	w := b.w
 	if w.random.Float64() < share {
 		if w.executeLate {
-			w.schedule(2000+timer.Millis(w.random.IntN(4000)), func() { do(false) })
+			delay := w.lateAfter
+			if delay == 0 {
+				delay = 2000 + timer.Millis(w.random.IntN(4000))
+			}
+			w.schedule(delay, func() { do(false) })
 		} else if w.random.IntN(2) == 0 {
 			w.schedule(1, func() { do(false) })
 		}
--- a/submitter/unanswered_test.go
+++ b/submitter/unanswered_test.go
@@ -41,3 +41,29 @@
 		t.Logf("share %d%%: %d of %d runs ended with the lease", percent, lapsed, started)
 	}
 }
+
+// TestStartAfterSidecarRestart guards against two runs of one task at once when the backend server carries out a start late, but
+// before its deadline, and the sidecar that sent it has been restarted meanwhile: a list of runs that omits the start does not
+// prove that it will not be executed.
+func TestStartAfterSidecarRestart(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newSimulation(t, 21_000+seed, 2, 3)
+			w.advance(500)
+			w.executeLate, w.ordersOnly, w.lateAfter = true, true, 250
+			ids := w.scheduleJobs(0, 3000, 25)
+			for n := range 8 {
+				w.schedule(timer.Millis(100+350*n), func() {
+					w.lostShare = 0.5
+					w.schedule(20, func() {
+						w.lostShare = 0
+						w.killSidecar(w.sidecars[n%3], 20)
+					})
+				})
+			}
+			w.schedule(3500, w.clearFaults)
+			w.advance(12_000)
+			w.checkAnswers(ids, nil)
+		})
+	}
+}
