supervisor: list runs after a restart once no start of the previous process can be admitted

Cause: a restarted sidecar listed its runs to the entries after the first hold response without an unknown run. A start of the previous process that had no answer yet may be admitted by the backend server until its deadline, up to 410 ms later. The entries had started the task elsewhere by then.

Change: the list is sent after a hold that began 410 ms after the process started and that lists no unknown run. Starts are accepted and outcomes are sent before, as soon as the first hold response is there, so a restart of all processes recovers as fast as before.

--- a/supervisor/durable.go
+++ b/supervisor/durable.go
@@ -161,7 +161,7 @@
 
 // sendCensuses answers claims. It does nothing until this process knows all active runs.
 func (k *Supervisor) sendCensuses() {
-	if !k.reconciled {
+	if !k.knowsAllRuns() {
 		return
 	}
 	for number, c := range marshaler.SortedByKey(k.durable.claims) {
@@ -175,7 +175,7 @@
 func (k *Supervisor) sendCensus(number uint64) {
 	c, ok := k.durable.claims[number]
 	e := k.entries[c.entry]
-	if !ok || !k.reconciled || e == nil || e.link == nil {
+	if !ok || !k.knowsAllRuns() || e == nil || e.link == nil {
 		return
 	}
 	c.censusDue = false
--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -139,10 +139,9 @@
 	e.link.Send(&marshaler.Backend{ID: b.ID, StartTime: b.StartTime, Service: b.Service, Labels: b.Labels, Capacity: b.Capacity})
 }
 
-// syncSession resends the recent outcomes and lists the entry's runs. It does nothing until a hold response has shown that
-// this process knows all running tasks.
+// syncSession resends the recent outcomes and lists the entry's runs. It does nothing until this process knows all runs.
 func (k *Supervisor) syncSession(e *entry) {
-	if e.link == nil || e.synced || !k.reconciled {
+	if e.link == nil || e.synced || !k.knowsAllRuns() {
 		return
 	}
 	e.synced = true
@@ -170,7 +169,7 @@
 // for a later session.
 func (k *Supervisor) sendOutcome(now timer.Millis, e *entry, m marshaler.Outcome) {
 	e.outcomes = append(e.outcomes, sentOutcome{now, m})
-	if e.link != nil && e.synced {
+	if e.link != nil && (e.synced || k.reconciled) {
 		e.link.Send(&m)
 		if !e.subscribed { // an outcome also serves as a heartbeat
 			e.lastSent = now
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -45,6 +45,9 @@
 	}
 	k.lastHold++
 	h := HoldRequest{Number: k.lastHold, LastProcessedEnd: k.processed(), HasRuns: len(k.runs) > 0, HasUnrecordedEnds: len(k.durable.unrecorded) > 0, ID: k.backend.ID, StartTime: k.backend.StartTime}
+	if k.settleHold == 0 && k.startsSettle != 0 && now >= k.startsSettle {
+		k.settleHold = h.Number
+	}
 	k.updateLease(now)
 	if k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.leaseWithheld {
 		h.LeaseUntil = k.Clock(now) + int64(LeaseDuration)
@@ -86,13 +89,14 @@
 		k.backendClock, k.backendClockAt = at, now
 	}
 	wasAccepting, _ := k.Accepting()
-	wasReconciled := k.reconciled
+	knewAllRuns := k.knowsAllRuns()
 	k.unresponsive = false
 	k.checkLeaseExpiry(l.Clock)
 	ended := k.onEnds(now, l.Ended)
 	k.onRunning(now, l)
 	ended = k.onUnlisted(now, l) || ended
-	if k.reconciled && !wasReconciled {
+	k.settled = k.settled || k.unknownRuns == 0 && k.settleHold != 0 && l.Number >= k.settleHold
+	if k.knowsAllRuns() && !knewAllRuns {
 		k.syncSessions()
 	}
 	accepting, reason := k.Accepting()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,6 +25,8 @@
 	// maxSilence is the time without a sign of life of an entry after which no grace period keeps its runs. On a machine that is
 	// short of processors every tick is late, and grace periods follow each other.
 	maxSilence = 900 * timer.Millisecond
+	// maxStartAge is how long after it was sent a start may be admitted by the backend server: 400 ms on a clock that is 2% slow.
+	maxStartAge = 410 * timer.Millisecond
 	// maxStartDelay is the longest time after which the backend server may still execute a start that it did not answer.
 	maxStartDelay = 15 * timer.Second
 	// outcomeRetention is how long outcomes are kept for an entry whose session broke before it received them.
@@ -121,6 +123,9 @@
 		recentStarts   []recentStart // sent to new placing entries
 		durable        durableState
 		lastTick       timer.Millis
+		startsSettle   timer.Millis // from then on, no start of a previous process of this sidecar is admitted; 0 before the first Tick
+		settleHold     uint64       // number of the first hold after startsSettle
+		settled        bool         // a hold response after startsSettle listed no run that this process does not know
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
 		leaseWithheld  bool         // the lease is not extended, because of a run that must end
 		unknownRuns    int          // active runs in the latest hold response that this process does not know
@@ -321,6 +326,7 @@
 	for len(k.unconfirmed) > 0 && now-k.unconfirmed[0].at > maxStartDelay {
 		k.unconfirmed = k.unconfirmed[1:]
 	}
+	k.checkSettled(now)
 	k.tickDurable(now)
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -29,6 +29,7 @@
 		Stop:    func(r marshaler.RunKey) { f.stops = append(f.stops, r) },
 		HoldNow: func() {},
 	}
+	f.k.startsSettle = f.now // the process has run for maxStartAge
 	f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 10, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000, MemoryMB: 100}})
 	f.connect("entry", 1)
 	f.list(nil)
