runner: handle the departure of a caller before the queued events

What callers saw: a task ran twice. When an entry's event queue was long, the end of a caller's connection waited behind up to 4096 events, while the heartbeats, which ticks send, kept the job's runs alive at the sidecars. The caller sends its job again 1300 ms after the end of its connection, to another entry, which started the tasks a second time.

Cause: Entry.submit posted the Abort to the queue of all events. Ticks competed with batches of events at random.

Change: departures go through a second queue that the loop serves before each event. A departure may now overtake the submission of its job. The core then never gets the job, and the submission, which both functions share, is dropped with its event; no list of departures is kept. This also spares the same job of another caller, which such a departure ended before.

Cancels keep their order: the caller is answered only after the cancel was handled, so nobody sends the job again, and a cancel that overtook its submission would be answered 410 while the job started. Deadlines are handled by ticks, in which the answer and the stops are sent together.

--- /dev/null
+++ b/runner/departure_test.go
@@ -0,0 +1,204 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocuslb/crocuslb/marshaler"
+	"github.com/crocuslb/crocuslb/platform/platformtest"
+	"github.com/crocuslb/crocuslb/submitter"
+	"github.com/crocuslb/crocuslb/timer"
+)
+
+const (
+	// departureTime is the time from the end of a caller's connection to the stop of its runs. The caller sends its job
+	// again after 1300 ms, of which the sidecar may be late by 450 ms and the stop may take 150 ms.
+	departureTime = 700 * time.Millisecond
+	// slowEvent and slowEvents make an event loop more than 1.2 s late, with ticks that are on time.
+	slowEvent  = 500 * time.Microsecond
+	slowEvents = 2400
+)
+
+// startTestEntry starts an entry whose event loop the test can reach.
+func (tc *testCluster) startTestEntry(i int) *Entry {
+	tc.t.Helper()
+	o := tc.options("entry-test", testDomain(i), 1+i)
+	o.CallersAddress, o.ReadyAddress = tc.address(1+i, 8000), tc.address(1+i, 8001)
+	e := &Entry{Options: o}
+	tc.start(o.Name, e.Run)
+	tc.eventually("test entry ready", func() bool {
+		status, _ := tc.post(o.CallersAddress, "/a/", "00000000000000fe", 1, "1")
+		return status == http.StatusOK
+	})
+	return e
+}
+
+// delayLoop keeps slowEvents events queued until ctx is canceled.
+func delayLoop(ctx context.Context, l *eventLoop) {
+	slots := make(chan struct{}, slowEvents)
+	go func() {
+		for ctx.Err() == nil {
+			slots <- struct{}{}
+			l.post(ctx, func(timer.Millis) {
+				time.Sleep(slowEvent)
+				<-slots
+			})
+		}
+	}()
+	for len(slots) < cap(slots) && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func testSteps() []marshaler.Step {
+	return []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 1}, Estimate: longEstimateMs}}
+}
+
+// runningTasks returns the number of tasks that run.
+func (tc *testCluster) runningTasks() (n int) {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	for _, active := range tc.activeRuns {
+		n += active
+	}
+	return n
+}
+
+// TestDepartureWhileLoopIsLate guards against an entry that handles the departure of a caller behind a long queue of
+// events while its heartbeats keep the runs alive, so that the tasks run twice once the caller sends its job again.
+func TestDepartureWhileLoopIsLate(t *testing.T) {
+	tc := newTestCluster(t, 0, 1)
+	e := tc.startTestEntry(0)
+	ctx, leave := context.WithCancel(tc.ctx)
+	r, err := platformtest.NewJobRequest(e.CallersAddress, "/a/", "00000000000000e1", 1, "8000", 9000, 20_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if response, err := http.DefaultClient.Do(r.WithContext(ctx)); err == nil {
+			t.Errorf("got status %d, want none", response.StatusCode)
+			_ = response.Body.Close()
+		}
+	}()
+	tc.eventually("task runs", func() bool { return tc.runningTasks() == 1 })
+	delayLoop(tc.ctx, e.loop)
+	leave()
+	left := time.Now()
+	tc.eventually("run ended", func() bool { return tc.runningTasks() == 0 })
+	if got := time.Since(left); got >= departureTime {
+		t.Errorf("got the end of the run %v after its caller left, want less than %v", got, departureTime)
+	}
+}
+
+// TestDepartureOvertakesSubmit guards against a job that starts after its caller has left, because the departure is
+// handled before the submission, and against a departure that ends the same job of another caller.
+func TestDepartureOvertakesSubmit(t *testing.T) {
+	cases := []struct {
+		name   string
+		others int // callers of the same job that stay
+	}{{"only caller", 0}, {"another caller stays", 1}}
+	for _, c := range cases {
+		e := Entry{loop: newEventLoop()}
+		e.loop.flush, e.loop.tick = func(timer.Millis) {}, func(timer.Millis) {}
+		var answers []submitter.AnswerKind
+		job := submitter.Job{ID: "0123456789abcdef", Steps: testSteps(), Answer: func(a submitter.Answer) { answers = append(answers, a.Kind) }}
+		started, release, left := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		ctx, cancel := context.WithCancel(t.Context())
+		e.loop.post(ctx, func(now timer.Millis) {
+			for range c.others {
+				e.core.Submit(now, job)
+			}
+			close(started)
+			<-release
+		})
+		go func() { _ = e.loop.run(ctx) }() // its ticks do not panic
+		<-started
+		answered := make(chan submitter.Answer, 1)
+		go func() { answered <- e.submit(ctx, job, left) }()
+		for len(e.loop.events) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(left)
+		time.Sleep(20 * time.Millisecond) // the departure is posted
+		close(release)
+		if a := <-answered; a.Kind != submitter.AnswerAborted {
+			t.Errorf("%s: got answer %v, want %v", c.name, a.Kind, submitter.AnswerAborted)
+		}
+		e.query(ctx, func(timer.Millis) bool {
+			if got := e.core.ActiveJobs(); got != c.others || len(answers) != 0 {
+				t.Errorf("%s: got %d active jobs and answers %v of others, want %d and none", c.name, got, answers, c.others)
+			}
+			return true
+		})
+		cancel()
+	}
+}
+
+// TestLoopOrder guards against ticks and urgent functions that wait for queued events, against a core whose time goes
+// back, and against a delay that is measured wrongly.
+func TestLoopOrder(t *testing.T) {
+	const events = 400
+	l := newEventLoop()
+	var last timer.Millis
+	var order []string
+	var delays []timer.Millis
+	note := func(name string) func(now timer.Millis) {
+		return func(now timer.Millis) {
+			if now < last {
+				t.Errorf("%s: got the time %v after %v, want no earlier one", name, now, last)
+			}
+			last, order = now, append(order, name)
+		}
+	}
+	l.flush = func(timer.Millis) {}
+	l.tick = func(now timer.Millis) {
+		note("tick")(now)
+		delays = append(delays, l.delay(now))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	for n := range events {
+		l.post(ctx, func(now timer.Millis) {
+			time.Sleep(time.Millisecond)
+			note("event")(now)
+			if n == 10 {
+				l.postUrgent(ctx, note("urgent"))
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	l.post(ctx, func(timer.Millis) { time.AfterFunc(100*time.Millisecond, cancel) })
+	if err := l.run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	urgent := slices.Index(order, "urgent")
+	if got := countOf(order[:max(urgent, 0)], "event"); got != 11 {
+		t.Errorf("got %d events before the urgent function, want 11", got)
+	}
+	if got := countOf(order[:lastIndex(order, "event")], "tick"); got < events/50 { // half of the ticks that are due
+		t.Errorf("got %d ticks among %d events of 1 ms, want at least %d", got, events, events/50)
+	}
+	if delays[0] < 100 || delays[len(delays)-1] != 0 {
+		t.Errorf("got delays %v, want at least 100ms first and 0ms last", delays)
+	}
+}
+
+func countOf(names []string, name string) (n int) {
+	for _, s := range names {
+		if s == name {
+			n++
+		}
+	}
+	return n
+}
+
+func lastIndex(names []string, name string) int {
+	for i, s := range slices.Backward(names) {
+		if s == name {
+			return i
+		}
+	}
+	return 0
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -218,7 +218,8 @@
 func (e *Entry) submit(ctx context.Context, job submitter.Job, canceled <-chan struct{}) submitter.Answer {
 	answer, deliver := newAnswerChannel()
 	job.Answer = deliver
-	e.loop.post(ctx, func(now timer.Millis) { e.runRecovering(deliver, func() { e.core.Submit(now, job) }) })
+	s := &submission{entry: e, job: job}
+	e.loop.post(ctx, s.run)
 	select {
 	case a := <-answer:
 		return a
@@ -229,7 +230,7 @@
 	if job.Kind.Durable { // the job may be stored already
 		return submitter.Answer{Kind: submitter.AnswerAborted, Reason: "caller left"}
 	}
-	e.loop.post(ctx, func(now timer.Millis) { e.runRecovering(deliver, func() { e.core.Abort(now, job.ID, "caller left") }) })
+	e.loop.postUrgent(ctx, s.abandon)
 	select {
 	case a := <-answer:
 		return a
