submitter: end the jobs of other entries while the event loop is late

What callers saw: a task ran twice. If a job was handed over, the entry that handed it over reports the departure of the caller by a message, CancelJobHandover, or by the end of its session. At a receiver whose event queue is long, these wait while its ticks send the heartbeats that keep the runs alive. They cannot be handled before the other events, because a withdrawal that overtakes its job has no effect.

Change: the loop measures how long its oldest queued event has waited and passes it to the core on each tick. From 200 ms on, the core ends the jobs that other entries handed over, stops their runs, and takes no further ones.

Weighed: withholding the heartbeats to the sidecars. The runs would end one heartbeat timeout later, those of the entry's own callers, whose departures are handled in time, would end too, and each start, which renews the lease as well, would have to be withheld.

--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,15 +20,22 @@
 	// departureTime is the time from the end of a caller's connection to the stop of its runs. The caller sends its job
 	// again after 1300 ms, of which the sidecar may be late by 450 ms and the stop may take 150 ms.
 	departureTime = 700 * time.Millisecond
-	// slowEvent and slowEvents make an event loop more than 1.2 s late, with ticks that are on time.
-	slowEvent  = 500 * time.Microsecond
-	slowEvents = 2400
+	// receivedDepartureTime is the part of departureTime left to the entry that a job was handed over to. The entry that
+	// handed it over may take 300 ms to notice that its caller left.
+	receivedDepartureTime = 400 * time.Millisecond
+	// slowEvent is the time that a slow event takes. Ticks among such events are on time.
+	slowEvent = 500 * time.Microsecond
+	// lateEvents is a number of slow events that delay the others by more than 1.2 s, and overloadEvents one that makes an
+	// entry overloaded.
+	lateEvents     = 2400
+	overloadEvents = 200
 )
 
 // startTestEntry starts an entry whose event loop the test can reach.
 func (tc *testCluster) startTestEntry(i int) *Entry {
 	tc.t.Helper()
-	o := tc.options("entry-test", testDomain(i), 1+i)
+	o := tc.options(fmt.Sprintf("entry-%d", i), testDomain(i), 1+i)
+	o.Handover, o.Weight = true, 64_000 // the test's processes share one processor time
 	o.CallersAddress, o.ReadyAddress = tc.address(1+i, 8000), tc.address(1+i, 8001)
 	e := &Entry{Options: o}
 	tc.start(o.Name, e.Run)
@@ -36,9 +46,9 @@
 	return e
 }
 
-// delayLoop keeps slowEvents events queued until ctx is canceled.
-func delayLoop(ctx context.Context, l *eventLoop) {
-	slots := make(chan struct{}, slowEvents)
+// delayLoop keeps a number of slow events queued until ctx is canceled.
+func delayLoop(ctx context.Context, l *eventLoop, events int) {
+	slots := make(chan struct{}, events)
 	go func() {
 		for ctx.Err() == nil {
 			slots <- struct{}{}
@@ -67,24 +77,36 @@
 	return n
 }
 
-// TestDepartureWhileLoopIsLate guards against an entry that handles the departure of a caller behind a long queue of
-// events while its heartbeats keep the runs alive, so that the tasks run twice once the caller sends its job again.
-func TestDepartureWhileLoopIsLate(t *testing.T) {
-	tc := newTestCluster(t, 0, 1)
-	e := tc.startTestEntry(0)
+func (e *Entry) receivedJobs(ctx context.Context) (n int) {
+	e.query(ctx, func(timer.Millis) bool { n = e.core.ReceivedJobs(); return true })
+	return n
+}
+
+// runLongJob sends a job of 8 s and waits until its task runs. The returned function ends the caller's connection.
+func (tc *testCluster) runLongJob(e *Entry) context.CancelFunc {
+	tc.t.Helper()
 	ctx, leave := context.WithCancel(tc.ctx)
-	r, err := platformtest.NewJobRequest(e.CallersAddress, "/a/", "00000000000000e1", 1, "8000", 9000, 20_000)
+	r, err := platformtest.NewJobRequest(e.CallersAddress, "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "8000", 9000, 20_000)
 	if err != nil {
-		t.Fatal(err)
+		tc.t.Fatal(err)
 	}
 	go func() {
 		if response, err := http.DefaultClient.Do(r.WithContext(ctx)); err == nil {
-			t.Errorf("got status %d, want none", response.StatusCode)
+			tc.t.Errorf("got status %d, want none", response.StatusCode)
 			_ = response.Body.Close()
 		}
 	}()
 	tc.eventually("task runs", func() bool { return tc.runningTasks() == 1 })
-	delayLoop(tc.ctx, e.loop)
+	return leave
+}
+
+// TestDepartureWhileLoopIsLate guards against an entry that handles the departure of a caller behind a long queue of
+// events while its heartbeats keep the runs alive, so that the tasks run twice once the caller sends its job again.
+func TestDepartureWhileLoopIsLate(t *testing.T) {
+	tc := newTestCluster(t, 0, 1)
+	e := tc.startTestEntry(0)
+	leave := tc.runLongJob(e)
+	delayLoop(tc.ctx, e.loop, lateEvents)
 	leave()
 	left := time.Now()
 	tc.eventually("run ended", func() bool { return tc.runningTasks() == 0 })
@@ -93,6 +115,31 @@
 	}
 }
 
+// TestDepartureWhileReceiverIsLate guards against the same while the loop of the entry is late to which the job was handed
+// over. The handing entry reports the departure by a message, which must keep its order.
+func TestDepartureWhileReceiverIsLate(t *testing.T) {
+	tc := newTestCluster(t, 0, 1)
+	e, receiver := tc.startTestEntry(0), tc.startTestEntry(1)
+	ctx, cancel := context.WithCancel(tc.ctx)
+	delayLoop(ctx, e.loop, overloadEvents) // the entry becomes overloaded
+	tc.eventually("a job is handed over", func() bool {
+		tc.post(e.CallersAddress, "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "5")
+		return strings.Contains(tc.logs.String(), `"entry: handOverEnd"`)
+	})
+	cancel()
+	leave := tc.runLongJob(e)
+	if got := receiver.receivedJobs(tc.ctx); got != 1 {
+		t.Fatalf("got %d jobs at the receiver, want 1", got)
+	}
+	delayLoop(tc.ctx, receiver.loop, lateEvents)
+	leave()
+	left := time.Now()
+	tc.eventually("run ended", func() bool { return tc.runningTasks() == 0 })
+	if got := time.Since(left); got >= receivedDepartureTime {
+		t.Errorf("got the end of the run %v after its caller left, want less than %v", got, receivedDepartureTime)
+	}
+}
+
 // TestDepartureOvertakesSubmit guards against a job that starts after its caller has left, because the departure is
 // handled before the submission, and against a departure that ends the same job of another caller.
 func TestDepartureOvertakesSubmit(t *testing.T) {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -88,6 +88,7 @@
 	e.loop.flush = e.core.Flush
 	e.loop.tick = func(now timer.Millis) {
 		e.core.Tick(now)
+		e.core.SetLoopDelay(now, e.loop.delay(now))
 		e.ready.Store(e.core.Ready())
 	}
 	if _, err := e.node.Listen(runCtx, e.Address); err != nil {
--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -26,6 +26,7 @@
 		permits    float64 // handovers that handoverRate allows now
 		permitsAt  timer.Millis
 		pausedAt   timer.Millis // time of the latest detected pause of this process
+		late       bool         // the event loop is late (SetLoopDelay)
 	}
 
 	// handedJob is a job that another entry runs for this one.
--- a/submitter/jobhandover_test.go
+++ b/submitter/jobhandover_test.go
@@ -37,6 +37,12 @@
 			}
 		}
 	}
+	late := func(delay timer.Millis) func(w *simulation) {
+		return func(w *simulation) {
+			w.entries[1].core.SetLoopDelay(w.now, delay)
+			w.entries[1].core.SetLoopDelay(w.now, 0)
+		}
+	}
 	leave := func(w *simulation) { w.entries[0].core.Abort(w.now, "job", "caller left") }
 	submitAt := func(w *simulation, e int) { w.submit(w.entries[e], "job", 2, 900) }
 	done, aborted, notRun := []AnswerKind{AnswerDone}, []AnswerKind{AnswerAborted}, []AnswerKind{AnswerNotRun}
@@ -65,6 +71,8 @@
 		{"session replaced", 900, nil, 50, func(w *simulation) { w.connectEntries(w.entries[0], w.entries[1]) }, 1, done, 1, 4},
 		{"paused sender", 900, nil, 50, func(w *simulation) { w.entries[0].pause(w.now + 900) }, 1, done, 1, 4},
 		{"paused receiver", 900, nil, 50, func(w *simulation) { w.entries[1].pause(w.now + 900) }, 1, done, 1, 4},
+		{"late receiver", 900, nil, 50, late(maxReceivedDelay), 1, done, 1, 4},
+		{"receiver that is hardly late", 900, nil, 50, late(maxReceivedDelay - 1), 1, done, 0, 2},
 		{"submitted twice", 900, nil, 50, func(w *simulation) { submitAt(w, 0) }, 1, []AnswerKind{AnswerDone, AnswerDone}, 0, 2},
 		{"submitted at the receiver, too", 900, nil, 50, func(w *simulation) { submitAt(w, 1) }, 1, []AnswerKind{AnswerDone, AnswerDone}, 0, 2},
 		{"submitted at the receiver, too, and the first caller leaves", 900, nil, 50, func(w *simulation) { submitAt(w, 1); leave(w) }, 1, []AnswerKind{AnswerAborted, AnswerDone}, 0, 2},
@@ -140,6 +148,13 @@
 			f.core.OnDisconnect(f.now, link, errConnectionCut)
 		}, AnswerNotRun, 0},
 		{"entry was paused", func(f *fixture, _ *marshaler.JobHandover, _ *marshaler.Link) { f.core.Tick(f.now); f.now += 300 }, AnswerNotRun, 0},
+		{"event loop is late", func(f *fixture, _ *marshaler.JobHandover, _ *marshaler.Link) {
+			f.core.SetLoopDelay(f.now, maxReceivedDelay)
+		}, AnswerNotRun, 0},
+		{"event loop was late", func(f *fixture, _ *marshaler.JobHandover, _ *marshaler.Link) {
+			f.core.SetLoopDelay(f.now, maxReceivedDelay)
+			f.core.SetLoopDelay(f.now, maxReceivedDelay-1)
+		}, 0, 1},
 		{"unknown queue", func(_ *fixture, m *marshaler.JobHandover, _ *marshaler.Link) { m.Queue = "other" }, AnswerNoQueue, 0},
 		{"invalid", func(_ *fixture, m *marshaler.JobHandover, _ *marshaler.Link) { m.Steps = nil }, AnswerMalformed, 0},
 		{"too many", func(f *fixture, m *marshaler.JobHandover, link *marshaler.Link) {
@@ -172,6 +187,27 @@
 	}
 }
 
+// TestLateReceiver guards against a job of several callers that goes on at a late entry for some of them, while another one
+// sends it again.
+func TestLateReceiver(t *testing.T) {
+	f := newFixture()
+	f.core.Handover = true
+	var answers []AnswerKind
+	link := &marshaler.Link{Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: "peer", Incarnation: 2}, Close: func(error) {}, Send: func(m marshaler.Message) {
+		if m, ok := m.(*marshaler.JobAnswer); ok {
+			answers = append(answers, AnswerKind(m.Kind))
+		}
+	}}
+	f.core.OnConnect(f.now, link)
+	steps := []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 1}, Estimate: 50}}
+	f.core.OnMessage(f.now, link, &marshaler.JobHandover{Number: 1, Job: "job", Queue: "q", Steps: steps})
+	f.core.Submit(f.now, Job{ID: "job", Queue: testQueue, Steps: steps, Answer: func(a Answer) { answers = append(answers, a.Kind) }})
+	f.core.SetLoopDelay(f.now, maxReceivedDelay)
+	if want := []AnswerKind{AnswerUnknown, AnswerUnknown}; f.core.ActiveJobs() != 0 || f.core.ReceivedJobs() != 0 || !slices.Equal(answers, want) {
+		t.Errorf("got %d active and %d received jobs, answers %v, want none, none and %v", f.core.ActiveJobs(), f.core.ReceivedJobs(), answers, want)
+	}
+}
+
 // TestHandoverLimits guards against overloaded entries that flood a peer, and against durable jobs that are handed over.
 func TestHandoverLimits(t *testing.T) {
 	cases := []struct {
--- a/submitter/receivedjob.go
+++ b/submitter/receivedjob.go
@@ -14,6 +14,11 @@
 	// pausedHandoverTime is how long after a pause no jobs are taken. Jobs that arrived during the pause are handled within
 	// this time; their senders may have given up on them.
 	pausedHandoverTime = 200 * timer.Millisecond
+	// maxReceivedDelay is the delay of the event loop from which on no jobs of other entries are taken or run. Their
+	// withdrawal, or the end of their session, may be among the events that wait. A caller sends its job again 1300 ms
+	// after its connection ended. Of these, the entry that handed the job over may be silent for HeartbeatTimeout, and the
+	// stop takes up to 600 ms at the sidecar.
+	maxReceivedDelay = 200 * timer.Millisecond
 )
 
 // receivedJob is a job that another entry handed over to this one.
@@ -36,6 +41,23 @@
 // HandedOverJobs returns the number of unanswered jobs that this entry has handed over.
 func (s *Submitter) HandedOverJobs() int { return len(s.handover.jobs) }
 
+// SetLoopDelay sets how long the oldest queued event has waited. It must be called with each Tick. If the event loop is
+// late, the jobs of other entries end.
+func (s *Submitter) SetLoopDelay(now, delay timer.Millis) {
+	s.setNow(now)
+	s.handover.late = delay >= maxReceivedDelay
+	if !s.handover.late {
+		return
+	}
+	for _, p := range marshaler.SortedByKey(s.peers) {
+		for _, r := range marshaler.SortedByKey(p.received) {
+			if j := s.jobs[r.job]; j != nil {
+				s.finish(j, Answer{Kind: AnswerUnknown, Reason: "the event loop is late"})
+			}
+		}
+	}
+}
+
 // onJobHandover accepts a job of another entry like that of a caller of this entry.
 func (s *Submitter) onJobHandover(p *peer, link *marshaler.Link, m *marshaler.JobHandover) {
 	p.requestedAt = s.now
@@ -70,6 +92,8 @@
 		refusal.Reason = "the session has ended"
 	case s.handover.pausedAt != 0 && s.now-s.handover.pausedAt < pausedHandoverTime:
 		refusal.Reason = "the entry was paused"
+	case s.handover.late:
+		refusal.Reason = "the event loop is late"
 	case len(p.received) >= maxOpenHandovers:
 		refusal.Reason = "too many jobs are handed over"
 	case s.handover.jobs[m.Job] != nil:
