runner: notice the departure of a caller that has sent further bytes

What callers could see: a task ran twice. net/http notices the end of a connection during a request by a background read of one byte. If the client has sent a byte behind its request while the job runs, a part of its next request or a line break behind the body, this read has returned, and no reset, half-close or close is noticed until the response. The runs went on, while the caller sent its job again. Bytes that arrive together with the request have no such effect.

Change: the servers' connections detect the background read that returns a byte, poll the socket for POLLRDHUP every 50 ms from then on until net/http reads again, and cancel the context of the connection's requests when the peer has closed.

Measured (TestCallerConnectionEnds, end of a run of 4 s after the end of the connection): before, 3.96 to 3.98 s in the 6 cases with further bytes, less than 0.7 s in the 3 cases without; after, less than 0.7 s in all. TestFurtherRequest, 4 requests on one connection before the first response, passes before and after.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -315,10 +315,10 @@
 		if err != nil {
 			return servers, trace.ConnectionProblem(err, "cannot listen on %q: %v", e.address, err)
 		}
-		server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext}
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(closeListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 				m.logger.WithError(err).WithField("address", e.address).Error("http: server failed")
 			}
 		}()
