runner: end a job whose submission panicked

What callers could see: a task ran twice.

Change: after such a panic a restartable job is aborted, which stops its runs. Durable jobs are left alone, since they are not run for their caller.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -196,13 +196,15 @@
 	}
 }
 
-// runRecovering calls f. If f panics, the caller is told that the outcome is unknown, because part of the job may have
-// run.
-func (e *Entry) runRecovering(deliver func(a submitter.Answer), f func()) {
-	if err := recoverer.Call(f); err != nil {
+// runRecovering calls f and reports whether it returned without panicking. If f panics, the caller is told that the outcome
+// is unknown, because part of the job may have run.
+func (e *Entry) runRecovering(deliver func(a submitter.Answer), f func()) bool {
+	err := recoverer.Call(f)
+	if err != nil {
 		e.monitor.reportPanic("caller", err)
 		deliver(submitter.Answer{Kind: submitter.AnswerAborted, Reason: "internal error"})
 	}
+	return err == nil
 }
 
 // setDurableJobsInUse applies the marker read from the store. Once durable jobs are in use, this entry starts to own
--- a/runner/panic_test.go
+++ b/runner/panic_test.go
@@ -144,6 +144,40 @@
 	}
 }
 
+// TestSubmitPanics guards against a job that goes on after its caller was told that it ended, because the submission
+// panicked when the core had the job already. The caller sends it again.
+func TestSubmitPanics(t *testing.T) {
+	m, _ := newMonitor()
+	e := Entry{loop: newEventLoop()}
+	e.monitor.logger = m.logger
+	e.loop.flush, e.loop.tick = func(timer.Millis) {}, func(timer.Millis) {}
+	go func() { _ = e.loop.run(t.Context()) }() // its ticks do not panic
+	e.core.Report = func(v submitter.Event) {
+		if v.Kind == "attach" {
+			panic("injected")
+		}
+	}
+	job := submitter.Job{ID: "0123456789abcdef", Steps: testSteps()}
+	first := make(chan submitter.Answer, 1)
+	go func() { first <- e.submit(t.Context(), job, nil) }()
+	active := func() (n int) {
+		e.query(t.Context(), func(timer.Millis) bool { n = e.core.ActiveJobs(); return true })
+		return n
+	}
+	for active() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if a := e.submit(t.Context(), job, nil); a.Kind != submitter.AnswerAborted {
+		t.Errorf("got answer %v, want %v", a.Kind, submitter.AnswerAborted)
+	}
+	if got := active(); got != 0 {
+		t.Fatalf("got %d active jobs after the panic, want 0", got)
+	}
+	if a := <-first; a.Kind != submitter.AnswerAborted {
+		t.Errorf("got answer %v to the first caller, want %v", a.Kind, submitter.AnswerAborted)
+	}
+}
+
 // TestRequestPanics guards against an HTTP request whose handler panics and ends the process.
 func TestRequestPanics(t *testing.T) {
 	m, _ := newMonitor()
--- a/runner/submission.go
+++ b/runner/submission.go
@@ -13,13 +13,16 @@
 	abandoned bool // the caller left
 }
 
-// run passes the job to the core unless the caller has left.
+// run passes the job to the core unless the caller has left. If the core panics, it may have the job already. A restartable
+// job then ends, because its caller is told so.
 func (s *submission) run(now timer.Millis) {
 	if s.abandoned {
 		return
 	}
 	s.submitted = true
-	s.entry.runRecovering(s.job.Answer, func() { s.entry.core.Submit(now, s.job) })
+	if !s.entry.runRecovering(s.job.Answer, func() { s.entry.core.Submit(now, s.job) }) && !s.job.Kind.Durable {
+		s.entry.runRecovering(s.job.Answer, func() { s.entry.core.Abort(now, s.job.ID, "internal error") })
+	}
 }
 
 // abandon ends the job of a caller that left. If the job is still queued, the core never gets it: the same job of another
