submitter: withdraw a handed-over job when its session is replaced

What callers could see: a task ran twice. Two entries may connect to each other at the same time (seeds are dialed by both), and both sessions stay open. When the handing entry learned of the second session, it ended the handovers of the first one: the callers' connections ended, and the jobs were sent again 1300 ms later. The receiver ends them only if it learned of the sessions in the same order. Otherwise the first session stayed its current one, and the runs went on to their end.

Change: the handing entry also sends the withdrawal, on the session that carried the job.

--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -140,10 +140,12 @@
 // endHandovers ends the handovers in both directions that depend on a session with a peer other than the current one.
 // The outcome of those that this entry handed over is unknown, because the receiver may have started tasks. The receiver
 // stops them when it detects the end of the session, at the latest one heartbeat timeout after this entry; the caller
-// sends the job again after that.
+// sends the job again after that. If the receiver noticed two concurrent sessions in another order, the older one goes on
+// there, so the withdrawal is sent on it.
 func (s *Submitter) endHandovers(p *peer, cause string) {
 	for _, h := range marshaler.SortedByKey(p.handedOver) {
 		if h.link != p.link {
+			h.link.Send(&marshaler.CancelJobHandover{Number: h.number, Job: h.job.ID})
 			s.endHandover(h, Answer{Kind: AnswerUnknown, Reason: cause})
 		}
 	}
--- a/submitter/jobhandover_test.go
+++ b/submitter/jobhandover_test.go
@@ -69,6 +69,18 @@
 		{"link cut during a long run", 6000, nil, 3000, cut(2000), 1, done, 1, 4},
 		{"session reset", 900, nil, 50, func(w *simulation) { w.peerLinks[0].end(errConnectionCut) }, 1, done, 1, 4},
 		{"session replaced", 900, nil, 50, func(w *simulation) { w.connectEntries(w.entries[0], w.entries[1]) }, 1, done, 1, 4},
+		{"session replaced, which the receiver noticed in another order", 900, func(w *simulation) {
+			a, b := w.entries[0], w.entries[1]
+			current := b.core.peers[a.name].link
+			w.otherSession = &marshaler.Link{Remote: current.Remote, Close: func(error) {}, Send: func(marshaler.Message) {}}
+			b.core.OnConnect(w.now, w.otherSession)
+			b.core.OnConnect(w.now, current)
+		}, 50, func(w *simulation) {
+			a, b := w.entries[0], w.entries[1]
+			a.core.OnConnect(w.now, &marshaler.Link{Remote: a.core.peers[b.name].hello, Close: func(error) {}, Send: func(m marshaler.Message) {
+				w.schedule(linkDelay, func() { b.core.OnMessage(w.now, w.otherSession, m) })
+			}})
+		}, 1, done, 1, 4},
 		{"paused sender", 900, nil, 50, func(w *simulation) { w.entries[0].pause(w.now + 900) }, 1, done, 1, 4},
 		{"paused receiver", 900, nil, 50, func(w *simulation) { w.entries[1].pause(w.now + 900) }, 1, done, 1, 4},
 		{"late receiver", 900, nil, 50, late(maxReceivedDelay), 1, done, 1, 4},
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -39,6 +39,8 @@
 		links       []*fakeLink
 		jobs        map[string]fakeJob
 		resubmitted map[string]bool
+		// otherSession is a second session between two entries, as the receiver of handovers sees it.
+		otherSession *marshaler.Link
 		// decisions holds the events of each job, and of processes under the empty name.
 		decisions map[string][]string
 		// handover enables handovers between entries, each with the load class that it has.
