--- a/runner/entry.go
+++ b/runner/entry.go
@@ -88,6 +88,7 @@
 	e.loop.flush = e.core.Flush
 	e.loop.tick = func(now timer.Millis) {
 		e.core.Tick(now)
+		e.core.SetLoopDelay(now, e.loop.delay(now))
 		e.ready.Store(e.core.Ready())
 	}
 	if _, err := e.node.Listen(runCtx, e.Address); err != nil {
@@ -195,13 +196,15 @@
 	}
 }
 
-// runRecovering calls f. If f panics, the caller is told that the outcome is unknown, because part of the job may have
-// run.
-func (e *Entry) runRecovering(deliver func(a submitter.Answer), f func()) {
-	if err := recoverer.Call(f); err != nil {
+// runRecovering calls f and reports whether it returned without panicking. If f panics, the caller is told that the outcome
+// is unknown, because part of the job may have run.
+func (e *Entry) runRecovering(deliver func(a submitter.Answer), f func()) bool {
+	err := recoverer.Call(f)
+	if err != nil {
 		e.monitor.reportPanic("caller", err)
 		deliver(submitter.Answer{Kind: submitter.AnswerAborted, Reason: "internal error"})
 	}
+	return err == nil
 }
 
 // setDurableJobsInUse applies the marker read from the store. Once durable jobs are in use, this entry starts to own
@@ -218,7 +221,8 @@
 func (e *Entry) submit(ctx context.Context, job submitter.Job, canceled <-chan struct{}) submitter.Answer {
 	answer, deliver := newAnswerChannel()
 	job.Answer = deliver
-	e.loop.post(ctx, func(now timer.Millis) { e.runRecovering(deliver, func() { e.core.Submit(now, job) }) })
+	s := &submission{entry: e, job: job}
+	e.loop.post(ctx, s.run)
 	select {
 	case a := <-answer:
 		return a
@@ -229,7 +233,7 @@
 	if job.Kind.Durable { // the job may be stored already
 		return submitter.Answer{Kind: submitter.AnswerAborted, Reason: "caller left"}
 	}
-	e.loop.post(ctx, func(now timer.Millis) { e.runRecovering(deliver, func() { e.core.Abort(now, job.ID, "caller left") }) })
+	e.loop.postUrgent(ctx, s.abandon)
 	select {
 	case a := <-answer:
 		return a
@@ -313,10 +317,10 @@
 		if err != nil {
 			return servers, trace.ConnectionProblem(err, "cannot listen on %q: %v", e.address, err)
 		}
-		server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext}
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(closeListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 				m.logger.WithError(err).WithField("address", e.address).Error("http: server failed")
 			}
 		}()
