--- a/runner/caller_test.go
+++ b/runner/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -85,6 +86,9 @@
 		if response.StatusCode != http.StatusOK {
 			t.Errorf("response %d: got status %d, want 200", n, response.StatusCode)
 		}
-		_, _ = b.Discard(int(response.ContentLength))
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Errorf("response %d: body: %v", n, err)
+		}
+		_ = response.Body.Close()
 	}
 }
