--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// TestSubmissionWait guards against deadlines that count from the handling of a submission, so that a late entry runs a job
+// after its caller's deadline.
+func TestSubmissionWait(t *testing.T) {
+	const queued, deadline, now = 300, 1000, timer.Millis(10_000)
+	e := Entry{loop: newEventLoop()}
+	var answers []submitter.Answer
+	s := &submission{entry: &e, postedAt: now - queued, job: submitter.Job{
+		ID: "0123456789abcdef", Steps: testSteps(), Deadline: deadline, Waited: 100, Answer: func(a submitter.Answer) { answers = append(answers, a) },
+	}}
+	var took timer.Millis
+	e.core.Report = func(v submitter.Event) { took = v.Took }
+	s.run(now)
+	s.abandon(now)
+	if want := timer.Millis(queued + 100); took != want || len(answers) != 1 {
+		t.Errorf("got the time %v and %d answers, want %v and 1", took, len(answers), want)
+	}
+}
+
 // TestLoopOrder guards against ticks and urgent functions that wait for queued events, against a core whose time goes
 // back, and against a delay that is measured wrongly.
 func TestLoopOrder(t *testing.T) {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -221,7 +221,7 @@
 func (e *Entry) submit(ctx context.Context, job submitter.Job, canceled <-chan struct{}) submitter.Answer {
 	answer, deliver := newAnswerChannel()
 	job.Answer = deliver
-	s := &submission{entry: e, job: job}
+	s := &submission{entry: e, job: job, postedAt: e.loop.clock.Now()}
 	e.loop.post(ctx, s.run)
 	select {
 	case a := <-answer:
--- a/runner/submission.go
+++ b/runner/submission.go
@@ -9,6 +9,7 @@
 type submission struct {
 	entry     *Entry
 	job       submitter.Job
+	postedAt  timer.Millis
 	submitted bool // the core has the job, or has answered it
 	abandoned bool // the caller left
 }
@@ -20,6 +21,7 @@
 		return
 	}
 	s.submitted = true
+	s.job.Waited += max(now-s.postedAt, 0)
 	if !s.entry.runRecovering(s.job.Answer, func() { s.entry.core.Submit(now, s.job) }) && !s.job.Kind.Durable {
 		s.entry.runRecovering(s.job.Answer, func() { s.entry.core.Abort(now, s.job.ID, "internal error") })
 	}
