submitter: withdraw an own handover of a job that another entry hands over

What callers could see: a task ran twice. If an entry received a job that it had itself handed over to a third entry, it answered AnswerUnknown, and the sender ended its caller's connection, while the runs at the third entry went on.

Change: the entry withdraws its own handover as well.

TestRefusedHandover, case "handed over to another entry already": before, 1 open handover; after, none. The case's job now has a receiver, which the withdrawal needs, and all cases check that no handover stays open.

--- a/submitter/jobhandover_test.go
+++ b/submitter/jobhandover_test.go
@@ -177,7 +177,7 @@
 			f.starts = nil
 		}, AnswerNotRun, 0},
 		{"handed over to another entry already", func(f *fixture, m *marshaler.JobHandover, _ *marshaler.Link) {
-			f.core.handover.jobs = map[string]*handedJob{m.Job: {job: &job{expiresAt: f.now + timer.Second}}}
+			f.core.handover.jobs = map[string]*handedJob{m.Job: {job: &job{Job: Job{ID: m.Job}, expiresAt: f.now + timer.Second}, to: &peer{}}}
 		}, AnswerUnknown, 0},
 	}
 	for _, c := range cases {
@@ -196,6 +196,10 @@
 		if f.core.Flush(f.now); c.answer == 0 && len(answers) > 0 || c.answer != 0 && !slices.Equal(answers, []AnswerKind{c.answer}) || len(f.starts) != c.starts {
 			t.Errorf("%s: got answers %v and %d starts, want %s and %d", c.name, answers, len(f.starts), c.answer, c.starts)
 		}
+		// The sender's caller gets no answer and sends the job again, so no other entry may go on with it.
+		if got := f.core.HandedOverJobs(); got != 0 {
+			t.Errorf("%s: got %d handovers of the job to other entries, want 0", c.name, got)
+		}
 	}
 }
 
--- a/submitter/receivedjob.go
+++ b/submitter/receivedjob.go
@@ -82,7 +82,7 @@
 }
 
 // refuseHandover returns the answer to a job that this entry does not take, or the zero Answer. No task of it has run
-// here.
+// here. If this entry has handed the same job over, it withdraws it.
 func (s *Submitter) refuseHandover(p *peer, link *marshaler.Link, m *marshaler.JobHandover) Answer {
 	refusal := Answer{Kind: AnswerNotRun, RetryAfter: handoverRetryAfter + jitter(m.Job)}
 	switch {
@@ -97,8 +97,11 @@
 	case len(p.received) >= maxOpenHandovers:
 		refusal.Reason = "too many jobs are handed over"
 	case s.handover.jobs[m.Job] != nil:
-		// The same job was submitted here, too, and is handed over already. It may run there.
-		return Answer{Kind: AnswerUnknown, Reason: "the job is handed over to another entry"}
+		// The same job was submitted here, too, and is handed over already. It may run there, and ends before the sender's
+		// caller, which gets no response, sends it again.
+		a := Answer{Kind: AnswerUnknown, Reason: "the job is handed over to another entry"}
+		s.cancelHandover(s.handover.jobs[m.Job], a)
+		return a
 	case !slices.ContainsFunc(s.snapshot.Queues(), func(q router.Queue) bool { return q.Name == m.Queue }):
 		return Answer{Kind: AnswerNoQueue, Reason: "no such queue"}
 	default:
