submitter: reproduce two runs at once with starved processes, in virtual time

The simulation had pauses, but no process that is short of processor time: late and irregular ticks, and an inbox whose events wait while ticks still run.

Adds such processes, callers whose departure is handled as late as the other events of their entry, and tasks that outlive the callers' resend delay. No product code is changed.

The fake backend server now takes the lease extension of starts that it answers with old or room too, and bounds it to the longest lease, as the protocol says. Callers whose next entry is down try another one.

--- a/submitter/peer_sim_test.go
+++ b/submitter/peer_sim_test.go
@@ -77,7 +77,7 @@
 	closeEnd := func(e *peerEnd, delay timer.Millis) {
 		w.schedule(delay, func() {
 			e.closed = true
-			w.runOn(&e.entry.process, e.current, func() { e.entry.core.OnDisconnect(w.now, e.link, errConnectionCut) })
+			w.receive(&e.entry.process, e.current, func() { e.entry.core.OnDisconnect(w.now, e.link, errConnectionCut) })
 		})
 	}
 	closeBy := func(n int) {
@@ -109,7 +109,7 @@
 				w.schedule(session.cutUntil-w.now, func() { deliver(m) })
 				return
 			}
-			w.runOn(&other.entry.process, func() bool { return other.current() && !other.closed && !e.closed }, func() {
+			w.receive(&other.entry.process, func() bool { return other.current() && !other.closed && !e.closed }, func() {
 				other.entry.core.OnMessage(w.now, other.link, m)
 				other.entry.core.Flush(w.now)
 			})
@@ -123,7 +123,7 @@
 	session.end = func(error) { closeBy(0) }
 	w.schedule(linkDelay, func() {
 		for _, e := range ends {
-			w.runOn(&e.entry.process, e.current, func() { e.entry.core.OnConnect(w.now, e.link) })
+			w.receive(&e.entry.process, e.current, func() { e.entry.core.OnConnect(w.now, e.link) })
 		}
 	})
 }
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -39,6 +39,8 @@
 		links       []*fakeLink
 		jobs        map[string]fakeJob
 		resubmitted map[string]bool
+		// departed holds the submissions whose callers have left and wait to send the job again.
+		departed map[fakeJob]bool
 		// decisions holds the events of each job, and of processes under the empty name.
 		decisions map[string][]string
 		// handover enables handovers between entries, each with the load class that it has.
@@ -61,6 +63,7 @@
 		incarnation uint64 // of the entry
 		tasks       int
 		estimate    timer.Millis
+		sentAt      timer.Millis
 	}
 
 	event struct {
@@ -72,6 +75,7 @@
 	process struct {
 		alive       bool
 		pausedUntil timer.Millis
+		starvation  starvation
 	}
 
 	fakeEntry struct {
@@ -117,13 +121,15 @@
 
 const (
 	linkDelay = 2
+	// maxLease is the longest lease that a backend server grants.
+	maxLease = 1000
 	// resubmitDelay is how long callers wait before they resubmit a job after a lost connection.
 	resubmitDelay = 1300
 )
 
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, decisions: map[string][]string{},
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
 		startedRuns: map[string]int{},
 	}
 	w.startProcesses(entries, sidecars)
@@ -174,17 +180,6 @@
 	}
 }
 
-// runOn runs do on a process if it is alive, after its pause if it is paused.
-func (w *simulation) runOn(p *process, current func() bool, do func()) {
-	switch {
-	case !p.alive || !current():
-	case p.pausedUntil > w.now:
-		w.schedule(p.pausedUntil-w.now, func() { w.runOn(p, current, do) })
-	default:
-		do()
-	}
-}
-
 // delayTick delays the first tick after a pause by up to a tick's interval, so that messages that arrived meanwhile may
 // be handled before it.
 func (w *simulation) delayTick(p *process, tick func()) bool {
@@ -197,7 +192,7 @@
 
 func (w *simulation) startEntry(e *fakeEntry) {
 	e.incarnation++
-	e.alive, e.pausedUntil = true, 0
+	e.alive, e.pausedUntil, e.starvation.nextTurn = true, 0, 0
 	e.core = &Submitter{Name: e.name, Incarnation: e.incarnation, Weight: 400, Handover: w.handover, Report: func(v Event) {
 		w.decisions[v.Job] = append(w.decisions[v.Job], fmt.Sprintf("%d %s %s %s %s %d", w.now, e.name, v.Kind, v.Peer, v.Detail, v.Value))
 	}}
@@ -213,9 +208,9 @@
 		if w.delayTick(&e.process, tick) {
 			return
 		}
-		w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
+		w.runUnpaused(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 			e.core.Tick(w.now)
-			w.schedule(25, tick)
+			w.schedule(e.starvation.tickInterval(w), tick)
 		})
 	}
 	w.schedule(1, tick)
@@ -234,7 +229,7 @@
 
 func (w *simulation) startSidecar(s *fakeSidecar) {
 	s.incarnation++
-	s.alive, s.pausedUntil = true, 0
+	s.alive, s.pausedUntil, s.starvation.nextTurn = true, 0, 0
 	incarnation := s.incarnation
 	current := func() bool { return s.incarnation == incarnation }
 	k := &supervisor.Supervisor{Partitions: testPartitions, Report: func(v supervisor.Event) {
@@ -292,9 +287,9 @@
 		if w.delayTick(&s.process, tick) {
 			return
 		}
-		w.runOn(&s.process, current, func() {
+		w.runUnpaused(&s.process, current, func() {
 			k.Tick(w.now)
-			w.schedule(25, tick)
+			w.schedule(s.starvation.tickInterval(w), tick)
 		})
 	}
 	sequence := uint64(0)
@@ -344,8 +339,8 @@
 		}
 		ended = true
 		w.schedule(1, func() {
-			w.runOn(&e.process, entryCurrent, func() { e.core.OnDisconnect(w.now, atEntry, errConnectionCut) })
-			w.runOn(&s.process, sidecarCurrent, func() { s.core.OnDisconnect(atSidecar) })
+			w.receive(&e.process, entryCurrent, func() { e.core.OnDisconnect(w.now, atEntry, errConnectionCut) })
+			w.receive(&s.process, sidecarCurrent, func() { s.core.OnDisconnect(atSidecar) })
 		})
 		reconnectDelay := max(session.cutUntil-w.now, 0) + 50
 		w.schedule(reconnectDelay+timer.Millis(w.random.IntN(50)), func() {
@@ -359,7 +354,7 @@
 		Send: func(m marshaler.Message) {
 			w.schedule(linkDelay, func() {
 				deliver(&upAtSidecar, func() {
-					w.runOn(&s.process, sidecarCurrent, func() { s.core.OnMessage(w.now, atSidecar, m) })
+					w.receive(&s.process, sidecarCurrent, func() { s.core.OnMessage(w.now, atSidecar, m) })
 				})
 			})
 		},
@@ -369,7 +364,7 @@
 		Send: func(m marshaler.Message) {
 			w.schedule(linkDelay, func() {
 				deliver(&upAtEntry, func() {
-					w.runOn(&e.process, entryCurrent, func() {
+					w.receive(&e.process, entryCurrent, func() {
 						e.core.OnMessage(w.now, atEntry, m)
 						e.core.Flush(w.now)
 					})
@@ -379,11 +374,13 @@
 	}
 	session.end = end
 	w.schedule(linkDelay, func() {
-		w.runOn(&e.process, entryCurrent, func() {
+		// The messages of a session wait in the inbox behind its start.
+		upAtEntry, upAtSidecar = e.starvation.until > w.now, s.starvation.until > w.now
+		w.receive(&e.process, entryCurrent, func() {
 			upAtEntry = true
 			e.core.OnConnect(w.now, atEntry)
 		})
-		w.runOn(&s.process, sidecarCurrent, func() {
+		w.receive(&s.process, sidecarCurrent, func() {
 			upAtSidecar = true
 			s.core.OnConnect(w.now, atSidecar)
 		})
@@ -406,7 +403,11 @@
 func (w *simulation) resubmit(id string, j fakeJob) {
 	delete(w.jobs, id)
 	w.schedule(resubmitDelay, func() {
-		other := w.entries[w.random.IntN(len(w.entries))]
+		first := w.random.IntN(len(w.entries))
+		other := w.entries[first]
+		for i := 1; !other.alive && i < len(w.entries); i++ { // the caller's next attempt to connect
+			other = w.entries[(first+i)%len(w.entries)]
+		}
 		if other.alive {
 			w.resubmitted[id] = true
 			w.submit(other, id, j.tasks, j.estimate)
@@ -423,14 +424,14 @@
 // submit submits a job to an entry. If the entry is killed, killEntry resubmits it elsewhere, as callers do.
 func (w *simulation) submit(e *fakeEntry, id string, tasks int, estimate timer.Millis) {
 	incarnation := e.incarnation
-	j := fakeJob{e, incarnation, tasks, estimate}
+	j := fakeJob{e, incarnation, tasks, estimate, w.now}
 	w.jobs[id] = j
 	w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 		e.core.Submit(w.now, Job{
 			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate}}, Deadline: max(2000, 4*estimate),
 			Answer: func(a Answer) {
 				switch {
-				case e.incarnation != incarnation:
+				case e.incarnation != incarnation || w.departed[j]:
 				case a.Kind == AnswerUnknown: // the entry ends the caller's connection
 					w.unknownOutcomes++
 					w.resubmit(id, j)
@@ -484,6 +485,11 @@
 	b.up, b.runs = false, nil
 }
 
+// extendLease extends the lease of all runs, on a request by a hold or a start that is not late.
+func (b *fakeBackend) extendLease(until int64) {
+	b.leaseUntil = max(b.leaseUntil, min(timer.Millis(until), b.w.now+maxLease))
+}
+
 func taskOf(r marshaler.RunKey) string { return fmt.Sprintf("%s.%d", r.Job, r.Index) }
 
 func (b *fakeBackend) start(m marshaler.Start) supervisor.StartResult {
@@ -498,12 +504,14 @@
 		out.Reason = "late"
 	case b.highestEnded[taskOf(m.Run)] >= m.Run.Attempt:
 		out.Status = supervisor.StartSuperseded
+		b.extendLease(m.NotAfter)
 	case b.runs[m.Run] != nil:
 		out.Status = supervisor.StartConfirmed
 	case !free.Contains(m.Resources):
 		out.Reason = "room"
+		b.extendLease(m.NotAfter)
 	default:
-		b.leaseUntil = max(b.leaseUntil, timer.Millis(m.NotAfter))
+		b.extendLease(m.NotAfter)
 		length := timer.Millis(float64(m.Estimate) * (0.7 + 0.6*b.w.random.Float64()) * b.slowdown)
 		b.runs[m.Run] = &fakeRun{room: m.Resources, begin: b.w.now, end: b.w.now + max(length, 1)}
 		task := taskOf(m.Run)
@@ -581,7 +589,7 @@
 			return
 		}
 		if h.LeaseUntil != 0 {
-			b.leaseUntil = max(b.leaseUntil, min(timer.Millis(h.LeaseUntil), b.w.now+1000))
+			b.extendLease(h.LeaseUntil)
 		}
 		if h.StartTime == b.startedAt {
 			b.ended = slices.DeleteFunc(b.ended, func(e supervisor.EndedRun) bool {
