supervisor: time an idle session from the message that makes it active

Cause: subscriptions and claims no longer count as signs of life, because they do not show when they were sent, but they make a session active, which shortens its timeout from 1.4 s to 450 ms. The last heartbeat of an idle session may be 600 ms old then.

Change: the timeout of the session counts from such a message. The lease of runs does not.

--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -71,6 +71,7 @@
 		return
 	}
 	e.aliveAt = max(e.aliveAt, sentAt(now, m))
+	k.noteActivation(now, e, m)
 	if k.leaseWithheld {
 		k.updateLease(now)
 		if !k.leaseWithheld {
@@ -101,6 +102,17 @@
 	}
 }
 
+// noteActivation notes that an idle session becomes active by a message that does not show when it was sent. The entry's latest
+// heartbeat may be as old as the idle interval then.
+func (k *Supervisor) noteActivation(now timer.Millis, e *entry, m marshaler.Message) {
+	switch m.(type) {
+	case *marshaler.LoadSubscription, *marshaler.Claim:
+		if !k.active(e) {
+			e.activeSince = now
+		}
+	}
+}
+
 // sentAt returns the time at which a heartbeat or start was sent, or 0 for other messages. A message may have waited for long
 // before it is handled, and its sender may be lost since.
 func sentAt(now timer.Millis, m marshaler.Message) timer.Millis {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -187,6 +187,7 @@
 		link              *marshaler.Link // nil while disconnected
 		aliveAt           timer.Millis    // latest time at which the entry is known to have been alive
 		lastSent          timer.Millis
+		activeSince       timer.Millis    // when the idle session became active by a message that shows no time of sending
 		synced            bool // the outcomes and the list of its runs were sent on this session
 		durableInUse      bool // the entry reported that durable jobs are in use, or does not know
 		heartbeatReceived bool // on this session
@@ -330,7 +331,7 @@
 	k.tickDurable(now)
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
-		if now-e.aliveAt >= k.entryTimeout(e) {
+		if now-max(e.aliveAt, e.activeSince) >= k.entryTimeout(e) {
 			if now >= k.graceEnd || now-e.aliveAt >= maxSilence {
 				k.removeEntry(now, name, e)
 			} else if !e.silenceReported {
