supervisor: do not end runs by a hold that an earlier incarnation refused

Cause: a refused hold means that nothing runs on the backend server. Its failure may wait in the event queue until the next incarnation has announced itself and has got runs, which were reported as lost then and started again elsewhere.

Evidence: TestLateRefusedHold failed. Change: the failure of a hold names the incarnation that it was meant for; a refusal by another one ends nothing.

--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -211,7 +211,7 @@
 			s.holdPending = false
 			defer s.scheduleHold(now) // also after a panic in the core: one bad listing must not let the leases expire
 			if err != nil {
-				s.core.OnHoldFailed(now, platform.IsConnectionRefused(err), err.Error())
+				s.core.OnHoldFailed(now, request, platform.IsConnectionRefused(err), err.Error())
 			} else {
 				s.core.OnHoldResponse(now, listing)
 			}
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -276,7 +276,7 @@
 			s.backend.hold(h, wait, func(l supervisor.HoldResponse, err error) {
 				w.runOn(&s.process, current, func() {
 					if err != nil {
-						k.OnHoldFailed(w.now, !s.backend.up, err.Error())
+						k.OnHoldFailed(w.now, h, !s.backend.up, err.Error())
 					} else {
 						k.OnHoldResponse(w.now, l)
 					}
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -64,8 +64,10 @@
 	return k.backendClock + int64(now-k.backendClockAt)
 }
 
-// OnHoldFailed handles the failure of a hold. gone says that the backend server has no listener, so nothing runs on it.
-func (k *Supervisor) OnHoldFailed(now timer.Millis, gone bool, reason string) {
+// OnHoldFailed handles the failure of a hold. gone says that the backend server has no listener, so nothing runs on it, unless
+// another incarnation has announced itself since the request.
+func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, gone bool, reason string) {
+	gone = gone && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
 	if gone {
 		k.endListedRuns(now, "backend server is gone")
 	}
--- a/supervisor/liveentry_test.go
+++ b/supervisor/liveentry_test.go
@@ -44,7 +44,8 @@
 func TestLateRefusedHold(t *testing.T) {
 	f := newFixture()
 	f.advance(testTick)
-	// The hold of this time is refused, because the backend server restarts. Its failure waits for the event loop.
+	refused, _ := f.k.BeginHold(f.now)
+	// The hold is refused, because the backend server restarts. Its failure waits for the event loop.
 	f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 20, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000, MemoryMB: 100}})
 	list := func(running []RunProgress) {
 		h, _ := f.k.BeginHold(f.now)
@@ -54,7 +55,7 @@
 	f.start(firstRun, 3000)
 	f.k.OnStarted(f.now, StartResult{Run: firstRun, Status: StartConfirmed})
 	list([]RunProgress{{Run: firstRun, Percent: 1}})
-	f.k.OnHoldFailed(f.now, true, "connection refused")
+	f.k.OnHoldFailed(f.now, refused, true, "connection refused")
 	if got := f.latestStatus(); got != 0 {
 		t.Errorf("got outcome %s of a run that the present incarnation lists, want none", got)
 	}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -58,6 +58,12 @@
 	f.k.OnHoldResponse(f.now, HoldResponse{Number: h.Number, StartTime: 10, Clock: int64(f.now), Running: running, Ended: ended})
 }
 
+// failHold reports the failure of a hold.
+func (f *fixture) failHold(gone bool, reason string) {
+	h, _ := f.k.BeginHold(f.now)
+	f.k.OnHoldFailed(f.now, h, gone, reason)
+}
+
 // advance moves the time on by length, with a Tick every 25 ms as in a process that is not paused.
 func (f *fixture) advance(length timer.Millis) {
 	for end := f.now + length; f.now < end; {
@@ -118,9 +124,9 @@
 		{"new incarnation without a hold response", func(f *fixture) {
 			f.k.Announce(f.now, Backend{ID: "i-2", StartTime: 11, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000}})
 		}, false},
-		{"one lost response", func(f *fixture) { f.now += 100; f.k.OnHoldFailed(f.now, false, "timeout") }, true},
-		{"unresponsive", func(f *fixture) { f.now += 500; f.k.OnHoldFailed(f.now, false, "timeout") }, false},
-		{"no listener", func(f *fixture) { f.k.OnHoldFailed(f.now, true, "refused") }, false},
+		{"one lost response", func(f *fixture) { f.now += 100; f.failHold(false, "timeout") }, true},
+		{"unresponsive", func(f *fixture) { f.now += 500; f.failHold(false, "timeout") }, false},
+		{"no listener", func(f *fixture) { f.failHold(true, "refused") }, false},
 		{"unknown run is active", func(f *fixture) {
 			f.k.Announce(f.now, Backend{ID: "i-2", StartTime: 10, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000}})
 			f.list([]RunProgress{{Run: marshaler.RunKey{Job: "stranger", Attempt: 1}}})
@@ -191,8 +197,8 @@
 			f.k.OnStarted(f.now, done)
 			f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 11, Service: "svc"})
 		}, 0},
-		{"no listener, listed run", func(f *fixture) { f.list(row); f.k.OnHoldFailed(f.now, true, "refused") }, marshaler.StatusLost},
-		{"no listener, start pending", func(f *fixture) { f.k.OnHoldFailed(f.now, true, "refused") }, 0},
+		{"no listener, listed run", func(f *fixture) { f.list(row); f.failHold(true, "refused") }, marshaler.StatusLost},
+		{"no listener, start pending", func(f *fixture) { f.failHold(true, "refused") }, 0},
 		{"no longer listed", func(f *fixture) { f.k.OnStarted(f.now, done); f.list(row); f.list(nil) }, marshaler.StatusLost},
 		{"no progress", func(f *fixture) {
 			f.k.OnStarted(f.now, done)
