supervisor: end a stopped start once the backend server cannot carry it out any more

Cause: an unanswered start whose stops stay unanswered, too, withheld the lease without bound, although the backend server refuses the start after its deadline.

Evidence: TestStartsAfterLapse, 22 of 60 starts refused. Change: a stopped run that a hold does not list ends once the start's deadline has passed on the backend server's clock. The survivor of TestRunOutlivesLostEntry ends with its lease, since the lease is renewed afterwards.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -195,6 +195,10 @@
 		case r.state == stateStopping && r.stopHold != 0 && l.Number > r.stopHold:
 			k.endRun(now, r, r.status, r.reason)
 			ended = true
+		case r.state == stateStopping && l.Number > r.startHold && r.notAfter < l.Clock && len(l.Ended) == 0:
+			// The backend server does not carry out the start any more, even if it has answered no stop.
+			k.endRun(now, r, r.status, r.reason)
+			ended = true
 		case r.state == stateRunning && l.Number > r.startHold && len(l.Ended) == 0:
 			// The list of ends may be truncated, so only an empty one proves that the end of this run is not pending.
 			k.endRun(now, r, marshaler.StatusLost, "not listed")
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -38,7 +38,7 @@
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
 	}
-	r := &run{key: m.Run, entry: e, room: m.Resources, durable: m.Epoch > 0, estimate: m.Estimate, queue: m.Queue, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
+	r := &run{key: m.Run, entry: e, room: m.Resources, durable: m.Epoch > 0, notAfter: notAfter, estimate: m.Estimate, queue: m.Queue, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
 	if k.runs == nil {
 		k.runs = map[taskKey]*run{}
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -163,7 +163,8 @@
 		key        marshaler.RunKey
 		entry      *entry
 		room       marshaler.Resources
-		durable    bool // whether it belongs to a durable job
+		durable    bool  // whether it belongs to a durable job
+		notAfter   int64 // latest time of the start, on the backend server's clock
 		estimate   timer.Millis
 		queue      string // of the job; empty if not stated
 		state      int
