submitter: send the stops of unwanted runs first on each new session

Cause: an entry forgot a run when it sent the stop. If the session ended with the stop, the run went on, kept alive by the heartbeats on the next session, until the sidecar had listed its runs there. Sessions that end again and again kept it alive without bound.

Evidence: TestUnwantedRunOnNewSession failed with heartbeats 925 ms after the caller left. Change: an entry keeps the runs that it has stopped until their end is confirmed, and sends their stops again before anything else on a new session. The test passes.

--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -228,6 +228,7 @@
 
 // onOutcome handles the guaranteed end of an attempt.
 func (s *Submitter) onOutcome(sc *sidecar, o *marshaler.Outcome) {
+	delete(sc.unwantedRuns, o.Run)
 	if o.Number > 0 {
 		s.onDurableEnd(sc, o)
 		return
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -27,7 +27,10 @@
 		return
 	}
 	if sc.incarnation != h.Incarnation {
-		sc.remote = remoteClock{}
+		sc.remote, sc.unwantedRuns = remoteClock{}, nil
+	}
+	for _, key := range marshaler.SortedRunKeys(sc.unwantedRuns) {
+		link.Send(&marshaler.Stop{Run: key})
 	}
 	sc.remoteSession = h.Session
 	if sc.link != nil {
@@ -255,10 +258,12 @@
 // may still be in flight.
 func (s *Submitter) onHeld(sc *sidecar, m *marshaler.ActiveRuns) {
 	sc.runsUnconfirmed = false
+	sc.unwantedRuns = map[marshaler.RunKey]bool{}
 	listed := map[marshaler.RunKey]bool{}
 	for _, key := range m.Runs {
 		listed[key] = true
 		if sc.assignedRuns[key] == 0 {
+			sc.unwantedRuns[key] = true
 			sc.link.Send(&marshaler.Stop{Run: key})
 		}
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -170,6 +170,9 @@
 		remoteSession uint64
 		// assignedRuns holds the runs started on the sidecar, with the session that carried the start.
 		assignedRuns map[marshaler.RunKey]uint64
+		// unwantedRuns holds the runs that were stopped and whose end the sidecar has not confirmed. Their stops are sent again
+		// first on each new session.
+		unwantedRuns map[marshaler.RunKey]bool
 		// runsUnconfirmed is set from the loss of a session until the sidecar lists its runs on a new one. Without a new
 		// session, all assignedRuns are guaranteed to have ended at runsExpireAt.
 		runsUnconfirmed bool
@@ -398,6 +401,10 @@
 		return
 	}
 	delete(sc.assignedRuns, key)
+	if sc.unwantedRuns == nil {
+		sc.unwantedRuns = map[marshaler.RunKey]bool{}
+	}
+	sc.unwantedRuns[key] = true
 	if sc.link != nil {
 		sc.link.Send(&marshaler.Stop{Run: key})
 	}
