Shorten the time limits that add up when the sender of a handover is lost

Cause: when an entry that handed a job over is lost and the backend server leaves stops unanswered, four limits follow each other: 450 ms at the receiver, 200 ms until the lease is withheld, 714 ms of lease, 50 ms for the end. Callers send again after 1,300 ms.

Change: a receiver gives a sender 400 ms, and the lease is withheld 100 ms after an unconfirmed stop: 1,289 ms with one tick. A lease that is withheld for a moment costs nothing.

--- a/submitter/receivedjob.go
+++ b/submitter/receivedjob.go
@@ -14,6 +14,9 @@
 	// pausedHandoverTime is how long after a pause no jobs are taken. Jobs that arrived during the pause are handled within
 	// this time; their senders may have given up on them.
 	pausedHandoverTime = 200 * timer.Millisecond
+	// senderTimeout is the time after which the jobs of an entry that handed them over end if it has not shown that it is alive. It is
+	// below HeartbeatTimeout, because the sidecar's time limits follow it before the caller sends the job again.
+	senderTimeout = 400 * timer.Millisecond
 	// maxReceivedDelay is the delay of the event loop from which on no jobs of other entries are taken or run. Their
 	// withdrawal, or the end of their session, may be among the events that wait. A caller sends its job again 1300 ms
 	// after its connection ended. Of these, the entry that handed the job over may be silent for HeartbeatTimeout, and the
@@ -94,7 +97,7 @@
 		refusal.Reason = "the session has ended"
 	case s.handover.pausedAt != 0 && s.now-s.handover.pausedAt < pausedHandoverTime:
 		refusal.Reason = "the entry was paused"
-	case s.now-sentAt >= HeartbeatTimeout:
+	case s.now-sentAt >= senderTimeout:
 		refusal.Reason = "the handover arrived late"
 	case s.handover.late:
 		refusal.Reason = "the event loop is late"
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -127,7 +127,7 @@
 			link.Close(errHeartbeatTimeout)
 			continue
 		}
-		if len(p.received) > 0 && s.now-p.aliveAt >= HeartbeatTimeout {
+		if len(p.received) > 0 && s.now-p.aliveAt >= senderTimeout {
 			s.dropReceived(p, "the entry that handed the job over is silent")
 		}
 		if p.link != nil && !p.suspect && p.active && p.silence(s.now) >= suspectTimeout {
--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -3,9 +3,10 @@
 import "github.com/crocuslb/crocuslb/timer"
 
 // stopTimeout is the time without a confirmed end, after the first stop of a run, from which the lease is not extended. It
-// exceeds the 50 ms that a backend server takes to end a run, and three calls. Together with the lease and the time in which
-// an entry notices that its caller has left, it is below the 1300 ms after which the caller sends the job again.
-const stopTimeout = 200 * timer.Millisecond
+// exceeds the 50 ms that a backend server takes to end a run, and a call. Together with the lease and the time in which an
+// entry notices that its caller, or the entry that handed the job over, is gone, it is below the 1300 ms after which the caller
+// sends the job again.
+const stopTimeout = 100 * timer.Millisecond
 
 // mayExtendLease reports whether the lease of all runs may be extended, by a hold or by a start. A run whose entry is silent,
 // whose stop is unconfirmed or that is unknown to this process must not continue for long, and only the expiry of the lease
