Estimate remote clocks from the time at which a message was received

Cause: an entry estimated a sidecar's clock when it handled a load report. If all messages wait 300 ms or more in its event queue, its heartbeats look so much older than they are.

Evidence: TestSteadyQueueDelay and TestOverloadedSender failed at a queue of 350 ms. Change: the time in the event queue is added to the time that a message states. The tests let their messages wait as runner does; both pass.

--- a/marshaler/link.go
+++ b/marshaler/link.go
@@ -21,6 +21,21 @@
 	return min(stated, now)
 }
 
+// AddWait adds the time for which a message waited in the receiver's event queue to the time that it states, so that an estimate of
+// the sender's clock does not depend on the length of the queue.
+func AddWait(m Message, wait timer.Millis) {
+	switch m := m.(type) {
+	case *Heartbeat:
+		if m.Time != 0 {
+			m.Time += wait
+		}
+	case *Load:
+		if m.Time != 0 {
+			m.Time += wait
+		}
+	}
+}
+
 // Link is the sending side of a session. Its functions never block.
 type Link struct {
 	Remote Hello
--- a/runner/sessions.go
+++ b/runner/sessions.go
@@ -38,8 +38,10 @@
 	n.OnMessage = func(c *connector.Session, batch []marshaler.Message) {
 		v, _ := s.links.Load(c)
 		link, _ := v.(*marshaler.Link)
+		received := s.loop.clock.Now()
 		s.loop.post(ctx, func(now timer.Millis) {
 			for _, m := range batch {
+				marshaler.AddWait(m, max(now-received, 0))
 				err := recoverer.Call(func() { s.dispatch(ctx, now, link, m) })
 				if err == nil {
 					continue
--- a/submitter/livesender_test.go
+++ b/submitter/livesender_test.go
@@ -35,8 +35,13 @@
 		stops := 0
 		k, link, closed, hold := reviewSidecar(now, func() { stops++ })
 		var clock remoteClock
-		clock.observe(now+delay, now)
+		observe := func() { // a report of the sidecar that waited for delay in the event queue
+			m := &marshaler.Load{Time: now - delay}
+			marshaler.AddWait(m, delay)
+			clock.observe(now, m.Time)
+		}
 		now += delay
+		observe()
 		key := marshaler.RunKey{Job: "job", Attempt: 1}
 		k.Tick(now)
 		k.OnMessage(now, link, &marshaler.Start{Run: key, Estimate: 5000, NotAfter: int64(now) + 400, SentAt: clock.at(now)})
@@ -45,7 +50,7 @@
 			now += 25
 			if n%6 == 5 { // every 150 ms; the reports of the sidecar wait for delay each
 				k.OnMessage(now, link, &marshaler.Heartbeat{SentAt: clock.at(now)})
-				clock.observe(now, now-delay)
+				observe()
 			}
 			hold(now, supervisor.RunProgress{Run: key, Percent: n})
 			k.Tick(now)
@@ -175,12 +180,16 @@
 			}
 		}}
 		f.core.OnConnect(f.now, link)
+		var clock remoteClock // of the receiver, whose heartbeats wait for delay in the sender's event queue
 		heartbeat := func() {
-			f.core.OnMessage(f.now, link, &marshaler.Heartbeat{Time: f.now, SentAt: f.now - delay})
+			m := &marshaler.Heartbeat{Time: f.now - delay}
+			marshaler.AddWait(m, delay)
+			clock.observe(f.now, m.Time)
+			f.core.OnMessage(f.now, link, &marshaler.Heartbeat{Time: f.now, SentAt: clock.at(f.now)})
 		}
 		heartbeat()
 		f.core.OnMessage(f.now, link, &marshaler.JobHandover{
-			Number: 1, Job: "job", Queue: "q", Deadline: 9000, SentAt: f.now - delay,
+			Number: 1, Job: "job", Queue: "q", Deadline: 9000, SentAt: clock.at(f.now),
 			Steps: []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 1}, Estimate: 50}},
 		})
 		for n := range 60 {
