submitter: set the estimate of a remote clock back after a suspension

Change: a message 300 ms or more behind the estimate sets it back at once. If the message was only delayed, the next one sets it right.

--- a/submitter/remoteclock.go
+++ b/submitter/remoteclock.go
@@ -6,8 +6,12 @@
 // two machines drift apart by less than a few milliseconds in two periods.
 const clockWindow = 10 * timer.Second
 
+// maxClockLag is the difference to the estimate from which a message sets it back at once. The other machine may have been suspended in
+// a way that its clock does not count; after a message that was only delayed, the next one sets the estimate right again.
+const maxClockLag = 300 * timer.Millisecond
+
 // remoteClock estimates the clock of another process from the times that its messages state. The delay of messages makes the
-// estimate early, never late, but for the drift within two windows.
+// estimate early, never late, but for the drift within two windows and for suspensions below maxClockLag.
 type remoteClock struct {
 	known       bool
 	offset      timer.Millis // largest difference to the local clock in the current window
@@ -19,7 +23,7 @@
 func (c *remoteClock) observe(now, stated timer.Millis) {
 	offset := stated - now
 	switch {
-	case !c.known:
+	case !c.known || max(c.offset, c.previous)-offset >= maxClockLag:
 		*c = remoteClock{known: true, offset: offset, previous: offset, windowStart: now}
 	case now-c.windowStart >= clockWindow:
 		c.previous, c.offset, c.windowStart = c.offset, offset, now
