--- a/supervisor/liveentry_test.go
+++ b/supervisor/liveentry_test.go
@@ -66,6 +66,10 @@
 func TestRestartInFlightStart(t *testing.T) {
 	const startTTL = 400 * timer.Millisecond // of the submitter
 	f := newFixture()                        // the backend server has not read the start; the previous process ended right now
+	f.k.startsSettle, f.k.settleHold, f.k.settled, f.held = 0, 0, false, nil
+	f.k.Tick(f.now)
+	f.connect("second", 1)
+	f.list(nil)
 	restartedAt := f.now
 	f.advance(startTTL - 2*testTick)
 	reported := len(f.held)
