submitter: number the runs of a job that is sent again to the same entry onwards

Cause: the runs of a job that a caller sends again to the same entry got the same numbers as those of its first submission. The outcome of an earlier run that arrived late was taken for that of the new one, and the task was started a second time.

Evidence: TestResubmittedJob failed with a third start. Change: a start takes no number that a run has on the same sidecar whose end is not confirmed. The test and the simulations of submitter pass. Also aligns a struct.

--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -183,11 +183,13 @@
 	}
 	st := &j.steps[step]
 	t := &st.tasks[index]
-	t.attempt++
-	t.issuedAttempt = t.attempt
+	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt + 1}
+	for sc.unwantedRuns[key] { // of the same job, which was submitted before; its outcome must not be taken for that of this run
+		key.Attempt++
+	}
+	t.attempt, t.issuedAttempt = key.Attempt, key.Attempt
 	t.state, t.sidecar, t.sidecarIncarnation = taskAssigned, name, sc.incarnation
 	j.assigned++
-	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt}
 	sc.assignedRuns[key] = sc.session
 	sc.activate(s.now)
 	sc.lastSent, sc.vouchedAt = s.now, s.now // the start also serves as a heartbeat
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -187,8 +187,8 @@
 		incarnation       uint64
 		link              *marshaler.Link // nil while disconnected
 		aliveAt           timer.Millis    // latest time at which the entry is known to have been alive
-		lastSent          timer.Millis
 		activeSince       timer.Millis    // when the idle session became active by a message that shows no time of sending
+		lastSent          timer.Millis
 		synced            bool // the outcomes and the list of its runs were sent on this session
 		durableInUse      bool // the entry reported that durable jobs are in use, or does not know
 		heartbeatReceived bool // on this session
