soaker: name both runs of a violation and keep the logs of killed processes

What was seen: a violation of two runs at once named the second run's number and two backend servers only, and the log of a node was that of its last process, so the log of a process that had been killed was lost. That run could not be traced.

Change: the violation text has run number, backend server, sidecar and start time of both runs, and how long the first had been running. The log directory gets the output of every process of a node, and a log of what callers, backend servers and faults did, with times in the format of the processes' logs.

Result: TestViolationText and TestChecks pass.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -50,7 +50,9 @@
 		if abandons {
 			wait = 50 * time.Millisecond
 		}
+		s.checker.events.add("caller of job %s sends it to entry-%d", id, entry)
 		status, body := s.post(ctx, entry, id, tasks, spec, wait)
+		s.checker.events.add("caller of job %s at entry-%d: %d %s", id, entry, status, body)
 		attempts = append(attempts, attempt{status, body})
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway || abandons || ctx.Err() != nil {
 			break
@@ -73,6 +75,7 @@
 			return
 		}
 		status, body := s.do(ctx, r, callTimeout)
+		s.checker.events.add("caller of durable job %s at entry-%d: %d %s", id, entry, status, body)
 		switch {
 		case status == http.StatusOK:
 			s.checker.onAccepted(id, tasks)
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,19 +28,27 @@
 	// checker records what callers and backend servers observe and the violations of the guarantees.
 	checker struct {
 		mu          sync.Mutex
-		running     map[string]string // backend server that runs the task, by task
-		startedRuns map[string]int    // number of started runs by job
-		succeeded   map[string]bool   // tasks that have succeeded
-		failedRuns  map[string]int    // number of failed runs by task
+		running     map[string]startedRun // by task
+		startedRuns map[string]int        // number of started runs by job
+		succeeded   map[string]bool       // tasks that have succeeded
+		failedRuns  map[string]int        // number of failed runs by task
 		draining    map[string]time.Time
 		withdrawn   map[string]time.Time
 		violations  []string
+		events      eventLog
 		timerDelays []string
 		jobs        int
 		responses   map[string]int
 		accepted    map[string]int // number of tasks by accepted durable job
 	}
 
+	// startedRun is a run that a backend server has started.
+	startedRun struct {
+		server, sidecar string
+		number          uint64
+		at              time.Time
+	}
+
 	// attempt is the outcome of one submission of a job.
 	attempt struct {
 		status int
@@ -49,7 +58,7 @@
 
 func newChecker() *checker {
 	return &checker{
-		running: map[string]string{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
+		running: map[string]startedRun{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, responses: map[string]int{},
 		accepted: map[string]int{},
 	}
@@ -67,11 +76,18 @@
 	}
 }
 
+// String names the run with its start time.
+func (r startedRun) String() string {
+	return fmt.Sprintf("run %d on %s (%s, started at %s)", r.number, r.server, r.sidecar, r.at.UTC().Format("15:04:05.000"))
+}
+
 // onRun records the start of a run, for which outcome is empty, or its end.
-func (c *checker) onRun(server, domain, task string, run uint64, outcome string) {
+func (c *checker) onRun(server, sidecar, domain, task string, run uint64, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job, _, _ := strings.Cut(task, ".")
+	started := startedRun{server, sidecar, run, time.Now()}
+	c.events.add("%s, task %s, run %d: %s", server, task, run, cmp.Or(outcome, "started"))
 	switch outcome {
 	case "":
 	case "done":
@@ -87,10 +103,10 @@
 		return
 	}
 	c.startedRuns[job]++
-	if other := c.running[task]; other != "" {
-		c.addViolationLocked("task %s, run %d started on %s while the task was running on %s", task, run, server, other)
+	if other, running := c.running[task]; running {
+		c.addViolationLocked("task %s: %s while %s had been running for %s", task, started, other, started.at.Sub(other.at).Round(time.Millisecond))
 	}
-	c.running[task] = server
+	c.running[task] = started
 	if at := c.draining[server]; !at.IsZero() && time.Since(at) > drainStartLimit {
 		c.addViolationLocked("task %s started on %s, %s after its drain was acknowledged", task, server, time.Since(at))
 	}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -110,6 +110,7 @@
 		}
 		s.mu.Lock()
 		s.injectedFaults = append(s.injectedFaults, fmt.Sprintf("%6.2f s %s (%d, %s)", time.Since(s.started).Seconds(), f.name, pick%12, length))
+		s.checker.events.add("fault: %s (%d, %s)", f.name, pick%12, length)
 		s.mu.Unlock()
 		s.faultGroup.Go(func() { f.inject(s, ctx, pick, length) })
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -102,7 +104,8 @@
 
 		mu      sync.Mutex
 		process *launcher.Process
-		claimed bool // claimed by a fault that terminates the process and restarts it
+		earlier []*launcher.Process // processes that have ended, oldest first
+		claimed bool                // claimed by a fault that terminates the process and restarts it
 	}
 )
 
@@ -246,7 +249,7 @@
 	}
 	b := &platformtest.Backend{ID: fmt.Sprintf("i-%d", i), Service: service, Zone: n.domain, CPU: backendCPU, MemMb: 64_000, Control: s.address(host, announcePort)}
 	b.OnRun = func(task string, run uint64, outcome string) {
-		s.checker.onRun(b.ID, n.domain, task, run, outcome)
+		s.checker.onRun(b.ID, n.name, n.domain, task, run, outcome)
 	}
 	b.OnDraining = func() { s.checker.onDraining(b.ID) }
 	s.backends = append(s.backends, b)
@@ -267,6 +270,9 @@
 		return err
 	}
 	n.mu.Lock()
+	if n.process != nil {
+		n.earlier = append(n.earlier, n.process)
+	}
 	n.process = p
 	n.mu.Unlock()
 	return nil
@@ -327,10 +333,25 @@
 		return trace.ConvertSystemError(err)
 	}
 	for _, n := range s.nodes {
-		path := filepath.Join(s.plan.LogDir, fmt.Sprintf("%d-%s.log", s.plan.Seed, n.name))
-		if err := os.WriteFile(path, []byte(n.current().Tail(1<<20)), 0o600); err != nil {
-			return trace.ConvertSystemError(err)
+		if err := s.writeLog(n.name, n.output()); err != nil {
+			return err
 		}
 	}
-	return nil
+	return s.writeLog("observer", s.checker.events.String())
+}
+
+func (s *soak) writeLog(name, text string) error {
+	path := filepath.Join(s.plan.LogDir, fmt.Sprintf("%d-%s.log", s.plan.Seed, name))
+	return trace.ConvertSystemError(os.WriteFile(path, []byte(text), 0o600))
+}
+
+// output returns the output of all processes that the node has had.
+func (n *node) output() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var parts []string
+	for _, p := range append(slices.Clone(n.earlier), n.process) {
+		parts = append(parts, p.Tail(1<<20))
+	}
+	return strings.Join(parts, "\n")
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -68,6 +68,19 @@
 	return lines.String()
 }
 
+// TestViolationText guards against a violation of two runs at once that cannot be traced in the processes' logs.
+func TestViolationText(t *testing.T) {
+	const task = "00000000000000aa.0.0.0"
+	c := newChecker()
+	c.running[task] = startedRun{"a", "sidecar-1", 3, time.Now().Add(-1350 * time.Millisecond)}
+	c.onRun("b", "sidecar-2", "d", task, 4, "")
+	got := strings.Join(c.report().Violations, " ")
+	want := regexp.MustCompile(`task ` + task + `: run 4 on b \(sidecar-2, started at [0-9:.]+\) while run 3 on a \(sidecar-1, started at [0-9:.]+\) had been running for 1\.3[5-9][0-9]*s`)
+	if !want.MatchString(got) {
+		t.Errorf("violation: got %q, want a match of %q", got, want)
+	}
+}
+
 // TestChecks guards against a checker that misses violations: each case that is marked as broken violates one
 // guarantee.
 func TestChecks(t *testing.T) {
@@ -78,36 +91,36 @@
 		broken bool
 	}{
 		{"sound", func(c *checker) {
-			c.onRun("a", "d", job+".0.0.0", 1, "")
-			c.onRun("a", "d", job+".0.0.0", 1, "done")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "done")
 			c.onResponses(job, 1, []attempt{{200, `{"State":"succeeded"}`}})
 		}, false},
 		{"two runs at once", func(c *checker) {
-			c.onRun("a", "d", job+".0.0.0", 1, "")
-			c.onRun("b", "d", job+".0.0.0", 2, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
+			c.onRun("b", "s", "d", job+".0.0.0", 2, "")
 		}, true},
 		{"run after the end of another one", func(c *checker) {
-			c.onRun("a", "d", job+".0.0.0", 1, "")
-			c.onRun("a", "d", job+".0.0.0", 1, "lapsed")
-			c.onRun("b", "d", job+".0.0.0", 2, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "lapsed")
+			c.onRun("b", "s", "d", job+".0.0.0", 2, "")
 		}, false},
 		{"false refusal", func(c *checker) {
-			c.onRun("a", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onResponses(job, 1, []attempt{{503, ""}})
 		}, true},
 		{"refusal after no answer", func(c *checker) {
-			c.onRun("a", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onResponses(job, 1, []attempt{{0, ""}, {503, ""}})
 		}, false},
 		{"success without a task", func(c *checker) { c.onResponses(job, 1, []attempt{{200, `{"State":"succeeded"}`}}) }, true},
 		{"failure without failed runs", func(c *checker) { c.onResponses(job, 1, []attempt{{200, `{"State":"failed"}`}}) }, true},
 		{"start on a server that leaves", func(c *checker) {
 			c.draining["a"] = time.Now().Add(-drainStartLimit - time.Second)
-			c.onRun("a", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 		}, true},
 		{"start in a withdrawn domain", func(c *checker) {
 			c.withdrawn["d"] = time.Now().Add(-withdrawalStartLimit - storeFaultAllowance - time.Second)
-			c.onRun("a", "d", job+".0.0.0", 1, "")
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 		}, true},
 	}
 	for _, test := range cases {
