soaker: add long tasks, callers' connections that end, and short processor time

Change: callers connect through a proxy whose connections can be reset. Plan.CPUShortage (faultrunner -platform -cpuShortage) adds tasks of 0.9 to 2.7 s and a second list of faults: callers' connections reset, alone and with the entry's sessions, and sidecars or entries that are stopped for 90 to 160 ms and resumed for 5 to 25 ms by turns for 3 s or more, alone and together with callers' resets, kills and pauses of an entry.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -37,11 +37,12 @@
 	parallel := flag.Int("parallel", 1, "seeds that run at a time; with -platform only")
 	entries := flag.Int("entries", 3, "entries; with -platform only")
 	sidecars := flag.Int("sidecars", 6, "sidecars; with -platform only")
+	shortage := flag.Bool("cpuShortage", false, "add long tasks and faults of processes that lack processor time; with -platform only")
 	flag.Parse()
 	if *platform {
 		os.Exit(runSoak(soaker.Plan{
 			Seed: *seed, Duration: time.Duration(*seconds) * time.Second, FaultInterval: time.Duration(*faultInterval) * time.Millisecond,
-			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs,
+			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs, CPUShortage: *shortage,
 		}, *seeds, *parallel))
 	}
 	os.Exit(runInjector(injector.Plan{
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -19,40 +19,50 @@
 	maxAttempts     = 4
 	callTimeout     = 2 * time.Second
 	abandonFraction = 0.05 // fraction of the callers that abandon the call early
-	taskEstimateMs  = 400  // run time of a task as estimated by callers, in ms
+	taskEstimateMs  = 400  // run time of a short task as estimated by callers, in ms
 	durableEvery    = 3    // every third job is durable
 	// durableJobTimeout is the time after the last fault within which all accepted durable jobs must end.
 	durableJobTimeout = 10 * time.Second
 )
 
+// job is a job of a caller. Its tasks have the same run time.
+type job struct {
+	id               string
+	tasks, runTimeMs int
+	timeout          time.Duration // how long the caller waits for the response
+}
+
 // sendJobs submits jobs until faultCtx is canceled, each from a goroutine of callers.
 func (s *soak) sendJobs(faultCtx, ctx context.Context, callers *sync.WaitGroup) { //nolint:revive // the two contexts are equals
 	r := rand.New(rand.NewPCG(s.plan.Seed, 5))
 	gap := time.Second / time.Duration(s.plan.JobsPerSecond)
 	for n := 0; faultCtx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", uint64(n)+1<<20)
-		tasks, spec, entry := 1+r.IntN(5), fmt.Sprint(10+r.IntN(200)), r.IntN(s.plan.Entries)
-		abandons := r.Float64() < abandonFraction
+		j := job{id: id, tasks: 1 + r.IntN(5), runTimeMs: 10 + r.IntN(200), timeout: callTimeout}
+		entry, abandons := r.IntN(s.plan.Entries), r.Float64() < abandonFraction
+		if s.plan.CPUShortage && r.Float64() < longTaskFraction {
+			j.runTimeMs, j.timeout = minLongTaskMs+r.IntN(maxLongTaskMs-minLongTaskMs), longCallTimeout
+		}
 		if n%durableEvery == 0 {
-			callers.Go(func() { s.sendDurableJob(ctx, id, tasks, spec, entry) })
+			callers.Go(func() { s.sendDurableJob(ctx, j, entry) })
 		} else {
-			callers.Go(func() { s.sendJob(ctx, id, tasks, spec, entry, abandons) })
+			callers.Go(func() { s.sendJob(ctx, j, entry, abandons) })
 		}
 		time.Sleep(time.Duration(float64(gap) * 2 * r.Float64()))
 	}
 }
 
 // sendJob submits a job until it gets a response, at another entry each time.
-func (s *soak) sendJob(ctx context.Context, id string, tasks int, spec string, entry int, abandons bool) {
+func (s *soak) sendJob(ctx context.Context, j job, entry int, abandons bool) {
 	var attempts []attempt
 	for range maxAttempts {
-		wait := callTimeout
+		wait := j.timeout
 		if abandons {
 			wait = 50 * time.Millisecond
 		}
-		s.checker.events.add("caller of job %s sends it to entry-%d", id, entry)
-		status, body := s.post(ctx, entry, id, tasks, spec, wait)
-		s.checker.events.add("caller of job %s at entry-%d: %d %s", id, entry, status, body)
+		s.checker.events.add("caller of job %s sends it to entry-%d", j.id, entry)
+		status, body := s.post(ctx, entry, j, wait)
+		s.checker.events.add("caller of job %s at entry-%d: %d %s", j.id, entry, status, body)
 		attempts = append(attempts, attempt{status, body})
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway || abandons || ctx.Err() != nil {
 			break
@@ -61,27 +71,27 @@
 		entry = (entry + 1) % s.plan.Entries
 	}
 	if ctx.Err() == nil {
-		s.checker.onResponses(id, tasks, attempts)
+		s.checker.onResponses(j.id, j.tasks, attempts)
 	}
 }
 
 // sendDurableJob submits a durable job until it is accepted or rejected.
-func (s *soak) sendDurableJob(ctx context.Context, id string, tasks int, spec string, entry int) {
+func (s *soak) sendDurableJob(ctx context.Context, j job, entry int) {
 	unknown := false
 	for range maxAttempts {
-		r, err := platformtest.NewDurableJobRequest(s.address(1+entry, callersPort), prefix, id, tasks, spec, taskEstimateMs, int(callTimeout.Milliseconds()))
+		r, err := platformtest.NewDurableJobRequest(s.address(1+entry, callerProxyPort), prefix, j.id, j.tasks, fmt.Sprint(j.runTimeMs), j.estimateMs(), int(j.timeout.Milliseconds()))
 		if err != nil {
-			s.checker.addViolation("job %s: %v", id, err)
+			s.checker.addViolation("job %s: %v", j.id, err)
 			return
 		}
-		status, body := s.do(ctx, r, callTimeout)
-		s.checker.events.add("caller of durable job %s at entry-%d: %d %s", id, entry, status, body)
+		status, body := s.do(ctx, r, j.timeout)
+		s.checker.events.add("caller of durable job %s at entry-%d: %d %s", j.id, entry, status, body)
 		switch {
 		case status == http.StatusOK:
-			s.checker.onAccepted(id, tasks)
+			s.checker.onAccepted(j.id, j.tasks)
 			return
 		case status == http.StatusServiceUnavailable && !unknown:
-			s.checker.onResponses(id, tasks, []attempt{{status, body}})
+			s.checker.onResponses(j.id, j.tasks, []attempt{{status, body}})
 			return
 		}
 		unknown = true
@@ -90,6 +100,9 @@
 	}
 }
 
+// estimateMs returns the run time that the caller declares for a task, in ms.
+func (j job) estimateMs() int { return max(taskEstimateMs, j.runTimeMs) }
+
 // awaitDurableJobs waits until every entry reports an end of each accepted durable job, and returns the failures.
 func (s *soak) awaitDurableJobs(ctx context.Context) (failures []string) {
 	deadline := time.Now().Add(durableJobTimeout)
@@ -109,7 +122,7 @@
 
 // jobState returns the state of a durable job, or the status and body of the response if it has no state.
 func (s *soak) jobState(ctx context.Context, entry int, id string) string {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address(1+entry, callersPort)+prefix+id, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address(1+entry, callerProxyPort)+prefix+id, http.NoBody)
 	if err != nil {
 		return err.Error()
 	}
@@ -123,8 +136,8 @@
 }
 
 // post submits a job once. The status is 0 if there was no response.
-func (s *soak) post(ctx context.Context, entry int, id string, tasks int, spec string, wait time.Duration) (int, string) {
-	r, err := platformtest.NewJobRequest(s.address(1+entry, callersPort), prefix, id, tasks, spec, taskEstimateMs, int(callTimeout.Milliseconds()))
+func (s *soak) post(ctx context.Context, entry int, j job, wait time.Duration) (int, string) {
+	r, err := platformtest.NewJobRequest(s.address(1+entry, callerProxyPort), prefix, j.id, j.tasks, fmt.Sprint(j.runTimeMs), j.estimateMs(), int(j.timeout.Milliseconds()))
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -101,7 +101,11 @@
 func (s *soak) inject(faultCtx, ctx context.Context) { //nolint:revive // the two contexts are equals
 	for faultCtx.Err() == nil {
 		pause := time.Duration(float64(s.plan.FaultInterval) * (0.2 + 1.6*s.random.Float64()))
-		f, pick := faults[s.random.IntN(len(faults))], s.random.IntN(1<<20)
+		kinds := faults
+		if s.plan.CPUShortage && s.random.Float64() < shortageFaultFraction {
+			kinds = shortageFaults
+		}
+		f, pick := kinds[s.random.IntN(len(kinds))], s.random.IntN(1<<20)
 		length := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
 		select {
 		case <-faultCtx.Done():
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -34,6 +34,7 @@
 	readyPort        = 8001
 	announcePort     = 8002
 	backendPort      = 8003
+	callerProxyPort  = 8004
 	firstSidecarHost = 100
 	storeHost        = 250
 	startTimeout     = 20 * time.Second
@@ -52,7 +53,9 @@
 		Duration      time.Duration // time during which jobs are submitted and faults injected; default 20 s
 		JobsPerSecond int           // default 30
 		FaultInterval time.Duration // mean time between faults; default 700 ms
-		LogDir        string        // directory for the output of the processes; not written if empty
+		// CPUShortage adds jobs with long tasks and the faults of processes that lack processor time to the usual faults.
+		CPUShortage bool
+		LogDir      string // directory for the output of the processes; not written if empty
 	}
 
 	// Report is the result of a run.
@@ -100,7 +103,9 @@
 		isEntry    bool
 		domain     string
 		entryProxy *proxy // proxy in front of an entry's listener; nil for sidecars
-		storeProxy *proxy
+		// callerProxy is the proxy between callers and an entry; nil for sidecars.
+		callerProxy *proxy
+		storeProxy  *proxy
 
 		mu      sync.Mutex
 		process *launcher.Process
@@ -191,7 +196,7 @@
 	for at := time.Now(); time.Since(at) < startTimeout; time.Sleep(restartDelay) {
 		served := 0
 		for i := range s.plan.Entries {
-			if status, _ := s.post(ctx, i, fmt.Sprintf("%016x", i), 1, "1", time.Second); status == http.StatusOK {
+			if status, _ := s.post(ctx, i, job{fmt.Sprintf("%016x", i), 1, 1, callTimeout}, time.Second); status == http.StatusOK {
 				served++
 			}
 		}
@@ -237,7 +242,10 @@
 		return err
 	}
 	n.args = append(n.args, "-callersAddress", s.address(host, callersPort), "-readyAddress", s.address(host, readyPort), "-advertise", s.address(host, proxyPort))
-	n.entryProxy, err = newProxy(ctx, s.address(host, proxyPort), s.address(host, entryPort))
+	if n.entryProxy, err = newProxy(ctx, s.address(host, proxyPort), s.address(host, entryPort)); err != nil {
+		return err
+	}
+	n.callerProxy, err = newProxy(ctx, s.address(host, callerProxyPort), s.address(host, callersPort))
 	return err
 }
 
@@ -321,7 +329,7 @@
 func (s *soak) sendFinalJobs(ctx context.Context, round int) (failures []string) {
 	for i := range finalJobCount {
 		id := fmt.Sprintf("f%07x%08x", round, i)
-		if status, body := s.post(ctx, i%s.plan.Entries, id, 2, "20", 2*time.Second); status != http.StatusOK {
+		if status, body := s.post(ctx, i%s.plan.Entries, job{id, 2, 20, callTimeout}, callTimeout); status != http.StatusOK {
 			failures = append(failures, fmt.Sprintf("job %s, submitted %s after the last fault: got %d %s, want 200", id, settleTime, status, body))
 		}
 	}
