soaker: select the faults of a run by name

What was seen: with all faults, one of 20 seeds of -cpuShortage showed two runs at once (1007), too few to tell whether a change mends it.

Change: Plan.Faults, faultrunner -platform -faults, as for the other soak. An unknown name is an error.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -43,15 +43,20 @@
 		os.Exit(runSoak(soaker.Plan{
 			Seed: *seed, Duration: time.Duration(*seconds) * time.Second, FaultInterval: time.Duration(*faultInterval) * time.Millisecond,
 			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs, CPUShortage: *shortage,
+			Faults: splitNames(*faults),
 		}, *seeds, *parallel))
 	}
 	os.Exit(runInjector(injector.Plan{
 		Seed: *seed, Duration: timer.Millis(*seconds) * timer.Second, FaultInterval: timer.Millis(*faultInterval), JobsPerSecond: *rate,
 		ResubmitTimeout: timer.Millis(*resubmitPeriod), LogDir: *logs,
-		Faults: strings.FieldsFunc(*faults, func(c rune) bool { return c == ',' }),
+		Faults: splitNames(*faults),
 	}))
 }
 
+func splitNames(list string) []string {
+	return strings.FieldsFunc(list, func(c rune) bool { return c == ',' })
+}
+
 // withBinaries builds the programs into a temporary directory and calls fn with it. It returns the exit status, which is
 // 1 if the build fails, or if fn returns an error or reports a failure.
 func withBinaries(fn func(ctx context.Context, directory string) (failed bool, err error)) int {
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/crocuslb/crocuslb/launcher"
@@ -89,23 +90,31 @@
 	{"configuration changed", func(s *soak, _ context.Context, pick int, _ time.Duration) { s.reconfigure(pick) }},
 }
 
-// FaultNames returns the names of the faults that a run selects from.
+// FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range faults {
+	for _, f := range slices.Concat(faults, shortageFaults) {
 		names = append(names, f.name)
 	}
 	return names
 }
 
+// selectFault selects the next fault.
+func (s *soak) selectFault() fault {
+	kinds := faults
+	switch {
+	case len(s.plan.Faults) > 0:
+		kinds = slices.DeleteFunc(slices.Concat(faults, shortageFaults), func(f fault) bool { return !slices.Contains(s.plan.Faults, f.name) })
+	case s.plan.CPUShortage && s.random.Float64() < shortageFaultFraction:
+		kinds = shortageFaults
+	}
+	return kinds[s.random.IntN(len(kinds))]
+}
+
 // inject injects faults until faultCtx is canceled.
 func (s *soak) inject(faultCtx, ctx context.Context) { //nolint:revive // the two contexts are equals
 	for faultCtx.Err() == nil {
 		pause := time.Duration(float64(s.plan.FaultInterval) * (0.2 + 1.6*s.random.Float64()))
-		kinds := faults
-		if s.plan.CPUShortage && s.random.Float64() < shortageFaultFraction {
-			kinds = shortageFaults
-		}
-		f, pick := kinds[s.random.IntN(len(kinds))], s.random.IntN(1<<20)
+		f, pick := s.selectFault(), s.random.IntN(1<<20)
 		length := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
 		select {
 		case <-faultCtx.Done():
--- a/soaker/shortage.go
+++ b/soaker/shortage.go
@@ -39,15 +39,15 @@
 	{"entry killed", func(s *soak, ctx context.Context, pick int, length time.Duration) {
 		s.kill(ctx, s.entry(pick), length/4)
 	}},
-	{"entry paused, callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"entry paused with callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.entry(pick).callerProxy.reset(1)
 		s.pause(s.entry(pick), length)
 	}},
 	{"entry starved", func(s *soak, _ context.Context, pick int, length time.Duration) { s.starve(s.entry(pick), length) }},
-	{"entry starved, callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"callers reset while entry starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage([]*node{s.entry(pick)}, length, func() { s.entry(pick).callerProxy.reset(1) })
 	}},
-	{"entry starved, callers and sessions reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"callers and sessions reset while entry starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage([]*node{s.entry(pick)}, length, func() {
 			s.entry(pick).callerProxy.reset(1)
 			s.entry(pick).entryProxy.reset(1)
@@ -56,19 +56,19 @@
 	{"sidecars starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage(s.someSidecars(pick), length, func() {})
 	}},
-	{"sidecars starved, callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"callers reset while sidecars starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage(s.someSidecars(pick), length, func() { s.entry(pick).callerProxy.reset(1) })
 	}},
-	{"sidecars starved, entry killed", func(s *soak, ctx context.Context, pick int, length time.Duration) {
+	{"entry killed while sidecars starved", func(s *soak, ctx context.Context, pick int, length time.Duration) {
 		s.duringShortage(s.someSidecars(pick), length, func() { s.kill(ctx, s.entry(pick), length/4) })
 	}},
-	{"sidecars starved, entry paused, callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"entry paused with callers reset while sidecars starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage(s.someSidecars(pick), length, func() {
 			s.entry(pick).callerProxy.reset(1)
 			s.pause(s.entry(pick), length)
 		})
 	}},
-	{"sidecars and entry starved, callers reset", func(s *soak, _ context.Context, pick int, length time.Duration) {
+	{"callers reset while sidecars and entry starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage(append(s.someSidecars(pick), s.entry(pick)), length, func() { s.entry(pick).callerProxy.reset(1) })
 	}},
 }
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -55,7 +55,9 @@
 		FaultInterval time.Duration // mean time between faults; default 700 ms
 		// CPUShortage adds jobs with long tasks and the faults of processes that lack processor time to the usual faults.
 		CPUShortage bool
-		LogDir      string // directory for the output of the processes; not written if empty
+		// Faults names the faults to select from. If it is empty, all are used.
+		Faults []string
+		LogDir string // directory for the output of the processes; not written if empty
 	}
 
 	// Report is the result of a run.
@@ -136,6 +138,11 @@
 // Run executes the plan. Its processes are killed when it returns.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	p = p.withDefaults()
+	for _, name := range p.Faults {
+		if !slices.Contains(FaultNames(), name) {
+			return nil, trace.BadParameter("no fault has the name %q", name)
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &soak{
 		plan: p, random: rand.New(rand.NewPCG(p.Seed, 3)), started: time.Now(), store: &platformtest.Store{}, version: 1,
