--- a/marshaler/jobhandover.go
+++ b/marshaler/jobhandover.go
@@ -18,6 +18,7 @@
 		Steps    []Step
 		Deadline timer.Millis // how long the caller waits; 0 if unset
 		Waited   timer.Millis // time that the caller has waited already
+		SentAt   timer.Millis // as in Heartbeat
 	}
 
 	// JobAnswer is the answer to a JobHandover. It is sent on the same session.
@@ -36,17 +37,19 @@
 	}
 )
 
-// appendEntryLoad appends the load fields of a heartbeat.
+// appendEntryLoad appends the load fields and the times of a heartbeat.
 func appendEntryLoad(dst []byte, m *Heartbeat) []byte {
 	dst = appender.AppendUint(dst, 4, uint64(m.LoadClass))
 	dst = appender.AppendUint(dst, 5, m.ProcessorUse)
 	dst = appendZigZag(dst, 6, int64(m.LoopDelay))
 	dst = appender.AppendUint(dst, 7, m.BytesPerSecond)
 	dst = appender.AppendUint(dst, 8, m.MemoryBytes)
-	return appendBool(dst, 9, m.SteppedDown)
+	dst = appendBool(dst, 9, m.SteppedDown)
+	dst = appendZigZag(dst, 10, int64(m.Time))
+	return appendZigZag(dst, 11, int64(m.SentAt))
 }
 
-// setLoadField decodes a load field of a heartbeat.
+// setLoadField decodes a load field or a time of a heartbeat.
 func (m *Heartbeat) setLoadField(f appender.Field) error {
 	switch f.Tag {
 	case 4:
@@ -61,6 +64,10 @@
 		return f.StoreUint(&m.MemoryBytes)
 	case 9:
 		return setBool(f, &m.SteppedDown)
+	case 10:
+		return setMillis(f, &m.Time)
+	case 11:
+		return setMillis(f, &m.SentAt)
 	}
 	return nil
 }
@@ -77,7 +84,8 @@
 			dst = appendNested(dst, 5, func(b []byte) []byte { return appendStep(b, &m.Steps[i]) })
 		}
 		dst = appendZigZag(dst, 6, int64(m.Deadline))
-		return appendZigZag(dst, 7, int64(m.Waited))
+		dst = appendZigZag(dst, 7, int64(m.Waited))
+		return appendZigZag(dst, 8, int64(m.SentAt))
 	case *JobAnswer:
 		dst = appender.AppendUint(append(dst, kindJobAnswer), 1, m.Number)
 		dst = appender.AppendString(dst, 2, m.Job)
@@ -127,6 +135,8 @@
 		return setMillis(f, &m.Deadline)
 	case 7:
 		return setMillis(f, &m.Waited)
+	case 8:
+		return setMillis(f, &m.SentAt)
 	}
 	return nil
 }
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -17,7 +17,7 @@
 		}
 	}
 	ok, reason := k.Accepting()
-	at := taskKey{m.Run.Job, m.Run.Index}
+	at, notAfter := taskKey{m.Run.Job, m.Run.Index}, k.limitLease(now, m.NotAfter)
 	switch {
 	case !ok:
 	case !k.mayStart(e, m):
@@ -26,10 +26,14 @@
 		ok, reason = false, "task runs already"
 	case !k.free.Contains(m.Resources):
 		ok, reason = false, "no room"
-	case m.NotAfter <= k.Clock(now):
+	case notAfter <= k.Clock(now):
 		ok, reason = false, "start is late"
 	}
 	if !ok {
+		if other := k.runs[at]; other != nil {
+			k.deferRefusal(other, deferredRefusal{e, m.Run, reason})
+			return
+		}
 		k.sendOutcome(now, e, marshaler.Outcome{Run: m.Run, Status: marshaler.StatusRefused, Reason: reason})
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
@@ -40,9 +44,11 @@
 	}
 	k.runs[at] = r
 	k.free = k.free.Sub(r.room)
-	k.durable.extendLease(m.NotAfter)
 	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
-	k.Start(*m)
+	k.durable.extendLease(notAfter)
+	start := *m
+	start.NotAfter = notAfter
+	k.Start(start)
 }
 
 // OnStarted handles the backend server's response to a start.
@@ -80,7 +86,7 @@
 	if r.state == stateStopping {
 		return
 	}
-	r.state, r.status, r.reason = stateStopping, status, reason
+	r.state, r.status, r.reason, r.stopBegan = stateStopping, status, reason, now
 	k.sendStop(now, r)
 	k.report(Event{Kind: "stop", Run: r.key, Entry: r.entry.name, Detail: reason})
 }
@@ -156,6 +162,7 @@
 		k.durable.addEnd(outcome)
 	}
 	k.sendOutcome(now, r.entry, outcome)
+	k.sendRefusals(now, r)
 	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.room, Queue: r.queue}
 	for _, e := range marshaler.SortedByKey(k.entries) {
 		if e.subscribed {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// EntryTimeout is the time without a message from an entry after which its runs are stopped.
+	// EntryTimeout is the time after which an entry's runs are stopped if it has not shown that it is alive.
 	EntryTimeout = 450 * timer.Millisecond
 	// LeaseDuration is the duration of the lease that each hold requests. The entry timeout, this duration on a slow backend
 	// server clock and the time to stop a run add up to less than the time after which a caller resubmits a job.
@@ -22,6 +22,9 @@
 	// resumeGracePeriod is how long entries are not timed out after this process was paused: their messages may be unread,
 	// or their sessions have to be reopened. The lease is not renewed meanwhile, so its expiry still bounds their runs.
 	resumeGracePeriod = 200 * timer.Millisecond
+	// maxSilence is the time without a sign of life of an entry after which no grace period keeps its runs. On a machine that is
+	// short of processors every tick is late, and grace periods follow each other.
+	maxSilence = 900 * timer.Millisecond
 	// maxStartDelay is the longest time after which the backend server may still execute a start that it did not answer.
 	maxStartDelay = 15 * timer.Second
 	// outcomeRetention is how long outcomes are kept for an entry whose session broke before it received them.
@@ -119,7 +122,8 @@
 		durable        durableState
 		lastTick       timer.Millis
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
-		renewalDue     bool         // the latest hold did not renew the lease, because an entry with runs was silent
+		leaseWithheld  bool         // the lease is not extended, because of a run that must end
+		unknownRuns    int          // active runs in the latest hold response that this process does not know
 	}
 
 	// recentStart is a start that this process has handled, whether or not it was admitted.
@@ -162,11 +166,13 @@
 		startHold  uint64       // holds with a higher number list the run if it is active
 		stopHold   uint64       // holds with a higher number omit the run if the stop took effect; 0 while no stop was answered
 		stopSentAt timer.Millis
+		stopBegan  timer.Millis     // when the first stop was sent
 		status     marshaler.Status // reported instead of StatusStopped after a stop
 		reason     string
 		listed     bool
 		percent    int
 		progressAt timer.Millis // when percent last increased
+		refusals   []deferredRefusal
 	}
 
 	// entry is one incarnation of an entry process.
@@ -174,11 +180,12 @@
 		name              string
 		incarnation       uint64
 		link              *marshaler.Link // nil while disconnected
-		lastReceived      timer.Millis
+		aliveAt           timer.Millis    // latest time at which the entry is known to have been alive
 		lastSent          timer.Millis
 		synced            bool // the outcomes and the list of its runs were sent on this session
 		durableInUse      bool // the entry reported that durable jobs are in use, or does not know
 		heartbeatReceived bool // on this session
+		silenceReported   bool // the current silence was reported
 		subscribed        bool
 		pendingStarts     []string
 		pendingEnds       []marshaler.CompletedRun
@@ -317,12 +324,16 @@
 	k.tickDurable(now)
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
-		if now-e.lastReceived >= k.entryTimeout(e) {
-			if now >= k.graceEnd {
+		if now-e.aliveAt >= k.entryTimeout(e) {
+			if now >= k.graceEnd || now-e.aliveAt >= maxSilence {
 				k.removeEntry(now, name, e)
+			} else if !e.silenceReported {
+				e.silenceReported = true
+				k.report(Event{Kind: "entrySilent", Entry: name, Detail: "kept for the grace period after a pause", Value: int64(now - e.aliveAt)})
 			}
 			continue
 		}
+		e.silenceReported = false
 		e.outcomes = slices.DeleteFunc(e.outcomes, func(o sentOutcome) bool { return now-o.at > outcomeRetention })
 		if e.link != nil && now-e.lastSent >= k.heartbeatInterval(e) {
 			k.sendLoad(now, e)
@@ -353,7 +364,7 @@
 		}
 	}
 	for _, r := range k.runs {
-		if r.entry == e && r.state != stateStopping {
+		if r.entry == e && r.state != stateStopping || r.isAwaitedBy(e) {
 			return true
 		}
 	}
@@ -374,16 +385,6 @@
 	return marshaler.IdleHeartbeatInterval
 }
 
-// entriesAlive reports whether each entry with a run on this sidecar has sent a message within the entry timeout.
-func (k *Supervisor) entriesAlive(now timer.Millis) bool {
-	for _, r := range k.runs {
-		if r.state != stateStopping && now-r.entry.lastReceived >= EntryTimeout {
-			return false
-		}
-	}
-	return true
-}
-
 func (k *Supervisor) removeEntry(now timer.Millis, name string, e *entry) {
 	delete(k.entries, name)
 	k.onOwnerLost(e)
@@ -398,7 +399,7 @@
 		e.link.Close(errEntryTimeout)
 		e.link = nil
 	}
-	k.report(Event{Kind: "entryLost", Entry: name, Value: int64(stopped)})
+	k.report(Event{Kind: "entryLost", Entry: name, Detail: "silent for " + (now - e.aliveAt).String(), Value: int64(stopped)})
 }
 
 func (k *Supervisor) report(e Event) {
