soaker: check how long runs outlast their caller's connection

Change: a run of a restartable job that goes on for more than 1.3 s after its caller's connection ended is a violation, and the report has the longest such time. The end of one of two runs of a task no longer ends the other one in the checker. New fault: an entry that is lost for 2 s while all sidecars lack processor time.

TestChecks passes.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -63,6 +63,9 @@
 		s.checker.events.add("caller of job %s sends it to entry-%d", j.id, entry)
 		status, body := s.post(ctx, entry, j, wait)
 		s.checker.events.add("caller of job %s at entry-%d: %d %s", j.id, entry, status, body)
+		if status == 0 {
+			s.checker.onDeparted(j.id)
+		}
 		attempts = append(attempts, attempt{status, body})
 		if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway || abandons || ctx.Err() != nil {
 			break
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -36,10 +36,13 @@
 		withdrawn   map[string]time.Time
 		violations  []string
 		events      eventLog
-		timerDelays []string
-		jobs        int
-		responses   map[string]int
-		accepted    map[string]int // number of tasks by accepted durable job
+		departures  map[string]time.Time // when a caller's last call without a response ended, by restartable job
+		// longestOrphan is the longest time for which a run went on after its caller's call had ended without a response.
+		longestOrphan time.Duration
+		timerDelays   []string
+		jobs          int
+		responses     map[string]int
+		accepted      map[string]int // number of tasks by accepted durable job
 	}
 
 	// startedRun is a run that a backend server has started.
@@ -60,7 +63,7 @@
 	return &checker{
 		running: map[string]startedRun{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, responses: map[string]int{},
-		accepted: map[string]int{},
+		accepted: map[string]int{}, departures: map[string]time.Time{},
 	}
 }
 
@@ -88,18 +91,8 @@
 	job, _, _ := strings.Cut(task, ".")
 	started := startedRun{server, sidecar, run, time.Now()}
 	c.events.add("%s, task %s, run %d: %s", server, task, run, cmp.Or(outcome, "started"))
-	switch outcome {
-	case "":
-	case "done":
-		c.succeeded[task] = true
-		delete(c.running, task)
-		return
-	case "failed":
-		c.failedRuns[task]++
-		delete(c.running, task)
-		return
-	default:
-		delete(c.running, task)
+	if outcome != "" {
+		c.onEndLocked(job, task, started, outcome)
 		return
 	}
 	c.startedRuns[job]++
@@ -115,6 +108,41 @@
 	}
 }
 
+// onEndLocked records the end of a run at ended.at.
+func (c *checker) onEndLocked(job, task string, ended startedRun, outcome string) {
+	switch outcome {
+	case "done":
+		c.succeeded[task] = true
+	case "failed":
+		c.failedRuns[task]++
+	}
+	if r := c.running[task]; r.server == ended.server && r.number == ended.number { // not another run at the same time
+		c.checkOrphanLocked(job, task, ended.at)
+		delete(c.running, task)
+	}
+}
+
+// checkOrphanLocked checks that a run that has ended at a time did not outlast its caller's connection until the caller
+// could resubmit the job. The second run may be late for other reasons, so two runs at once show only some of the cases.
+func (c *checker) checkOrphanLocked(job, task string, at time.Time) {
+	r, departed := c.running[task], c.departures[job]
+	if departed.IsZero() || r.at.IsZero() || !r.at.Before(departed) {
+		return
+	}
+	orphaned := at.Sub(departed)
+	c.longestOrphan = max(c.longestOrphan, orphaned)
+	if orphaned > resendDelay {
+		c.addViolationLocked("task %s: %s went on for %s after its caller's connection had ended", task, r, orphaned.Round(time.Millisecond))
+	}
+}
+
+// onDeparted records that a call for a restartable job ended without a response.
+func (c *checker) onDeparted(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.departures[job] = time.Now()
+}
+
 func (c *checker) onDraining(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -220,13 +248,14 @@
 func (c *checker) report() *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &Report{Jobs: c.jobs, Answers: c.responses, Violations: c.violations, TimerDelays: c.timerDelays}
+	return &Report{Jobs: c.jobs, Answers: c.responses, Violations: c.violations, LongestOrphan: c.longestOrphan, TimerDelays: c.timerDelays}
 }
 
 // String formats the report as text.
 func (r *Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d jobs, %d faults, %d violations, answers %v\n", r.Seed, r.Jobs, len(r.Faults), len(r.Violations), r.Answers)
+	fmt.Fprintf(&b, "  runs went on for up to %s after their caller's connection had ended\n", r.LongestOrphan.Round(time.Millisecond))
 	if len(r.TimerDelays) > 0 {
 		fmt.Fprintf(&b, "  the machine was overloaded: timers fired late by up to %s\n", strings.Join(r.TimerDelays, ", "))
 	}
--- a/soaker/shortage.go
+++ b/soaker/shortage.go
@@ -24,6 +24,8 @@
 	minShortage = 3 * time.Second
 	// shortageFaultFraction is the fraction of the faults that are selected from shortageFaults.
 	shortageFaultFraction = 0.7
+	// minLoss is how long an entry is lost at least, so that its callers resubmit before it is back.
+	minLoss = 2 * time.Second
 	// shortageLead is how long processes lack processor time before another fault is added.
 	shortageLead = 600 * time.Millisecond
 )
@@ -68,6 +70,17 @@
 			s.pause(s.entry(pick), length)
 		})
 	}},
+	{"entry lost while all sidecars starved", func(s *soak, ctx context.Context, pick int, length time.Duration) {
+		loss := max(length, minLoss)
+		s.duringShortage(s.nodes[s.plan.Entries:], shortageLead+loss, func() {
+			if pick%2 == 0 {
+				s.kill(ctx, s.entry(pick), loss)
+				return
+			}
+			s.entry(pick).callerProxy.reset(1)
+			s.pause(s.entry(pick), loss)
+		})
+	}},
 	{"callers reset while sidecars and entry starved", func(s *soak, _ context.Context, pick int, length time.Duration) {
 		s.duringShortage(append(s.someSidecars(pick), s.entry(pick)), length, func() { s.entry(pick).callerProxy.reset(1) })
 	}},
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -70,6 +70,8 @@
 		// machine was overloaded.
 		TimerDelays []string
 		Violations  []string
+		// LongestOrphan is the longest time for which a run went on after its caller's connection had ended.
+		LongestOrphan time.Duration
 	}
 
 	// soak is a run of a plan.
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -99,11 +99,27 @@
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onRun("b", "s", "d", job+".0.0.0", 2, "")
 		}, true},
+		{"two runs at once after the end of a third one", func(c *checker) {
+			c.running[job+".0.0.0"] = startedRun{server: "b", number: 2}
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "stopped")
+			c.onRun("c", "s", "d", job+".0.0.0", 3, "")
+		}, true},
 		{"run after the end of another one", func(c *checker) {
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "lapsed")
 			c.onRun("b", "s", "d", job+".0.0.0", 2, "")
 		}, false},
+		{"run for longer than until the job is resubmitted", func(c *checker) {
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
+			c.running[job+".0.0.0"] = startedRun{server: "a", number: 1, at: time.Now().Add(-resendDelay - 2*time.Second)}
+			c.departures[job] = time.Now().Add(-resendDelay - time.Second)
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "done")
+		}, true},
+		{"run that ends soon after its caller", func(c *checker) {
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
+			c.onDeparted(job)
+			c.onRun("a", "s", "d", job+".0.0.0", 1, "stopped")
+		}, false},
 		{"false refusal", func(c *checker) {
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onResponses(job, 1, []attempt{{503, ""}})
