--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -37,20 +37,26 @@
 	parallel := flag.Int("parallel", 1, "seeds that run at a time; with -platform only")
 	entries := flag.Int("entries", 3, "entries; with -platform only")
 	sidecars := flag.Int("sidecars", 6, "sidecars; with -platform only")
+	shortage := flag.Bool("cpuShortage", false, "add long tasks and faults of processes that lack processor time; with -platform only")
 	flag.Parse()
 	if *platform {
 		os.Exit(runSoak(soaker.Plan{
 			Seed: *seed, Duration: time.Duration(*seconds) * time.Second, FaultInterval: time.Duration(*faultInterval) * time.Millisecond,
-			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs,
+			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs, CPUShortage: *shortage,
+			Faults: splitNames(*faults),
 		}, *seeds, *parallel))
 	}
 	os.Exit(runInjector(injector.Plan{
 		Seed: *seed, Duration: timer.Millis(*seconds) * timer.Second, FaultInterval: timer.Millis(*faultInterval), JobsPerSecond: *rate,
 		ResubmitTimeout: timer.Millis(*resubmitPeriod), LogDir: *logs,
-		Faults: strings.FieldsFunc(*faults, func(c rune) bool { return c == ',' }),
+		Faults: splitNames(*faults),
 	}))
 }
 
+func splitNames(list string) []string {
+	return strings.FieldsFunc(list, func(c rune) bool { return c == ',' })
+}
+
 // withBinaries builds the programs into a temporary directory and calls fn with it. It returns the exit status, which is
 // 1 if the build fails, or if fn returns an error or reports a failure.
 func withBinaries(fn func(ctx context.Context, directory string) (failed bool, err error)) int {
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,17 +28,28 @@
 	// checker records what callers and backend servers observe and the violations of the guarantees.
 	checker struct {
 		mu          sync.Mutex
-		running     map[string]string // backend server that runs the task, by task
-		startedRuns map[string]int    // number of started runs by job
-		succeeded   map[string]bool   // tasks that have succeeded
-		failedRuns  map[string]int    // number of failed runs by task
+		running     map[string]startedRun // by task
+		startedRuns map[string]int        // number of started runs by job
+		succeeded   map[string]bool       // tasks that have succeeded
+		failedRuns  map[string]int        // number of failed runs by task
 		draining    map[string]time.Time
 		withdrawn   map[string]time.Time
 		violations  []string
-		timerDelays []string
-		jobs        int
-		responses   map[string]int
-		accepted    map[string]int // number of tasks by accepted durable job
+		events      eventLog
+		departures  map[string][]time.Time // when callers' calls without a response ended, by restartable job, in order
+		// longestOrphan is the longest time for which a run went on after its caller's call had ended without a response.
+		longestOrphan time.Duration
+		timerDelays   []string
+		jobs          int
+		responses     map[string]int
+		accepted      map[string]int // number of tasks by accepted durable job
+	}
+
+	// startedRun is a run that a backend server has started.
+	startedRun struct {
+		server, sidecar string
+		number          uint64
+		at              time.Time
 	}
 
 	// attempt is the outcome of one submission of a job.
@@ -49,9 +61,9 @@
 
 func newChecker() *checker {
 	return &checker{
-		running: map[string]string{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
+		running: map[string]startedRun{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, responses: map[string]int{},
-		accepted: map[string]int{},
+		accepted: map[string]int{}, departures: map[string][]time.Time{},
 	}
 }
 
@@ -67,30 +79,27 @@
 	}
 }
 
+// String names the run with its start time.
+func (r startedRun) String() string {
+	return fmt.Sprintf("run %d on %s (%s, started at %s)", r.number, r.server, r.sidecar, r.at.UTC().Format("15:04:05.000"))
+}
+
 // onRun records the start of a run, for which outcome is empty, or its end.
-func (c *checker) onRun(server, domain, task string, run uint64, outcome string) {
+func (c *checker) onRun(server, sidecar, domain, task string, run uint64, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job, _, _ := strings.Cut(task, ".")
-	switch outcome {
-	case "":
-	case "done":
-		c.succeeded[task] = true
-		delete(c.running, task)
-		return
-	case "failed":
-		c.failedRuns[task]++
-		delete(c.running, task)
-		return
-	default:
-		delete(c.running, task)
+	started := startedRun{server, sidecar, run, time.Now()}
+	c.events.add("%s, task %s, run %d: %s", server, task, run, cmp.Or(outcome, "started"))
+	if outcome != "" {
+		c.onEndLocked(job, task, started, outcome)
 		return
 	}
 	c.startedRuns[job]++
-	if other := c.running[task]; other != "" {
-		c.addViolationLocked("task %s, run %d started on %s while the task was running on %s", task, run, server, other)
+	if other, running := c.running[task]; running {
+		c.addViolationLocked("task %s: %s while %s had been running for %s", task, started, other, started.at.Sub(other.at).Round(time.Millisecond))
 	}
-	c.running[task] = server
+	c.running[task] = started
 	if at := c.draining[server]; !at.IsZero() && time.Since(at) > drainStartLimit {
 		c.addViolationLocked("task %s started on %s, %s after its drain was acknowledged", task, server, time.Since(at))
 	}
@@ -99,6 +108,42 @@
 	}
 }
 
+// onEndLocked records the end of a run at ended.at.
+func (c *checker) onEndLocked(job, task string, ended startedRun, outcome string) {
+	switch outcome {
+	case "done":
+		c.succeeded[task] = true
+	case "failed":
+		c.failedRuns[task]++
+	}
+	if r := c.running[task]; r.server == ended.server && r.number == ended.number { // not another run at the same time
+		c.checkOrphanLocked(job, task, ended.at)
+		delete(c.running, task)
+	}
+}
+
+// checkOrphanLocked checks that a run that has ended at a time did not outlast its caller's connection until the caller
+// could resubmit the job. The second run may be late for other reasons, so two runs at once show only some of the cases.
+func (c *checker) checkOrphanLocked(job, task string, at time.Time) {
+	r := c.running[task]
+	i := slices.IndexFunc(c.departures[job], r.at.Before)
+	if r.at.IsZero() || i < 0 {
+		return
+	}
+	orphaned := at.Sub(c.departures[job][i])
+	c.longestOrphan = max(c.longestOrphan, orphaned)
+	if orphaned > resendDelay {
+		c.addViolationLocked("task %s: %s went on for %s after its caller's connection had ended", task, r, orphaned.Round(time.Millisecond))
+	}
+}
+
+// onDeparted records that a call for a restartable job ended without a response.
+func (c *checker) onDeparted(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.departures[job] = append(c.departures[job], time.Now())
+}
+
 func (c *checker) onDraining(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,13 +249,14 @@
 func (c *checker) report() *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &Report{Jobs: c.jobs, Answers: c.responses, Violations: c.violations, TimerDelays: c.timerDelays}
+	return &Report{Jobs: c.jobs, Answers: c.responses, Violations: c.violations, LongestOrphan: c.longestOrphan, TimerDelays: c.timerDelays}
 }
 
 // String formats the report as text.
 func (r *Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d jobs, %d faults, %d violations, answers %v\n", r.Seed, r.Jobs, len(r.Faults), len(r.Violations), r.Answers)
+	fmt.Fprintf(&b, "  runs went on for up to %s after their caller's connection had ended\n", r.LongestOrphan.Round(time.Millisecond))
 	if len(r.TimerDelays) > 0 {
 		fmt.Fprintf(&b, "  the machine was overloaded: timers fired late by up to %s\n", strings.Join(r.TimerDelays, ", "))
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +34,7 @@
 	readyPort        = 8001
 	announcePort     = 8002
 	backendPort      = 8003
+	callerProxyPort  = 8004
 	firstSidecarHost = 100
 	storeHost        = 250
 	startTimeout     = 20 * time.Second
@@ -50,7 +53,11 @@
 		Duration      time.Duration // time during which jobs are submitted and faults injected; default 20 s
 		JobsPerSecond int           // default 30
 		FaultInterval time.Duration // mean time between faults; default 700 ms
-		LogDir        string        // directory for the output of the processes; not written if empty
+		// CPUShortage adds jobs with long tasks and the faults of processes that lack processor time to the usual faults.
+		CPUShortage bool
+		// Faults names the faults to select from. If it is empty, all are used.
+		Faults []string
+		LogDir string // directory for the output of the processes; not written if empty
 	}
 
 	// Report is the result of a run.
@@ -63,6 +70,8 @@
 		// machine was overloaded.
 		TimerDelays []string
 		Violations  []string
+		// LongestOrphan is the longest time for which a run went on after its caller's connection had ended.
+		LongestOrphan time.Duration
 	}
 
 	// soak is a run of a plan.
@@ -98,11 +107,14 @@
 		isEntry    bool
 		domain     string
 		entryProxy *proxy // proxy in front of an entry's listener; nil for sidecars
-		storeProxy *proxy
+		// callerProxy is the proxy between callers and an entry; nil for sidecars.
+		callerProxy *proxy
+		storeProxy  *proxy
 
 		mu      sync.Mutex
 		process *launcher.Process
-		claimed bool // claimed by a fault that terminates the process and restarts it
+		earlier []*launcher.Process // processes that have ended, oldest first
+		claimed bool                // claimed by a fault that terminates the process and restarts it
 	}
 )
 
@@ -128,6 +140,11 @@
 // Run executes the plan. Its processes are killed when it returns.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	p = p.withDefaults()
+	for _, name := range p.Faults {
+		if !slices.Contains(FaultNames(), name) {
+			return nil, trace.BadParameter("no fault has the name %q", name)
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &soak{
 		plan: p, random: rand.New(rand.NewPCG(p.Seed, 3)), started: time.Now(), store: &platformtest.Store{}, version: 1,
@@ -188,7 +205,7 @@
 	for at := time.Now(); time.Since(at) < startTimeout; time.Sleep(restartDelay) {
 		served := 0
 		for i := range s.plan.Entries {
-			if status, _ := s.post(ctx, i, fmt.Sprintf("%016x", i), 1, "1", time.Second); status == http.StatusOK {
+			if status, _ := s.post(ctx, i, job{fmt.Sprintf("%016x", i), 1, 1, callTimeout}, time.Second); status == http.StatusOK {
 				served++
 			}
 		}
@@ -234,7 +251,10 @@
 		return err
 	}
 	n.args = append(n.args, "-callersAddress", s.address(host, callersPort), "-readyAddress", s.address(host, readyPort), "-advertise", s.address(host, proxyPort))
-	n.entryProxy, err = newProxy(ctx, s.address(host, proxyPort), s.address(host, entryPort))
+	if n.entryProxy, err = newProxy(ctx, s.address(host, proxyPort), s.address(host, entryPort)); err != nil {
+		return err
+	}
+	n.callerProxy, err = newProxy(ctx, s.address(host, callerProxyPort), s.address(host, callersPort))
 	return err
 }
 
@@ -246,7 +266,7 @@
 	}
 	b := &platformtest.Backend{ID: fmt.Sprintf("i-%d", i), Service: service, Zone: n.domain, CPU: backendCPU, MemMb: 64_000, Control: s.address(host, announcePort)}
 	b.OnRun = func(task string, run uint64, outcome string) {
-		s.checker.onRun(b.ID, n.domain, task, run, outcome)
+		s.checker.onRun(b.ID, n.name, n.domain, task, run, outcome)
 	}
 	b.OnDraining = func() { s.checker.onDraining(b.ID) }
 	s.backends = append(s.backends, b)
@@ -267,6 +287,9 @@
 		return err
 	}
 	n.mu.Lock()
+	if n.process != nil {
+		n.earlier = append(n.earlier, n.process)
+	}
 	n.process = p
 	n.mu.Unlock()
 	return nil
@@ -315,7 +338,7 @@
 func (s *soak) sendFinalJobs(ctx context.Context, round int) (failures []string) {
 	for i := range finalJobCount {
 		id := fmt.Sprintf("f%07x%08x", round, i)
-		if status, body := s.post(ctx, i%s.plan.Entries, id, 2, "20", 2*time.Second); status != http.StatusOK {
+		if status, body := s.post(ctx, i%s.plan.Entries, job{id, 2, 20, callTimeout}, callTimeout); status != http.StatusOK {
 			failures = append(failures, fmt.Sprintf("job %s, submitted %s after the last fault: got %d %s, want 200", id, settleTime, status, body))
 		}
 	}
@@ -327,10 +350,25 @@
 		return trace.ConvertSystemError(err)
 	}
 	for _, n := range s.nodes {
-		path := filepath.Join(s.plan.LogDir, fmt.Sprintf("%d-%s.log", s.plan.Seed, n.name))
-		if err := os.WriteFile(path, []byte(n.current().Tail(1<<20)), 0o600); err != nil {
-			return trace.ConvertSystemError(err)
+		if err := s.writeLog(n.name, n.output()); err != nil {
+			return err
 		}
 	}
-	return nil
+	return s.writeLog("observer", s.checker.events.String())
+}
+
+func (s *soak) writeLog(name, text string) error {
+	path := filepath.Join(s.plan.LogDir, fmt.Sprintf("%d-%s.log", s.plan.Seed, name))
+	return trace.ConvertSystemError(os.WriteFile(path, []byte(text), 0o600))
+}
+
+// output returns the output of all processes that the node has had.
+func (n *node) output() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var parts []string
+	for _, p := range append(slices.Clone(n.earlier), n.process) {
+		parts = append(parts, p.Tail(1<<20))
+	}
+	return strings.Join(parts, "\n")
 }
