--- a/submitter/livesender_test.go
+++ b/submitter/livesender_test.go
@@ -8,8 +8,8 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-// reviewSidecar returns a sidecar with a listed backend server, a session of an entry and a function that makes a hold call.
-func reviewSidecar(now timer.Millis, onStop func()) (k *supervisor.Supervisor, link *marshaler.Link, closed *int, hold func(now timer.Millis, rows ...supervisor.RunProgress) int64) {
+// newSidecarWithEntry returns a sidecar with a listed backend server, a session of an entry and a function that makes a hold call.
+func newSidecarWithEntry(now timer.Millis, onStop func()) (k *supervisor.Supervisor, link *marshaler.Link, closed *int, hold func(now timer.Millis, rows ...supervisor.RunProgress) int64) {
 	k = &supervisor.Supervisor{Start: func(marshaler.Start) {}, Stop: func(marshaler.RunKey) { onStop() }, HoldNow: func() {}}
 	k.Announce(now, supervisor.Backend{ID: "i-1", StartTime: 10, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 9000}})
 	closed = new(int)
@@ -33,7 +33,7 @@
 	for _, delay := range []timer.Millis{0, 100, 200, 250, 300, 350} {
 		now := timer.Millis(5000)
 		stops := 0
-		k, link, closed, hold := reviewSidecar(now, func() { stops++ })
+		k, link, closed, hold := newSidecarWithEntry(now, func() { stops++ })
 		var clock remoteClock
 		observe := func() { // a report of the sidecar that waited for delay in the event queue
 			m := &marshaler.Load{Time: now - delay}
@@ -89,7 +89,7 @@
 		stopTime = 50 * timer.Millisecond
 	)
 	lostAt := timer.Millis(5000)
-	k, link, _, hold := reviewSidecar(lostAt, func() {})
+	k, link, _, hold := newSidecarWithEntry(lostAt, func() {})
 	key := marshaler.RunKey{Job: "job", Attempt: 1}
 	k.OnMessage(lostAt, link, &marshaler.Start{Run: key, Estimate: 5000, NotAfter: int64(lostAt) + 400, SentAt: lostAt})
 	k.OnStarted(lostAt, supervisor.StartResult{Run: key, Status: supervisor.StartConfirmed})
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -192,7 +192,7 @@
 	j.assigned++
 	sc.assignedRuns[key] = sc.session
 	sc.activate(s.now)
-	sc.lastSent, sc.vouchedAt = s.now, s.now // the start also serves as a heartbeat
+	sc.lastSent, sc.keepaliveAt = s.now, s.now // the start also serves as a heartbeat
 	var epoch uint64
 	if j.durability.partition != nil {
 		epoch = j.durability.partition.epoch
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -112,7 +112,7 @@
 	if !sc.runsUnconfirmed {
 		sc.runsUnconfirmed, sc.runsExpireAt = true, sc.heartbeatDueSince()+runExpiry
 	}
-	sc.runsExpireAt = max(sc.runsExpireAt, sc.vouchedAt+vouchExpiry)
+	sc.runsExpireAt = max(sc.runsExpireAt, sc.keepaliveAt+keepaliveExpiry)
 	s.placer.SetAccepting(sc.name, false)
 	s.report(Event{Kind: "sidecarLost", Peer: sc.name, Detail: cause, Value: int64(len(sc.assignedRuns))})
 }
@@ -338,7 +338,7 @@
 	if sc.offset < s.snapshot.Offset && s.relay.ShouldSend(s.now, s.Name, sc.name, sc.offset == 0) {
 		sc.link.Send(&marshaler.Configuration{Body: s.snapshot.Append(nil)})
 	}
-	sc.lastSent, sc.vouchedAt = s.now, s.now
+	sc.lastSent, sc.keepaliveAt = s.now, s.now
 	m := s.newHeartbeat()
 	m.SentAt = sc.remote.at(s.now)
 	sc.link.Send(m)
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -24,9 +24,9 @@
 	// sidecar may receive messages of the entry for one more heartbeat timeout, then stops the runs within its own
 	// timeout and one tick. If it is suspended, their lease of 700 ms on a clock that is 2% slow ends them.
 	runExpiry = 1750 * timer.Millisecond
-	// vouchExpiry is the time since this entry's last heartbeat or start to a sidecar after which its runs there are guaranteed
+	// keepaliveExpiry is the time since this entry's last heartbeat or start to a sidecar after which its runs there are guaranteed
 	// to have ended: the sidecar's timeout, the lease of 700 ms on a clock that is 2% slow, and the time to stop a run.
-	vouchExpiry = 1300 * timer.Millisecond
+	keepaliveExpiry = 1300 * timer.Millisecond
 	// startTTL is how long after it was sent a start may still be executed.
 	startTTL = 400 * timer.Millisecond
 	// attemptGap separates the attempt numbers of this entry from those of another entry that ran the task before.
@@ -157,14 +157,14 @@
 		link        *marshaler.Link
 		domain      string
 		liveness
-		backend    *marshaler.Backend
-		clock      int64
-		clockAt    timer.Millis
-		remote     remoteClock  // of the sidecar process
-		vouchedAt  timer.Millis // time of the latest heartbeat or start to the sidecar, on any session
-		offset     uint64
-		subscribed bool
-		session    uint64 // number of the current session, counted by this entry
+		backend     *marshaler.Backend
+		clock       int64
+		clockAt     timer.Millis
+		remote      remoteClock  // of the sidecar process
+		keepaliveAt timer.Millis // time of the latest heartbeat or start to the sidecar, on any session
+		offset      uint64
+		subscribed  bool
+		session     uint64 // number of the current session, counted by this entry
 		// remoteSession is the number of the current session as counted by the sidecar. Sessions may be reported out of
 		// order, because each has its own reader.
 		remoteSession uint64
--- a/supervisor/starved_test.go
+++ b/supervisor/starved_test.go
@@ -18,9 +18,9 @@
 	longRun = 2700 * timer.Millisecond
 )
 
-// survivor feeds a Supervisor that has a run of an entry which is lost, and measures until when the run may be alive on
+// lostEntryFixture feeds a Supervisor that has a run of an entry which is lost, and measures until when the run may be alive on
 // the backend server. The server's lease is extended by holds and by starts, and its clock is 2% slow.
-type survivor struct {
+type lostEntryFixture struct {
 	*fixture
 	other        *marshaler.Link // session of an entry that goes on starting runs
 	startedAt    timer.Millis
@@ -30,8 +30,8 @@
 	lapsedAt     timer.Millis // when the lease ended the run; 0 while it has not
 }
 
-func newSurvivor() *survivor {
-	v := &survivor{fixture: newFixture()}
+func newLostEntryFixture() *lostEntryFixture {
+	v := &lostEntryFixture{fixture: newFixture()}
 	lost := v.link
 	v.connect("other", 1)
 	v.other, v.link = v.link, lost
@@ -45,14 +45,14 @@
 }
 
 // extendLease extends the lease of all runs until a time on the backend server's clock.
-func (v *survivor) extendLease(until int64) {
+func (v *lostEntryFixture) extendLease(until int64) {
 	if remaining := timer.Millis(until) - v.now; remaining > 0 {
 		v.leaseUntil = max(v.leaseUntil, v.now+min(remaining, maxLeaseMs)*102/100)
 	}
 }
 
 // hold makes a hold call, whose response lists the run while it may be alive.
-func (v *survivor) hold() {
+func (v *lostEntryFixture) hold() {
 	h, ok := v.k.BeginHold(v.now)
 	if !ok {
 		return
@@ -71,7 +71,7 @@
 }
 
 // startOther lets the other entry start a run, which is refused or ends at once.
-func (v *survivor) startOther() {
+func (v *lostEntryFixture) startOther() {
 	v.attempt++
 	run := marshaler.RunKey{Job: "other", Attempt: v.attempt}
 	v.k.OnMessage(v.now, v.other, &marshaler.Start{Run: run, Estimate: 10, NotAfter: int64(v.now) + 400})
@@ -79,7 +79,7 @@
 }
 
 // aliveUntil returns the time until which the run may be alive.
-func (v *survivor) aliveUntil(stoppedAt timer.Millis) timer.Millis {
+func (v *lostEntryFixture) aliveUntil(stoppedAt timer.Millis) timer.Millis {
 	end := v.leaseUntil
 	if v.lapsedAt > 0 {
 		end = v.lapsedAt
@@ -115,7 +115,7 @@
 		{"stops are ignored, late ticks, other starts", 120, 0, true, false, true},
 	}
 	for _, c := range cases {
-		v := newSurvivor()
+		v := newLostEntryFixture()
 		lostAt := v.now
 		v.stopsIgnored = c.ignored
 		if c.session {
@@ -147,6 +147,6 @@
 }
 
 // heartbeat returns a heartbeat that an entry sent at the given time.
-func (v *survivor) heartbeat(at timer.Millis) *marshaler.Heartbeat {
+func (v *lostEntryFixture) heartbeat(at timer.Millis) *marshaler.Heartbeat {
 	return &marshaler.Heartbeat{SentAt: at}
 }
