--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -69,7 +69,9 @@
 func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, gone bool, reason string) {
 	gone = gone && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
 	if gone {
+		active := len(k.runs)
 		k.endListedRuns(now, "backend server is gone")
+		k.goneRuns += active - len(k.runs)
 	}
 	if !k.unresponsive && (gone || now-k.listedAt > holdTimeout) {
 		k.unresponsive = true
@@ -87,6 +89,7 @@
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
 		k.resetBackend(now, l.StartTime)
 	}
+	k.reportRefuted()
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
 	}
@@ -112,6 +115,16 @@
 	k.listedAt = now
 }
 
+// reportRefuted reports that the backend server answers under the start time under which its runs were taken for ended. Those
+// runs may have been active all the time, while their tasks were started elsewhere.
+func (k *Supervisor) reportRefuted() {
+	if k.goneRuns == 0 {
+		return
+	}
+	k.report(Event{Kind: "backendAlive", Detail: "answers after its runs were taken for ended", Value: int64(k.goneRuns)})
+	k.goneRuns = 0
+}
+
 func (k *Supervisor) onEnds(now timer.Millis, ends []EndedRun) (ended bool) {
 	for _, e := range ends {
 		if e.Number <= k.lastEnd {
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -100,6 +100,7 @@
 // server has no listener.
 func (k *Supervisor) OnStopped(now timer.Millis, key marshaler.RunKey, ok, gone bool) {
 	if r := k.findRun(key); r != nil && gone {
+		k.goneRuns++
 		k.endRun(now, r, marshaler.StatusLost, "backend server is gone")
 		return
 	}
