--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -23,7 +23,8 @@
 	idleHoldTimeout = 250 * time.Millisecond
 	// unrecordedHoldDelay is the delay between hold calls that return at once because some ends are not recorded yet.
 	unrecordedHoldDelay = 10 * time.Millisecond
-	// holdRetryDelay is the delay after a hold call that failed without timing out.
+	// holdRetryDelay is the delay before the hold call that follows one that failed without timing out. Two calls that are
+	// refused at this interval show that the backend server has ended.
 	holdRetryDelay = 20 * time.Millisecond
 
 	maxBackendConnections = 10
@@ -189,6 +190,7 @@
 
 // runHolds makes the hold calls, which renew the leases of all runs and wait for runs to end.
 func (s *Sidecar) runHolds(ctx context.Context) {
+	var retryDelay time.Duration
 	for {
 		var request supervisor.HoldRequest
 		select {
@@ -200,12 +202,15 @@
 		if request.HasRuns {
 			timeout = busyHoldTimeout
 		}
+		delay := retryDelay
 		if request.HasUnrecordedEnds {
-			time.Sleep(unrecordedHoldDelay)
+			delay = max(delay, unrecordedHoldDelay)
 		}
+		time.Sleep(delay)
 		listing, err := s.callHold(request, timeout)
+		retryDelay = 0
 		if err != nil && !platform.IsTimeout(err) {
-			time.Sleep(holdRetryDelay)
+			retryDelay = holdRetryDelay
 		}
 		s.loop.post(ctx, func(now timer.Millis) {
 			s.holdPending = false
@@ -239,7 +244,7 @@
 	go func() {
 		listing, err := s.callHold(request, 0)
 		if err != nil {
-			return // the next hold call reports the same failure
+			return // the hold calls of runHolds report the same failure
 		}
 		s.loop.post(ctx, func(now timer.Millis) { s.core.OnHoldResponse(now, listing) })
 	}()
@@ -268,7 +273,7 @@
 		if err != nil {
 			s.Logger.WithError(err).WithField("job", r.Job).Warn("sidecar: stop call to the backend server failed")
 		}
-		s.loop.post(ctx, func(now timer.Millis) { s.core.OnStopped(now, r, stopped, platform.IsConnectionRefused(err)) })
+		s.loop.post(ctx, func(timer.Millis) { s.core.OnStopped(r, stopped) })
 	}()
 }
 
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -64,16 +64,19 @@
 	return k.backendClock + int64(now-k.backendClockAt)
 }
 
-// OnHoldFailed handles the failure of a hold. gone says that the backend server has no listener, so nothing runs on it, unless
-// another incarnation has announced itself since the request.
-func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, gone bool, reason string) {
-	gone = gone && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
-	if gone {
-		active := len(k.runs)
-		k.endListedRuns(now, "backend server is gone")
-		k.goneRuns += active - len(k.runs)
-	}
-	if !k.unresponsive && (gone || now-k.listedAt > holdTimeout) {
+// OnHoldFailed handles the failure of a hold. refused says that the connection was refused. That does not concern the present
+// incarnation of the backend server if it has announced itself since the request.
+func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, refused bool, reason string) {
+	refused = refused && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
+	switch {
+	case !refused:
+		k.refusedHold = 0
+	case k.refusedHold == 0:
+		k.refusedHold = k.lastHold
+	case request.Number > k.refusedHold:
+		k.endGoneRuns(now)
+	}
+	if !k.unresponsive && (refused || now-k.listedAt > holdTimeout) {
 		k.unresponsive = true
 		k.report(Event{Kind: "backendSilent", Detail: reason})
 		k.sendLoads(now)
@@ -89,6 +92,7 @@
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
 		k.resetBackend(now, l.StartTime)
 	}
+	k.refusedHold = 0
 	k.reportRefuted()
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -53,6 +53,9 @@
 
 // OnStarted handles the backend server's response to a start.
 func (k *Supervisor) OnStarted(now timer.Millis, s StartResult) {
+	if s.Status == StartConfirmed || s.Status == StartSuperseded {
+		k.refusedHold = 0
+	}
 	r := k.findRun(s.Run)
 	if r == nil {
 		return
@@ -96,21 +99,19 @@
 	k.Stop(r.key)
 }
 
-// OnStopped handles the backend server's response to a stop. ok is false when there was none; gone says that the backend
-// server has no listener.
-func (k *Supervisor) OnStopped(now timer.Millis, key marshaler.RunKey, ok, gone bool) {
-	if r := k.findRun(key); r != nil && gone {
-		k.goneRuns++
-		k.endRun(now, r, marshaler.StatusLost, "backend server is gone")
+// OnStopped handles the backend server's response to a stop. ok is false when there was none.
+func (k *Supervisor) OnStopped(key marshaler.RunKey, ok bool) {
+	if !ok {
 		return
 	}
-	if r := k.findRun(key); r != nil && ok && r.stopHold == 0 {
+	k.refusedHold = 0
+	if r := k.findRun(key); r != nil && r.stopHold == 0 {
 		r.stopHold = k.lastHold
 		k.HoldNow()
 	}
 }
 
-// endListedRuns ends the runs that the backend server has listed, because it has exited. Other starts may reach its next
+// endListedRuns ends the runs that the backend server has listed, because it has restarted. Other starts may reach its next
 // incarnation; their runs end only after a stop was answered.
 func (k *Supervisor) endListedRuns(now timer.Millis, reason string) {
 	for _, r := range k.sortedRuns() {
@@ -125,6 +126,19 @@
 	}
 }
 
+// endGoneRuns ends the runs of a backend server that has refused two holds in succession. One refusal does not show that its
+// process has ended: the listener may be closed for a moment, or the connection was reset while it was opened. The call of
+// a start that is unanswered ends by itself; a stop follows it, and the next refused hold ends that run.
+func (k *Supervisor) endGoneRuns(now timer.Millis) {
+	for _, r := range k.sortedRuns() {
+		if r.state == stateStarting && !r.listed {
+			continue
+		}
+		k.goneRuns++
+		k.endRun(now, r, marshaler.StatusLost, "backend server is gone")
+	}
+}
+
 func (k *Supervisor) findRun(key marshaler.RunKey) *run {
 	if r := k.runs[taskKey{key.Job, key.Index}]; r != nil && r.key.Attempt == key.Attempt {
 		return r
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -105,7 +105,7 @@
 		backend      Backend
 		announced    bool // the backend server has announced itself; backend is valid
 		reconciled   bool // a hold response listed no run that this process does not know
-		unresponsive bool // holds have failed for holdTimeout, or the backend server has no listener
+		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		withdrawn    bool
 		stopping     bool
 		offset       uint64
@@ -129,6 +129,7 @@
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
 		leaseWithheld  bool         // the lease is not extended, because of a run that must end
 		unknownRuns    int          // active runs in the latest hold response that this process does not know
+		refusedHold    uint64       // holds with a higher number began after the backend server refused one; 0 if it has answered since
 		goneRuns       int          // runs that were taken for ended because the present incarnation refused connections
 	}
 
@@ -285,7 +286,8 @@
 // resetBackend discards the state of the previous backend server incarnation, whose runs have ended with it.
 func (k *Supervisor) resetBackend(now timer.Millis, born uint64) {
 	k.backend.StartTime = born
-	k.lastEnd, k.reconciled, k.backendClock, k.backendClockAt, k.speed, k.goneRuns = 0, false, 0, 0, NormalSpeed, 0
+	k.lastEnd, k.reconciled, k.backendClock, k.backendClockAt, k.speed = 0, false, 0, 0, NormalSpeed
+	k.refusedHold, k.goneRuns = 0, 0
 	k.endListedRuns(now, "backend server restarted")
 	k.durable.reset()
 	k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(d unconfirmedStart) bool { return now-d.at > maxStartDelay })
