--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -91,6 +91,9 @@
 	s.lastTick, s.handover.pausedAt = s.now, s.now
 	s.explainer.pause, s.explainer.pausedUntil = pause, s.now
 	s.report(Event{Kind: "paused", Value: int64(pause)})
+	if pause >= longPause {
+		s.resume.until = s.now + resumeTime
+	}
 	s.checkTimeouts()
 	s.expireJobs()
 }
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -150,6 +150,9 @@
 		s.storeJob(j, g)
 		return
 	}
+	if s.holdGrant(j, g) {
+		return
+	}
 	st := &j.steps[g.Step]
 	if j.grantedAt == 0 {
 		j.grantedAt = s.now
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -85,6 +85,7 @@
 		durable                durableJobs
 		load                   loadState
 		handover               handoverState
+		resume                 resumeState
 		snapshot               router.Snapshot
 		relay                  router.Relay
 		explainer              explainer
@@ -325,6 +326,7 @@
 	s.lastTick = now
 	s.updateActivity()
 	s.checkTimeouts()
+	s.releaseGrants()
 	s.repeatRequests()
 	s.expireJobs()
 	s.tickDurable()
