--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -41,6 +41,7 @@
 	kindCancelJobHandover
 	kindQuestion
 	kindExplanation
+	kindCrashRecord
 )
 
 // Append appends the encoding of m to dst. It panics if m is not a pointer to a message type of this package.
@@ -124,7 +125,8 @@
 	dst = appender.AppendString(dst, 3, m.Reason)
 	dst = appendZigZag(dst, 4, int64(m.RunTime))
 	dst = appender.AppendUint(dst, 5, m.Number)
-	return appendBool(dst, 6, m.Stale)
+	dst = appendBool(dst, 6, m.Stale)
+	return appender.AppendUint(dst, 7, uint64(m.Blame))
 }
 
 func appendStart(dst []byte, m *Start) []byte {
@@ -135,7 +137,8 @@
 	dst = appendZigZag(dst, 5, m.NotAfter)
 	dst = appender.AppendUint(dst, 6, m.Epoch)
 	dst = appender.AppendString(dst, 7, m.Queue)
-	return appendZigZag(dst, 8, int64(m.SentAt))
+	dst = appendZigZag(dst, 8, int64(m.SentAt))
+	return appender.AppendUint(dst, 9, uint64(m.Suspicion))
 }
 
 func appendResourceRequest(dst []byte, m *ResourceRequest) []byte {
@@ -160,7 +163,8 @@
 	}
 	dst = appendZigZag(dst, 16, int64(m.MaxWait))
 	dst = appendZigZag(dst, 17, int64(m.TargetEnd))
-	return appendZigZag(dst, 18, int64(m.LastUsefulEnd))
+	dst = appendZigZag(dst, 18, int64(m.LastUsefulEnd))
+	return appender.AppendUint(dst, 19, uint64(m.Suspicion))
 }
 
 func appendLoad(dst []byte, m *Load) []byte {
@@ -180,10 +184,12 @@
 			b = appendZigZag(b, 3, int64(s.RunTime))
 			b = appendZigZag(b, 4, int64(s.Estimate))
 			b = appendResources(b, 5, s.Resources)
-			return appender.AppendString(b, 6, s.Queue)
+			b = appender.AppendString(b, 6, s.Queue)
+			return appender.AppendUint(b, 7, uint64(s.Blame))
 		})
 	}
-	return appendZigZag(dst, 8, int64(m.Time))
+	dst = appendZigZag(dst, 8, int64(m.Time))
+	return appender.AppendUint(dst, 9, m.SuspectRuns)
 }
 
 func appendPeer(b []byte, p *Peer) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -177,6 +177,8 @@
 		return decodeNested(f, s.setField)
 	case 8:
 		return setMillis(f, &m.Time)
+	case 9:
+		return f.StoreUint(&m.SuspectRuns)
 	}
 	return nil
 }
@@ -195,6 +197,8 @@
 		return setResources(f, &s.Resources)
 	case 6:
 		return f.StoreString(&s.Queue, MaxNameLen)
+	case 7:
+		return setUint8(f, &s.Blame)
 	}
 	return nil
 }
@@ -217,6 +221,8 @@
 		return f.StoreString(&m.Queue, MaxNameLen)
 	case 8:
 		return setMillis(f, &m.SentAt)
+	case 9:
+		return setUint8(f, &m.Suspicion)
 	}
 	return nil
 }
@@ -235,6 +241,8 @@
 		return f.StoreUint(&m.Number)
 	case 6:
 		return setBool(f, &m.Stale)
+	case 7:
+		return setUint8(f, &m.Blame)
 	}
 	return nil
 }
@@ -288,6 +296,8 @@
 		return setMillis(f, &m.TargetEnd)
 	case 18:
 		return setMillis(f, &m.LastUsefulEnd)
+	case 19:
+		return setUint8(f, &m.Suspicion)
 	}
 	return nil
 }
--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -54,6 +54,8 @@
 		Attempt  uint64 // highest recorded attempt
 		Failures uint64
 		Done     bool
+		Crashes  uint64 // number of backend servers that crashed under the task
+		GivenUp  bool   // it is not started again because backend servers crashed under it
 	}
 
 	// EndRecord records the end of a run of a durable job, with StatusDone or StatusFailed.
@@ -62,6 +64,13 @@
 		Status Status
 	}
 
+	// CrashRecord records that a backend server crashed under a task of a durable job. Processes of a former version skip
+	// it.
+	CrashRecord struct {
+		Run     RunKey
+		GivenUp bool // the task is not started again
+	}
+
 	// OwnerRecord marks the point in a partition's records at which a new owner takes over.
 	OwnerRecord struct{ Epoch uint64 }
 
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -14,6 +14,9 @@
 	case *EndRecord:
 		dst = appendRunKey(append(dst, kindEndRecord), 1, &m.Run)
 		return appender.AppendUint(dst, 2, uint64(m.Status))
+	case *CrashRecord:
+		dst = appendRunKey(append(dst, kindCrashRecord), 1, &m.Run)
+		return appendBool(dst, 2, m.GivenUp)
 	case *OwnerRecord:
 		return appender.AppendUint(append(dst, kindOwnerRecord), 1, m.Epoch)
 	case *CancelRecord:
@@ -70,7 +73,9 @@
 			b = appender.AppendUint(b, 1, t.Index)
 			b = appender.AppendUint(b, 2, t.Attempt)
 			b = appender.AppendUint(b, 3, t.Failures)
-			return appendBool(b, 4, t.Done)
+			b = appendBool(b, 4, t.Done)
+			b = appender.AppendUint(b, 5, t.Crashes)
+			return appendBool(b, 6, t.GivenUp)
 		})
 	}
 	return appendBool(dst, 9, m.Cancelled)
@@ -123,6 +128,9 @@
 	case kindEndRecord:
 		m := &EndRecord{}
 		return m, m.setField
+	case kindCrashRecord:
+		m := &CrashRecord{}
+		return m, m.setField
 	case kindCancelRecord:
 		m := &CancelRecord{}
 		return m, func(f appender.Field) error { return f.StoreString(&m.Job, MaxNameLen) }
@@ -226,6 +234,10 @@
 		return f.StoreUint(&t.Failures)
 	case 4:
 		return setBool(f, &t.Done)
+	case 5:
+		return f.StoreUint(&t.Crashes)
+	case 6:
+		return setBool(f, &t.GivenUp)
 	}
 	return nil
 }
@@ -240,6 +252,16 @@
 	return nil
 }
 
+func (m *CrashRecord) setField(f appender.Field) error {
+	switch f.Tag {
+	case 1:
+		return setRunKey(f, &m.Run)
+	case 2:
+		return setBool(f, &m.GivenUp)
+	}
+	return nil
+}
+
 func (p *Partition) setField(f appender.Field) error {
 	switch f.Tag {
 	case 1:
--- a/marshaler/kindname.go
+++ b/marshaler/kindname.go
@@ -37,6 +37,7 @@
 	kindCancelJobHandover:     "cancelJobHandover",
 	kindQuestion:              "question",
 	kindExplanation:           "explanation",
+	kindCrashRecord:           "crashRecord",
 }
 
 // KindName returns the name in metrics of a message type, for example "load", or "type" and the number of an unknown
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -28,6 +28,30 @@
 	// StatusSuperseded means that the run was not started because the backend server has already seen this attempt of the task or
 	// a later one.
 	StatusSuperseded
+	// StatusCrashed means that the backend server crashed while the run was active or may have been. Any run that was
+	// active may have caused it.
+	StatusCrashed
+)
+
+const (
+	// SuspicionNone is the suspicion of a task under which no backend server has crashed.
+	SuspicionNone Suspicion = iota
+	// SuspicionPossible is the suspicion of a task under which one backend server has crashed. At most one such task runs
+	// on a backend server, so that a second crash tells it from its neighbors.
+	SuspicionPossible
+	// SuspicionStrong is the suspicion of a task under which several backend servers have crashed. It runs alone.
+	SuspicionStrong
+)
+
+const (
+	// BlameNone means that other runs may as well have caused a crash.
+	BlameNone Blame = iota
+	// BlamePossible means that the run was the only active one of a suspect task, and the latest to start.
+	BlamePossible
+	// BlameProbable means that no other run started shortly before it either.
+	BlameProbable
+	// BlameCertain means that no other run was active.
+	BlameCertain
 )
 
 // Field limits, enforced when decoding.
@@ -47,6 +71,12 @@
 	// Status is the final status of an attempt to run a task. Every status implies that the attempt is no longer running.
 	Status uint8
 
+	// Suspicion says how likely a task is to crash its backend server.
+	Suspicion uint8
+
+	// Blame says how sure it is that a run of a suspect task has caused the crash of its backend server.
+	Blame uint8
+
 	// Message is a pointer to one of this package's message types.
 	Message any
 
@@ -128,6 +158,7 @@
 		HandledStarts []string // job of each start handled since the previous report on this session
 		CompletedRuns []CompletedRun
 		Time          timer.Millis // on the sidecar's clock
+		SuspectRuns   uint64       // active runs of tasks that may crash the backend server
 	}
 
 	// CompletedRun describes a run that ended. Receivers use it to track failures and run times.
@@ -138,6 +169,7 @@
 		Estimate  timer.Millis
 		Resources Resources
 		Queue     string // empty if the start did not state it
+		Blame     Blame  // with StatusCrashed
 	}
 
 	// Start tells a sidecar to run a task.
@@ -152,7 +184,8 @@
 		Epoch uint64
 		Queue string // of the job; optional
 		// SentAt is the time of sending on the sidecar's clock, as in Heartbeat.
-		SentAt timer.Millis
+		SentAt    timer.Millis
+		Suspicion Suspicion
 	}
 
 	// Stop tells a sidecar to stop a run.
@@ -170,6 +203,7 @@
 		// Stale means that the sidecar has been disconnected from the job's owner since the end, so the owner may have started
 		// the task again.
 		Stale bool
+		Blame Blame // with StatusCrashed
 	}
 
 	// ActiveRuns lists the receiving entry's attempts that the sidecar still has. It is sent when a session opens.
@@ -205,6 +239,7 @@
 		// until the latest end that is still of use to the caller. At least 1; 0 means not stated.
 		TargetEnd     timer.Millis
 		LastUsefulEnd timer.Millis
+		Suspicion     Suspicion // of the step's tasks
 	}
 
 	// CancelResourceRequest cancels the part of a resource request that is not granted yet.
@@ -257,7 +292,7 @@
 
 // String returns the name that logs use.
 func (s Status) String() string {
-	names := [...]string{"none", "done", "failed", "stopped", "lost", "stalled", "refused", "old"}
+	names := [...]string{"none", "done", "failed", "stopped", "lost", "stalled", "refused", "old", "crashed"}
 	if int(s) < len(names) {
 		return names[s]
 	}
--- a/placer/constraints.go
+++ b/placer/constraints.go
@@ -18,10 +18,11 @@
 	rack      string         // preferred; empty for none
 	perServer int            // maximum number of tasks on one worker; 0 for no limit
 	placed    map[string]int // number of tasks by worker, if perServer is set
+	suspicion marshaler.Suspicion
 }
 
 func newConstraints(a *marshaler.ResourceRequest) placementConstraints {
-	c := placementConstraints{label: a.Label, rack: a.Rack, perServer: int(a.ServerTaskLimit)}
+	c := placementConstraints{label: a.Label, rack: a.Rack, perServer: int(a.ServerTaskLimit), suspicion: a.Suspicion}
 	if c.perServer > 0 {
 		c.placed = map[string]int{}
 		for _, name := range a.Placed {
@@ -43,7 +44,7 @@
 }
 
 func (c *placementConstraints) allows(w *worker) bool {
-	return c.matchesLabel(w) && (c.perServer == 0 || c.placed[w.name] < c.perServer)
+	return c.matchesLabel(w) && (c.perServer == 0 || c.placed[w.name] < c.perServer) && w.maySeparate(c.suspicion)
 }
 
 // tasksLeft returns how many more tasks the step may have on the worker.
--- a/placer/explain.go
+++ b/placer/explain.go
@@ -77,6 +77,10 @@
 	for service, l := range p.loads {
 		t.loads[service] = l.clone()
 	}
+	t.heldFree = make(map[string]heldWorker, len(p.heldFree))
+	for service, h := range p.heldFree {
+		t.heldFree[service] = heldWorker{t.workers[h.worker.name], h.until}
+	}
 	t.Grant = func(_ string, g marshaler.Grant) {
 		if g.Job == "" {
 			t.granted[g.Step] = append(t.granted[g.Step], g.Sidecars...)
@@ -272,6 +276,10 @@
 		return "accepts no starts (draining, cut off or failure domain withdrawn)"
 	case !w.breakerAllows(t.placedAt):
 		return "breaker is open and no probe is due"
+	case !w.maySeparate(r.constraints.suspicion):
+		return "another task runs there that may crash the backend server"
+	case !t.mayServe(r, w):
+		return "kept free for a task that must run alone"
 	case !r.constraints.allows(w):
 		return "has as many tasks of the step as one server may have"
 	case !t.allows(r, w, avoids):
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -4,6 +4,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/crocuslb/crocuslb/estimator"
@@ -64,6 +65,7 @@
 		// runTimesReportedAt is the time of the latest report of the learned run times.
 		runTimesReportedAt timer.Millis
 		waitedAt           map[string]timer.Millis // when a request of a service last found no worker
+		heldFree           map[string]heldWorker   // by service
 	}
 
 	// Event describes a decision for logs and metrics.
@@ -122,6 +124,7 @@
 	w.breaker = breaker{}
 	p.listBreaker(w)
 	delete(p.workers, name)
+	maps.DeleteFunc(p.heldFree, func(_ string, h heldWorker) bool { return h.worker == w })
 	p.workersByName = slices.DeleteFunc(p.workersByName, func(o *worker) bool { return o == w })
 }
 
@@ -144,6 +147,7 @@
 	}
 	p.placed = false
 	w.reportedFree, w.accepting, w.speed, w.loadAt = l.Free, l.Accepting, float64(min(l.Speed, maxSpeed)), now
+	w.suspectRuns = l.SuspectRuns
 	w.updateFree()
 	p.updateSlow(w)
 	for _, s := range l.CompletedRuns {
@@ -267,8 +271,14 @@
 		return
 	}
 	p.updateSpeeds(now)
-	blocked := 0
+	blocked, separated := 0, 0
 	for r := range p.queue.all() {
+		if p.isSeparated(r) {
+			if separated < maxBlockedRequests && !p.grantSeparated(now, r) {
+				separated++
+			}
+			continue
+		}
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
--- a/placer/selection.go
+++ b/placer/selection.go
@@ -162,7 +162,7 @@
 
 // allows reports whether the constraints of a request and the workers that it avoids permit a worker.
 func (p *Placer) allows(r *request, w *worker, avoids bool) bool {
-	return (!avoids || w.avoidMark != p.avoidMark) && r.constraints.allows(w)
+	return (!avoids || w.avoidMark != p.avoidMark) && r.constraints.allows(w) && p.mayServe(r, w)
 }
 
 // countWithRoom returns the number of workers with a closed breaker that are not slow and have free resources for a task of
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -47,6 +47,7 @@
 		// slowReportedAt is the time at which the worker was last reported as slow; 0 if never.
 		slowReportedAt timer.Millis
 		avoidMark      uint64
+		suspectRuns    uint64       // active runs of suspect tasks in the latest load report
 		loadAt         timer.Millis // time of the latest load report
 		indexed        indexed
 	}
@@ -67,6 +68,7 @@
 		job       string
 		resources marshaler.Resources
 		grantedAt timer.Millis
+		suspect   bool
 	}
 
 	// breaker is the circuit breaker of a worker whose tasks fail or stall. The zero value is closed.
@@ -86,8 +88,8 @@
 	}
 }
 
-func (w *worker) reserve(now timer.Millis, job string, resources marshaler.Resources) {
-	w.reservations = append(w.reservations, reservation{job, resources, now})
+func (w *worker) reserve(now timer.Millis, job string, resources marshaler.Resources, suspect bool) {
+	w.reservations = append(w.reservations, reservation{job, resources, now, suspect})
 	w.free = w.free.Sub(resources)
 }
 
@@ -122,7 +124,11 @@
 
 // reserve reserves resources on a worker for a task of r.
 func (p *Placer) reserve(now timer.Millis, w *worker, r *request) {
-	w.reserve(now, r.key.job, r.resources)
+	resources := r.resources
+	if r.constraints.suspicion >= marshaler.SuspicionStrong {
+		resources = w.free
+	}
+	w.reserve(now, r.key.job, resources, r.constraints.suspicion > marshaler.SuspicionNone)
 	p.expirations.push(now+reservationTTL+1, w)
 	if w.breaker.open {
 		w.breaker.probeAt = now + maxProbeDelay
--- a/projector/projector.go
+++ b/projector/projector.go
@@ -19,7 +19,8 @@
 	Open State = iota + 1
 	// Succeeded means that all tasks succeeded.
 	Succeeded
-	// Failed means that a task has reached the maximum number of failed attempts of its queue.
+	// Failed means that a task has reached the maximum number of failed attempts of its queue, or was given up because
+	// backend servers crashed under it.
 	Failed
 	// Cancelled means that a caller cancelled the job before it ended.
 	Cancelled
@@ -49,6 +50,10 @@
 		if j := a.jobs[m.Run.Job]; j != nil {
 			ApplyEnd(j, m)
 		}
+	case *marshaler.CrashRecord:
+		if j := a.jobs[m.Run.Job]; j != nil {
+			ApplyCrash(j, m)
+		}
 	case *marshaler.OwnerRecord:
 		if m.Epoch != a.epoch {
 			a.epoch, a.previousEpoch = m.Epoch, a.epoch
@@ -78,13 +83,7 @@
 // ApplyEnd applies the end of a run to its job. It ignores ends of tasks that have already succeeded and of attempts that
 // are not later than the last recorded one.
 func ApplyEnd(j *marshaler.JobRecord, e *marshaler.EndRecord) {
-	i, ok := slices.BinarySearchFunc(j.Tasks, e.Run.Index, func(t marshaler.TaskRecord, index uint64) int {
-		return cmp.Compare(t.Index, index)
-	})
-	if !ok {
-		j.Tasks = slices.Insert(j.Tasks, i, marshaler.TaskRecord{Index: e.Run.Index})
-	}
-	t := &j.Tasks[i]
+	t := taskRecord(j, e.Run.Index)
 	if t.Done || e.Run.Attempt <= t.Attempt {
 		return
 	}
@@ -96,6 +95,24 @@
 	}
 }
 
+// ApplyCrash applies the crash of a backend server to the task that ran there.
+func ApplyCrash(j *marshaler.JobRecord, c *marshaler.CrashRecord) {
+	t := taskRecord(j, c.Run.Index)
+	t.Crashes++
+	t.GivenUp = t.GivenUp || c.GivenUp
+}
+
+// taskRecord returns the record of a task, which it adds if there is none.
+func taskRecord(j *marshaler.JobRecord, index uint64) *marshaler.TaskRecord {
+	i, ok := slices.BinarySearchFunc(j.Tasks, index, func(t marshaler.TaskRecord, index uint64) int {
+		return cmp.Compare(t.Index, index)
+	})
+	if !ok {
+		j.Tasks = slices.Insert(j.Tasks, i, marshaler.TaskRecord{Index: index})
+	}
+	return &j.Tasks[i]
+}
+
 // StateOf computes the state of a job from its recorded ends and cancellation.
 func StateOf(j *marshaler.JobRecord) State {
 	var done, tasks uint64
@@ -107,7 +124,7 @@
 		if j.Tasks[i].Done {
 			done++
 		}
-		failed = failed || !j.Tasks[i].Done && j.Tasks[i].Failures >= max(j.Attempts, 1)
+		failed = failed || !j.Tasks[i].Done && (j.Tasks[i].GivenUp || j.Tasks[i].Failures >= max(j.Attempts, 1))
 	}
 	switch {
 	case j.Cancelled:
--- a/projector/projector_test.go
+++ b/projector/projector_test.go
@@ -91,3 +91,40 @@
 		}
 	}
 }
+
+// TestCrashes guards against a new owner that starts a task again although backend servers have crashed under it as often
+// as allowed.
+func TestCrashes(t *testing.T) {
+	job := &marshaler.JobRecord{ID: "job", Attempts: 3, Steps: []marshaler.Step{{Tasks: 2}}}
+	run := marshaler.RunKey{Job: "job", Index: 1, Attempt: 1}
+	cases := []struct {
+		name    string
+		records []marshaler.Message
+		want    State
+		crashes uint64
+	}{
+		{"two crashes", []marshaler.Message{&marshaler.CrashRecord{Run: run}, &marshaler.CrashRecord{Run: run}}, Open, 2},
+		{"given up", []marshaler.Message{&marshaler.CrashRecord{Run: run}, &marshaler.CrashRecord{Run: run, GivenUp: true}}, Failed, 2},
+	}
+	for _, c := range cases {
+		var a Projection
+		for _, m := range append([]marshaler.Message{job}, c.records...) {
+			if err := a.Apply(marshaler.Append(nil, m)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The full record that a later owner writes again holds the crashes, too.
+		var later Projection
+		if err := later.Apply(marshaler.Append(nil, a.Jobs()[0])); err != nil {
+			t.Fatal(err)
+		}
+		for _, j := range []*marshaler.JobRecord{a.Jobs()[0], later.Jobs()[0]} {
+			if got := StateOf(j); got != c.want {
+				t.Errorf("%s: got state %d, want %d", c.name, got, c.want)
+			}
+			if got := j.Tasks[0].Crashes; got != c.crashes {
+				t.Errorf("%s: got %d crashes, want %d", c.name, got, c.crashes)
+			}
+		}
+	}
+}
--- a/submitter/answer.go
+++ b/submitter/answer.go
@@ -5,7 +5,8 @@
 const (
 	// AnswerDone means that all tasks succeeded.
 	AnswerDone AnswerKind = iota + 1
-	// AnswerFailed means that a task failed as many times as its queue allows.
+	// AnswerFailed means that a task failed as many times as its queue allows, or was given up because backend servers
+	// crashed under it.
 	AnswerFailed
 	// AnswerNotRun means that no task of the job ran or will run.
 	AnswerNotRun
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -22,6 +22,8 @@
 	taskUnknown = taskDone + 1
 	// taskAborted is the state of a task that failed too often or whose job is cancelled.
 	taskAborted = taskUnknown + 1
+	// taskAwaitsRecord is the state of a task that is queued again once the crash of its backend server is recorded.
+	taskAwaitsRecord = taskAborted + 1
 )
 
 type (
--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -47,7 +47,7 @@
 	switch t.state {
 	case taskAssigned:
 		return t.attempt == attempt && t.sidecar == sidecar
-	case taskQueued, taskUnknown, taskAborted:
+	case taskQueued, taskAwaitsRecord, taskUnknown, taskAborted:
 		return attempt >= t.issuedAttempt && attempt > t.recordedAttempt
 	}
 	return false
@@ -61,7 +61,7 @@
 		return false
 	}
 	return slices.ContainsFunc(finished.record.Tasks, func(t marshaler.TaskRecord) bool {
-		return t.Index == o.Run.Index && t.Attempt != o.Run.Attempt
+		return t.Index == o.Run.Index && t.Attempt > 0 && t.Attempt != o.Run.Attempt
 	})
 }
 
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -61,6 +61,7 @@
 		Job: j.ID, Step: uint64(step), Service: j.Queue.Service, Queue: j.Queue.Name, Tasks: uint64(tasks), Resources: st.Resources, Estimate: st.Estimate,
 		Slack: max(j.targetStart-s.now, 0), MaxWait: max(j.latestStart-s.now, 0), Priority: j.Queue.Priority, Started: j.committed(), Avoid: j.avoidedSidecars,
 		Label: st.Label, Rack: st.Rack, ServerTaskLimit: st.ServerTaskLimit, Placed: st.assignedSidecars(),
+		Suspicion: st.suspicion(),
 		TargetEnd: max(j.targetEnd-j.remainingPath(step)-s.now, 1), LastUsefulEnd: max(j.lastUsefulEnd-j.remainingPath(step)-s.now, 1),
 	}
 	at := s.placingEntry()
@@ -69,7 +70,7 @@
 		s.report(Event{Kind: "askElsewhere", Job: j.ID, Peer: at, Value: int64(tasks)})
 	}
 	st.requested += tasks
-	st.requestedFrom, st.requestedAt = at, s.now
+	st.requestedFrom, st.requestedAt, st.requestedSuspicion = at, s.now, m.Suspicion
 	if at == s.Name {
 		s.subscribeAll()
 		s.placer.Request(s.now, s.Name, s.Domain, m)
@@ -160,10 +161,7 @@
 	}
 	unreachable, next := 0, 0
 	for _, name := range g.Sidecars {
-		for next < len(st.tasks) && st.tasks[next].state != taskQueued {
-			next++
-		}
-		if next == len(st.tasks) {
+		if next = st.nextQueued(next); next == len(st.tasks) {
 			break // a repeated request may be granted twice
 		}
 		st.requested = max(st.requested-1, 0)
@@ -174,6 +172,7 @@
 	if unreachable > 0 {
 		s.requestCapacity(j, int(g.Step), unreachable)
 	}
+	s.updateSuspicion(j, int(g.Step))
 }
 
 // startTask starts a task on a sidecar. It returns false if the sidecar is unreachable.
@@ -202,7 +201,7 @@
 	}
 	sc.link.Send(&marshaler.Start{
 		Run: key, Epoch: epoch, Spec: j.Spec, Resources: st.Resources, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startTTL),
-		Queue: j.Queue.Name, SentAt: sc.remote.at(s.now),
+		Queue: j.Queue.Name, SentAt: sc.remote.at(s.now), Suspicion: t.suspicion(),
 	})
 	return true
 }
@@ -267,6 +266,9 @@
 			s.finish(j, Answer{Kind: AnswerFailed, Reason: "a task failed as often as its queue allows"})
 			return
 		}
+	case marshaler.StatusCrashed:
+		s.onCrash(sc, j, o)
+		return
 	case marshaler.StatusSuperseded:
 		t.attempt += attemptGap
 	}
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -64,8 +64,9 @@
 		}
 		st := &j.steps[step]
 		t := &st.tasks[index]
-		t.attempt, t.recordedAttempt, t.failures = r.Attempt, r.Attempt, r.Failures
+		t.attempt, t.recordedAttempt, t.failures, t.crashes = r.Attempt, r.Attempt, r.Failures, r.Crashes
 		j.hasRun = true
+		st.hasCrashed = st.hasCrashed || r.Crashes > 0
 		if r.Done {
 			t.state = taskDone
 			st.done++
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -54,6 +54,7 @@
 		handover        bool
 		peerLinks       []*fakeLink
 		unknownOutcomes int
+		crashing        crashingTasks
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -544,6 +545,7 @@
 		task := taskOf(m.Run)
 		b.w.activeRuns[task]++
 		b.w.startedRuns[m.Run.Job]++
+		b.w.crashing.onStart(b, m.Run)
 		if b.w.durable != nil {
 			b.w.durable.onStart(b.w, task)
 		}
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -16,6 +16,9 @@
 	requested     int  // tasks with an open capacity request
 	requestedFrom string
 	requestedAt   timer.Millis // time of the latest request
+	// requestedSuspicion is the suspicion that the latest request stated.
+	requestedSuspicion marshaler.Suspicion
+	hasCrashed         bool // a backend server has crashed under one of the tasks
 }
 
 func newSteps(steps []marshaler.Step) []step {
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -74,6 +74,7 @@
 	case k.refusedHold == 0:
 		k.refusedHold = k.lastHold
 	case request.Number > k.refusedHold:
+		k.noteCrash(now)
 		k.endGoneRuns(now)
 	}
 	if !k.unresponsive && (refused || now-k.listedAt > holdTimeout) {
@@ -90,6 +91,7 @@
 	}
 	if l.StartTime > k.backend.StartTime {
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
+		k.noteCrash(now)
 		k.resetBackend(now, l.StartTime)
 	}
 	k.refusedHold = 0
@@ -99,7 +101,7 @@
 	}
 	wasAccepting, _ := k.Accepting()
 	knewAllRuns := k.knowsAllRuns()
-	k.unresponsive = false
+	k.unresponsive, k.crashed = false, false
 	k.checkLeaseExpiry(l.Clock)
 	ended := k.onEnds(now, l.Ended)
 	k.onRunning(now, l)
@@ -172,7 +174,7 @@
 		if row.Percent > r.percent || !r.listed {
 			r.percent, r.progressAt = row.Percent, now
 		}
-		r.listed = true
+		r.listed, r.crash = true, crashEvidence{}
 		k.checkStalled(now, r)
 	}
 	if k.unknownRuns = unknown; unknown == 0 {
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -18,12 +18,15 @@
 	}
 	ok, reason := k.Accepting()
 	at, notAfter := taskKey{m.Run.Job, m.Run.Index}, k.limitLease(now, m.NotAfter)
+	separate, separateReason := k.maySeparate(m.Suspicion)
 	switch {
 	case !ok:
 	case !k.mayStart(e, m):
 		ok, reason = false, "the entry does not own the job any more"
 	case k.runs[at] != nil:
 		ok, reason = false, "task runs already"
+	case !separate:
+		ok, reason = false, separateReason
 	case !k.free.Contains(m.Resources):
 		ok, reason = false, "no room"
 	case notAfter <= k.Clock(now):
@@ -38,7 +41,7 @@
 		k.report(Event{Kind: "refuse", Run: m.Run, Entry: e.name, Detail: reason, Value: k.free.CPU})
 		return
 	}
-	r := &run{key: m.Run, entry: e, room: m.Resources, durable: m.Epoch > 0, notAfter: notAfter, estimate: m.Estimate, queue: m.Queue, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
+	r := &run{key: m.Run, entry: e, resources: m.Resources, room: k.roomFor(m), suspicion: m.Suspicion, durable: m.Epoch > 0, notAfter: notAfter, estimate: m.Estimate, queue: m.Queue, state: stateStarting, startedAt: now, progressAt: now, startHold: k.lastHold}
 	if k.runs == nil {
 		k.runs = map[taskKey]*run{}
 	}
@@ -67,6 +70,7 @@
 			r.state, r.startedAt, r.progressAt = stateRunning, now, now
 		}
 	case StartRefused:
+		r.crash = crashEvidence{} // it was never active
 		k.endRun(now, r, marshaler.StatusRefused, s.Reason)
 	case StartSuperseded:
 		k.endRun(now, r, marshaler.StatusSuperseded, s.Reason)
@@ -165,20 +169,21 @@
 
 // finishRun removes a run that is known to have ended and reports its outcome. number is that of its listed end, 0 for none.
 func (k *Supervisor) finishRun(now timer.Millis, r *run, status marshaler.Status, reason string, number uint64) {
+	status = r.crash.statusOf(status)
 	delete(k.runs, taskKey{r.key.Job, r.key.Index})
 	k.free = k.free.Add(r.room)
 	ran := now - r.startedAt
 	if status == marshaler.StatusRefused || status == marshaler.StatusSuperseded {
 		ran = 0
 	}
-	outcome := marshaler.Outcome{Run: r.key, Status: status, Reason: reason, RunTime: ran}
+	outcome := marshaler.Outcome{Run: r.key, Status: status, Reason: reason, RunTime: ran, Blame: r.crash.blame}
 	if r.durable && number > 0 && mustRecord(status) {
 		outcome.Number = number
 		k.durable.addEnd(outcome)
 	}
 	k.sendOutcome(now, r.entry, outcome)
 	k.sendRefusals(now, r)
-	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.room, Queue: r.queue}
+	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.resources, Queue: r.queue, Blame: r.crash.blame}
 	for _, e := range marshaler.SortedByKey(k.entries) {
 		if e.subscribed {
 			e.pendingEnds = append(e.pendingEnds, settled)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -106,6 +106,7 @@
 		announced    bool // the backend server has announced itself; backend is valid
 		reconciled   bool // a hold response listed no run that this process does not know
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
+		crashed      bool // the backend server has crashed, and has not answered since
 		withdrawn    bool
 		stopping     bool
 		offset       uint64
@@ -164,7 +165,10 @@
 	run struct {
 		key        marshaler.RunKey
 		entry      *entry
-		room       marshaler.Resources
+		resources  marshaler.Resources // of the task
+		room       marshaler.Resources // that the run uses up; more than resources if it must be alone
+		suspicion  marshaler.Suspicion
+		crash      crashEvidence
 		durable    bool  // whether it belongs to a durable job
 		notAfter   int64 // latest time of the start, on the backend server's clock
 		estimate   timer.Millis
@@ -258,6 +262,9 @@
 	}
 	restarted := !k.announced || b.ID != k.backend.ID || b.StartTime != k.backend.StartTime
 	changed := restarted || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
+	if restarted && k.announced {
+		k.noteCrash(now)
+	}
 	k.backend, k.announced = b, true
 	if restarted {
 		k.resetBackend(now, b.StartTime)
@@ -303,7 +310,7 @@
 		return false, "backend server not announced"
 	case !k.reconciled:
 		return false, "backend server not listed"
-	case k.unresponsive:
+	case k.unresponsive, k.crashed:
 		return false, "backend server does not answer"
 	case k.stopping:
 		return false, "sidecar is stopping"
