--- a/placer/admission.go
+++ b/placer/admission.go
@@ -72,6 +72,9 @@
 	if a := p.assessWorkers(now, r); a.verdict == refused || now-p.firstRequestAt < startupGrace {
 		return a
 	}
+	if p.isConfined(r) {
+		return assessment{} // the forecasts do not know which workers it may use
+	}
 	if l := p.loads[r.service]; p.costDecides(now, l) {
 		item := l.item(now, r)
 		wait := p.forecastWait(now, l, r)
@@ -99,6 +102,8 @@
 	}
 	service, fits := p.serves(r)
 	switch {
+	case !r.started && p.isConfined(r) && !p.hasConfinedWorker(r.service):
+		return assessment{refused, reasonConfined, confinedRetryAfter, true}
 	case !service:
 		return assessment{refused, "no backend server of the service is known", timer.Second, true}
 	case !fits:
--- a/placer/explain.go
+++ b/placer/explain.go
@@ -77,6 +77,10 @@
 	for service, l := range p.loads {
 		t.loads[service] = l.clone()
 	}
+	t.confinements = make(map[string]*confinement, len(p.confinements))
+	for service, c := range p.confinements {
+		t.confinements[service] = c.clone()
+	}
 	t.heldFree = make(map[string]heldWorker, len(p.heldFree))
 	for service, h := range p.heldFree {
 		t.heldFree[service] = heldWorker{t.workers[h.worker.name], h.until}
@@ -279,7 +283,7 @@
 	case !w.maySeparate(r.constraints.suspicion):
 		return "another task runs there that may crash the backend server"
 	case !t.mayServe(r, w):
-		return "kept free for a task that must run alone"
+		return "reserved, because tasks of a queue crash backend servers"
 	case !r.constraints.allows(w):
 		return "has as many tasks of the step as one server may have"
 	case !t.allows(r, w, avoids):
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -65,6 +65,7 @@
 		// runTimesReportedAt is the time of the latest report of the learned run times.
 		runTimesReportedAt timer.Millis
 		waitedAt           map[string]timer.Millis // when a request of a service last found no worker
+		confinements       map[string]*confinement // by service
 		heldFree           map[string]heldWorker   // by service
 	}
 
@@ -112,6 +113,7 @@
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
 	w.kind = p.kindOf(b)
 	p.indexWorker(w)
+	p.assignConfined()
 }
 
 // RemoveWorker removes a worker.
@@ -126,6 +128,7 @@
 	delete(p.workers, name)
 	maps.DeleteFunc(p.heldFree, func(_ string, h heldWorker) bool { return h.worker == w })
 	p.workersByName = slices.DeleteFunc(p.workersByName, func(o *worker) bool { return o == w })
+	p.assignConfined()
 }
 
 // SetAccepting sets whether a worker accepts starts. Its next load report overrides it.
@@ -251,6 +254,7 @@
 	defer p.endDecision()
 	p.expireReservations(now)
 	p.updateProbes(now)
+	p.endConfinements(now)
 	if p.Admission == AdmissionCost {
 		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
 		p.grantQueued(now)
--- a/placer/request.go
+++ b/placer/request.go
@@ -130,6 +130,10 @@
 			continue // canceled because another step of the job was refused
 		}
 		p.dequeue(r)
+		if p.isConfined(r) {
+			p.reject(now, r, reasonConfined, confinedRetryAfter)
+			continue
+		}
 		r.late = true
 		if wait, ok := p.lateWait(now, r); !ok {
 			if !p.grantOnSlow(now, r) {
--- a/placer/separation.go
+++ b/placer/separation.go
@@ -19,7 +19,7 @@
 // isSeparated reports whether the tasks of a request must be kept apart from others. Requests that wait for that do not count
 // as blocked, since resources are free for the requests behind them.
 func (p *Placer) isSeparated(r *request) bool {
-	return r.constraints.suspicion > marshaler.SuspicionNone
+	return r.constraints.suspicion > marshaler.SuspicionNone || p.isConfined(r)
 }
 
 // grantSeparated grants resources to a request whose tasks must be kept apart. It returns false if some tasks fit on no
@@ -35,10 +35,13 @@
 	return fits
 }
 
-// mayServe reports whether a worker may get tasks of a request: it is not held free for a task that must run alone.
+// mayServe reports whether a worker may get tasks of a request: the confinement of queues permits it, and the worker is not
+// held free for a task that must run alone.
 func (p *Placer) mayServe(r *request, w *worker) bool {
-	h, ok := p.heldFree[r.service]
-	return !ok || h.worker != w || p.placedAt > h.until || r.constraints.suspicion >= marshaler.SuspicionStrong
+	if h, ok := p.heldFree[r.service]; ok && h.worker == w && p.placedAt <= h.until && r.constraints.suspicion < marshaler.SuspicionStrong {
+		return false
+	}
+	return p.confinementAllows(r, w)
 }
 
 // holdFree keeps other tasks off the worker that has the most free processors, so that a task of a request can run there
@@ -61,7 +64,7 @@
 // mostFree returns the worker with the most free processors of those that can run a task of a request alone, or nil.
 func (p *Placer) mostFree(r *request) (best *worker) {
 	for _, w := range p.workersByName {
-		if w.service != r.service || !w.accepting || !r.constraints.matchesLabel(w) || !w.total.Contains(r.resources) {
+		if w.service != r.service || !w.accepting || !r.constraints.matchesLabel(w) || !p.confinementAllows(r, w) || !w.total.Contains(r.resources) {
 			continue
 		}
 		if best == nil || w.free.CPU > best.free.CPU {
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -48,6 +48,7 @@
 		slowReportedAt timer.Millis
 		avoidMark      uint64
 		suspectRuns    uint64       // active runs of suspect tasks in the latest load report
+		confined       bool         // it serves the confined queues of its service, if there are any
 		loadAt         timer.Millis // time of the latest load report
 		indexed        indexed
 	}
@@ -172,6 +173,9 @@
 // recordOutcome updates the worker's breaker after a run has ended.
 func (p *Placer) recordOutcome(now timer.Millis, w *worker, s marshaler.CompletedRun) {
 	b := &w.breaker
+	if s.Blame > marshaler.BlameNone {
+		p.blame(now, w, s.Queue)
+	}
 	switch s.Status {
 	case marshaler.StatusDone:
 		*b = breaker{}
