--- a/runner/directory.go
+++ b/runner/directory.go
@@ -56,6 +56,10 @@
 		if p.Address == "" || p.Address == d.self.Address || ok && (old.Name == p.Name || p.Name == "") {
 			continue
 		}
+		if err := checkPeer(p); err != nil {
+			d.logger.WithError(err).WithField("entry", p.Name).Warn("members: skipped an entry without a valid address")
+			continue
+		}
 		d.known[p.Address] = p
 		added = true
 		if d.cancel[p.Address] == nil && d.shouldConnect(p) {
@@ -131,9 +135,12 @@
 					inUse = true
 					continue
 				}
-				d.dropStaleAddresses(r.Key, string(r.Value))
-				peers = append(peers, marshaler.Peer{Name: r.Key, Address: string(r.Value)})
 				hasOwn = hasOwn || r.Key == d.self.Name
+				p := marshaler.Peer{Name: r.Key, Address: string(r.Value)}
+				peers = append(peers, p)
+				if r.Value == nil || checkPeer(p) == nil {
+					d.dropStaleAddresses(p.Name, p.Address)
+				}
 			}
 			if d.onDurableJobs != nil && (complete || inUse) {
 				d.onDurableJobs(inUse)
