--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -111,6 +111,7 @@
 
 // follow reads the operator's topic in the store until ctx is canceled.
 func (c *configuration) follow(ctx context.Context, l *eventLoop, store *platform.Store) {
+	store.OnSkipped = func(err error) { c.logger.WithError(err).Warn("config: skipped a record") }
 	f := &consumer.Consumer{
 		Newest: func(ctx context.Context) (consumer.Page, error) { return store.ReadLatest(ctx, platform.TopicOperator) },
 		Read: func(ctx context.Context, from uint64) (consumer.Page, error) {
--- a/runner/directory.go
+++ b/runner/directory.go
@@ -120,6 +120,7 @@
 		registrationDue <- struct{}{}
 		go d.register(ctx, registrationDue)
 	}
+	d.store.OnSkipped = func(err error) { d.logger.WithError(err).Warn("members: skipped a record") }
 	f := &consumer.Consumer{
 		Newest: func(ctx context.Context) (consumer.Page, error) {
 			return d.store.ReadLatest(ctx, platform.TopicEntries)
--- a/runner/oddrecord_test.go
+++ b/runner/oddrecord_test.go
@@ -40,7 +40,8 @@
 	for _, c := range cases {
 		tc.store.Put(platform.TopicEntries, c.key, []byte(c.value))
 	}
-	tc.startEntry(2) // its sessions make the processes send the addresses that they know
+	tc.store.PutRaw(platform.TopicEntries, []byte{200, 'x'}) // has no readable key
+	tc.startEntry(2)                                         // its sessions make the processes send the addresses that they know
 	tc.eventually("a job at the entry whose record follows the odd ones", func() bool {
 		status, _ := tc.post(tc.entryAddresses[2], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 2, "5")
 		return status == http.StatusOK
