--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -27,6 +27,8 @@
 	holdRetryDelay = 20 * time.Millisecond
 
 	maxBackendConnections = 10
+	// confirmAttempts is the number of calls with which the backend server is asked for its incarnation.
+	confirmAttempts = 3
 	// persistTimeout is how long the acknowledgement of a draining backend server waits for the store. The backend server
 	// waits one second for the acknowledgement and then announces itself again.
 	persistTimeout = 700 * time.Millisecond
@@ -142,21 +144,62 @@
 
 // announce applies an announcement of the backend server and returns once it has taken effect. It reports whether the
 // announcement may be acknowledged: draining is acknowledged only after it is stored, so that it survives a restart of
-// the sidecar.
+// the sidecar. An announcement of another incarnation than the known one must be confirmed by the backend server.
 func (s *Sidecar) announce(ctx context.Context, b supervisor.Backend) bool {
+	replaces := false
+	ok := s.onLoop(ctx, func(now timer.Millis) {
+		if replaces = s.core.Replaces(b); !replaces {
+			s.core.Announce(now, b)
+			s.afterAnnouncement(now)
+		}
+	})
+	if !ok {
+		return false
+	}
+	if replaces {
+		if !s.confirmIncarnation(b) {
+			s.Logger.WithField("backend", b.ID).Warn("sidecar: rejected an announcement of an incarnation that the backend server does not confirm")
+			return false
+		}
+		ok = s.onLoop(ctx, func(now timer.Millis) {
+			s.core.AnnounceConfirmed(now, b)
+			s.afterAnnouncement(now)
+		})
+	}
+	return ok && (!b.Draining || s.descriptors.waitPersisted(ctx, persistTimeout))
+}
+
+// onLoop calls f on the event loop and waits for its end. It returns false if ctx is canceled before.
+func (s *Sidecar) onLoop(ctx context.Context, f func(now timer.Millis)) bool {
 	done := make(chan struct{})
 	s.loop.post(ctx, func(now timer.Millis) {
 		defer close(done)
-		s.core.Announce(now, b)
-		s.descriptors.save(s.core.Backend())
-		s.scheduleHold(now)
+		f(now)
 	})
 	select {
 	case <-done:
+		return true
 	case <-ctx.Done():
 		return false
 	}
-	return !b.Draining || s.descriptors.waitPersisted(ctx, persistTimeout)
+}
+
+// afterAnnouncement stores the backend server's descriptor and schedules the next hold call. It is called by the event loop.
+func (s *Sidecar) afterAnnouncement(now timer.Millis) {
+	s.descriptors.save(s.core.Backend())
+	s.scheduleHold(now)
+}
+
+// confirmIncarnation reports whether the backend server answers as the incarnation in an announcement. A call without a
+// response is repeated.
+func (s *Sidecar) confirmIncarnation(b supervisor.Backend) bool {
+	for range confirmAttempts {
+		response, err := s.callHold(supervisor.HoldRequest{ID: b.ID, StartTime: b.StartTime}, 0)
+		if err == nil {
+			return response.StartTime == b.StartTime
+		}
+	}
+	return false
 }
 
 // restoreBackend announces the backend server with the descriptor stored by a previous run of the sidecar, unless the
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -245,16 +245,32 @@
 
 // Announce handles an announcement of the backend server. It returns false if the announcement is invalid or outdated.
 func (k *Supervisor) Announce(now timer.Millis, b Backend) bool {
+	return k.announce(now, b, false)
+}
+
+// AnnounceConfirmed handles an announcement of an incarnation as which the backend server has answered a call. It takes effect
+// whichever incarnation is known.
+func (k *Supervisor) AnnounceConfirmed(now timer.Millis, b Backend) bool {
+	return k.announce(now, b, true)
+}
+
+// Replaces reports whether an announcement names another incarnation than the known one. Other software may have sent it, so the
+// caller confirms such an announcement with the backend server.
+func (k *Supervisor) Replaces(b Backend) bool {
+	return k.announced && (b.ID != k.backend.ID || b.StartTime != k.backend.StartTime)
+}
+
+func (k *Supervisor) announce(now timer.Millis, b Backend, confirmed bool) bool {
 	if !b.valid() {
 		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative"})
 		return false
 	}
 	if k.announced {
-		if b.StartTime < k.backend.StartTime || b.StartTime == k.backend.StartTime && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
+		if !confirmed && b.StartTime < k.backend.StartTime || b.StartTime == k.backend.StartTime && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
 			return false
 		}
 	}
-	restarted := !k.announced || b.ID != k.backend.ID || b.StartTime != k.backend.StartTime
+	restarted := !k.announced || k.Replaces(b)
 	changed := restarted || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
 	k.backend, k.announced = b, true
 	if restarted {
