--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -37,10 +37,15 @@
 	stopRetryInterval = 40 * timer.Millisecond
 	// holdTimeout is the time without a hold response after which starts are refused. Single lost responses are tolerated.
 	holdTimeout = 400 * timer.Millisecond
+	// maxLabels is the maximum number of labels of a backend server.
+	maxLabels = 1000
 	// NormalSpeed is the relative speed, in thousandths, of a backend server whose runs take as long as estimated.
 	NormalSpeed = 1000
 )
 
+// maxCapacity is the maximum capacity of a backend server. Sums over all of them do not overflow.
+var maxCapacity = marshaler.Resources{CPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}
+
 const (
 	stateStarting = iota + 1 // the start is unanswered
 	stateRunning
@@ -237,10 +242,12 @@
 // Backend returns the latest description of the backend server. Its ID is empty before the first announcement.
 func (k *Supervisor) Backend() Backend { return k.backend }
 
-// valid reports whether the description can be encoded for entries. Other software may send announcements too.
+// valid reports whether the description can be encoded for entries, and its capacity summed up. Other software may send
+// announcements too.
 func (b *Backend) valid() bool {
 	long := func(text string) bool { return len(text) > marshaler.MaxNameLen }
-	return b.ID != "" && !long(b.ID) && !long(b.Service) && !slices.ContainsFunc(b.Labels, long) && b.Capacity.Contains(marshaler.Resources{})
+	return b.ID != "" && !long(b.ID) && !long(b.Service) && len(b.Labels) <= maxLabels && !slices.ContainsFunc(b.Labels, long) &&
+		b.Capacity.Contains(marshaler.Resources{}) && maxCapacity.Contains(b.Capacity)
 }
 
 // Announce handles an announcement of the backend server. It returns false if the announcement is invalid or outdated.
@@ -262,7 +269,7 @@
 
 func (k *Supervisor) announce(now timer.Millis, b Backend, confirmed bool) bool {
 	if !b.valid() {
-		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative"})
+		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative or too large"})
 		return false
 	}
 	if k.announced {
