--- a/supervisor/oddannouncement_test.go
+++ b/supervisor/oddannouncement_test.go
@@ -48,3 +48,28 @@
 		}
 	}
 }
+
+// TestOddSequence guards against a sequence number of another writer after which the announcements of the backend server, and
+// its draining, count as outdated.
+func TestOddSequence(t *testing.T) {
+	cases := []struct {
+		name  string
+		known []uint64
+		next  uint64
+		want  bool
+	}{
+		{"next one", []uint64{10}, 11, true}, {"repeated", []uint64{10}, 10, false}, {"late", []uint64{10}, 9, false},
+		{"after a long silence", []uint64{10}, 500_000, true}, {"first one after a restart of the sidecar", []uint64{0}, 1 << 40, true},
+		{"largest number", []uint64{10}, math.MaxUint64, false}, {"far ahead", []uint64{10}, 1 << 40, false},
+		{"after one far ahead", []uint64{10, math.MaxUint64}, 11, true}, {"after a first one far ahead", []uint64{math.MaxUint64}, 10, true},
+	}
+	for _, c := range cases {
+		k := Supervisor{Start: func(marshaler.Start) {}, Stop: func(marshaler.RunKey) {}, HoldNow: func() {}}
+		for _, n := range c.known {
+			k.Announce(1, Backend{ID: "i-1", StartTime: 5, Sequence: n, Service: "svc"})
+		}
+		if got := k.Announce(2, Backend{ID: "i-1", StartTime: 5, Sequence: c.next, Service: "svc", Draining: true}); got != c.want || k.Backend().Draining != c.want {
+			t.Errorf("%s: got accepted %t, draining %t, want %t", c.name, got, k.Backend().Draining, c.want)
+		}
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -37,6 +37,9 @@
 	stopRetryInterval = 40 * timer.Millisecond
 	// holdTimeout is the time without a hold response after which starts are refused. Single lost responses are tolerated.
 	holdTimeout = 400 * timer.Millisecond
+	// maxSequenceGap is the largest difference between the sequence numbers of two announcements of one incarnation. At one
+	// announcement a second it takes 12 days.
+	maxSequenceGap = 1 << 20
 	// maxLabels is the maximum number of labels of a backend server.
 	maxLabels = 1000
 	// NormalSpeed is the relative speed, in thousandths, of a backend server whose runs take as long as estimated.
@@ -267,13 +270,23 @@
 	return k.announced && (b.ID != k.backend.ID || b.StartTime != k.backend.StartTime)
 }
 
+// sequenceOutdated reports whether a sequence number of the known incarnation is that of a late announcement, or so far ahead that
+// another writer must have sent it. If the known number is far ahead, that one came from another writer.
+func (k *Supervisor) sequenceOutdated(sequence uint64) bool {
+	known := k.backend.Sequence
+	if sequence > known {
+		return known != 0 && sequence-known > maxSequenceGap
+	}
+	return known-sequence <= maxSequenceGap
+}
+
 func (k *Supervisor) announce(now timer.Millis, b Backend, confirmed bool) bool {
 	if !b.valid() {
 		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative or too large"})
 		return false
 	}
 	if k.announced {
-		if !confirmed && b.StartTime < k.backend.StartTime || b.StartTime == k.backend.StartTime && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
+		if !confirmed && b.StartTime < k.backend.StartTime || !k.Replaces(b) && k.sequenceOutdated(b.Sequence) {
 			return false
 		}
 	}
