--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -17,16 +17,17 @@
 	s.durable.owned[p.number] = p
 	open := 0
 	for _, record := range jobs {
+		j := Job{Steps: record.Steps}
+		if reason := j.invalidStepsReason(); reason != "" { // not written by an entry
+			s.report(Event{Kind: "skipRecord", Job: record.ID, Queue: record.Queue, Detail: reason})
+			continue
+		}
 		if state := projector.StateOf(record); state != projector.Open {
 			s.durable.finished[record.ID] = &finishedJob{record: record, state: state, since: now}
 			continue
 		}
 		open++
-		j := jobFromRecord(record)
-		j.arrived, j.targetStart, j.expiresAt = now, now, now
-		j.durability.partition, j.durability.stored, j.durability.storeRequested, j.durability.writtenAt = p, true, true, now
-		j.restoreTasks()
-		s.jobs[record.ID] = j
+		s.restoreJob(now, p, record)
 	}
 	s.report(Event{Kind: "acquire", Detail: "partition", Value: int64(p.number), Count: int64(open)})
 	s.sendClaim([]marshaler.Partition{taken})
@@ -37,6 +38,15 @@
 	s.retryUnrouted()
 }
 
+// restoreJob adds an open job of a partition that this entry has acquired.
+func (s *Submitter) restoreJob(now timer.Millis, p *partition, record *marshaler.JobRecord) {
+	j := jobFromRecord(record)
+	j.arrived, j.targetStart, j.expiresAt = now, now, now
+	j.durability.partition, j.durability.stored, j.durability.storeRequested, j.durability.writtenAt = p, true, true, now
+	j.restoreTasks()
+	s.jobs[record.ID] = j
+}
+
 // jobFromRecord returns an active job for a record.
 func jobFromRecord(record *marshaler.JobRecord) *job {
 	return &job{
