--- a/projector/projector.go
+++ b/projector/projector.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// hasTask reports whether a job has a task with the given index.
+func hasTask(j *marshaler.JobRecord, index uint64) bool {
+	step, task := (marshaler.RunKey{Index: index}).Task()
+	return step < len(j.Steps) && uint64(task) < j.Steps[step].Tasks
+}
+
 // StateOf computes the state of a job from its recorded ends and cancellation.
 func StateOf(j *marshaler.JobRecord) State {
 	var done, tasks uint64
@@ -104,6 +110,9 @@
 	}
 	failed := false
 	for i := range j.Tasks {
+		if !hasTask(j, j.Tasks[i].Index) {
+			continue // recorded by another writer
+		}
 		if j.Tasks[i].Done {
 			done++
 		}
