--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -111,7 +111,7 @@
 		return appender.AppendUint(dst, 3, m.Step)
 	case *Reject:
 		dst = appender.AppendString(append(dst, kindReject), 1, m.Job)
-		dst = appender.AppendString(dst, 2, m.Reason)
+		dst = appendReason(dst, 2, m.Reason)
 		dst = appendZigZag(dst, 3, int64(m.RetryAfter))
 		return appender.AppendUint(dst, 4, m.Step)
 	}
@@ -121,7 +121,7 @@
 func appendOutcome(dst []byte, m *Outcome) []byte {
 	dst = appendRunKey(dst, 1, &m.Run)
 	dst = appender.AppendUint(dst, 2, uint64(m.Status))
-	dst = appender.AppendString(dst, 3, m.Reason)
+	dst = appendReason(dst, 3, m.Reason)
 	dst = appendZigZag(dst, 4, int64(m.RunTime))
 	dst = appender.AppendUint(dst, 5, m.Number)
 	return appendBool(dst, 6, m.Stale)
@@ -234,3 +234,8 @@
 func appendZigZag(dst []byte, tag protowire.Number, v int64) []byte {
 	return appender.AppendUint(dst, tag, protowire.EncodeZigZag(v))
 }
+
+// appendReason appends a reason, shortened to the length that can be decoded. Reasons may quote other software.
+func appendReason(dst []byte, tag protowire.Number, reason string) []byte {
+	return appender.AppendString(dst, tag, reason[:min(len(reason), MaxNameLen)])
+}
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -45,7 +45,7 @@
 	case *Reply:
 		dst = appender.AppendUint(append(dst, kindReply), 1, m.Number)
 		dst = appender.AppendUint(dst, 2, uint64(m.Kind))
-		dst = appender.AppendString(dst, 3, m.Reason)
+		dst = appendReason(dst, 3, m.Reason)
 		return appendZigZag(dst, 4, int64(m.RetryAfter))
 	case *QueueBacklog:
 		dst = appender.AppendString(append(dst, kindQueueBacklog), 1, m.Queue)
--- a/marshaler/jobhandover.go
+++ b/marshaler/jobhandover.go
@@ -90,7 +90,7 @@
 		dst = appender.AppendUint(append(dst, kindJobAnswer), 1, m.Number)
 		dst = appender.AppendString(dst, 2, m.Job)
 		dst = appender.AppendUint(dst, 3, uint64(m.Kind))
-		dst = appender.AppendString(dst, 4, m.Reason)
+		dst = appendReason(dst, 4, m.Reason)
 		return appendZigZag(dst, 5, int64(m.RetryAfter))
 	case *CancelJobHandover:
 		dst = appender.AppendUint(append(dst, kindCancelJobHandover), 1, m.Number)
