--- a/consumer/consumer.go
+++ b/consumer/consumer.go
@@ -44,6 +44,8 @@
 		// OnUnavailable and OnAvailable report that the store has become unavailable or available, once per change.
 		OnUnavailable func(err error)
 		OnAvailable   func()
+		// OnPanic is called with a panic in Apply. The consumer goes on after the page. It may be nil.
+		OnPanic func(err error)
 
 		unavailable bool
 	}
@@ -73,7 +75,7 @@
 			f.OnAvailable()
 		}
 		if !known || len(page.Records) > 0 {
-			f.Apply(page, !known)
+			f.apply(page, !known)
 		}
 		next, known = page.Next, true
 	}
@@ -95,6 +97,14 @@
 	return page, err
 }
 
+// apply calls Apply and reports a panic in it.
+func (f *Consumer) apply(page Page, whole bool) {
+	err := recoverer.Call(func() { f.Apply(page, whole) })
+	if err != nil && f.OnPanic != nil {
+		f.OnPanic(err)
+	}
+}
+
 // backOff reports the loss of the store and waits for a random time between half of delay and delay, which it doubles.
 func (f *Consumer) backOff(ctx context.Context, err error, delay *time.Duration) {
 	if ctx.Err() != nil {
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -122,6 +122,7 @@
 		},
 		OnUnavailable: func(err error) { c.logger.WithError(err).Warn("store: lost") },
 		OnAvailable:   func() { c.logger.Info("store: regained") },
+		OnPanic:       func(err error) { c.logger.WithError(err).Error("config: panic while handling records") },
 	}
 	f.Run(ctx)
 }
--- a/runner/directory.go
+++ b/runner/directory.go
@@ -158,6 +158,7 @@
 		},
 		OnUnavailable: func(err error) { d.logger.WithError(err).Warn("members: store unavailable") },
 		OnAvailable:   func() { d.logger.Info("members: store available again") },
+		OnPanic:       func(err error) { d.logger.WithError(err).Error("members: panic while handling records") },
 	}
 	f.Run(ctx)
 }
