--- a/placer/placer.go
+++ b/placer/placer.go
@@ -51,6 +51,7 @@
 		avoidMark      uint64       // of the workers that the latest request avoids
 		placedAt       timer.Millis // time of the latest call of Place
 		requests       map[requestKey]*request
+		unservable     unservableCheck
 		unused         []*request   // for reuse
 		deciding       int          // number of calls in progress that refer to requests and may call Grant or Reject
 		expired        []*request   // buffer of expireRequests
@@ -106,6 +107,7 @@
 		})
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
+	p.unservable.sizesChanged = true
 	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
 	w.kind = p.kindOf(b)
@@ -118,6 +120,7 @@
 	if w == nil {
 		return
 	}
+	p.unservable.sizesChanged = true
 	p.unindexWorker(w)
 	w.breaker = breaker{}
 	p.listBreaker(w)
@@ -163,6 +166,7 @@
 		r.started = r.started || a.Started
 		r.avoided, r.constraints = a.Avoid, newConstraints(a)
 		r.setEnds(now, a)
+		p.setUnservable(r)
 		p.requests[key] = r
 		p.queue.insert(r)
 		return
@@ -174,7 +178,9 @@
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
+	p.checkUnservable()
 	p.setCost(now, r)
+	p.setUnservable(r)
 	d := p.assess(now, r)
 	if p.Admission == AdmissionCost && !d.unservable {
 		r.cost.counted = !r.started
@@ -247,6 +253,7 @@
 	defer p.endDecision()
 	p.expireReservations(now)
 	p.updateProbes(now)
+	p.checkUnservable()
 	if p.Admission == AdmissionCost {
 		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
 		p.grantQueued(now)
@@ -272,7 +279,7 @@
 		if r.late && !r.started && blocked > 0 {
 			break // late requests get only resources that no other request waits for
 		}
-		if !p.grantTasks(now, r) {
+		if !p.grantTasks(now, r) && !r.unservable {
 			blocked++
 			p.noteBlocked(r)
 			p.setScarce(now, r)
--- a/placer/request.go
+++ b/placer/request.go
@@ -43,6 +43,9 @@
 		constraints  placementConstraints
 		queued       indexer.Handle // in the queue, or 0
 		released     bool
+		// unservable is set while no worker is large enough for a task, whatever its load. The request then does not delay
+		// others.
+		unservable bool
 	}
 )
 
@@ -105,8 +108,12 @@
 // maxWork bounds the work of a request, so that sums over the queue do not overflow.
 const maxWork = 1 << 46
 
-// work returns the work of the tasks that are not granted yet, in millicores times milliseconds.
+// work returns the work of the tasks that are not granted yet, in millicores times milliseconds. It is 0 while no worker can
+// run them.
 func (r *request) work() int64 {
+	if r.unservable {
+		return 0
+	}
 	return int64(min(float64(r.remaining)*float64(r.resources.CPU)*float64(r.estimate), maxWork))
 }
 
