--- a/placer/capacity_test.go
+++ b/placer/capacity_test.go
@@ -53,6 +53,43 @@
 	f.p.Place(f.now)
 }
 
+// TestShrunkWorker guards against grants on a worker whose runs exceed its capacity since that has shrunk, against
+// requests that wait for a worker that is large enough when none is any more, and against capacity that is not used again.
+func TestShrunkWorker(t *testing.T) {
+	for _, admission := range []Admission{AdmissionDeadline, AdmissionCost} {
+		f := newCapacityFixture(admission)
+		f.report("a", 8000, 6000)
+		f.request("large", 4000, false)
+		f.report("a", 3000, 6000)
+		f.p.Place(f.now)
+		if want := []string{"large"}; !slices.Equal(f.rejected, want) || f.reasons[0] != "no worker is large enough" {
+			t.Errorf("%s, queued: got %v refused (%v), want %v at once because no worker is large enough", admission, f.rejected, f.reasons, want)
+		}
+		f.request("large again", 4000, false)
+		if want := []string{"large", "large again"}; !slices.Equal(f.rejected, want) {
+			t.Errorf("%s, new: got %v refused, want %v", admission, f.rejected, want)
+		}
+		f.request("small", 2000, false)
+		f.now += 100
+		f.report("a", 3000, 2000) // runs have ended
+		f.p.Place(f.now)
+		if len(f.granted) != 0 {
+			t.Errorf("%s: got %v granted without free capacity, want none", admission, f.granted)
+		}
+		f.now += 100
+		f.report("a", 3000, 1000)
+		f.p.Place(f.now)
+		if want := []string{"small"}; !slices.Equal(f.granted, want) {
+			t.Errorf("%s: got %v granted once there is free capacity, want %v", admission, f.granted, want)
+		}
+		f.report("a", 8000, 3000)
+		f.request("large at last", 4000, false)
+		if want := []string{"small", "large at last"}; !slices.Equal(f.granted, want) || len(f.rejected) != 2 {
+			t.Errorf("%s: got %v granted and %v refused after it grew, want %v granted", admission, f.granted, f.rejected, want)
+		}
+	}
+}
+
 // TestUnservableStarted guards against tasks of started jobs that no worker is large enough for any more, and that keep
 // the requests behind them from free capacity.
 func TestUnservableStarted(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -108,6 +108,7 @@
 		p.workersByName = slices.Insert(p.workersByName, i, w)
 	}
 	p.unservable.sizesChanged = true
+	p.unservable.shrunk = p.unservable.shrunk || w.service == b.Service && !b.Capacity.Contains(w.total)
 	p.unindexWorker(w)
 	w.domain, w.service, w.labels, w.total = domain, b.Service, b.Labels, b.Capacity
 	w.kind = p.kindOf(b)
@@ -178,7 +179,7 @@
 	if p.firstRequestAt == 0 {
 		p.firstRequestAt = now
 	}
-	p.checkUnservable()
+	p.checkUnservable(now)
 	p.setCost(now, r)
 	p.setUnservable(r)
 	d := p.assess(now, r)
@@ -253,7 +254,7 @@
 	defer p.endDecision()
 	p.expireReservations(now)
 	p.updateProbes(now)
-	p.checkUnservable()
+	p.checkUnservable(now)
 	if p.Admission == AdmissionCost {
 		p.expireRequests(now, (*request).lastStart) // requests that resources are free for are served also if they are late
 		p.grantQueued(now)
