--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -300,6 +300,8 @@
 		return false, "backend server not announced"
 	case !k.reconciled:
 		return false, "backend server not listed"
+	case k.unknownRuns > 0:
+		return false, "an unknown run is being stopped" // the resources that it uses are not known
 	case k.unresponsive:
 		return false, "backend server does not answer"
 	case k.stopping:
