--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -85,7 +85,7 @@
 	}
 	if l.StartTime > k.backend.StartTime {
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
-		k.backend.Sequence = 0 // each incarnation counts anew
+		k.backend.Sequence, k.described = 0, false // each incarnation counts anew
 		k.resetBackend(now, l.StartTime)
 	}
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -30,3 +30,33 @@
 		t.Error("got an announcement of the former incarnation accepted, want it outdated")
 	}
 }
+
+// TestStartsAfterRestart guards against starts on the next incarnation of a backend server before it has announced itself. It may
+// be smaller than the former one, belong to another service or have other labels.
+func TestStartsAfterRestart(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fixture)
+		started bool
+	}{
+		{"no announcement", func(*fixture) {}, false},
+		{"late announcement of the former incarnation", func(f *fixture) {
+			f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 10, Sequence: 2, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000}})
+		}, false},
+		{"announcement", func(f *fixture) {
+			f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 20, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 10_000}})
+		}, true},
+		{"announcement of a smaller one", func(f *fixture) {
+			f.k.Announce(f.now, Backend{ID: "i-1", StartTime: 20, Sequence: 1, Service: "svc", Capacity: marshaler.Resources{CPU: 2000}})
+		}, false},
+	}
+	for _, c := range cases {
+		f := newFixture()
+		f.listRestarted()
+		c.prepare(f)
+		f.start(firstRun, 3000)
+		if got := len(f.starts) > 0; got != c.started {
+			t.Errorf("%s: got started %t, want %t", c.name, got, c.started)
+		}
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -104,6 +104,7 @@
 
 		backend      Backend
 		announced    bool // the backend server has announced itself; backend is valid
+		described    bool // its current incarnation has; before, only its identifier and start time are known to hold
 		reconciled   bool // a hold response listed no run that this process does not know
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has no listener
 		withdrawn    bool
@@ -255,8 +256,8 @@
 		}
 	}
 	restarted := !k.announced || b.ID != k.backend.ID || b.StartTime != k.backend.StartTime
-	changed := restarted || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
-	k.backend, k.announced = b, true
+	changed := restarted || !k.described || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
+	k.backend, k.announced, k.described = b, true, true
 	if restarted {
 		k.resetBackend(now, b.StartTime)
 		k.HoldNow() // a pending hold may still wait for the previous incarnation
@@ -300,6 +301,8 @@
 		return false, "backend server not announced"
 	case !k.reconciled:
 		return false, "backend server not listed"
+	case !k.described:
+		return false, "restarted backend server not announced"
 	case k.unknownRuns > 0:
 		return false, "an unknown run is being stopped" // the resources that it uses are not known
 	case k.unresponsive:
