--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -98,7 +98,7 @@
 		backend     *fakeBackend
 	}
 
-	// fakeBackend is a backend server that enforces its capacity and runs tasks under a lease.
+	// fakeBackend is a backend server that enforces its capacity, unless that changes, and runs tasks under a lease.
 	fakeBackend struct {
 		w              *simulation
 		up             bool
@@ -116,6 +116,7 @@
 		leaseExpiredAt timer.Millis            // latest time without a valid lease
 		endedAt        map[uint64]timer.Millis // by number
 		lapsedRuns     int                     // number of runs that ended because the lease expired
+		capacity       *changingCapacity       // set if it does not guard its capacity
 	}
 
 	fakeRun struct {
@@ -520,13 +521,14 @@
 		b.extendLease(m.NotAfter)
 	case b.runs[m.Run] != nil:
 		out.Status = supervisor.StartConfirmed
-	case !free.Contains(m.Resources):
+	case !free.Contains(m.Resources) && b.capacity == nil:
 		out.Reason = "room"
 		b.extendLease(m.NotAfter)
 	default:
 		b.extendLease(m.NotAfter)
 		length := timer.Millis(float64(m.Estimate) * (0.7 + 0.6*b.w.random.Float64()) * b.slowdown)
 		b.runs[m.Run] = &fakeRun{room: m.Resources, begin: b.w.now, end: b.w.now + max(length, 1)}
+		b.checkCapacity()
 		task := taskOf(m.Run)
 		b.w.activeRuns[task]++
 		b.w.startedRuns[m.Run.Job]++
