--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -64,14 +64,19 @@
 	return k.backendClock + int64(now-k.backendClockAt)
 }
 
-// OnHoldFailed handles the failure of a hold. gone says that the backend server has no listener, so nothing runs on it, unless
-// another incarnation has announced itself since the request.
-func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, gone bool, reason string) {
-	gone = gone && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
-	if gone {
-		k.endListedRuns(now, "backend server is gone")
-	}
-	if !k.unresponsive && (gone || now-k.listedAt > holdTimeout) {
+// OnHoldFailed handles the failure of a hold. refused says that the connection was refused. That does not concern the present
+// incarnation of the backend server if it has announced itself since the request.
+func (k *Supervisor) OnHoldFailed(now timer.Millis, request HoldRequest, refused bool, reason string) {
+	refused = refused && request.ID == k.backend.ID && request.StartTime == k.backend.StartTime
+	switch {
+	case !refused:
+		k.refusedHold = 0
+	case k.refusedHold == 0:
+		k.refusedHold = k.lastHold
+	case request.Number > k.refusedHold:
+		k.endGoneRuns(now)
+	}
+	if !k.unresponsive && (refused || now-k.listedAt > holdTimeout) {
 		k.unresponsive = true
 		k.report(Event{Kind: "backendSilent", Detail: reason})
 		k.sendLoads(now)
@@ -88,6 +93,8 @@
 		k.backend.Sequence, k.described = 0, false // each incarnation counts anew
 		k.resetBackend(now, l.StartTime)
 	}
+	k.refusedHold = 0
+	k.reportRefuted()
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
 	}
@@ -113,6 +120,16 @@
 	k.listedAt = now
 }
 
+// reportRefuted reports that the backend server answers under the start time under which its runs were taken for ended. Those
+// runs may have been active all the time, while their tasks were started elsewhere.
+func (k *Supervisor) reportRefuted() {
+	if k.goneRuns == 0 {
+		return
+	}
+	k.report(Event{Kind: "backendAlive", Detail: "answers after its runs were taken for ended", Value: int64(k.goneRuns)})
+	k.goneRuns = 0
+}
+
 func (k *Supervisor) onEnds(now timer.Millis, ends []EndedRun) (ended bool) {
 	for _, e := range ends {
 		if e.Number <= k.lastEnd {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -114,7 +114,7 @@
 		announced    bool // the backend server has announced itself; backend is valid
 		described    bool // its current incarnation has; before, only its identifier and start time are known to hold
 		reconciled   bool // a hold response listed no run that this process does not know
-		unresponsive bool // holds have failed for holdTimeout, or the backend server has no listener
+		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		withdrawn    bool
 		stopping     bool
 		offset       uint64
@@ -138,6 +138,8 @@
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
 		leaseWithheld  bool         // the lease is not extended, because of a run that must end
 		unknownRuns    int          // active runs in the latest hold response that this process does not know
+		refusedHold    uint64       // holds with a higher number began after the backend server refused one; 0 if it has answered since
+		goneRuns       int          // runs that were taken for ended because the present incarnation refused connections
 	}
 
 	// recentStart is a start that this process has handled, whether or not it was admitted.
@@ -322,6 +324,7 @@
 func (k *Supervisor) resetBackend(now timer.Millis, born uint64) {
 	k.backend.StartTime = born
 	k.lastEnd, k.reconciled, k.backendClock, k.backendClockAt, k.speed = 0, false, 0, 0, NormalSpeed
+	k.refusedHold, k.goneRuns = 0, 0
 	k.endListedRuns(now, "backend server restarted")
 	k.durable.reset()
 	k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(d unconfirmedStart) bool { return now-d.at > maxStartDelay })
