--- a/projector/projector.go
+++ b/projector/projector.go
@@ -95,8 +95,11 @@
 	}
 }
 
-// ApplyCrash applies the crash of a backend server to the task that ran there.
+// ApplyCrash applies the crash of a backend server to the task that ran there. It ignores tasks that the job does not have.
 func ApplyCrash(j *marshaler.JobRecord, c *marshaler.CrashRecord) {
+	if !hasTask(j, c.Run.Index) {
+		return
+	}
 	t := taskRecord(j, c.Run.Index)
 	t.Crashes++
 	t.GivenUp = t.GivenUp || c.GivenUp
@@ -113,6 +116,12 @@
 	return &j.Tasks[i]
 }
 
+// hasTask reports whether a job has a task with the given index.
+func hasTask(j *marshaler.JobRecord, index uint64) bool {
+	step, task := (marshaler.RunKey{Index: index}).Task()
+	return step < len(j.Steps) && uint64(task) < j.Steps[step].Tasks
+}
+
 // StateOf computes the state of a job from its recorded ends and cancellation.
 func StateOf(j *marshaler.JobRecord) State {
 	var done, tasks uint64
@@ -121,6 +130,9 @@
 	}
 	failed := false
 	for i := range j.Tasks {
+		if !hasTask(j, j.Tasks[i].Index) {
+			continue // recorded by another writer
+		}
 		if j.Tasks[i].Done {
 			done++
 		}
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -92,6 +92,7 @@
 	if l.StartTime > k.backend.StartTime {
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
 		k.noteCrash(now)
+		k.backend.Sequence, k.described = 0, false // each incarnation counts anew
 		k.resetBackend(now, l.StartTime)
 	}
 	k.refusedHold = 0
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -37,10 +37,18 @@
 	stopRetryInterval = 40 * timer.Millisecond
 	// holdTimeout is the time without a hold response after which starts are refused. Single lost responses are tolerated.
 	holdTimeout = 400 * timer.Millisecond
+	// maxSequenceGap is the largest difference between the sequence numbers of two announcements of one incarnation. At one
+	// announcement a second it takes 12 days.
+	maxSequenceGap = 1 << 20
+	// maxLabels is the maximum number of labels of a backend server.
+	maxLabels = 1000
 	// NormalSpeed is the relative speed, in thousandths, of a backend server whose runs take as long as estimated.
 	NormalSpeed = 1000
 )
 
+// maxCapacity is the maximum capacity of a backend server. Sums over all of them do not overflow.
+var maxCapacity = marshaler.Resources{CPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}
+
 const (
 	stateStarting = iota + 1 // the start is unanswered
 	stateRunning
@@ -104,6 +112,7 @@
 
 		backend      Backend
 		announced    bool // the backend server has announced itself; backend is valid
+		described    bool // its current incarnation has; before, only its identifier and start time are known to hold
 		reconciled   bool // a hold response listed no run that this process does not know
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		crashed      bool // the backend server has crashed, and has not answered since
@@ -243,29 +252,57 @@
 // Backend returns the latest description of the backend server. Its ID is empty before the first announcement.
 func (k *Supervisor) Backend() Backend { return k.backend }
 
-// valid reports whether the description can be encoded for entries. Other software may send announcements too.
+// valid reports whether the description can be encoded for entries, and its capacity summed up. Other software may send
+// announcements too.
 func (b *Backend) valid() bool {
 	long := func(text string) bool { return len(text) > marshaler.MaxNameLen }
-	return b.ID != "" && !long(b.ID) && !long(b.Service) && !slices.ContainsFunc(b.Labels, long) && b.Capacity.Contains(marshaler.Resources{})
+	return b.ID != "" && !long(b.ID) && !long(b.Service) && len(b.Labels) <= maxLabels && !slices.ContainsFunc(b.Labels, long) &&
+		b.Capacity.Contains(marshaler.Resources{}) && maxCapacity.Contains(b.Capacity)
 }
 
 // Announce handles an announcement of the backend server. It returns false if the announcement is invalid or outdated.
 func (k *Supervisor) Announce(now timer.Millis, b Backend) bool {
+	return k.announce(now, b, false)
+}
+
+// AnnounceConfirmed handles an announcement of an incarnation as which the backend server has answered a call. It takes effect
+// whichever incarnation is known.
+func (k *Supervisor) AnnounceConfirmed(now timer.Millis, b Backend) bool {
+	return k.announce(now, b, true)
+}
+
+// Replaces reports whether an announcement names another incarnation than the known one. Other software may have sent it, so the
+// caller confirms such an announcement with the backend server.
+func (k *Supervisor) Replaces(b Backend) bool {
+	return k.announced && (b.ID != k.backend.ID || b.StartTime != k.backend.StartTime)
+}
+
+// sequenceOutdated reports whether a sequence number of the known incarnation is that of a late announcement, or so far ahead that
+// another writer must have sent it. If the known number is far ahead, that one came from another writer.
+func (k *Supervisor) sequenceOutdated(sequence uint64) bool {
+	known := k.backend.Sequence
+	if sequence > known {
+		return known != 0 && sequence-known > maxSequenceGap
+	}
+	return known-sequence <= maxSequenceGap
+}
+
+func (k *Supervisor) announce(now timer.Millis, b Backend, confirmed bool) bool {
 	if !b.valid() {
-		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative"})
+		k.report(Event{Kind: "announcementRefused", Detail: "a name is missing or too long, or the capacity is negative or too large"})
 		return false
 	}
 	if k.announced {
-		if b.StartTime < k.backend.StartTime || b.StartTime == k.backend.StartTime && b.ID == k.backend.ID && b.Sequence <= k.backend.Sequence {
+		if !confirmed && b.StartTime < k.backend.StartTime || !k.Replaces(b) && k.sequenceOutdated(b.Sequence) {
 			return false
 		}
 	}
-	restarted := !k.announced || b.ID != k.backend.ID || b.StartTime != k.backend.StartTime
-	changed := restarted || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
+	restarted := !k.announced || k.Replaces(b)
+	changed := restarted || !k.described || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
 	if restarted && k.announced {
 		k.noteCrash(now)
 	}
-	k.backend, k.announced = b, true
+	k.backend, k.announced, k.described = b, true, true
 	if restarted {
 		k.resetBackend(now, b.StartTime)
 		k.HoldNow() // a pending hold may still wait for the previous incarnation
@@ -310,6 +347,10 @@
 		return false, "backend server not announced"
 	case !k.reconciled:
 		return false, "backend server not listed"
+	case !k.described:
+		return false, "restarted backend server not announced"
+	case k.unknownRuns > 0:
+		return false, "an unknown run is being stopped" // the resources that it uses are not known
 	case k.unresponsive, k.crashed:
 		return false, "backend server does not answer"
 	case k.stopping:
