--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -18,6 +18,9 @@
 	idleSpeedTimeConstant = 1000.0 // ms
 	// minSampleInterval is the shortest time between two hold responses from which a speed is computed.
 	minSampleInterval = 20 * timer.Millisecond
+	// maxOvertakenAge is the largest age, in milliseconds on the backend server's clock, of a list that a newer one can
+	// overtake. It exceeds the timeout of a hold. A clock that is further back began anew.
+	maxOvertakenAge = 2000
 	// maxSpeedSample bounds a single speed sample, because estimates of run times are rough.
 	maxSpeedSample = 4 * NormalSpeed
 )
@@ -97,6 +100,9 @@
 	}
 	k.refusedHold = 0
 	k.reportRefuted()
+	if k.isOvertaken(&l) {
+		return
+	}
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
 	}
@@ -122,6 +128,12 @@
 	k.listedAt = now
 }
 
+// isOvertaken reports whether a list is older than one that was handled already. Runs that have ended since would look unknown.
+func (k *Supervisor) isOvertaken(l *HoldResponse) bool {
+	age := k.backendClock - l.Clock
+	return k.backendClockAt != 0 && age > 0 && age <= maxOvertakenAge
+}
+
 // reportRefuted reports that the backend server answers under the start time under which its runs were taken for ended. Those
 // runs may have been active all the time, while their tasks were started elsewhere.
 func (k *Supervisor) reportRefuted() {
