--- a/auditor/causes.go
+++ b/auditor/causes.go
@@ -26,6 +26,8 @@
 		{"owner did not answer", "open: a kept job's owner did not answer", "faster takeover of partitions"},
 		{"store did not answer", "open: the store did not take a kept job's record in time", "the store"},
 		{"failed as often", "failed: a task failed as often as allowed", "another worker for the retries; nothing when the job itself is faulty"},
+		{"crashed under a task", "failed: a task crashed its backend servers", "the job"},
+		{"crash backend servers", "refused: the queue is confined, because its tasks crash backend servers", "the jobs of the queue"},
 		{"internal error", "open: the handling of the request panicked", "a fix of the panic that the log shows"},
 		{"the entry ends", "open: the entry stopped before the job ended", "a longer drain time"},
 	}
@@ -35,6 +37,7 @@
 		{"stalled", "a task stood still on its worker", "no placement on a worker as soon as it stops responding"},
 		{"sidecar was lost", "a sidecar was lost with a task", "faster confirmation that its lease has expired"},
 		{"not held by the sidecar", "a sidecar was restarted or reached late with a task", "a second run on another worker if the job allows it"},
+		{"crashed", "a backend server crashed with a task", "faster detection that it does not respond; tasks that crash servers run apart"},
 		{"backend server", "a backend server was lost with a task", "faster detection that it does not respond"},
 		{"no room", "a task was granted room that was taken", "a single consistent view of the free capacity"},
 		{"failed", "a task failed and was repeated", "no placement on a failing worker"},
