--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -91,9 +91,7 @@
 	s.lastTick, s.handover.pausedAt = s.now, s.now
 	s.explainer.pause, s.explainer.pausedUntil = pause, s.now
 	s.report(Event{Kind: "paused", Value: int64(pause)})
-	if pause >= longPause {
-		s.resume.until = s.now + resumeTime
-	}
+	s.resume.notePause(s.now-pause, s.now)
 	s.checkTimeouts()
 	s.expireJobs()
 }
--- a/submitter/resume.go
+++ b/submitter/resume.go
@@ -16,8 +16,25 @@
 
 // resumeState keeps the grants that arrive soon after a long pause. The zero value keeps none.
 type resumeState struct {
-	until  timer.Millis // no task of a restartable job is started before
-	grants []*marshaler.Grant
+	pausedSince timer.Millis // start of the latest pause, or of the first of several with little time between them
+	pausedUntil timer.Millis // end of the latest pause
+	until       timer.Millis // no task of a restartable job is started before
+	grants      []*marshaler.Grant
+}
+
+// notePause notes a pause. Departures of callers may not be noticed in a short time between two pauses, so these count as
+// one. Pauses below HeartbeatTimeout are ticks that are late on a busy machine, and do not.
+func (r *resumeState) notePause(from, until timer.Millis) {
+	if until-from < HeartbeatTimeout {
+		return
+	}
+	if r.pausedUntil == 0 || from-r.pausedUntil >= resumeTime {
+		r.pausedSince = from
+	}
+	r.pausedUntil = until
+	if until-r.pausedSince >= longPause {
+		r.until = until + resumeTime
+	}
 }
 
 // holdGrant keeps a grant if the caller of its job may have left during a long pause of this process.
