--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -59,8 +59,12 @@
 }
 
 // handoverTarget returns the entry that a new job is handed over to, or nil. The placing entry hands over while it is
-// busy, so that it keeps its processors for placing.
+// busy, so that it keeps its processors for placing. Soon after a long pause the caller of a job may have left, and the
+// other entry would start the job at once.
 func (s *Submitter) handoverTarget() (best *peer) {
+	if s.now < s.resume.until {
+		return nil
+	}
 	if s.load.own.Class < gauger.Overloaded && s.placingEntry() != s.Name || !s.handoverPermitted() {
 		return nil
 	}
