--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -91,8 +91,8 @@
 	}
 	j.hasRun = true
 	t.attempt, t.recordedAttempt = o.Run.Attempt, o.Run.Attempt
-	if t.state == taskAborted { // the job is being cancelled; the end counts if the cancellation is lost
-		return
+	if t.state == taskAborted && (j.isCancelled() || o.Status != marshaler.StatusDone) {
+		return // a recorded end counts if the cancellation is lost
 	}
 	if o.Status == marshaler.StatusDone {
 		s.completeTask(j, step, t)
@@ -110,6 +110,11 @@
 	s.requeue(sc, j, o)
 }
 
+// isCancelled reports whether the job is cancelled or its cancellation is being stored.
+func (j *job) isCancelled() bool {
+	return j.durability.record.Cancelled || len(j.durability.cancelRequests) > 0
+}
+
 // acknowledgeEnd tells a sidecar that an end is recorded or void.
 func (s *Submitter) acknowledgeEnd(name string, o *marshaler.Outcome, void bool) {
 	sc := s.sidecars[name]
