--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -46,11 +46,11 @@
 }
 
 // activeAtCrash returns the runs that may have been active when the backend server crashed. It did not answer the first
-// unconfirmed start, so it cannot have carried out starts that were sent much later.
+// unconfirmed start since its latest answer, so it cannot have carried out starts that were sent much later.
 func (k *Supervisor) activeAtCrash() (active []*run) {
-	latest := timer.Millis(math.MaxInt64)
+	latest, answeredAt := timer.Millis(math.MaxInt64), k.answeredAt()
 	for _, r := range k.runs {
-		if !r.confirmed() {
+		if !r.confirmed() && r.startedAt >= answeredAt {
 			latest = min(latest, r.startedAt+answerTime)
 		}
 	}
@@ -62,6 +62,17 @@
 	return active
 }
 
+// answeredAt returns the time of the latest hold response or confirmation of a start that is known.
+func (k *Supervisor) answeredAt() timer.Millis {
+	latest := k.listedAt
+	for _, r := range k.runs {
+		if r.confirmed() {
+			latest = max(latest, r.startedAt)
+		}
+	}
+	return latest
+}
+
 // confirmed reports whether the backend server has carried out the start.
 func (r *run) confirmed() bool { return r.listed || r.state == stateRunning }
 
