--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -24,7 +24,7 @@
 	if k.backend.Draining || k.crashed {
 		return
 	}
-	k.crashed = true
+	k.crashed, k.crashedStartTime = true, k.backend.StartTime
 	defer k.sendLoads(now)
 	active := k.activeAtCrash()
 	suspects := 0
@@ -45,6 +45,17 @@
 	k.report(Event{Kind: "backendCrashed", Detail: k.backend.ID, Value: int64(len(active))})
 }
 
+// refuteCrash discards the evidence of a crash, because the backend server answers under the start time under which it was
+// taken for crashed.
+func (k *Supervisor) refuteCrash() {
+	if !k.crashed || k.crashedStartTime != k.backend.StartTime {
+		return
+	}
+	for _, r := range k.runs {
+		r.crash = crashEvidence{}
+	}
+}
+
 // activeAtCrash returns the runs that may have been active when the backend server crashed. It did not answer the first
 // unconfirmed start since its latest answer, so it cannot have carried out starts that were sent much later.
 func (k *Supervisor) activeAtCrash() (active []*run) {
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -96,6 +96,7 @@
 	}
 	k.refusedHold = 0
 	k.reportRefuted()
+	k.refuteCrash()
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -107,9 +107,11 @@
 		reconciled   bool // a hold response listed no run that this process does not know
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		crashed      bool // the backend server has crashed, and has not answered since
-		withdrawn    bool
-		stopping     bool
-		offset       uint64
+		// crashedStartTime is the start time of the incarnation that crashed last.
+		crashedStartTime uint64
+		withdrawn        bool
+		stopping         bool
+		offset           uint64
 
 		runs           map[taskKey]*run
 		entries        map[string]*entry
