--- a/placer/confinement.go
+++ b/placer/confinement.go
@@ -23,7 +23,7 @@
 )
 
 // confinement limits what tasks that crash backend servers can do to a service. Queues whose tasks are blamed for several
-// crashes get only some of its workers, and the other queues the rest.
+// crashes get only some of its workers, and the other queues the rest. A task that none of these can run may use the others.
 type confinement struct {
 	queues map[string]*blamedQueue
 	active bool // a queue is confined
@@ -110,7 +110,19 @@
 // confinementAllows reports whether the confinement of queues permits a worker for a request.
 func (p *Placer) confinementAllows(r *request, w *worker) bool {
 	c := p.confinements[r.service]
-	return c == nil || !c.active || w.confined == p.isConfined(r)
+	if c == nil || !c.active {
+		return true
+	}
+	confined := p.isConfined(r)
+	return w.confined == confined || !p.hasWorkerFor(r, confined)
+}
+
+// hasWorkerFor reports whether any of the workers that serve the confined queues, or of the others, can run a task of a
+// request, whatever its load.
+func (p *Placer) hasWorkerFor(r *request, confined bool) bool {
+	return slices.ContainsFunc(p.workersByName, func(w *worker) bool {
+		return w.confined == confined && w.service == r.service && r.constraints.matchesLabel(w) && w.total.Contains(r.resources)
+	})
 }
 
 // hasConfinedWorker reports whether a worker that serves the confined queues of a service accepts starts.
