--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -8,6 +8,10 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// suspectTime is how long after its start a run of a suspect task keeps others off its backend server. A task that crashes
+// backend servers usually does so soon after its start, and many tasks are suspect after a crash that none of them caused.
+const suspectTime = 250 * timer.Millisecond
+
 // answerTime is the time within which a backend server usually answers a start.
 const answerTime = 20 * timer.Millisecond
 
@@ -125,10 +129,10 @@
 	return s
 }
 
-// suspectRuns returns the number of active runs of suspect tasks.
-func (k *Supervisor) suspectRuns() (n uint64) {
+// suspectRuns returns the number of active runs of suspect tasks that started a short time ago.
+func (k *Supervisor) suspectRuns(now timer.Millis) (n uint64) {
 	for _, r := range k.runs {
-		if r.suspicion > marshaler.SuspicionNone {
+		if r.suspicion > marshaler.SuspicionNone && now-r.startedAt < suspectTime {
 			n++
 		}
 	}
@@ -137,11 +141,11 @@
 
 // maySeparate reports whether a run of a task with a suspicion can be kept apart from the active runs as required, and the
 // reason if not.
-func (k *Supervisor) maySeparate(s marshaler.Suspicion) (bool, string) {
+func (k *Supervisor) maySeparate(now timer.Millis, s marshaler.Suspicion) (bool, string) {
 	switch {
 	case s >= marshaler.SuspicionStrong && len(k.runs) > 0:
 		return false, "the task must run alone"
-	case s == marshaler.SuspicionPossible && k.suspectRuns() > 0:
+	case s == marshaler.SuspicionPossible && k.suspectRuns(now) > 0:
 		return false, "a suspect task runs already"
 	}
 	for _, r := range k.runs {
--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -210,7 +210,7 @@
 	ok, _ := k.Accepting()
 	e.link.Send(&marshaler.Load{
 		Offset: k.offset, Accepting: ok, Free: k.free, Clock: k.Clock(now), Speed: uint64(max(k.speed, 0)),
-		HandledStarts: e.pendingStarts, CompletedRuns: e.pendingEnds, Time: now, SuspectRuns: k.suspectRuns(),
+		HandledStarts: e.pendingStarts, CompletedRuns: e.pendingEnds, Time: now, SuspectRuns: k.suspectRuns(now),
 	})
 	e.pendingStarts, e.pendingEnds, e.lastSent = nil, nil, now
 }
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -18,7 +18,7 @@
 	}
 	ok, reason := k.Accepting()
 	at, notAfter := taskKey{m.Run.Job, m.Run.Index}, k.limitLease(now, m.NotAfter)
-	separate, separateReason := k.maySeparate(m.Suspicion)
+	separate, separateReason := k.maySeparate(now, m.Suspicion)
 	switch {
 	case !ok:
 	case !k.mayStart(e, m):
