--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -54,8 +54,14 @@
 		Attempt  uint64 // highest recorded attempt
 		Failures uint64
 		Done     bool
-		Crashes  uint64 // number of backend servers that crashed under the task
-		GivenUp  bool   // it is not started again because backend servers crashed under it
+		Crashes  []TaskCrash
+		GivenUp  bool // it is not started again because backend servers crashed under it
+	}
+
+	// TaskCrash identifies the crash of a backend server under an attempt of a task.
+	TaskCrash struct {
+		Attempt uint64
+		Sidecar string // of the backend server
 	}
 
 	// EndRecord records the end of a run of a durable job, with StatusDone or StatusFailed.
@@ -68,6 +74,7 @@
 	// it.
 	CrashRecord struct {
 		Run     RunKey
+		Sidecar string
 		GivenUp bool // the task is not started again
 	}
 
@@ -108,6 +115,7 @@
 		Partition Partition
 		Runs      []RunKey
 		Ends      []Outcome
+		Crashes   []Outcome // recent ends with StatusCrashed, which an earlier owner may not have recorded
 	}
 
 	// OutcomeAck acknowledges an end: it is recorded and need not be listed again. Void means that the end must not count: the
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -16,7 +16,8 @@
 		return appender.AppendUint(dst, 2, uint64(m.Status))
 	case *CrashRecord:
 		dst = appendRunKey(append(dst, kindCrashRecord), 1, &m.Run)
-		return appendBool(dst, 2, m.GivenUp)
+		dst = appendBool(dst, 2, m.GivenUp)
+		return appender.AppendString(dst, 3, m.Sidecar)
 	case *OwnerRecord:
 		return appender.AppendUint(append(dst, kindOwnerRecord), 1, m.Epoch)
 	case *CancelRecord:
@@ -74,13 +75,20 @@
 			b = appender.AppendUint(b, 2, t.Attempt)
 			b = appender.AppendUint(b, 3, t.Failures)
 			b = appendBool(b, 4, t.Done)
-			b = appender.AppendUint(b, 5, t.Crashes)
+			for n := range t.Crashes {
+				b = appendNested(b, 5, t.Crashes[n].append)
+			}
 			return appendBool(b, 6, t.GivenUp)
 		})
 	}
 	return appendBool(dst, 9, m.Cancelled)
 }
 
+func (c *TaskCrash) append(b []byte) []byte {
+	b = appender.AppendUint(b, 1, c.Attempt)
+	return appender.AppendString(b, 2, c.Sidecar)
+}
+
 func appendStep(b []byte, s *Step) []byte {
 	b = appender.AppendUint(b, 1, s.Tasks)
 	b = appendResources(b, 2, s.Resources)
@@ -116,6 +124,9 @@
 	for i := range m.Ends {
 		dst = appendNested(dst, 3, func(b []byte) []byte { return appendOutcome(b, &m.Ends[i]) })
 	}
+	for i := range m.Crashes {
+		dst = appendNested(dst, 4, func(b []byte) []byte { return appendOutcome(b, &m.Crashes[i]) })
+	}
 	return dst
 }
 
@@ -235,13 +246,27 @@
 	case 4:
 		return setBool(f, &t.Done)
 	case 5:
-		return f.StoreUint(&t.Crashes)
+		c, err := appendZero(&t.Crashes)
+		if err != nil {
+			return err
+		}
+		return decodeNested(f, c.setField)
 	case 6:
 		return setBool(f, &t.GivenUp)
 	}
 	return nil
 }
 
+func (c *TaskCrash) setField(f appender.Field) error {
+	switch f.Tag {
+	case 1:
+		return f.StoreUint(&c.Attempt)
+	case 2:
+		return f.StoreString(&c.Sidecar, MaxNameLen)
+	}
+	return nil
+}
+
 func (m *EndRecord) setField(f appender.Field) error {
 	switch f.Tag {
 	case 1:
@@ -258,6 +283,8 @@
 		return setRunKey(f, &m.Run)
 	case 2:
 		return setBool(f, &m.GivenUp)
+	case 3:
+		return f.StoreString(&m.Sidecar, MaxNameLen)
 	}
 	return nil
 }
@@ -312,6 +339,12 @@
 			return err
 		}
 		return decodeNested(f, o.setField)
+	case 4:
+		o, err := appendZero(&m.Crashes)
+		if err != nil {
+			return err
+		}
+		return decodeNested(f, o.setField)
 	}
 	return nil
 }
--- a/projector/projector.go
+++ b/projector/projector.go
@@ -95,13 +95,16 @@
 	}
 }
 
-// ApplyCrash applies the crash of a backend server to the task that ran there. It ignores tasks that the job does not have.
+// ApplyCrash applies the crash of a backend server to the task that ran there. It ignores tasks that the job does not have and
+// crashes that it has applied.
 func ApplyCrash(j *marshaler.JobRecord, c *marshaler.CrashRecord) {
 	if !hasTask(j, c.Run.Index) {
 		return
 	}
 	t := taskRecord(j, c.Run.Index)
-	t.Crashes++
+	if crash := (marshaler.TaskCrash{Attempt: c.Run.Attempt, Sidecar: c.Sidecar}); !slices.Contains(t.Crashes, crash) {
+		t.Crashes = append(t.Crashes, crash)
+	}
 	t.GivenUp = t.GivenUp || c.GivenUp
 }
 
--- a/submitter/crashes.go
+++ b/submitter/crashes.go
@@ -18,7 +18,7 @@
 
 // suspicion returns how likely the task is to crash its backend server.
 func (t *task) suspicion() marshaler.Suspicion {
-	return marshaler.Suspicion(min(t.crashes, uint64(marshaler.SuspicionStrong)))
+	return marshaler.Suspicion(min(len(t.crashes), int(marshaler.SuspicionStrong)))
 }
 
 // suspicion returns the highest suspicion of the queued tasks of a step, which one request places.
@@ -60,37 +60,70 @@
 // onCrash counts the crash of a backend server under a task, and queues the task again or gives it up.
 func (s *Submitter) onCrash(sc *sidecar, j *job, o *marshaler.Outcome) {
 	step, index := o.Run.Task()
-	st := &j.steps[step]
-	t := &st.tasks[index]
-	t.crashes++
-	st.hasCrashed = true
-	// A task of a durable job is given up only if it is certain that it causes the crashes: its caller cannot send it again.
-	sure := marshaler.BlameProbable
-	if j.Kind.Durable {
-		sure = marshaler.BlameCertain
-	}
-	givenUp := t.crashes >= crashLimit || o.Blame >= sure && t.crashes >= crashLimitBlamed
-	if givenUp {
-		s.report(Event{Kind: "crashLimit", Job: j.ID, Queue: j.Queue.Name, Peer: t.sidecar, Detail: fmt.Sprintf("blame %d", o.Blame), Value: int64(o.Run.Index), Count: int64(t.crashes)})
-	}
+	t := &j.steps[step].tasks[index]
+	givenUp := s.countCrash(sc, j, o)
 	switch {
 	case j.Kind.Durable:
 		t.state = taskAwaitsRecord
 		if givenUp {
 			t.state = taskAborted
 		}
-		s.recordCrash(sc, j, t, &marshaler.CrashRecord{Run: o.Run, GivenUp: givenUp}, o)
+		s.recordCrash(sc, j, t, o, givenUp)
 	case givenUp:
 		t.state = taskDone
-		s.finish(j, Answer{Kind: AnswerFailed, Reason: fmt.Sprintf("%d backend servers crashed under a task", t.crashes)})
+		s.finish(j, Answer{Kind: AnswerFailed, Reason: fmt.Sprintf("%d backend servers crashed under a task", len(t.crashes))})
 	default:
 		s.requeue(sc, j, o)
 	}
 }
 
+// onReportedCrash counts a crash that a sidecar reports to a new owner of the job, unless the former owner has stored it.
+func (s *Submitter) onReportedCrash(sc *sidecar, o *marshaler.Outcome) {
+	j := s.jobs[o.Run.Job]
+	step, index := o.Run.Task()
+	if j == nil || j.durability.partition == nil || step >= len(j.steps) || index >= len(j.steps[step].tasks) {
+		return
+	}
+	t := &j.steps[step].tasks[index]
+	switch {
+	case t.state == taskDone || slices.Contains(t.crashes, marshaler.TaskCrash{Attempt: o.Run.Attempt, Sidecar: sc.name}):
+		return
+	case t.state == taskAssigned && t.attempt == o.Run.Attempt && t.sidecar == sc.name:
+		s.onOutcome(sc, o)
+		return
+	}
+	t.attempt = max(t.attempt, o.Run.Attempt)
+	givenUp := s.countCrash(sc, j, o)
+	if givenUp && t.state != taskAssigned { // a run ends with the job, once the record is stored
+		t.state = taskAborted
+	}
+	s.recordCrash(sc, j, t, o, givenUp)
+}
+
+// countCrash counts the crash of a backend server under a task, and reports whether the task is to be given up.
+func (s *Submitter) countCrash(sc *sidecar, j *job, o *marshaler.Outcome) (givenUp bool) {
+	step, index := o.Run.Task()
+	st := &j.steps[step]
+	t := &st.tasks[index]
+	t.crashes = append(t.crashes, marshaler.TaskCrash{Attempt: o.Run.Attempt, Sidecar: sc.name})
+	st.hasCrashed = true
+	// A task of a durable job is given up only if it is certain that it causes the crashes: its caller cannot send it again.
+	sure := marshaler.BlameProbable
+	if j.Kind.Durable {
+		sure = marshaler.BlameCertain
+	}
+	crashes := len(t.crashes)
+	givenUp = crashes >= crashLimit || o.Blame >= sure && crashes >= crashLimitBlamed
+	if givenUp {
+		s.report(Event{Kind: "crashLimit", Job: j.ID, Queue: j.Queue.Name, Peer: sc.name, Detail: fmt.Sprintf("blame %d", o.Blame), Value: int64(o.Run.Index), Count: int64(crashes)})
+	}
+	return givenUp
+}
+
 // recordCrash applies a crash to the record of a durable job and writes it to the store. The task is queued again only once
 // the record is stored, so that no later owner starts it without counting the crash.
-func (s *Submitter) recordCrash(sc *sidecar, j *job, t *task, c *marshaler.CrashRecord, o *marshaler.Outcome) {
+func (s *Submitter) recordCrash(sc *sidecar, j *job, t *task, o *marshaler.Outcome, givenUp bool) {
+	c := &marshaler.CrashRecord{Run: o.Run, Sidecar: sc.name, GivenUp: givenUp}
 	projector.ApplyCrash(j.durability.record, c)
 	j.durability.pendingWrites++
 	s.appendRecord(j, marshaler.Append(nil, c), func(uint64) {
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -1,6 +1,8 @@
 package submitter
 
 import (
+	"slices"
+
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/projector"
 	"github.com/crocuslb/crocuslb/router"
@@ -74,9 +76,9 @@
 		}
 		st := &j.steps[step]
 		t := &st.tasks[index]
-		t.attempt, t.recordedAttempt, t.failures, t.crashes = r.Attempt, r.Attempt, r.Failures, r.Crashes
+		t.attempt, t.recordedAttempt, t.failures, t.crashes = r.Attempt, r.Attempt, r.Failures, slices.Clone(r.Crashes)
 		j.hasRun = true
-		st.hasCrashed = st.hasCrashed || r.Crashes > 0
+		st.hasCrashed = st.hasCrashed || len(r.Crashes) > 0
 		if r.Done {
 			t.state = taskDone
 			st.done++
@@ -142,6 +144,9 @@
 	for i := range m.Ends {
 		s.onDurableEnd(sc, &m.Ends[i])
 	}
+	for i := range m.Crashes {
+		s.onReportedCrash(sc, &m.Crashes[i])
+	}
 	listed := map[marshaler.RunKey]bool{}
 	for _, key := range m.Runs {
 		listed[key] = true
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -147,7 +147,7 @@
 		issuedAttempt      uint64 // latest attempt that this entry started or adopted
 		recordedAttempt    uint64 // latest attempt of a durable job whose end is recorded
 		failures           uint64
-		crashes            uint64 // number of backend servers that crashed under the task
+		crashes            []marshaler.TaskCrash
 		sidecar            string
 		sidecarIncarnation uint64
 	}
--- a/supervisor/durable.go
+++ b/supervisor/durable.go
@@ -12,6 +12,10 @@
 // may have requested it.
 const maxLeaseMs = 1000
 
+// crashRetention is how long a crash is reported to new owners of a partition. It exceeds the time in which an owner is
+// replaced and a backend server restarts, before which no owner gets a list of the partition.
+const crashRetention = 30 * timer.Second
+
 type (
 	// durableState is the sidecar's state of durable jobs. Each partition of these jobs has one owner at a time. The backend
 	// server lists a successful or failed end until the owner has recorded it. The zero value is ready to use.
@@ -20,6 +24,7 @@
 		// unrecorded has the ends that no owner has recorded yet, by their number.
 		unrecorded      map[uint64]unrecordedEnd
 		orphanDeadlines map[uint64]timer.Millis // by released partition; its runs are stopped at this time
+		crashes         []sentOutcome           // of runs that were active at a crash, for crashRetention
 		// leaseEnd is the latest expiry that was or may have been requested for the lease, on the backend server's clock; 0
 		// before the first hold response.
 		leaseEnd int64
@@ -191,6 +196,11 @@
 			census.Ends = append(census.Ends, u.outcome)
 		}
 	}
+	for _, c := range k.durable.crashes {
+		if k.partition(c.outcome.Run.Job) == number {
+			census.Crashes = append(census.Crashes, c.outcome)
+		}
+	}
 	e.link.Send(census)
 }
 
@@ -254,6 +264,7 @@
 			}
 		}
 	}
+	k.durable.crashes = slices.DeleteFunc(k.durable.crashes, func(c sentOutcome) bool { return now-c.at > crashRetention })
 	if len(k.durable.unrecorded) > 0 && !k.durableInUse() {
 		k.durable.unrecorded = nil
 	}
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -181,6 +181,9 @@
 		outcome.Number = number
 		k.durable.addEnd(outcome)
 	}
+	if r.durable && status == marshaler.StatusCrashed {
+		k.durable.crashes = append(k.durable.crashes, sentOutcome{now, outcome})
+	}
 	k.sendOutcome(now, r.entry, outcome)
 	k.sendRefusals(now, r)
 	settled := marshaler.CompletedRun{Job: r.key.Job, Status: status, RunTime: ran, Estimate: r.estimate, Resources: r.resources, Queue: r.queue, Blame: r.crash.blame}
