--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -55,6 +55,9 @@
 		link.Close(trace.CompareFailed("a newer incarnation of %s exists", h.Name))
 		return
 	}
+	if p != nil && p.link != nil && p.hello.Incarnation == h.Incarnation && h.Session < p.hello.Session {
+		return // an older session that was handled late; it is read, but its end must not count as the loss of the entry
+	}
 	if p != nil && p.hello.Incarnation < h.Incarnation {
 		s.onPeerLost(p, "restarted")
 	}
