--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -22,13 +22,14 @@
 	blame   marshaler.Blame
 }
 
-// noteCrash records a crash of the backend server with each active run. No start is admitted until the backend server
-// answers again. A backend server that was draining has exited as planned.
+// noteCrash records a crash of the backend server with each run whose start was answered. A start without an answer may have
+// been sent after the crash, so it does not count against its task. No start is admitted until the backend server answers
+// again. A backend server that was draining has exited as planned.
 func (k *Supervisor) noteCrash(now timer.Millis) {
 	if k.backend.Draining || k.crashed {
 		return
 	}
-	k.crashed, k.crashedStartTime = true, k.backend.StartTime
+	k.crashed = true
 	defer k.sendLoads(now)
 	active := k.activeAtCrash()
 	suspects := 0
@@ -38,6 +39,9 @@
 		}
 	}
 	for _, r := range active {
+		if !r.confirmed() {
+			continue
+		}
 		r.crash.crashed = true
 		if suspects == 1 && r.suspicion > marshaler.SuspicionNone {
 			r.crash.blame = r.blameAmong(active, k.unknownRuns)
@@ -49,17 +53,6 @@
 	k.report(Event{Kind: "backendCrashed", Detail: k.backend.ID, Value: int64(len(active))})
 }
 
-// refuteCrash discards the evidence of a crash, because the backend server answers under the start time under which it was
-// taken for crashed.
-func (k *Supervisor) refuteCrash() {
-	if !k.crashed || k.crashedStartTime != k.backend.StartTime {
-		return
-	}
-	for _, r := range k.runs {
-		r.crash = crashEvidence{}
-	}
-}
-
 // activeAtCrash returns the runs that may have been active when the backend server crashed. It did not answer the first
 // unconfirmed start since its latest answer, so it cannot have carried out starts that were sent much later.
 func (k *Supervisor) activeAtCrash() (active []*run) {
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -103,7 +103,6 @@
 	if k.isOvertaken(&l) {
 		return
 	}
-	k.refuteCrash()
 	if at := l.Clock; k.backendClockAt == 0 || at >= k.backendClock {
 		k.backendClock, k.backendClockAt = at, now
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -109,10 +109,9 @@
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		crashed      bool // the backend server has crashed, and has not answered since
 		// crashedStartTime is the start time of the incarnation that crashed last.
-		crashedStartTime uint64
-		withdrawn        bool
-		stopping         bool
-		offset           uint64
+		withdrawn bool
+		stopping  bool
+		offset    uint64
 
 		runs           map[taskKey]*run
 		entries        map[string]*entry
