--- a/submitter/crash_sim_test.go
+++ b/submitter/crash_sim_test.go
@@ -14,6 +14,14 @@
 	crashes map[string]int          // by job
 	excess  map[string]int          // starts after three crashes, by job
 	onCrash func()
+	// unanswered says that the starts of these runs get no answer.
+	unanswered bool
+}
+
+// isUnanswered reports whether a start crashes its backend server before it is answered.
+func (c *crashingTasks) isUnanswered(r marshaler.RunKey) bool {
+	_, crashes := c.after[r.Job]
+	return crashes && c.unanswered && r.Index == 0
 }
 
 // onStart schedules the crash that a run causes. The backend server is back three seconds later.
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -252,6 +252,9 @@
 	k.Start = func(m marshaler.Start) {
 		s.backend.call(func(answered bool) {
 			started := s.backend.start(m)
+			if s.backend.w.crashing.isUnanswered(m.Run) {
+				started = supervisor.StartResult{Run: m.Run, Status: supervisor.StartUnknown, Reason: "connection closed"}
+			}
 			if !answered {
 				return
 			}
