--- a/runner/oddannouncement_test.go
+++ b/runner/oddannouncement_test.go
@@ -16,19 +16,8 @@
 // TestOddAnnouncements guards against an announcement of another writer that replaces the backend server of a sidecar: its
 // runs count as lost though they continue, and its own announcements are refused as outdated from then on.
 func TestOddAnnouncements(t *testing.T) {
-	later := time.Now().Add(time.Hour).UnixMilli()
-	cases := []struct{ name, id, body string }{
-		{"another server, later start", "i-odd", fmt.Sprintf(`{"Backend":"svc","State":"ready","Capacity":{"Cpu":8000,"MemMb":8000},"Sequence":1,"born":%d}`, later)},
-		{"another server, unknown service", "i-odd", fmt.Sprintf(`{"Backend":"odd","Address":"127.0.0.1:99999","State":"ready","Capacity":{"Cpu":1},"Sequence":1,"born":%d}`, later)},
-		{"another server that drains", "i-odd", fmt.Sprintf(`{"Backend":"svc","State":"draining","Capacity":{"Cpu":1},"Sequence":1,"born":%d}`, later)},
-		{"start too late", "i-0", `{"Backend":"svc","State":"ready","Capacity":{"Cpu":8000,"MemMb":8000},"Sequence":1,"born":18446744073709551615}`},
-		{"deeply nested", "i-0", deeplyNested},
-		{"deeply nested capacity", "i-0", `{"Backend":"svc","State":"ready","Capacity":` + deeplyNested + `}`},
-		{"capacity too large", "i-0", fmt.Sprintf(`{"Backend":"svc","State":"ready","Capacity":{"Cpu":9223372036854775807,"MemMb":9223372036854775807},"Sequence":1,"born":%d}`, later)},
-		{"start is a fraction", "i-0", `{"Backend":"svc","State":"ready","Capacity":{"Cpu":8000,"MemMb":8000},"Sequence":1,"born":1.5}`},
-	}
 	tc := newTestCluster(t, 1, 1)
-	for _, c := range cases {
+	for _, c := range platformtest.OddAnnouncements("i-0", "svc", deeplyNested) {
 		answered := make(chan string, 1)
 		go func() {
 			status, body := tc.post(tc.entryAddresses[0], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 1, "400")
@@ -36,14 +25,14 @@
 		}()
 		time.Sleep(100 * time.Millisecond) // the run has started
 		before := tc.startsOn("i-0")
-		if status, _ := tc.call(http.MethodPost, tc.address(100, 8002), "/Instances.Heartbeat/"+c.id, c.body); status == http.StatusOK {
-			t.Errorf("%s: got an acknowledgement, want none", c.name)
+		if status, _ := tc.call(http.MethodPost, tc.address(100, 8002), c.Path, c.Body); status == http.StatusOK {
+			t.Errorf("%s: got an acknowledgement, want none", c.Name)
 		}
 		if got, want := <-answered, `200{"State":"succeeded"}`; got != want || tc.startsOn("i-0") != before {
-			t.Errorf("%s: got %s for a running job, starts %d, want %s, %d", c.name, got, tc.startsOn("i-0"), want, before)
+			t.Errorf("%s: got %s for a running job, starts %d, want %s, %d", c.Name, got, tc.startsOn("i-0"), want, before)
 		}
 		if status, _ := tc.post(tc.entryAddresses[0], "/a/", fmt.Sprintf("%016x", rand.Uint64()), 8, "5"); status != http.StatusOK {
-			t.Errorf("%s: got %d for the next job, want 200", c.name, status)
+			t.Errorf("%s: got %d for the next job, want 200", c.Name, status)
 		}
 	}
 	tc.backends[0].Restart()
