review: case 1 is now a task that crashes its executor before the start is answered; the former case 1 is withdrawn

The former case 1 showed a kept job as `failed` after three crashes of executors that ran its task.

Run with review/build.sh and review/1/run.sh, five times and once with TROUBLE=0.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 export TROUBLE=${TROUBLE:-1}
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/platformnode ] || exit 2
-exec target/review/standin -case lost -record review/1/record.txt
+exec target/review/standin -case deadly -record review/1/record.txt
--- a/review/standin/route.go
+++ b/review/standin/route.go
@@ -34,7 +34,7 @@
 				return
 			case <-ticker.C:
 			}
-			j := job{id: newID(), bestEffort: true, spec: spec{routeTaskMs, 3100, -1}}
+			j := job{id: newID(), bestEffort: true, spec: spec{ms: routeTaskMs, cpu: 3100, failIndex: -1}}
 			j.steps = []step{{Count: routeTasks, CPU: 3100, MemMb: 64, EstimateMs: routeTaskMs, MaxPerServer: maxPerServer}}
 			c.limited.Store(j.id, true)
 			clients.Go(func() { c.submit(ctx, n%entryCount, j, 1500*time.Millisecond) })
--- a/review/standin/unasked.go
+++ b/review/standin/unasked.go
@@ -75,7 +75,7 @@
 
 // chainJob returns a job of many steps that follow each other.
 func chainJob() job {
-	j := job{id: newID(), spec: spec{chainTaskMs, 3100, -1}}
+	j := job{id: newID(), spec: spec{ms: chainTaskMs, cpu: 3100, failIndex: -1}}
 	for n := range chainSteps {
 		s := step{Count: 1, CPU: 3100, MemMb: 64, EstimateMs: chainTaskMs}
 		if n > 0 {
