supervisor: report the clock with the refusal of a late start

Cause: a sidecar that was paused handles an old hold response and sends a load report with a clock that is 1.9 s behind. The entry derives the time limit of its starts from it, so each start is refused as late. Each refusal counts as a heartbeat and postpones the next load report, which would correct the entry's estimate, for as long as the entry starts the task again within 150 ms.

Evidence: prints of the trial: one load report at 106.844 with the clock 104.932, then only refusals until the end of the simulation.

Change: the sidecar sends a load report before the refusal of a late start. TestRefusalOfLateStart failed before (no load report).

--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -31,6 +31,7 @@
 		ok, reason = false, "no room"
 	case notAfter <= k.Clock(now):
 		ok, reason = false, "start is late"
+		k.sendLoad(now, e) // the entry may have a wrong estimate of the clock, and refusals postpone the next load report
 	}
 	if !ok {
 		if other := k.runs[at]; other != nil {
