submitter: void the success of a run behind a cut although its job has ended

Cause: for an active job the owner compares the end with its latest start of the task. For a job that has ended it asked the record, which has an attempt only of tasks with a recorded end; the second run was stopped and left none. So the end seemed to contradict nothing. The same held for jobs that ended because another task failed, and for an active job if a previous owner had used a higher attempt number than the run that this entry started later.

Change: one decision, endVerdict, for active and ended jobs: a success counts only if it is of the latest run that this entry started or adopted; without such a run, only if the sidecar knows that the previous owner got it and no later failure is recorded. A job that has ended keeps the latest run of each task for it.

Why not seen before: in virtual time jobs were cancelled within 400 ms and tasks took 230 ms, so none was cancelled while a task ran for the second time behind a cut; the soak cancels no jobs and does not look at which ends backend servers may forget.

--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -1,7 +1,9 @@
 package marshaler
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 
 	"github.com/crocuslb/crocuslb/timer"
 )
@@ -150,6 +152,15 @@
 	}
 )
 
+// Task returns the recorded state of a task, which is empty if the task has none.
+func (m *JobRecord) Task(index uint64) TaskRecord {
+	i, ok := slices.BinarySearchFunc(m.Tasks, index, func(t TaskRecord, index uint64) int { return cmp.Compare(t.Index, index) })
+	if !ok {
+		return TaskRecord{Index: index}
+	}
+	return m.Tasks[i]
+}
+
 // PartitionOf maps a durable job to one of count partitions by the hash of its identifier.
 func PartitionOf(job string, count uint64) uint64 {
 	h := fnv.New64a()
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -61,6 +61,9 @@
 		state  projector.State
 		since  timer.Millis
 		offset uint64 // offset of its latest full record
+		// issued holds the latest run that this entry started or adopted, by task index. It is empty for a job that a previous
+		// owner ended.
+		issued map[uint64]issuedRun
 	}
 
 	// durableState is the additional state of an active durable job.
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -441,13 +441,17 @@
 		if w.random.IntN(3) == 0 {
 			steps = append(steps, marshaler.Step{Tasks: 1, Resources: room, Estimate: timer.Millis(30 + w.random.IntN(100)), After: []uint64{0}})
 		}
+		if w.random.IntN(6) == 0 { // still runs when a cut heals or a job is cancelled after a task was started again
+			steps[0].Estimate = timer.Millis(800 + w.random.IntN(1000))
+		}
 		ids = append(ids, id)
 		for n := range steps {
 			w.durable.tasks[id] += int(steps[n].Tasks)
 		}
 		w.schedule(at, func() { w.submitDurable(id, steps, maxSubmissions) })
 		if w.random.IntN(5) == 0 {
-			w.schedule(at+timer.Millis(w.random.IntN(400)), func() { w.cancelDurable(id) })
+			limit := []int{400, 4000}[w.random.IntN(2)] // a late one meets tasks that were started again after a cut
+			w.schedule(at+timer.Millis(w.random.IntN(limit)), func() { w.cancelDurable(id) })
 		}
 	}
 	return ids
--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -1,21 +1,18 @@
 package submitter
 
 import (
-	"slices"
-
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/projector"
 )
 
 // onDurableEnd handles the end of a run of a durable job. The sidecar lists it until it is acknowledged.
 func (s *Submitter) onDurableEnd(sc *sidecar, o *marshaler.Outcome) {
-	p := s.durable.owned[s.partitionOf(o.Run.Job)]
-	if p == nil {
+	if s.durable.owned[s.partitionOf(o.Run.Job)] == nil {
 		return // the sidecar reports it to the owner
 	}
 	j := s.jobs[o.Run.Job]
 	if j == nil || j.durability.partition == nil { // finished, unknown, or restartable
-		s.acknowledgeEnd(sc.name, o, s.contradictsFinished(o))
+		s.onFinishedEnd(sc, o)
 		return
 	}
 	step, index := o.Run.Task()
@@ -23,46 +20,28 @@
 		s.acknowledgeEnd(sc.name, o, false)
 		return
 	}
-	key := endKey{o.Run, sc.name}
-	if j.durability.recordingEnds[key] {
+	if j.durability.recordingEnds[endKey{o.Run, sc.name}] {
 		return
 	}
 	t := &j.steps[step].tasks[index]
-	if o.Stale && t.issuedAttempt == 0 && t.state != taskDone && o.Status == marshaler.StatusDone {
-		// A previous owner may have restarted the task; this entry has no way to know.
-		t.attempt = max(t.attempt, o.Run.Attempt)
-		s.acknowledgeEnd(sc.name, o, true)
-		return
-	}
-	if t.acceptsEnd(sc.name, o.Run.Attempt) {
+	switch j.history(o.Run.Index).verdict(sc.name, o) {
+	case endCounted:
 		s.recordEnd(sc, j, o)
-		return
-	}
-	s.acknowledgeEnd(sc.name, o, o.Status == marshaler.StatusDone && t.recordedAttempt != o.Run.Attempt)
-}
-
-// acceptsEnd reports whether an end of an attempt counts: it must belong to the current run or, for a task without one,
-// be of the latest issued attempt or a later one that is not recorded yet.
-func (t *task) acceptsEnd(sidecar string, attempt uint64) bool {
-	switch t.state {
-	case taskAssigned:
-		return t.attempt == attempt && t.sidecar == sidecar
-	case taskQueued, taskAwaitsRecord, taskUnknown, taskAborted:
-		return attempt >= t.issuedAttempt && attempt > t.recordedAttempt
+	case endKnown:
+		s.acknowledgeEnd(sc.name, o, false)
+	case endVoid:
+		if t.issuedAttempt == 0 { // attempts of this entry have to be later ones
+			t.attempt = max(t.attempt, o.Run.Attempt)
+		}
+		s.acknowledgeEnd(sc.name, o, true)
 	}
-	return false
 }
 
-// contradictsFinished reports whether a success contradicts the record of a finished job, which holds another attempt
-// of the task.
-func (s *Submitter) contradictsFinished(o *marshaler.Outcome) bool {
+// onFinishedEnd handles the end of a run of a durable job that has ended. The end does not change the job, but it must not
+// be acknowledged as valid if the task was started again after it.
+func (s *Submitter) onFinishedEnd(sc *sidecar, o *marshaler.Outcome) {
 	finished := s.durable.finished[o.Run.Job]
-	if finished == nil || o.Status != marshaler.StatusDone {
-		return false
-	}
-	return slices.ContainsFunc(finished.record.Tasks, func(t marshaler.TaskRecord) bool {
-		return t.Index == o.Run.Index && t.Attempt > 0 && t.Attempt != o.Run.Attempt
-	})
+	s.acknowledgeEnd(sc.name, o, finished != nil && finished.history(o.Run.Index).verdict(sc.name, o) == endVoid)
 }
 
 // recordEnd applies an end and writes it to the store.
@@ -90,7 +69,7 @@
 		j.assigned--
 	}
 	j.hasRun = true
-	t.attempt, t.recordedAttempt = o.Run.Attempt, o.Run.Attempt
+	t.attempt = o.Run.Attempt
 	if t.state == taskAborted && (j.isCancelled() || o.Status != marshaler.StatusDone) {
 		return // a recorded end counts if the cancellation is lost
 	}
@@ -132,7 +111,7 @@
 	if s.jobs[j.ID] != j || j.durability.pendingWrites > 0 || state == projector.Open {
 		return
 	}
-	s.durable.finished[j.ID] = &finishedJob{record: j.durability.record, state: state, since: s.now, offset: j.durability.offset}
+	s.durable.finished[j.ID] = &finishedJob{record: j.durability.record, state: state, since: s.now, offset: j.durability.offset, issued: j.issuedRuns()}
 	delete(s.jobs, j.ID)
 	s.stopTasks(j)
 	j.answerWaiters(Answer{Kind: AnswerAccepted})
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -76,7 +76,7 @@
 		}
 		st := &j.steps[step]
 		t := &st.tasks[index]
-		t.attempt, t.recordedAttempt, t.failures, t.crashes = r.Attempt, r.Attempt, r.Failures, slices.Clone(r.Crashes)
+		t.attempt, t.failures, t.crashes = r.Attempt, r.Failures, slices.Clone(r.Crashes)
 		j.hasRun = true
 		st.hasCrashed = st.hasCrashed || len(r.Crashes) > 0
 		if r.Done {
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -62,6 +62,7 @@
 
 	// fakeLink is an open session between an entry and a sidecar. A cut delays its messages, as TCP does.
 	fakeLink struct {
+		sidecar  string // empty between entries
 		end      func(error)
 		cutUntil timer.Millis
 	}
@@ -341,7 +342,7 @@
 	sidecarCurrent := func() bool { return s.incarnation == sidecarIncarnation }
 	ended := false
 	var atEntry, atSidecar *marshaler.Link
-	session := &fakeLink{}
+	session := &fakeLink{sidecar: s.name}
 	w.links = append(w.links, session)
 	// A message is never handled before its session is open at the receiver.
 	upAtEntry, upAtSidecar := false, false
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -145,7 +145,6 @@
 		state              int
 		attempt            uint64
 		issuedAttempt      uint64 // latest attempt that this entry started or adopted
-		recordedAttempt    uint64 // latest attempt of a durable job whose end is recorded
 		failures           uint64
 		crashes            []marshaler.TaskCrash
 		sidecar            string
