supervisor: mark an end as stale if the owner was lost before it

A run that ends after its entry timed out, but before its stop takes effect, was reported to the next owner as an end that the previous one had received. A success would count although the task may have been started again meanwhile (TWICE).

Cause: only the ends that were unrecorded when the owner was lost were marked.

Change: a run whose entry is lost is marked, and its end with it. The case "owner lost before the end" of TestStaleEnds failed before.

--- a/supervisor/durable_test.go
+++ b/supervisor/durable_test.go
@@ -158,21 +158,29 @@
 		name   string
 		next   marshaler.Partition
 		silent bool // the owner timed out
+		late   bool // the run ended after that, before it was stopped
 		want   bool
 	}{
-		{"handed over", marshaler.Partition{Epoch: 9, Previous: 5}, false, false},
-		{"intermediate owner that never connected", marshaler.Partition{Epoch: 9, Previous: 7}, false, true},
-		{"owner lost", marshaler.Partition{Epoch: 9, Previous: 5}, true, true},
+		{"handed over", marshaler.Partition{Epoch: 9, Previous: 5}, false, false, false},
+		{"intermediate owner that never connected", marshaler.Partition{Epoch: 9, Previous: 7}, false, false, true},
+		{"owner lost", marshaler.Partition{Epoch: 9, Previous: 5}, true, false, true},
+		{"owner lost before the end", marshaler.Partition{Epoch: 9, Previous: 5}, true, true, true},
 	}
 	for _, c := range cases {
 		f := newDurableFixture()
 		f.startDurable(durableRun(0, 1), 5)
 		f.list([]RunProgress{{Run: durableRun(0, 1)}})
-		f.list(nil, EndedRun{Number: 1, Run: durableRun(0, 1), Status: marshaler.StatusDone})
+		end := func() { f.list(nil, EndedRun{Number: 1, Run: durableRun(0, 1), Status: marshaler.StatusDone}) }
+		if !c.late {
+			end()
+		}
 		if c.silent {
 			f.now += EntryTimeout + 1
 			f.k.Tick(f.now)
 		}
+		if c.late {
+			end()
+		}
 		f.connect("entry-2", 1)
 		f.recordCensuses()
 		c.next.Number = f.part.Number
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -179,7 +179,7 @@
 	}
 	outcome := marshaler.Outcome{Run: r.key, Status: status, Reason: reason, RunTime: ran, Blame: r.crash.blame}
 	if r.durable && number > 0 && mustRecord(status) {
-		outcome.Number = number
+		outcome.Number, outcome.Stale = number, r.orphaned
 		k.durable.addEnd(outcome)
 	}
 	if r.durable && status == marshaler.StatusCrashed {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -187,6 +187,7 @@
 		percent    int
 		progressAt timer.Millis // when percent last increased
 		refusals   []deferredRefusal
+		orphaned   bool // its entry was lost while it was active, and may start the task again without knowing its end
 	}
 
 	// entry is one incarnation of an entry process.
@@ -355,6 +356,7 @@
 	stopped := 0
 	for _, r := range k.sortedRuns() {
 		if r.entry == e {
+			r.orphaned = true
 			k.stopRun(now, r, marshaler.StatusStopped, "entry is lost")
 			stopped++
 		}
