submitter: count the failures that reach an owner out of order

Cause: an owner starts the next attempt before the failure of the last one is stored. When it loses the partition during an outage of the store, the next owner learns the failures from the sidecars in any order. An end counted only if its attempt was above the latest recorded one; failures below it were acknowledged all the same, and the backend servers forgot them. A failure of a run behind a cut was acknowledged and not counted in the same way.

Change: the failed attempts of a task are recorded one by one, so a failure counts in any order and only once. One that may precede a later start counts unless it makes as many failures as the limit before that start; then it is void, as is one of which the sidecar cannot say that the previous owner got it. Records of former versions have only the number of failures; for them the order still decides. Attempt numbers with a recorded failure are not used again.

Why not seen before: neither virtual time nor the soak had tasks that always fail, and neither checked failures that backend servers may forget. The fault test has both now.

--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -53,9 +53,12 @@
 	// TaskRecord is the recorded state of a task.
 	TaskRecord struct {
 		Index    uint64
-		Attempt  uint64 // highest recorded attempt
+		Attempt  uint64 // that succeeded; otherwise the highest one that has failed
 		Failures uint64
-		Done     bool
+		// FailedAttempts lists the attempts that have failed, in the order in which they were recorded. A record of a former
+		// version lists fewer than Failures.
+		FailedAttempts []uint64
+		Done           bool
 		Crashes  []TaskCrash
 		GivenUp  bool // it is not started again because backend servers crashed under it
 	}
@@ -152,6 +155,9 @@
 	}
 )
 
+// FailureLimit returns the number of failed attempts of one task after which the job fails.
+func (m *JobRecord) FailureLimit() uint64 { return max(m.Attempts, 1) }
+
 // Task returns the recorded state of a task, which is empty if the task has none.
 func (m *JobRecord) Task(index uint64) TaskRecord {
 	i, ok := slices.BinarySearchFunc(m.Tasks, index, func(t TaskRecord, index uint64) int { return cmp.Compare(t.Index, index) })
@@ -161,6 +167,15 @@
 	return m.Tasks[i]
 }
 
+// HasFailed reports whether the failure of an attempt is recorded. Former versions recorded failures in the order of their
+// attempts and did not list them.
+func (t *TaskRecord) HasFailed(attempt uint64) bool {
+	if slices.Contains(t.FailedAttempts, attempt) {
+		return true
+	}
+	return uint64(len(t.FailedAttempts)) < t.Failures && attempt <= t.Attempt
+}
+
 // PartitionOf maps a durable job to one of count partitions by the hash of its identifier.
 func PartitionOf(job string, count uint64) uint64 {
 	h := fnv.New64a()
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -78,7 +78,8 @@
 			for n := range t.Crashes {
 				b = appendNested(b, 5, t.Crashes[n].append)
 			}
-			return appendBool(b, 6, t.GivenUp)
+			b = appendBool(b, 6, t.GivenUp)
+			return appendUints(b, 7, t.FailedAttempts)
 		})
 	}
 	return appendBool(dst, 9, m.Cancelled)
@@ -93,14 +94,19 @@
 	b = appender.AppendUint(b, 1, s.Tasks)
 	b = appendResources(b, 2, s.Resources)
 	b = appendZigZag(b, 3, int64(s.Estimate))
-	for _, n := range s.After {
-		b = protowire.AppendVarint(protowire.AppendTag(b, 4, protowire.VarintType), n)
-	}
+	b = appendUints(b, 4, s.After)
 	b = appender.AppendString(b, 5, s.Label)
 	b = appender.AppendString(b, 6, s.Rack)
 	return appender.AppendUint(b, 7, s.ServerTaskLimit)
 }
 
+func appendUints(b []byte, tag protowire.Number, list []uint64) []byte {
+	for _, n := range list {
+		b = protowire.AppendVarint(protowire.AppendTag(b, tag, protowire.VarintType), n)
+	}
+	return b
+}
+
 func appendPartitions(dst []byte, list []Partition) []byte {
 	for _, p := range list {
 		dst = appendPartition(dst, 1, p)
@@ -220,11 +226,7 @@
 	case 3:
 		return setMillis(f, &s.Estimate)
 	case 4:
-		n, err := appendZero(&s.After)
-		if err != nil {
-			return err
-		}
-		return f.StoreUint(n)
+		return storeNextUint(f, &s.After)
 	case 5:
 		return f.StoreString(&s.Label, MaxNameLen)
 	case 6:
@@ -235,6 +237,15 @@
 	return nil
 }
 
+// storeNextUint appends an unsigned integer to a list.
+func storeNextUint(f appender.Field, list *[]uint64) error {
+	n, err := appendZero(list)
+	if err != nil {
+		return err
+	}
+	return f.StoreUint(n)
+}
+
 func (t *TaskRecord) setField(f appender.Field) error {
 	switch f.Tag {
 	case 1:
@@ -253,6 +264,8 @@
 		return decodeNested(f, c.setField)
 	case 6:
 		return setBool(f, &t.GivenUp)
+	case 7:
+		return storeNextUint(f, &t.FailedAttempts)
 	}
 	return nil
 }
--- a/projector/projector.go
+++ b/projector/projector.go
@@ -80,18 +80,21 @@
 	return jobs
 }
 
-// ApplyEnd applies the end of a run to its job. It ignores ends of tasks that have already succeeded and of attempts that
-// are not later than the last recorded one.
+// ApplyEnd applies the end of a run to its job. Failures may be recorded in another order than that of their attempts. It
+// ignores further successes of a task, and failures that are recorded already.
 func ApplyEnd(j *marshaler.JobRecord, e *marshaler.EndRecord) {
 	t := taskRecord(j, e.Run.Index)
-	if t.Done || e.Run.Attempt <= t.Attempt {
-		return
-	}
-	t.Attempt = e.Run.Attempt
-	if e.Status == marshaler.StatusDone {
-		t.Done = true
-	} else {
+	switch {
+	case e.Status == marshaler.StatusDone:
+		if !t.Done {
+			t.Done, t.Attempt = true, e.Run.Attempt
+		}
+	case !t.HasFailed(e.Run.Attempt):
 		t.Failures++
+		t.FailedAttempts = append(t.FailedAttempts, e.Run.Attempt)
+		if !t.Done {
+			t.Attempt = max(t.Attempt, e.Run.Attempt)
+		}
 	}
 }
 
@@ -139,7 +142,7 @@
 		if j.Tasks[i].Done {
 			done++
 		}
-		failed = failed || !j.Tasks[i].Done && (j.Tasks[i].GivenUp || j.Tasks[i].Failures >= max(j.Attempts, 1))
+		failed = failed || !j.Tasks[i].Done && (j.Tasks[i].GivenUp || j.Tasks[i].Failures >= j.FailureLimit())
 	}
 	switch {
 	case j.Cancelled:
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/projector"
+	"github.com/crocuslb/crocuslb/supervisor"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -62,6 +63,7 @@
 	// durableChecker checks what backend servers, callers and the store observe of durable jobs.
 	durableChecker struct {
 		starts     map[string][]timer.Millis // by task
+		failures   map[string][]timer.Millis // times of the failures that backend servers may forget, by task
 		recordedAt map[string]timer.Millis   // time of the recorded success, by task
 		accepted   map[string]bool
 		refused    map[string]bool
@@ -75,7 +77,7 @@
 	w := newSimulation(t, seed, 0, 0)
 	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}}
 	w.durable = &durableChecker{
-		starts: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
+		starts: map[string][]timer.Millis{}, failures: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
 		tasks: map[string]int{}, cancelled: map[string]timer.Millis{},
 	}
 	w.startProcesses(entries, sidecars)
@@ -341,6 +343,40 @@
 		w.t.Errorf("at %d ms, task %s starts although its job was cancelled at %d ms; decisions: %s", w.now, task, at, w.decisionsOf(task))
 	}
 	k.starts[task] = append(k.starts[task], w.now)
+	k.checkFailures(w, task)
+}
+
+// onRecordedFailure checks a failure that the backend server may forget. It is ignored if the lease has expired since.
+func (k *durableChecker) onRecordedFailure(w *simulation, task string, ended, lapsed timer.Millis) {
+	if lapsed <= ended {
+		k.failures[task] = append(k.failures[task], ended)
+		k.checkFailures(w, task)
+	}
+}
+
+// checkFailures checks that no start of a task followed as many failures as its queue allows.
+func (k *durableChecker) checkFailures(w *simulation, task string) {
+	for _, at := range k.starts[task] {
+		before := 0
+		for _, ended := range k.failures[task] {
+			if ended < at {
+				before++
+			}
+		}
+		if before >= int(testQueue.AttemptLimit) {
+			w.t.Errorf("at %d ms, task %s has a start at %d ms after %d recorded failures; decisions: %s", w.now, task, at, before, w.decisionsOf(task))
+		}
+	}
+}
+
+// onForgotten checks an end that the backend server may forget.
+func (k *durableChecker) onForgotten(b *fakeBackend, e supervisor.EndedRun) {
+	switch e.Status {
+	case marshaler.StatusDone:
+		k.onRecordedEnd(b.w, taskOf(e.Run), b.endedAt[e.Number], b.leaseExpiredAt)
+	case marshaler.StatusFailed:
+		k.onRecordedFailure(b.w, taskOf(e.Run), b.endedAt[e.Number], b.leaseExpiredAt)
+	}
 }
 
 // onRecordedEnd checks a success that the backend server may forget. It is ignored if the lease has expired since.
@@ -448,6 +484,7 @@
 		for n := range steps {
 			w.durable.tasks[id] += int(steps[n].Tasks)
 		}
+		w.failing[taskOf(marshaler.RunKey{Job: id})] = w.random.IntN(10) == 0
 		w.schedule(at, func() { w.submitDurable(id, steps, maxSubmissions) })
 		if w.random.IntN(5) == 0 {
 			limit := []int{400, 4000}[w.random.IntN(2)] // a late one meets tasks that were started again after a cut
--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -38,10 +38,18 @@
 }
 
 // onFinishedEnd handles the end of a run of a durable job that has ended. The end does not change the job, but it must not
-// be acknowledged as valid if the task was started again after it.
+// be acknowledged as valid if that contradicts a start of the task. A failure counts for the decision on later ones.
 func (s *Submitter) onFinishedEnd(sc *sidecar, o *marshaler.Outcome) {
 	finished := s.durable.finished[o.Run.Job]
-	s.acknowledgeEnd(sc.name, o, finished != nil && finished.history(o.Run.Index).verdict(sc.name, o) == endVoid)
+	if finished == nil {
+		s.acknowledgeEnd(sc.name, o, false)
+		return
+	}
+	verdict := finished.history(o.Run.Index).verdict(sc.name, o)
+	if verdict == endCounted && o.Status == marshaler.StatusFailed {
+		projector.ApplyEnd(finished.record, &marshaler.EndRecord{Run: o.Run, Status: o.Status})
+	}
+	s.acknowledgeEnd(sc.name, o, verdict == endVoid)
 }
 
 // recordEnd applies an end and writes it to the store.
@@ -60,33 +68,35 @@
 	s.applyEnd(sc, j, o)
 }
 
-// applyEnd applies a success or failure to the in-memory task.
+// applyEnd applies a success or failure to the in-memory task. The failure may be one of an earlier run.
 func (s *Submitter) applyEnd(sc *sidecar, j *job, o *marshaler.Outcome) {
 	delete(sc.assignedRuns, o.Run)
 	step, index := o.Run.Task()
 	t := &j.steps[step].tasks[index]
-	if t.state == taskAssigned {
-		j.assigned--
-	}
 	j.hasRun = true
-	t.attempt = o.Run.Attempt
+	if t.state != taskAssigned {
+		t.attempt = max(t.attempt, o.Run.Attempt)
+	}
 	if t.state == taskAborted && (j.isCancelled() || o.Status != marshaler.StatusDone) {
 		return // a recorded end counts if the cancellation is lost
 	}
+	ofCurrentRun := t.state == taskAssigned && t.issued() == issuedRun{o.Run.Attempt, sc.name}
+	if ofCurrentRun {
+		j.assigned--
+	}
 	if o.Status == marshaler.StatusDone {
 		s.completeTask(j, step, t)
 		return
 	}
 	j.avoidSidecar(sc.name)
 	t.failures++
-	if t.failures >= max(j.Queue.AttemptLimit, 1) {
+	switch {
+	case t.state == taskDone:
+	case t.failures >= max(j.Queue.AttemptLimit, 1):
 		t.state = taskAborted
-		return
-	}
-	if t.state == taskUnknown {
-		return // the previous owner may have started the next attempt
+	case ofCurrentRun:
+		s.requeue(sc, j, o)
 	}
-	s.requeue(sc, j, o)
 }
 
 // isCancelled reports whether the job is cancelled or its cancellation is being stored.
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -186,7 +186,8 @@
 	st := &j.steps[step]
 	t := &st.tasks[index]
 	key := marshaler.RunKey{Job: j.ID, Index: marshaler.TaskIndex(step, index), Attempt: t.attempt + 1}
-	for sc.unwantedRuns[key] { // of the same job, which was submitted before; its outcome must not be taken for that of this run
+	// A run of the same job that was submitted before, or of a previous owner, must not be taken for this one.
+	for sc.unwantedRuns[key] || j.hasFailed(key) {
 		key.Attempt++
 	}
 	t.attempt, t.issuedAttempt = key.Attempt, key.Attempt
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -55,6 +55,7 @@
 		peerLinks       []*fakeLink
 		unknownOutcomes int
 		crashing        crashingTasks
+		failing         map[string]bool // tasks whose runs all fail
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -144,7 +145,7 @@
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
-		startedRuns: map[string]int{},
+		startedRuns: map[string]int{}, failing: map[string]bool{},
 	}
 	w.startProcesses(entries, sidecars)
 	return w
@@ -610,7 +611,7 @@
 			b.finish(key, marshaler.StatusLost)
 		case b.stalledUntil > b.w.now:
 			r.end++
-		case r.end <= b.w.now && b.w.durable != nil && b.w.random.IntN(12) == 0:
+		case r.end <= b.w.now && b.w.durable != nil && (b.w.failing[taskOf(key)] || b.w.random.IntN(12) == 0):
 			b.finish(key, marshaler.StatusFailed)
 		case r.end <= b.w.now:
 			b.finish(key, marshaler.StatusDone)
@@ -639,8 +640,8 @@
 		}
 		if h.StartTime == b.startedAt {
 			b.ended = slices.DeleteFunc(b.ended, func(e supervisor.EndedRun) bool {
-				if e.Number <= h.LastProcessedEnd && b.w.durable != nil && e.Status == marshaler.StatusDone {
-					b.w.durable.onRecordedEnd(b.w, taskOf(e.Run), b.endedAt[e.Number], b.leaseExpiredAt)
+				if e.Number <= h.LastProcessedEnd && b.w.durable != nil {
+					b.w.durable.onForgotten(b, e)
 				}
 				return e.Number <= h.LastProcessedEnd
 			})
--- a/submitter/verdict.go
+++ b/submitter/verdict.go
@@ -25,8 +25,10 @@
 	// taskHistory is what the owner of a durable job knows about the runs of one of its tasks, whether or not the job has
 	// ended.
 	taskHistory struct {
-		issued issuedRun
-		record marshaler.TaskRecord
+		issued       issuedRun
+		record       marshaler.TaskRecord
+		failureLimit uint64 // number of failures after which the task is not started again
+		ended        bool   // the task is not started again, whatever its ends are
 	}
 )
 
@@ -35,8 +37,27 @@
 	if o.Status == marshaler.StatusDone {
 		return h.successVerdict(sidecar, o)
 	}
-	if h.record.Done || o.Run.Attempt <= h.record.Attempt || h.mayHaveLaterStart(sidecar, o) {
+	return h.failureVerdict(sidecar, o)
+}
+
+// failureVerdict decides on a failure. It counts unless a start may have followed as many counted failures as the limit.
+func (h *taskHistory) failureVerdict(sidecar string, o *marshaler.Outcome) endVerdict {
+	switch {
+	case h.record.HasFailed(o.Run.Attempt):
 		return endKnown
+	case !h.mayHaveLaterStart(sidecar, o):
+		return endCounted
+	case h.issued.attempt == 0 && !o.Stale: // previous owners have counted it before a later start
+		return endCounted
+	case h.issued.attempt == 0 && !h.ended:
+		return endVoid
+	}
+	before := h.record.Failures // that may precede the latest start, apart from this one
+	if h.issued.attempt != 0 && h.record.HasFailed(h.issued.attempt) {
+		before--
+	}
+	if before+1 >= h.failureLimit {
+		return endVoid
 	}
 	return endCounted
 }
@@ -65,7 +86,11 @@
 // history returns what is known about the runs of a task of an active durable job.
 func (j *job) history(index uint64) *taskHistory {
 	step, task := (marshaler.RunKey{Index: index}).Task()
-	return &taskHistory{issued: j.steps[step].tasks[task].issued(), record: j.durability.record.Task(index)}
+	t := &j.steps[step].tasks[task]
+	return &taskHistory{
+		issued: t.issued(), record: j.durability.record.Task(index), failureLimit: j.durability.record.FailureLimit(),
+		ended: t.state == taskDone || t.state == taskAborted,
+	}
 }
 
 // issued returns the latest run of the task.
@@ -86,5 +111,14 @@
 
 // history returns what is known about the runs of a task of a durable job that has ended.
 func (f *finishedJob) history(index uint64) *taskHistory {
-	return &taskHistory{issued: f.issued[index], record: f.record.Task(index)}
+	return &taskHistory{issued: f.issued[index], record: f.record.Task(index), failureLimit: f.record.FailureLimit(), ended: true}
+}
+
+// hasFailed reports whether the failure of a run of a durable job is recorded.
+func (j *job) hasFailed(key marshaler.RunKey) bool {
+	if j.durability.record == nil {
+		return false
+	}
+	t := j.durability.record.Task(key.Index)
+	return t.HasFailed(key.Attempt)
 }
