submitter: apply a handover of a partition once

Cause: a handover lists the tasks that may run; all others are queued at once. It stays in memory and fits as long as the previous epoch is the same. If the membership in the store outlives the lease, the entry acquires the partition again under its own epoch, so the old handover is applied once more and the tasks that this entry itself has started meanwhile are queued at once, while their stops are under way.

Change: a handover is dropped once it is applied.

--- a/submitter/handover.go
+++ b/submitter/handover.go
@@ -46,6 +46,7 @@
 	if p.recovered || p.previous != m.Partition.Epoch {
 		return
 	}
+	delete(s.durable.handovers, p.number) // it says nothing about the runs that this entry starts from now on
 	except := map[marshaler.RunKey]bool{}
 	for _, key := range m.Tasks {
 		except[key] = true
