runner: own a partition once under an epoch

Cause: the lease expires while a heartbeat is under way, and all partitions are released. The membership in the store lives 200 ms longer, so the response still assigns the partitions; heartbeat looked only for an expired lease of owned partitions, of which there were none, and acquired them again under the same epoch. Handovers, the sidecars' claims and the sequence of writes are tied to the epoch.

Change: acquire refuses an epoch that this process has used for the partition, and the entry starts a new membership. The stand-in of the simulation does the same.

--- a/runner/owner.go
+++ b/runner/owner.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex
 	leaseEnd timer.Millis
 	writers  map[uint64]*writer // by partition
+	epochs   map[uint64]uint64  // latest epoch under which this process owned a partition, by partition
 }
 
 // start begins to own partitions until ctx is canceled. Further calls do nothing.
@@ -148,7 +149,10 @@
 		}
 	}
 	for _, partition := range assignment.Partitions {
-		o.acquire(ctx, partition, assignment.Generation)
+		if !o.acquire(ctx, partition, assignment.Generation) {
+			o.expireLease(ctx)
+			return true, nil
+		}
 	}
 	return changed, nil
 }
@@ -219,13 +223,22 @@
 	}
 }
 
-// acquire starts the writer of a partition, unless the partition is owned already.
-func (o *partitionOwner) acquire(ctx context.Context, partition, epoch uint64) {
+// acquire starts the writer of a partition, unless the partition is owned already. It returns false if this process has owned
+// the partition under the epoch before: the lease expired while a heartbeat was under way, and the membership outlived it.
+// Handovers, the runs of sidecars and the sequence of writes are tied to the epoch, so a new membership is required.
+func (o *partitionOwner) acquire(ctx context.Context, partition, epoch uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.writers[partition] != nil {
-		return
+		return true
+	}
+	if o.epochs[partition] == epoch {
+		return false
+	}
+	if o.epochs == nil {
+		o.epochs = map[uint64]uint64{}
 	}
+	o.epochs[partition] = epoch
 	if o.writers == nil {
 		o.writers = map[uint64]*writer{}
 	}
@@ -234,6 +247,7 @@
 	o.writers[partition] = w
 	o.limiter.setPartitions(len(o.writers))
 	go w.run(writerCtx)
+	return true
 }
 
 // appendRecord queues a record with the writer of its partition. It never blocks and is called by the event loop.
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -46,6 +46,7 @@
 		rejoin      bool // the next call starts a new membership
 		leaseUntil  timer.Millis
 		writers     map[uint64]*fakeWriter
+		epochs      map[uint64]uint64 // latest epoch by partition
 	}
 
 	fakeWriter struct {
@@ -151,7 +152,7 @@
 
 // startMembership starts the membership of an entry's current incarnation.
 func (w *simulation) startMembership(e *fakeEntry) {
-	o := &fakeMembership{w: w, e: e, incarnation: e.incarnation, rejoin: true, writers: map[uint64]*fakeWriter{}}
+	o := &fakeMembership{w: w, e: e, incarnation: e.incarnation, rejoin: true, writers: map[uint64]*fakeWriter{}, epochs: map[uint64]uint64{}}
 	e.core.Partitions = testPartitions
 	e.core.Record = o.record
 	e.core.SetDurableInUse(w.now, true)
@@ -196,10 +197,17 @@
 		}
 	}
 	for _, p := range list {
-		if o.writers[p] == nil {
-			o.writers[p] = &fakeWriter{epoch: generation}
-			o.acquire(p, o.writers[p])
+		if o.writers[p] != nil {
+			continue
 		}
+		if o.epochs[p] == generation { // an epoch is used once
+			o.rejoin = true
+			o.releaseAll(true, "membership outlived the lease")
+			o.w.schedule(1, o.join)
+			return
+		}
+		o.epochs[p], o.writers[p] = generation, &fakeWriter{epoch: generation}
+		o.acquire(p, o.writers[p])
 	}
 	o.w.schedule(delay, o.join)
 }
