supervisor: send copies of the kept outcomes

Callers saw: nothing; a session encodes a message when it is sent.

Change: the sidecar sends a copy of each kept outcome.

--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -157,8 +157,8 @@
 		return
 	}
 	e.synced = true
-	for i := range e.outcomes {
-		e.link.Send(&e.outcomes[i].outcome)
+	for _, o := range e.outcomes {
+		e.link.Send(&o.outcome) // a copy, because outcomes are removed from the list in place
 	}
 	held := &marshaler.ActiveRuns{}
 	for _, r := range k.sortedRuns() {
