supervisor: count a crash before the answer to a start

Cause: only runs whose start was answered counted at a crash.

A connection that ends after that, before a response, is StartAborted: the server has received the start. If the server has crashed, such a run counts like an answered one; if it answers, the run is stopped as before. The count stays where it was: in the store, and at the sidecar for the next owner.

--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -59,8 +59,8 @@
 		// version lists fewer than Failures.
 		FailedAttempts []uint64
 		Done           bool
-		Crashes  []TaskCrash
-		GivenUp  bool // it is not started again because backend servers crashed under it
+		Crashes        []TaskCrash
+		GivenUp        bool // it is not started again because backend servers crashed under it
 	}
 
 	// TaskCrash identifies the crash of a backend server under an attempt of a task.
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -252,18 +252,26 @@
 	}}
 	s.core = k
 	k.Start = func(m marshaler.Start) {
+		wasUp := s.backend.up
 		s.backend.call(func(answered bool) {
 			started := s.backend.start(m)
 			if s.backend.w.crashing.isUnanswered(m.Run) {
-				started = supervisor.StartResult{Run: m.Run, Status: supervisor.StartUnknown, Reason: "connection closed"}
+				started = supervisor.StartResult{Run: m.Run, Status: supervisor.StartAborted, Reason: "connection closed"}
 			}
 			if !answered {
 				return
 			}
 			w.runOn(&s.process, current, func() { k.OnStarted(w.now, started) })
-		}, func(bool) {
+		}, func(refused bool) {
+			status := supervisor.StartUnknown
+			switch {
+			case refused && wasUp: // it crashed after the start was sent
+				status = supervisor.StartAborted
+			case refused:
+				status = supervisor.StartRefused
+			}
 			w.runOn(&s.process, current, func() {
-				k.OnStarted(w.now, supervisor.StartResult{Run: m.Run, Status: supervisor.StartUnknown, Reason: "timeout"})
+				k.OnStarted(w.now, supervisor.StartResult{Run: m.Run, Status: status, Reason: "no answer"})
 			})
 		})
 	}
--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -22,9 +22,9 @@
 	blame   marshaler.Blame
 }
 
-// noteCrash records a crash of the backend server with each run whose start was answered. A start without an answer may have
-// been sent after the crash, so it does not count against its task. No start is admitted until the backend server answers
-// again. A backend server that was draining has exited as planned.
+// noteCrash records a crash of the backend server with each run that may have begun before it. A start without an answer may
+// also have been sent after the crash, so it counts against its task only if the backend server has received it. No start is
+// admitted until the backend server answers again. A backend server that was draining has exited as planned.
 func (k *Supervisor) noteCrash(now timer.Millis) {
 	if k.backend.Draining || k.crashed {
 		return
@@ -39,7 +39,7 @@
 		}
 	}
 	for _, r := range active {
-		if !r.confirmed() {
+		if !r.mayHaveBegun() {
 			continue
 		}
 		r.crash.crashed = true
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, r := range k.sortedRuns() {
-		if r.confirmed() || r.startedAt <= latest {
+		if r.mayHaveBegun() || r.startedAt <= latest {
 			active = append(active, r)
 		}
 	}
@@ -84,6 +84,9 @@
 // confirmed reports whether the backend server has carried out the start.
 func (r *run) confirmed() bool { return r.listed || r.state == stateRunning }
 
+// mayHaveBegun reports whether the backend server has carried out the start, or has received it and ended without a response.
+func (r *run) mayHaveBegun() bool { return r.confirmed() || r.aborted }
+
 // blameAmong returns how sure it is that the run has caused the crash, if it was the only active one of a suspect task. A
 // long run is often active by chance when another task crashes the backend server soon after its start.
 func (r *run) blameAmong(active []*run, unknown int) marshaler.Blame {
@@ -93,7 +96,7 @@
 	blame := marshaler.BlameProbable
 	for _, o := range active {
 		switch {
-		case o == r || !o.confirmed():
+		case o == r || !o.mayHaveBegun():
 		case o.startedAt > r.startedAt:
 			return marshaler.BlameNone
 		case o.startedAt > r.startedAt-answerTime:
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -83,6 +83,10 @@
 			}
 			return
 		}
+		r.aborted = s.Status == StartAborted
+		if r.aborted && k.crashed {
+			r.crash.crashed = true // its call ended last
+		}
 		// The start may still be executed. Once the backend server has answered a stop, it no longer can be.
 		k.unconfirmed = append(k.unconfirmed, unconfirmedStart{s.Run, now})
 		k.stopRun(now, r, marshaler.StatusRefused, "no answer to the start: "+s.Reason)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -187,6 +187,7 @@
 		percent    int
 		progressAt timer.Millis // when percent last increased
 		refusals   []deferredRefusal
+		aborted    bool // the backend server ended the connection of the start without a response
 		orphaned   bool // its entry was lost while it was active, and may start the task again without knowing its end
 	}
 
@@ -223,6 +224,9 @@
 	StartSuperseded
 	// StartUnknown means that there was no response.
 	StartUnknown
+	// StartAborted means that the backend server received the request and ended the connection without a response. If it has
+	// crashed, the run may have been active.
+	StartAborted
 )
 
 // SetOffset sets the log offset of the current configuration and whether the sidecar's failure domain is withdrawn.
