submitter, supervisor: keep the limit of tasks on one backend server

Cause: the placing entry counts the tasks of a step from the request, which states those that have started, and from its own grants on that request. A grant that is on its way when the owner sends the next request is in neither: a merged request replaces the count, and a request that was granted in full is forgotten. Nothing else checked the limit.

Change: the owner, which knows every task that it has started, does not use a grant for a full server and asks again, now with the right count. The start carries the limit, and the sidecar refuses a start beyond it: it also knows the runs of a job that was taken over and whose list the new owner does not have yet, runs whose start has no answer, and those of two entries.

Why not seen before: no job of virtual time, soak or the site files had such a limit.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -138,7 +138,8 @@
 	dst = appender.AppendUint(dst, 6, m.Epoch)
 	dst = appender.AppendString(dst, 7, m.Queue)
 	dst = appendZigZag(dst, 8, int64(m.SentAt))
-	return appender.AppendUint(dst, 9, uint64(m.Suspicion))
+	dst = appender.AppendUint(dst, 9, uint64(m.Suspicion))
+	return appender.AppendUint(dst, 10, m.ServerTaskLimit)
 }
 
 func appendResourceRequest(dst []byte, m *ResourceRequest) []byte {
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -223,6 +223,8 @@
 		return setMillis(f, &m.SentAt)
 	case 9:
 		return setUint8(f, &m.Suspicion)
+	case 10:
+		return f.StoreUint(&m.ServerTaskLimit)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -186,6 +186,8 @@
 		// SentAt is the time of sending on the sidecar's clock, as in Heartbeat.
 		SentAt    timer.Millis
 		Suspicion Suspicion
+		// ServerTaskLimit is the maximum number of tasks of the step on one backend server; 0 means no limit.
+		ServerTaskLimit uint64
 	}
 
 	// Stop tells a sidecar to stop a run.
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -489,7 +489,9 @@
 			steps[0].Estimate = timer.Millis(800 + w.random.IntN(1000))
 		}
 		ids = append(ids, id)
+		w.limitServers(id, int(steps[0].Tasks))
 		for n := range steps {
+			steps[n].ServerTaskLimit = w.serverLimit[id]
 			w.durable.tasks[id] += int(steps[n].Tasks)
 		}
 		w.failing[taskOf(marshaler.RunKey{Job: id})] = w.random.IntN(10) == 0
--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -16,12 +16,20 @@
 		w.sequence++
 		tasks, estimate := 1+w.random.IntN(6), timer.Millis(30+w.random.IntN(300))
 		ids = append(ids, id)
+		w.limitServers(id, tasks)
 		e := w.entries[w.random.IntN(len(w.entries))]
 		w.schedule(at, func() { w.submit(e, id, tasks, estimate) })
 	}
 	return ids
 }
 
+// limitServers sets a limit of tasks on one backend server for a share of the jobs. The backend servers can take all tasks.
+func (w *simulation) limitServers(id string, tasks int) {
+	if w.random.IntN(4) == 0 {
+		w.serverLimit[id] = uint64(1 + (tasks-1)/2)
+	}
+}
+
 // pause suspends the process. Its pending events keep their order.
 func (p *process) pause(until timer.Millis) { p.pausedUntil = max(p.pausedUntil, until) }
 
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -159,18 +159,18 @@
 		j.grantedAt = s.now
 		s.report(Event{Kind: "grant", Job: j.ID, Queue: j.Queue.Name, Peer: g.Sidecars[0], Value: int64(len(g.Sidecars)), Took: s.now - j.arrived})
 	}
-	unreachable, next := 0, 0
+	rejected, next := 0, 0
 	for _, name := range g.Sidecars {
 		if next = st.nextQueued(next); next == len(st.tasks) {
 			break // a repeated request may be granted twice
 		}
 		st.requested = max(st.requested-1, 0)
-		if !s.startTask(j, int(g.Step), next, name) {
-			unreachable++
+		if st.isFull(name) || !s.startTask(j, int(g.Step), next, name) {
+			rejected++
 		}
 	}
-	if unreachable > 0 {
-		s.requestCapacity(j, int(g.Step), unreachable)
+	if rejected > 0 {
+		s.requestCapacity(j, int(g.Step), rejected)
 	}
 	s.updateSuspicion(j, int(g.Step))
 }
@@ -203,6 +203,7 @@
 	sc.link.Send(&marshaler.Start{
 		Run: key, Epoch: epoch, Spec: j.Spec, Resources: st.Resources, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startTTL),
 		Queue: j.Queue.Name, SentAt: sc.remote.at(s.now), Suspicion: t.suspicion(),
+		ServerTaskLimit: st.ServerTaskLimit,
 	})
 	return true
 }
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -55,7 +55,8 @@
 		peerLinks       []*fakeLink
 		unknownOutcomes int
 		crashing        crashingTasks
-		failing         map[string]bool // tasks whose runs all fail
+		failing         map[string]bool   // tasks whose runs all fail
+		serverLimit     map[string]uint64 // maximum number of tasks of a step on one backend server, by job
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -145,7 +146,7 @@
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
-		startedRuns: map[string]int{}, failing: map[string]bool{},
+		startedRuns: map[string]int{}, failing: map[string]bool{}, serverLimit: map[string]uint64{},
 	}
 	w.startProcesses(entries, sidecars)
 	return w
@@ -462,7 +463,7 @@
 	w.jobs[id] = j
 	w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 		e.core.Submit(w.now, Job{
-			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate}}, Deadline: max(2000, 4*estimate),
+			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate, ServerTaskLimit: w.serverLimit[id]}}, Deadline: max(2000, 4*estimate),
 			Answer: func(a Answer) {
 				switch {
 				case e.incarnation != incarnation || w.departed[j]:
@@ -555,6 +556,7 @@
 	default:
 		b.extendLease(m.NotAfter)
 		length := timer.Millis(float64(m.Estimate) * (0.7 + 0.6*b.w.random.Float64()) * b.slowdown)
+		b.checkServerLimit(m.Run)
 		b.runs[m.Run] = &fakeRun{room: m.Resources, begin: b.w.now, end: b.w.now + max(length, 1)}
 		b.checkCapacity()
 		task := taskOf(m.Run)
@@ -573,6 +575,22 @@
 	return out
 }
 
+// checkServerLimit checks that a further task of a step may run here.
+func (b *fakeBackend) checkServerLimit(key marshaler.RunKey) {
+	limit := b.w.serverLimit[key.Job]
+	step, _ := key.Task()
+	others := uint64(0)
+	for other := range b.runs {
+		if otherStep, _ := other.Task(); other.Job == key.Job && otherStep == step && other.Index != key.Index {
+			others++
+		}
+	}
+	if limit > 0 && others >= limit {
+		b.w.t.Errorf("at %d ms, task %s starts on %s beside %d others of its step, want at most %d; faults: %v; decisions: %s", b.w.now, taskOf(key), b.id, others, limit-1, b.w.faults,
+			strings.Join(b.w.decisions[key.Job], "\n"))
+	}
+}
+
 func (b *fakeBackend) stop(key marshaler.RunKey) {
 	if !b.up {
 		return
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -56,6 +56,21 @@
 	return names
 }
 
+// isFull reports whether the step has as many tasks on a sidecar as its limit allows. The placing entry does not know of the
+// tasks that it has granted shortly before a request was sent.
+func (st *step) isFull(sidecar string) bool {
+	if st.ServerTaskLimit == 0 {
+		return false
+	}
+	assigned := uint64(0)
+	for i := range st.tasks {
+		if t := &st.tasks[i]; t.state == taskAssigned && t.sidecar == sidecar {
+			assigned++
+		}
+	}
+	return assigned >= st.ServerTaskLimit
+}
+
 // stepReady reports whether all steps that step n depends on are done.
 func (j *job) stepReady(n int) bool {
 	return !slices.ContainsFunc(j.steps[n].After, func(before uint64) bool {
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -27,6 +27,8 @@
 		ok, reason = false, "task runs already"
 	case !separate:
 		ok, reason = false, separateReason
+	case k.isFull(m):
+		ok, reason = false, "limit of tasks of the step"
 	case !k.free.Contains(m.Resources):
 		ok, reason = false, "no room"
 	case notAfter <= k.Clock(now):
@@ -55,6 +57,22 @@
 	k.Start(start)
 }
 
+// isFull reports whether the backend server has as many tasks of a start's step as the step allows. Only the sidecar knows of
+// all of them: the entry may have taken the job over and not have their list yet.
+func (k *Supervisor) isFull(m *marshaler.Start) bool {
+	if m.ServerTaskLimit == 0 {
+		return false
+	}
+	step, _ := m.Run.Task()
+	tasks := uint64(0)
+	for _, r := range k.runs {
+		if other, _ := r.key.Task(); r.key.Job == m.Run.Job && other == step {
+			tasks++
+		}
+	}
+	return tasks >= m.ServerTaskLimit
+}
+
 // OnStarted handles the backend server's response to a start.
 func (k *Supervisor) OnStarted(now timer.Millis, s StartResult) {
 	if s.Status == StartConfirmed || s.Status == StartSuperseded {
