--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -4,10 +4,10 @@
 package dialer
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
-	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -21,9 +21,9 @@
 	raw syscall.RawConn
 }
 
-// Dial opens a TCP connection. The timeout bounds its opening.
-func Dial(address string, timeout time.Duration) (net.Conn, error) {
-	opened, err := net.DialTimeout("tcp", address, timeout)
+// Dial opens a TCP connection. The context bounds its opening.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	opened, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -35,7 +35,7 @@
 				accepted <- peer
 			}
 		}()
-		conn, err := Dial(listener.Addr().String(), time.Second)
+		conn, err := Dial(t.Context(), listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
