--- a/submitter/crash_sim_test.go
+++ b/submitter/crash_sim_test.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// beforeAnswer is the time from a start to a crash that comes before the answer.
+const beforeAnswer timer.Millis = 0
+
 // TestCrashingTask guards against a task of a durable job that crashes one backend server after the other: it is started at
 // most twice more after three crashes, and its job fails. The count must survive the loss and the change of owners, and the
 // jobs beside it must be done.
@@ -67,7 +70,7 @@
 	}
 	for i, k := range kinds {
 		for seed := range uint64(8) {
-			for _, after := range []timer.Millis{5, 60} {
+			for _, after := range []timer.Millis{beforeAnswer, 5, 60} {
 				t.Run(fmt.Sprintf("%s/%d ms/%d", k.name, after, seed), func(t *testing.T) {
 					crashingDurableJob(newDurableSimulation(t, 900*uint64(i)+seed, 3, 6), k, after)
 				})
@@ -79,6 +82,7 @@
 func crashingDurableJob(w *simulation, k fault, after timer.Millis) {
 	const id = "crashing"
 	w.addCrashingJobs(after, id)
+	w.crashing.unanswered = after == beforeAnswer
 	// A start by an entry that has just lost the store does not count, so the later crashes happen in calm.
 	w.crashing.onCrash = func() {
 		if w.crashing.crashes[id] <= 2 {
