soaker: durable jobs that fail, are long, limited and cancelled, and a check of acknowledged ends

Its durable jobs had short tasks, none always failed, none was cancelled, none had a limit of tasks on one server, and nobody looked at which ends backend servers forget.

Change: a fifth of the durable jobs have tasks of 1 to 2 s, 7% tasks that always fail, a quarter a limit, and a fifth are cancelled 0.1 to 4 s after their acceptance. The fake backend server reports the ends that are acknowledged and whose lease has not lapsed; the checker compares them with all starts of the task. TestChecks has a case for each check, both ways.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -21,6 +21,15 @@
 	abandonFraction = 0.05 // fraction of the callers that abandon the call early
 	taskEstimateMs  = 400  // run time of a short task as estimated by callers, in ms
 	durableEvery    = 3    // every third job is durable
+	// Fractions of the durable jobs: with tasks that take long, with tasks that all fail, with a limit of tasks on one backend
+	// server, and cancelled by their callers.
+	longDurableFraction = 0.2
+	failingFraction     = 0.07
+	limitedFraction     = 0.25
+	cancelledFraction   = 0.2
+	// A job is cancelled between these times after its acceptance.
+	minCancelDelay = 100 * time.Millisecond
+	maxCancelDelay = 4 * time.Second
 	// durableJobTimeout is the time after the last fault within which all accepted durable jobs must end.
 	durableJobTimeout = 10 * time.Second
 )
@@ -30,11 +39,35 @@
 	id               string
 	tasks, runTimeMs int
 	timeout          time.Duration // how long the caller waits for the response
+	durable          durableChoice
+}
+
+// durableChoice is what a caller chooses for a durable job.
+type durableChoice struct {
+	fails           bool          // all runs of its tasks fail
+	cancelAfter     time.Duration // time from its acceptance to its cancellation; 0 for none
+	serverTaskLimit int
+}
+
+// chooseDurable draws the properties of a durable job.
+func (j job) chooseDurable(r *rand.Rand) job {
+	if r.Float64() < longDurableFraction {
+		j.runTimeMs = 1000 + r.IntN(1000)
+	}
+	j.durable.fails = r.Float64() < failingFraction
+	if r.Float64() < limitedFraction {
+		j.durable.serverTaskLimit = 1 + j.tasks/3
+	}
+	if r.Float64() < cancelledFraction {
+		j.durable.cancelAfter = minCancelDelay + time.Duration(r.Int64N(int64(maxCancelDelay-minCancelDelay)))
+	}
+	return j
 }
 
 // sendJobs submits jobs until faultCtx is canceled, each from a goroutine of callers.
 func (s *soak) sendJobs(faultCtx, ctx context.Context, callers *sync.WaitGroup) { //nolint:revive // the two contexts are equals
 	r := rand.New(rand.NewPCG(s.plan.Seed, 5))
+	choices := rand.New(rand.NewPCG(s.plan.Seed, 6)) // of durable jobs
 	gap := time.Second / time.Duration(s.plan.JobsPerSecond)
 	for n := 0; faultCtx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", uint64(n)+1<<20)
@@ -44,6 +77,7 @@
 			j.runTimeMs, j.timeout = minLongTaskMs+r.IntN(maxLongTaskMs-minLongTaskMs), longCallTimeout
 		}
 		if n%durableEvery == 0 {
+			j = j.chooseDurable(choices)
 			callers.Go(func() { s.sendDurableJob(ctx, j, entry) })
 		} else {
 			callers.Go(func() { s.sendJob(ctx, j, entry, abandons) })
@@ -81,8 +115,9 @@
 // sendDurableJob submits a durable job until it is accepted or rejected.
 func (s *soak) sendDurableJob(ctx context.Context, j job, entry int) {
 	unknown := false
+	s.checker.onSubmitted(j.id, durableJob{serverTaskLimit: j.durable.serverTaskLimit, fails: j.durable.fails})
 	for range maxAttempts {
-		r, err := platformtest.NewDurableJobRequest(s.address(1+entry, callerProxyPort), prefix, j.id, j.tasks, fmt.Sprint(j.runTimeMs), j.estimateMs(), int(j.timeout.Milliseconds()))
+		r, err := j.durableRequest(s.address(1+entry, callerProxyPort))
 		if err != nil {
 			s.checker.addViolation("job %s: %v", j.id, err)
 			return
@@ -92,6 +127,7 @@
 		switch {
 		case status == http.StatusOK:
 			s.checker.onAccepted(j.id, j.tasks)
+			s.cancelLater(ctx, j, entry)
 			return
 		case status == http.StatusServiceUnavailable && !unknown:
 			s.checker.onResponses(j.id, j.tasks, []attempt{{status, body}})
@@ -103,6 +139,37 @@
 	}
 }
 
+func (j job) durableRequest(address string) (*http.Request, error) {
+	spec := fmt.Sprint(j.runTimeMs)
+	if j.durable.fails {
+		spec = "fail " + spec
+	}
+	return platformtest.JobRequest{
+		Address: address, Prefix: prefix, ID: j.id, Durable: true, Tasks: j.tasks, Spec: spec, EstimateMs: j.estimateMs(),
+		DeadlineMs: int(j.timeout.Milliseconds()), ServerTaskLimit: j.durable.serverTaskLimit,
+	}.HTTP()
+}
+
+// cancelLater cancels a durable job if its caller has chosen that.
+func (s *soak) cancelLater(ctx context.Context, j job, entry int) {
+	if j.durable.cancelAfter == 0 {
+		return
+	}
+	time.Sleep(j.durable.cancelAfter)
+	s.checker.onCancelRequested(j.id)
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+s.address(1+entry, callerProxyPort)+prefix+j.id, http.NoBody)
+	if err != nil {
+		s.checker.addViolation("job %s: %v", j.id, err)
+		return
+	}
+	r.Host = platformtest.Host
+	status, body := s.do(ctx, r, callTimeout)
+	s.checker.events.add("caller of durable job %s cancels it at entry-%d: %d %s", j.id, entry, status, body)
+	if status == http.StatusOK {
+		s.checker.onCancelled(j.id)
+	}
+}
+
 // estimateMs returns the run time that the caller declares for a task, in ms.
 func (j job) estimateMs() int { return max(taskEstimateMs, j.runTimeMs) }
 
@@ -112,7 +179,7 @@
 	for _, id := range s.checker.acceptedJobs() {
 		for i := range s.plan.Entries {
 			state := ""
-			for state != "succeeded" && state != "failed" && time.Now().Before(deadline) && ctx.Err() == nil {
+			for state != "succeeded" && state != "failed" && state != "cancelled" && time.Now().Before(deadline) && ctx.Err() == nil {
 				state = s.jobState(ctx, i, id)
 			}
 			if text := s.checker.checkState(id, state); text != "" {
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -43,6 +43,7 @@
 		jobs          int
 		responses     map[string]int
 		accepted      map[string]int // number of tasks by accepted durable job
+		durable       durableChecks
 	}
 
 	// startedRun is a run that a backend server has started.
@@ -63,7 +64,7 @@
 	return &checker{
 		running: map[string]startedRun{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, responses: map[string]int{},
-		accepted: map[string]int{}, departures: map[string][]time.Time{},
+		accepted: map[string]int{}, departures: map[string][]time.Time{}, durable: newDurableChecks(),
 	}
 }
 
@@ -96,6 +97,7 @@
 		return
 	}
 	c.startedRuns[job]++
+	c.onDurableStartLocked(job, task, started)
 	if other, running := c.running[task]; running {
 		c.addViolationLocked("task %s: %s while %s had been running for %s", task, started, other, started.at.Sub(other.at).Round(time.Millisecond))
 	}
@@ -225,9 +227,12 @@
 func (c *checker) checkState(id, state string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == "failed" {
+	if state == "failed" || state == "cancelled" && c.durable.cancelRequested[id] {
 		return ""
 	}
+	if state == "succeeded" && c.durable.jobs[id].fails {
+		return fmt.Sprintf("durable job %s was reported as succeeded, but all its runs fail", id)
+	}
 	if state != "succeeded" {
 		return fmt.Sprintf("durable job %s was accepted, but did not end after the last fault: state %q", id, state)
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -205,7 +205,7 @@
 	for at := time.Now(); time.Since(at) < startTimeout; time.Sleep(restartDelay) {
 		served := 0
 		for i := range s.plan.Entries {
-			if status, _ := s.post(ctx, i, job{fmt.Sprintf("%016x", i), 1, 1, callTimeout}, time.Second); status == http.StatusOK {
+			if status, _ := s.post(ctx, i, job{id: fmt.Sprintf("%016x", i), tasks: 1, runTimeMs: 1, timeout: callTimeout}, time.Second); status == http.StatusOK {
 				served++
 			}
 		}
@@ -268,6 +268,9 @@
 	b.OnRun = func(task string, run uint64, outcome string) {
 		s.checker.onRun(b.ID, n.name, n.domain, task, run, outcome)
 	}
+	b.OnForgotten = func(task string, _ uint64, outcome string, ended time.Time) {
+		s.checker.onForgotten(task, outcome, ended)
+	}
 	b.OnDraining = func() { s.checker.onDraining(b.ID) }
 	s.backends = append(s.backends, b)
 	go b.Run(ctx)
@@ -338,7 +341,7 @@
 func (s *soak) sendFinalJobs(ctx context.Context, round int) (failures []string) {
 	for i := range finalJobCount {
 		id := fmt.Sprintf("f%07x%08x", round, i)
-		if status, body := s.post(ctx, i%s.plan.Entries, job{id, 2, 20, callTimeout}, callTimeout); status != http.StatusOK {
+		if status, body := s.post(ctx, i%s.plan.Entries, job{id: id, tasks: 2, runTimeMs: 20, timeout: callTimeout}, callTimeout); status != http.StatusOK {
 			failures = append(failures, fmt.Sprintf("job %s, submitted %s after the last fault: got %d %s, want 200", id, settleTime, status, body))
 		}
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -100,15 +100,18 @@
 	}
 }
 
+// checkCase is a sequence of observations, which may violate a guarantee.
+type checkCase struct {
+	name   string
+	events func(c *checker)
+	broken bool
+}
+
 // TestChecks guards against a checker that misses violations: each case that is marked as broken violates one
 // guarantee.
 func TestChecks(t *testing.T) {
 	const job = "00000000000000aa"
-	cases := []struct {
-		name   string
-		events func(c *checker)
-		broken bool
-	}{
+	cases := []checkCase{
 		{"sound", func(c *checker) {
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "done")
@@ -158,7 +161,52 @@
 			c.onRun("a", "s", "d", job+".0.0.0", 1, "")
 		}, true},
 	}
-	for _, test := range cases {
+	const task = job + ".0.0.0"
+	run := func(c *checker, server, task string, number uint64, outcomes ...string) {
+		for _, outcome := range append([]string{""}, outcomes...) {
+			c.onRun(server, "s", "d", task, number, outcome)
+		}
+	}
+	for _, test := range append(cases, []checkCase{
+		{"start after an acknowledged success", func(c *checker) {
+			c.onSubmitted(job, durableJob{})
+			run(c, "a", task, 1, "done")
+			c.onForgotten(task, "done", time.Now().Add(-time.Second))
+			run(c, "b", task, 2)
+		}, true},
+		{"success acknowledged after the next start", func(c *checker) {
+			c.onSubmitted(job, durableJob{})
+			run(c, "a", task, 1, "done")
+			run(c, "b", task, 2)
+			c.onForgotten(task, "done", time.Now().Add(-time.Second))
+		}, true},
+		{"start below the limit of failures", func(c *checker) {
+			c.onSubmitted(job, durableJob{})
+			c.onForgotten(task, "failed", time.Now().Add(-time.Second))
+			run(c, "b", task, 2)
+		}, false},
+		{"start at the limit of failures", func(c *checker) {
+			c.onSubmitted(job, durableJob{})
+			c.onForgotten(task, "failed", time.Now().Add(-time.Second))
+			c.onForgotten(task, "failed", time.Now().Add(-time.Second))
+			run(c, "b", task, 3)
+		}, true},
+		{"too many tasks of a step on one server", func(c *checker) {
+			c.onSubmitted(job, durableJob{serverTaskLimit: 1})
+			run(c, "a", task, 1)
+			run(c, "a", job+".0.0.1", 1)
+		}, true},
+		{"tasks of a step on two servers", func(c *checker) {
+			c.onSubmitted(job, durableJob{serverTaskLimit: 1})
+			run(c, "a", task, 1)
+			run(c, "b", job+".0.0.1", 1)
+		}, false},
+		{"start long after the cancellation", func(c *checker) {
+			c.onSubmitted(job, durableJob{})
+			c.durable.cancelledAt[job] = time.Now().Add(-cancelStartLimit - storeFaultAllowance - time.Second)
+			run(c, "a", task, 1)
+		}, true},
+	}...) {
 		c := newChecker()
 		test.events(c)
 		if got := len(c.report().Violations) > 0; got != test.broken {
