--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -108,7 +108,7 @@
 func (s *Submitter) acknowledgeEnd(name string, o *marshaler.Outcome, void bool) {
 	sc := s.sidecars[name]
 	if void {
-		s.report(Event{Kind: "void", Job: o.Run.Job, Peer: name, Detail: "the task was started again", Value: int64(o.Run.Index)})
+		s.report(Event{Kind: "void", Job: o.Run.Job, Peer: name, Detail: o.Status.String() + ", the task may have been started again", Value: int64(o.Run.Index)})
 	}
 	if sc != nil && sc.link != nil {
 		sc.link.Send(&marshaler.OutcomeAck{Number: o.Number, Run: o.Run, Void: void})
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -165,7 +165,10 @@
 			break // a repeated request may be granted twice
 		}
 		st.requested = max(st.requested-1, 0)
-		if st.isFull(name) || !s.startTask(j, int(g.Step), next, name) {
+		if st.isFull(name) {
+			s.report(Event{Kind: "serverFull", Job: j.ID, Queue: j.Queue.Name, Peer: name, Value: int64(st.ServerTaskLimit)})
+			rejected++
+		} else if !s.startTask(j, int(g.Step), next, name) {
 			rejected++
 		}
 	}
