--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -103,7 +103,7 @@
 		}
 		r.aborted = s.Status == StartAborted
 		if r.aborted && k.crashed {
-			r.crash.crashed = true // its call ended last
+			r.crash.crashed = true // the end of the call is handled after the crash
 		}
 		// The start may still be executed. Once the backend server has answered a stop, it no longer can be.
 		k.unconfirmed = append(k.unconfirmed, unconfirmedStart{s.Run, now})
