--- a/review/standin-2/clients.go
+++ b/review/standin-2/clients.go
@@ -21,7 +21,8 @@
 		steps      []step
 		taskMs     int
 		bestEffort bool
-		deadlineMs int // 0 for clientTimeout
+		deadlineMs int    // 0 for clientTimeout
+		prefix     string // of the route; prefix if empty
 	}
 
 	step struct {
@@ -118,7 +119,11 @@
 }
 
 func (f *fleet) post(entry int, j jobSpec) answer {
-	return f.request(context.Background(), entry, http.MethodPost, j.id, j.body(), j.deadlineMs)
+	path := prefix + j.id
+	if j.prefix != "" {
+		path = j.prefix + j.id
+	}
+	return f.request(context.Background(), entry, http.MethodPost, path, j.body(), j.deadlineMs)
 }
 
 // submit sends a durable job again, as clients do, until it is accepted or rejected.
@@ -134,21 +139,21 @@
 }
 
 func (f *fleet) get(entry int, id string) answer {
-	return f.request(context.Background(), entry, http.MethodGet, id, "", 0)
+	return f.request(context.Background(), entry, http.MethodGet, prefix+id, "", 0)
 }
 
 func (f *fleet) delete(entry int, id string) answer {
-	return f.request(context.Background(), entry, http.MethodDelete, id, "", 0)
+	return f.request(context.Background(), entry, http.MethodDelete, prefix+id, "", 0)
 }
 
-func (f *fleet) request(ctx context.Context, entry int, method, id, body string, deadlineMs int) (a answer) {
+func (f *fleet) request(ctx context.Context, entry int, method, path, body string, deadlineMs int) (a answer) {
 	if deadlineMs == 0 {
 		deadlineMs = clientTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(deadlineMs)*time.Millisecond)
 	defer cancel()
-	f.rec.add("client %s %s at entry %d %s", method, id, entry+1, body)
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.addr(1+entry, frontPort)+prefix+id, strings.NewReader(body))
+	f.rec.add("client %s %s at entry %d %s", method, path, entry+1, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.addr(1+entry, frontPort)+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -157,7 +162,7 @@
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadlineMs))
 	defer func() {
 		a.at = time.Now()
-		f.rec.add("answer %s %s at entry %d: %d %s", method, id, entry+1, a.status, a.state)
+		f.rec.add("answer %s %s at entry %d: %d %s", method, path, entry+1, a.status, a.state)
 	}()
 	resp, err := f.client.Do(r)
 	if err != nil {
