--- a/review/standin-2/clients.go
+++ b/review/standin-2/clients.go
@@ -28,7 +28,8 @@
 	step struct {
 		count     int
 		after     []int
-		perServer int // MaxPerServer
+		perServer int    // MaxPerServer
+		label     string // RequiredLabel
 	}
 
 	// answer is the response to a request. The status is 0 if there was none.
@@ -109,6 +110,9 @@
 		if s.perServer > 0 {
 			text += fmt.Sprintf(`,"MaxPerServer":%d`, s.perServer)
 		}
+		if s.label != "" {
+			text += fmt.Sprintf(`,"RequiredLabel":%q`, s.label)
+		}
 		steps = append(steps, text+"}")
 	}
 	best := ""
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -123,8 +123,11 @@
 	for i := range sidecarCount {
 		host := firstSidecar + 1 + i
 		b := &backend{fleet: f, address: f.addr(host, appPort), fake: &platformtest.Backend{
-			ID: fmt.Sprintf("i-%04x", 0x7f00+i), Service: service, Zone: zoneOf(i), CPU: backendCPU, MemMb: 131072, Control: f.addr(host, controlPort),
-		}}
+			ID: fmt.Sprintf("i-%04x", 0x7f00+i), Service: service, Zone: zoneOf(i), CPU: backendCPU, MemMb: 131072, Control: f.addr(host, relayPort),
+		}, relay: &labelRelay{target: f.addr(host, controlPort), label: kindOf(i)}}
+		if _, err := f.serve(f.addr(host, relayPort), b.relay); err != nil {
+			return err
+		}
 		if err := b.start(); err != nil {
 			return err
 		}
@@ -150,6 +153,9 @@
 	return f.awaitReady()
 }
 
+// kindOf returns the kind of an executor: two of three are of kind a.
+func kindOf(i int) string { return []string{kindA, kindA, kindB}[i/3%3] }
+
 func zoneOf(i int) string { return []string{"north", "middle", "south"}[i%3] }
 
 func (f *fleet) awaitReady() error {
@@ -266,6 +272,13 @@
 	mu         sync.Mutex
 	partitions map[string]*sync.Mutex
 	lost       float64 // share of the appends that get no answer and are done later
+	down       bool    // all calls get 503
+}
+
+func (s *storeServer) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
 }
 
 func (s *storeServer) setLost(share float64) {
@@ -276,6 +289,13 @@
 
 func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(oneWayDelay)
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.URL.Path == "/log-append" {
 		key := r.URL.Query().Get("Topic") + "/" + r.URL.Query().Get("part")
 		s.mu.Lock()
@@ -313,6 +333,7 @@
 	fleet   *fleet
 	address string
 	fake    *platformtest.Backend
+	relay   *labelRelay // of its heartbeats
 	server  *http.Server
 	mu      sync.Mutex
 	running map[string]time.Time // by task and run
