--- a/review/standin-2/label.go
+++ b/review/standin-2/label.go
@@ -16,13 +16,14 @@
 const (
 	relayPort     = 8171
 	labelRounds   = 3
-	labelPause    = 9 * time.Second
-	storeDownTime = 1100 * time.Millisecond
+	labelPause    = 8 * time.Second
+	storeDownTime = 950 * time.Millisecond
 	submitDelay   = 50 * time.Millisecond  // from the loss of the store until the jobs are sent
-	crashDelay    = 200 * time.Millisecond // from there until executors crash
-	crashTime     = 400 * time.Millisecond
-	labelledJobs  = 24
+	crashDelay    = 150 * time.Millisecond // from there until executors crash
+	crashTime     = 250 * time.Millisecond
+	labelledJobs  = 28
 	crashesAtOnce = 2
+	calmTime      = 2 * time.Second
 	kindA         = "a"
 	kindB         = "b"
 )
@@ -87,6 +88,10 @@
 		note(b, b.relay.get())
 	}
 	for range labelRounds {
+		usual, err := f.busiest(kindA) // calm traffic shows which executors the jobs usually go to
+		if err != nil {
+			return nil, err
+		}
 		var clients sync.WaitGroup
 		if trouble {
 			f.rec.add("the store answers all calls with 503")
@@ -106,29 +111,21 @@
 		if trouble {
 			time.Sleep(crashDelay)
 			var crashes sync.WaitGroup
-			for _, b := range f.ofKind(kindA)[:crashesAtOnce] {
+			for _, b := range usual[:crashesAtOnce] { // one of seven is left in the end
 				note(b, kindB)
-				crashes.Go(func() { err = b.crash(crashTime) })
+				crashes.Go(func() {
+					if err := b.crash(crashTime); err != nil {
+						f.rec.add("executor %s did not start again: %v", b.fake.ID, err)
+					}
+				})
 			}
 			time.Sleep(storeDownTime - submitDelay - crashDelay)
 			f.storeServer.setDown(false)
 			f.rec.add("the store answers again")
 			crashes.Wait()
-			if err != nil {
-				return nil, err
-			}
 		}
 		clients.Wait()
 		time.Sleep(labelPause)
-		if trouble { // the next round needs as many of kind a
-			for _, b := range f.ofKind(kindB)[:crashesAtOnce] {
-				note(b, kindA)
-				if err = b.crash(crashTime); err != nil {
-					return nil, err
-				}
-			}
-			time.Sleep(labelPause)
-		}
 	}
 	if len(accepted) < labelRounds {
 		return nil, fmt.Errorf("only %d jobs were accepted", len(accepted))
@@ -145,11 +142,32 @@
 	return violations, nil
 }
 
-func (f *fleet) ofKind(label string) (found []*backend) {
+// busiest sends jobs that require a label, and returns the executors of that kind, those with the most starts first.
+func (f *fleet) busiest(label string) (found []*backend, err error) {
+	var clients sync.WaitGroup
+	ids := make([]string, labelledJobs)
+	for n := range ids {
+		ids[n] = newID()
+		clients.Go(func() {
+			f.submit(n%entryCount, jobSpec{id: ids[n], steps: []step{{count: 1, label: label}}, taskMs: 100})
+		})
+	}
+	clients.Wait()
+	time.Sleep(calmTime)
+	starts := map[string]int{}
+	for _, id := range ids {
+		for _, r := range f.rec.runsOf(id) {
+			starts[r.backend]++
+		}
+	}
 	for _, b := range f.backends {
 		if b.relay.get() == label {
 			found = append(found, b)
 		}
 	}
-	return found
+	if len(found) <= crashesAtOnce {
+		return nil, fmt.Errorf("too few executors of kind %s", label)
+	}
+	slices.SortStableFunc(found, func(a, b *backend) int { return starts[b.fake.ID] - starts[a.fake.ID] })
+	return found, nil
 }
