supervisor: refuse starts that the present backend server does not fit

Cause: label and service were compared at the grant only. An entry keeps the grant of a durable job until its record is stored; meanwhile another backend server may take the place of the granted one, and neither the start nor the sidecar knew what the grant was for.

Change: a start carries the queue's service and the step's label, and the sidecar, the only one that knows which server it has now, refuses one that does not fit. The entry queues the task again at once; a refusal counts as no run. A change of the labels alone is announced to entries.

Virtual time: servers draw labels and a service at each start, a quarter of the jobs require a label, and each pair of faults takes turns in a world.

--- a/marshaler/append.go
+++ b/marshaler/append.go
@@ -139,7 +139,9 @@
 	dst = appender.AppendString(dst, 7, m.Queue)
 	dst = appendZigZag(dst, 8, int64(m.SentAt))
 	dst = appender.AppendUint(dst, 9, uint64(m.Suspicion))
-	return appender.AppendUint(dst, 10, m.ServerTaskLimit)
+	dst = appender.AppendUint(dst, 10, m.ServerTaskLimit)
+	dst = appender.AppendString(dst, 11, m.Service)
+	return appender.AppendString(dst, 12, m.Label)
 }
 
 func appendResourceRequest(dst []byte, m *ResourceRequest) []byte {
--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -79,6 +79,7 @@
 	}{
 		{"request", &ResourceRequest{Job: "j", TargetEnd: 50, LastUsefulEnd: 60}, &ResourceRequest{Job: "j"}, 6},
 		{"start", &Start{Queue: "queue", SentAt: 60}, &Start{}, 9},
+		{"start with requirements", &Start{Service: "svc", Label: "a"}, &Start{}, 8},
 		{"suspect start", &Start{Suspicion: SuspicionStrong}, &Start{}, 2},
 		{"suspect request", &ResourceRequest{Job: "j", Suspicion: SuspicionPossible}, &ResourceRequest{Job: "j"}, 3},
 		{"crash", &Outcome{Status: StatusCrashed, Blame: BlameCertain}, &Outcome{Status: StatusCrashed}, 2},
--- a/marshaler/decode.go
+++ b/marshaler/decode.go
@@ -225,6 +225,10 @@
 		return setUint8(f, &m.Suspicion)
 	case 10:
 		return f.StoreUint(&m.ServerTaskLimit)
+	case 11:
+		return f.StoreString(&m.Service, MaxNameLen)
+	case 12:
+		return f.StoreString(&m.Label, MaxNameLen)
 	}
 	return nil
 }
--- a/marshaler/messages.go
+++ b/marshaler/messages.go
@@ -188,6 +188,10 @@
 		Suspicion Suspicion
 		// ServerTaskLimit is the maximum number of tasks of the step on one backend server; 0 means no limit.
 		ServerTaskLimit uint64
+		// Service and Label are what the backend server was granted for: the service of the job's queue, and the label that the
+		// step requires. A start with an empty one is admitted on any.
+		Service string
+		Label   string
 	}
 
 	// Stop tells a sidecar to stop a run.
--- a/submitter/backend_sim_test.go
+++ b/submitter/backend_sim_test.go
@@ -18,6 +18,8 @@
 		id             string
 		startedAt      uint64
 		room           marshaler.Resources
+		service        string
+		labels         []string
 		leaseUntil     timer.Millis
 		runs           map[marshaler.RunKey]*fakeRun
 		ended          []supervisor.EndedRun
@@ -71,6 +73,7 @@
 func (b *fakeBackend) restart() {
 	b.crash()
 	b.up, b.startedAt = true, uint64(b.w.now)
+	b.drawKind()
 	b.runs, b.highestEnded = map[marshaler.RunKey]*fakeRun{}, map[string]uint64{}
 	b.ended, b.number, b.leaseUntil, b.endedAt = nil, 0, 0, map[uint64]timer.Millis{}
 }
@@ -111,6 +114,7 @@
 		b.extendLease(m.NotAfter)
 		length := timer.Millis(float64(m.Estimate) * (0.7 + 0.6*b.w.random.Float64()) * b.slowdown)
 		b.checkServerLimit(m.Run)
+		b.checkKind(m.Run)
 		b.runs[m.Run] = &fakeRun{room: m.Resources, begin: b.w.now, end: b.w.now + max(length, 1)}
 		b.checkCapacity()
 		task := taskOf(m.Run)
--- a/submitter/callers_sim_test.go
+++ b/submitter/callers_sim_test.go
@@ -28,7 +28,7 @@
 	w.jobs[id] = j
 	w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 		e.core.Submit(w.now, Job{
-			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate, ServerTaskLimit: w.serverLimit[id]}}, Deadline: max(2000, 4*estimate),
+			ID: id, Queue: testQueue, Steps: []marshaler.Step{{Tasks: uint64(tasks), Resources: marshaler.Resources{CPU: 3000, MemoryMB: 64}, Estimate: estimate, ServerTaskLimit: w.serverLimit[id], Label: w.requiredLabel(id)}}, Deadline: max(2000, 4*estimate),
 			Answer: func(a Answer) {
 				switch {
 				case e.incarnation != incarnation || w.departed[j]:
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -110,8 +110,9 @@
 		}
 		ids = append(ids, id)
 		w.limitServers(id, int(steps[0].Tasks))
+		w.requireLabel(id)
 		for n := range steps {
-			steps[n].ServerTaskLimit = w.serverLimit[id]
+			steps[n].ServerTaskLimit, steps[n].Label = w.serverLimit[id], w.requiredLabel(id)
 			w.durable.tasks[id] += int(steps[n].Tasks)
 		}
 		w.failing[taskOf(marshaler.RunKey{Job: id})] = w.random.IntN(10) == 0
@@ -148,6 +149,7 @@
 	}
 	run := func(t *testing.T, seed uint64, faults int, pick func(w *simulation) int) {
 		w := newDurableSimulation(t, seed, 3, 4)
+		w.drawKinds()
 		w.advance(2500)
 		ids := append(w.scheduleDurableJobs(0, 4000, 25), w.scheduleDurableJobs(8000, 9000, 50)...)
 		w.schedule(4500, func() {
@@ -171,6 +173,20 @@
 			})
 		}
 	}
+	for i := range kinds[1:] {
+		for j := range i {
+			first, second := 1+j, 1+i
+			for seed := range uint64(1) {
+				t.Run(fmt.Sprintf("%s, %s/%d", kinds[first].name, kinds[second].name, seed), func(t *testing.T) {
+					turn := 0
+					run(t, 100_000+10_000*uint64(first)+500*uint64(second)+seed, 8, func(*simulation) int {
+						turn++
+						return []int{first, second}[turn%2]
+					})
+				})
+			}
+		}
+	}
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprintf("mixed/%d", seed), func(t *testing.T) {
 			run(t, 70_000+seed, 9, func(w *simulation) int { return w.random.IntN(len(kinds)) })
--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -17,6 +17,7 @@
 		tasks, estimate := 1+w.random.IntN(6), timer.Millis(30+w.random.IntN(300))
 		ids = append(ids, id)
 		w.limitServers(id, tasks)
+		w.requireLabel(id)
 		e := w.entries[w.random.IntN(len(w.entries))]
 		w.schedule(at, func() { w.submit(e, id, tasks, estimate) })
 	}
@@ -131,6 +132,7 @@
 
 // injectOne injects a fault three times while jobs arrive.
 func injectOne(w *simulation, f fault) {
+	w.drawKinds()
 	w.advance(500)
 	ids, after := w.scheduleJobs(0, 3000, 25), w.scheduleJobs(7000, 8000, 50)
 	w.schedule(3000, w.clearFaults)
@@ -146,6 +148,7 @@
 
 // injectMixed injects twelve random faults while jobs arrive.
 func injectMixed(w *simulation, kinds []fault) {
+	w.drawKinds()
 	w.advance(500)
 	ids, after := w.scheduleJobs(0, 5000, 25), w.scheduleJobs(10_000, 11_000, 50)
 	w.schedule(5000, w.clearFaults)
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -206,7 +206,7 @@
 	sc.link.Send(&marshaler.Start{
 		Run: key, Epoch: epoch, Spec: j.Spec, Resources: st.Resources, Estimate: st.Estimate, NotAfter: sc.clock + int64(s.now-sc.clockAt+startTTL),
 		Queue: j.Queue.Name, SentAt: sc.remote.at(s.now), Suspicion: t.suspicion(),
-		ServerTaskLimit: st.ServerTaskLimit,
+		ServerTaskLimit: st.ServerTaskLimit, Service: j.Queue.Service, Label: st.Label,
 	})
 	return true
 }
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -23,6 +23,7 @@
 	// simulation runs real entry and sidecar cores in virtual time, with fake sessions and backend servers.
 	simulation struct {
 		t        *testing.T
+		seed     uint64
 		random   *rand.Rand
 		now      timer.Millis
 		events   []event
@@ -56,6 +57,7 @@
 		crashing        crashingTasks
 		failing         map[string]bool   // tasks whose runs all fail
 		serverLimit     map[string]uint64 // maximum number of tasks of a step on one backend server, by job
+		kinds           *kindDraws        // set if backend servers have kinds
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -117,7 +119,7 @@
 
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
 		startedRuns: map[string]int{}, failing: map[string]bool{}, serverLimit: map[string]uint64{},
 	}
 	w.startProcesses(entries, sidecars)
@@ -128,7 +130,7 @@
 func (w *simulation) startProcesses(entries, sidecars int) {
 	for i := range sidecars {
 		s := &fakeSidecar{name: fmt.Sprintf("side-%d", i)}
-		s.backend = &fakeBackend{w: w, id: s.name + "-server", room: marshaler.Resources{CPU: 32_000, MemoryMB: 64_000}, slowdown: 1}
+		s.backend = &fakeBackend{w: w, id: s.name + "-server", room: marshaler.Resources{CPU: 32_000, MemoryMB: 64_000}, service: testQueue.Service, slowdown: 1}
 		w.sidecars = append(w.sidecars, s)
 		s.backend.restart()
 		w.startSidecar(s)
@@ -304,7 +306,7 @@
 		w.runOn(&s.process, current, func() {
 			if s.backend.up {
 				sequence++
-				k.Announce(w.now, supervisor.Backend{ID: s.backend.id, StartTime: s.backend.startedAt, Sequence: sequence, Service: "svc", Capacity: s.backend.room})
+				k.Announce(w.now, supervisor.Backend{ID: s.backend.id, StartTime: s.backend.startedAt, Sequence: sequence, Service: s.backend.service, Labels: s.backend.labels, Capacity: s.backend.room})
 			}
 			w.schedule(100, announce)
 		})
--- a/supervisor/announcement.go
+++ b/supervisor/announcement.go
@@ -64,7 +64,8 @@
 		}
 	}
 	restarted := !k.announced || k.Replaces(b)
-	changed := restarted || !k.described || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service
+	changed := restarted || !k.described || b.Draining != k.backend.Draining || b.Capacity != k.backend.Capacity || b.Service != k.backend.Service ||
+		!slices.Equal(b.Labels, k.backend.Labels)
 	if restarted && k.announced {
 		k.noteCrash(now)
 	}
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -23,6 +23,8 @@
 	case !ok:
 	case !k.mayStart(e, m):
 		ok, reason = false, "the entry does not own the job any more"
+	case !k.serves(m):
+		ok, reason = false, "another service or label than required"
 	case k.runs[at] != nil:
 		ok, reason = false, "task runs already"
 	case !separate:
@@ -57,6 +59,12 @@
 	k.Start(start)
 }
 
+// serves reports whether the backend server belongs to the service and has the label that a start requires. It may have been
+// replaced by one of another kind after the capacity was granted; only the sidecar knows which one it has now.
+func (k *Supervisor) serves(m *marshaler.Start) bool {
+	return (m.Service == "" || m.Service == k.backend.Service) && (m.Label == "" || slices.Contains(k.backend.Labels, m.Label))
+}
+
 // isFull reports whether the backend server has as many tasks of a start's step as the step allows. Only the sidecar knows of
 // all of them: the entry may have taken the job over and not have their list yet.
 func (k *Supervisor) isFull(m *marshaler.Start) bool {
