submitter: keep the order of messages and the down time of servers in simulations

With the kinds of backend servers drawn, worlds showed entries that held the labels of a former server for good. The stand-in was at fault: two messages of one session were handled in the wrong order if the receiver was paused again before a pause had ended, or if the session opened while they waited. A server that crashed again while it was down started a second time at once, without any time in between.

Events that wait for the end of a pause are kept in a queue for each process, and messages in one for each direction of a session. The second start of a server that is up again is left out. No check is changed.

--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -67,7 +67,11 @@
 		{"backend server crashed", func(w *simulation) {
 			b := w.sidecars[w.random.IntN(len(w.sidecars))].backend
 			b.crash()
-			w.schedule(timer.Millis(50+w.random.IntN(1500)), b.restart)
+			w.schedule(timer.Millis(50+w.random.IntN(1500)), func() {
+				if !b.up { // otherwise it has started again after an earlier crash; a new incarnation takes time to start
+					b.restart()
+				}
+			})
 		}},
 		{"sessions reset", func(w *simulation) {
 			for _, l := range w.links {
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -25,6 +25,7 @@
 		t        *testing.T
 		seed     uint64
 		random   *rand.Rand
+		shapes   *rand.Rand // of the steps of durable jobs
 		now      timer.Millis
 		events   []event
 		sequence int
@@ -70,6 +71,12 @@
 		cutUntil timer.Millis
 	}
 
+	// fakeStream delivers the messages of one direction of a session in order.
+	fakeStream struct {
+		up      bool // the session is open at the receiver; no message is handled before
+		waiting []func()
+	}
+
 	fakeJob struct {
 		entry       *fakeEntry
 		incarnation uint64 // of the entry
@@ -87,6 +94,7 @@
 	process struct {
 		alive       bool
 		pausedUntil timer.Millis
+		waiting     []func() // events that wait for the end of a pause
 		starvation  starvation
 	}
 
@@ -182,7 +190,7 @@
 
 func (w *simulation) startEntry(e *fakeEntry) {
 	e.incarnation++
-	e.alive, e.pausedUntil, e.starvation.nextTurn = true, 0, 0
+	e.alive, e.pausedUntil, e.waiting, e.starvation.nextTurn = true, 0, nil, 0
 	e.core = &Submitter{Name: e.name, Incarnation: e.incarnation, Weight: 400, Handover: w.handover, Report: func(v Event) {
 		w.decisions[v.Job] = append(w.decisions[v.Job], fmt.Sprintf("%d %s %s %s %s %d", w.now, e.name, v.Kind, v.Peer, v.Detail, v.Value))
 	}}
@@ -219,7 +227,7 @@
 
 func (w *simulation) startSidecar(s *fakeSidecar) {
 	s.incarnation++
-	s.alive, s.pausedUntil, s.starvation.nextTurn = true, 0, 0
+	s.alive, s.pausedUntil, s.waiting, s.starvation.nextTurn = true, 0, nil, 0
 	incarnation := s.incarnation
 	current := func() bool { return s.incarnation == incarnation }
 	k := &supervisor.Supervisor{Partitions: testPartitions, Report: func(v supervisor.Event) {
@@ -319,6 +327,30 @@
 	}
 }
 
+// deliver handles a message after those before it, once the session is open at the receiver and its link is not cut.
+func (s *fakeStream) deliver(w *simulation, session *fakeLink, ended *bool, do func()) {
+	if s.waiting = append(s.waiting, do); len(s.waiting) == 1 {
+		s.pump(w, session, ended)
+	}
+}
+
+// pump handles the messages that wait, until one has to wait on.
+func (s *fakeStream) pump(w *simulation, session *fakeLink, ended *bool) {
+	for len(s.waiting) > 0 && !*ended {
+		wait := max(session.cutUntil-w.now, 0)
+		if !s.up {
+			wait = max(wait, 1)
+		}
+		if wait > 0 {
+			w.schedule(wait, func() { s.pump(w, session, ended) })
+			return
+		}
+		do := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		do()
+	}
+}
+
 // connect opens a session between an entry and a sidecar, and a new one after it ends.
 func (w *simulation) connect(e *fakeEntry, s *fakeSidecar) {
 	entryIncarnation, sidecarIncarnation := e.incarnation, s.incarnation
@@ -328,20 +360,8 @@
 	var atEntry, atSidecar *marshaler.Link
 	session := &fakeLink{sidecar: s.name}
 	w.links = append(w.links, session)
-	// A message is never handled before its session is open at the receiver.
-	upAtEntry, upAtSidecar := false, false
-	var deliver func(up *bool, do func())
-	deliver = func(up *bool, do func()) {
-		switch {
-		case ended:
-		case session.cutUntil > w.now:
-			w.schedule(session.cutUntil-w.now, func() { deliver(up, do) })
-		case !*up:
-			w.schedule(1, func() { deliver(up, do) })
-		default:
-			do()
-		}
-	}
+	var toEntry, toSidecar fakeStream
+	deliver := func(s *fakeStream, do func()) { s.deliver(w, session, &ended, do) }
 	end := func(error) {
 		if ended {
 			return
@@ -362,7 +382,7 @@
 		Remote: marshaler.Hello{Role: marshaler.RoleSidecar, Name: s.name, Incarnation: s.incarnation, Session: uint64(len(w.links))}, Close: end,
 		Send: func(m marshaler.Message) {
 			w.schedule(linkDelay, func() {
-				deliver(&upAtSidecar, func() {
+				deliver(&toSidecar, func() {
 					w.receive(&s.process, sidecarCurrent, func() { s.core.OnMessage(w.now, atSidecar, m) })
 				})
 			})
@@ -372,7 +392,7 @@
 		Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: e.name, Incarnation: e.incarnation}, Close: end,
 		Send: func(m marshaler.Message) {
 			w.schedule(linkDelay, func() {
-				deliver(&upAtEntry, func() {
+				deliver(&toEntry, func() {
 					w.receive(&e.process, entryCurrent, func() {
 						e.core.OnMessage(w.now, atEntry, m)
 						e.core.Flush(w.now)
@@ -384,13 +404,13 @@
 	session.end = end
 	w.schedule(linkDelay, func() {
 		// The messages of a session wait in the inbox behind its start.
-		upAtEntry, upAtSidecar = e.starvation.until > w.now, s.starvation.until > w.now
+		toEntry.up, toSidecar.up = e.starvation.until > w.now, s.starvation.until > w.now
 		w.receive(&e.process, entryCurrent, func() {
-			upAtEntry = true
+			toEntry.up = true
 			e.core.OnConnect(w.now, atEntry)
 		})
 		w.receive(&s.process, sidecarCurrent, func() {
-			upAtSidecar = true
+			toSidecar.up = true
 			s.core.OnConnect(w.now, atSidecar)
 		})
 	})
--- a/submitter/starvation_test.go
+++ b/submitter/starvation_test.go
@@ -78,12 +78,31 @@
 
 // runUnpaused runs do on a process if it is alive, after its pause if it is paused.
 func (w *simulation) runUnpaused(p *process, current func() bool, do func()) {
-	switch {
-	case !p.alive || !current():
-	case p.pausedUntil > w.now:
-		w.schedule(p.pausedUntil-w.now, func() { w.runUnpaused(p, current, do) })
-	default:
-		do()
+	run := func() {
+		if p.alive && current() {
+			do()
+		}
+	}
+	if p.pausedUntil <= w.now && len(p.waiting) == 0 {
+		run()
+		return
+	}
+	if p.waiting = append(p.waiting, run); len(p.waiting) == 1 {
+		w.schedule(p.pausedUntil-w.now, func() { w.resume(p) })
+	}
+}
+
+// resume runs the events that waited for the end of a pause, in the order of their arrival, also if another pause followed the
+// first one at once.
+func (w *simulation) resume(p *process) {
+	for len(p.waiting) > 0 {
+		if p.pausedUntil > w.now {
+			w.schedule(p.pausedUntil-w.now, func() { w.resume(p) })
+			return
+		}
+		run := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		run()
 	}
 }
 
