submitter: start no task of a step that is not ready on a late grant

A task of the second step could start while the first step's task ran again (ORDER).

Change: onGrant ignores a grant for a step that is not ready. The tasks are requested once the step is ready.

--- a/submitter/handoverorder_test.go
+++ b/submitter/handoverorder_test.go
@@ -52,3 +52,42 @@
 		}
 	}
 }
+
+// TestStepOrderAfterTakeover guards against tasks that start before the steps that they depend on are done: an entry adopts a run
+// of the second step and does not know of the end of the first one, whose task has to run again.
+func TestStepOrderAfterTakeover(t *testing.T) {
+	run := marshaler.RunKey{Job: "job", Index: marshaler.TaskIndex(1, 0), Attempt: 1}
+	cases := []struct {
+		name  string
+		event func(f *durableFixture)
+	}{
+		{"grant of an earlier ownership", func(f *durableFixture) {
+			f.core.onGrant(&marshaler.Grant{Job: "job", Step: 1, Sidecars: []string{"side-a", "side-b"}})
+		}},
+		{"end of the adopted run", func(f *durableFixture) {
+			f.core.OnMessage(f.now, f.links["side-a"], &marshaler.Outcome{Run: run, Status: marshaler.StatusLost})
+		}},
+		{"refused request", func(f *durableFixture) { f.core.onReject(&marshaler.Reject{Job: "job", Step: 1}) }},
+	}
+	for _, c := range cases {
+		f := newDurableFixture(twoSteps(2))
+		f.core.OnMessage(f.now, f.links["side-a"], census([]marshaler.RunKey{run}))
+		f.advance(runExpiry + 100)
+		c.event(f)
+		f.advance(500)
+		for _, s := range f.starts {
+			if step, _ := s.run.Task(); step == 1 {
+				t.Errorf("%s: got a start of task %d before the first step is done", c.name, s.run.Index)
+			}
+		}
+		if len(f.starts) != 1 {
+			t.Errorf("%s: got starts %v, want one of the first step", c.name, f.starts)
+			continue
+		}
+		f.core.OnMessage(f.now, f.links[f.starts[0].sidecar], &marshaler.Outcome{Run: f.starts[0].run, Status: marshaler.StatusDone, Number: 6})
+		f.advance(200)
+		if len(f.starts) < 2 {
+			t.Errorf("%s: got no start of the second step after the first one is done", c.name)
+		}
+	}
+}
--- a/submitter/placement.go
+++ b/submitter/placement.go
@@ -147,10 +147,11 @@
 	}
 }
 
-// onGrant starts a queued task on each granted sidecar.
+// onGrant starts a queued task on each granted sidecar. A grant of a former request may arrive after this entry has lost the
+// job and taken it over again, when it does not know yet that the steps before are done.
 func (s *Submitter) onGrant(g *marshaler.Grant) {
 	j := s.jobs[g.Job]
-	if j == nil || g.Step >= uint64(len(j.steps)) {
+	if j == nil || g.Step >= uint64(len(j.steps)) || !j.stepReady(int(g.Step)) {
 		return
 	}
 	if j.Kind.Durable && !j.durability.stored {
