submitter: deny no job while it is not known whether there are durable jobs

Cause: "does not exist" was the answer while the flag that durable jobs are in use was false. Only the marker in the store set it, by a read that waits up to 30.8 s on a silent connection; partitions that other entries own, and their heartbeats, were not looked at. Such an entry did not take part in owning partitions either.

Change: an announced partition shows that durable jobs are in use. An entry denies a job without a question only if the store had no marker and all other entries are connected and report no durable jobs. Otherwise the request waits for a read of the store that began after it, or for an owner, up to 3 s, then 503. Nothing changes for installations without durable jobs while their entries are connected.

Virtual time: a third of the worlds begin without the marker, reads of it may be silent, and callers reach one entry first.

--- a/runner/directory.go
+++ b/runner/directory.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/consumer"
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -163,6 +165,16 @@
 	f.Run(ctx)
 }
 
+// hasDurableJobs reports whether the store has the marker of durable jobs now. The read does not wait for a change, so it also ends
+// soon if the connection on which follow waits has gone silent.
+func (d *entryDirectory) hasDurableJobs(ctx context.Context) (bool, error) {
+	page, err := d.store.ReadLatest(ctx, platform.TopicEntries)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	return slices.ContainsFunc(page.Records, func(r consumer.Record) bool { return r.Key == durableJobsKey }), nil
+}
+
 // announceDurableJobs records in the store that durable jobs are in use. It never blocks.
 func (d *entryDirectory) announceDurableJobs(ctx context.Context) {
 	if !d.announcing.CompareAndSwap(false, true) {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -77,8 +77,12 @@
 	// The process keeps running for its drain time after ctx is canceled.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	e.directory.onDurableJobs = func(inUse bool) { e.setDurableJobsInUse(runCtx, inUse) }
+	e.directory.onDurableJobs = func(inUse bool) {
+		e.loop.post(runCtx, func(now timer.Millis) { e.core.SetDurableInUse(now, inUse) })
+	}
 	e.core.DurableJobSubmitted = func() { e.directory.announceDurableJobs(runCtx) }
+	e.core.DurableJobsFound = func() { e.owner.start(runCtx) }
+	e.core.LookUpDurableUse = func(done func(now timer.Millis, inUse, ok bool)) { go e.lookUpDurableUse(runCtx, done) }
 	e.sessions = sessionHandler{
 		loop: e.loop, config: &e.config, directory: &e.directory, onUp: e.core.OnConnect, onDown: e.core.OnDisconnect, onMessage: e.core.OnMessage,
 		onPanic: e.monitor.reportPanic,
@@ -207,13 +211,13 @@
 	return err == nil
 }
 
-// setDurableJobsInUse applies the marker read from the store. Once durable jobs are in use, this entry starts to own
-// partitions.
-func (e *Entry) setDurableJobsInUse(ctx context.Context, inUse bool) {
-	e.loop.post(ctx, func(now timer.Millis) { e.core.SetDurableInUse(now, inUse) })
-	if inUse {
-		e.owner.start(ctx)
+// lookUpDurableUse reads from the store whether durable jobs are in use, and calls done on the event loop.
+func (e *Entry) lookUpDurableUse(ctx context.Context, done func(now timer.Millis, inUse, ok bool)) {
+	inUse, err := e.directory.hasDurableJobs(ctx)
+	if err != nil {
+		e.Logger.WithError(err).Warn("entry: cannot read from the store whether durable jobs are in use")
 	}
+	e.loop.post(ctx, func(now timer.Millis) { done(now, inUse, err == nil) })
 }
 
 // submit passes a job to the core and waits for its answer. If the caller cancels the request, it drops the job, unless
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -45,11 +45,7 @@
 // State requests the state of a durable job.
 func (s *Submitter) State(now timer.Millis, queue, id string, answer func(a Answer)) {
 	s.setNow(now)
-	if !s.durable.inUse {
-		answer(Answer{Kind: AnswerNotFound, Reason: "there are no kept jobs"})
-		return
-	}
-	s.route(&operation{verb: marshaler.VerbState, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
+	s.routeExisting(&operation{verb: marshaler.VerbState, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
 }
 
 // Cancel cancels a job, whichever entry owns it.
@@ -60,11 +56,7 @@
 		answer(Answer{Kind: AnswerCancelled})
 		return
 	}
-	if !s.durable.inUse {
-		answer(Answer{Kind: AnswerNotFound, Reason: "no such job is in work here"})
-		return
-	}
-	s.route(&operation{verb: marshaler.VerbCancel, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
+	s.routeExisting(&operation{verb: marshaler.VerbCancel, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
 }
 
 // owner returns the entry that claims a partition with the highest epoch, or nil.
@@ -274,13 +266,16 @@
 // expireOperations fails the operations whose time limit has passed.
 func (s *Submitter) expireOperations() {
 	s.retryUnrouted()
-	s.durable.unrouted = slices.DeleteFunc(s.durable.unrouted, func(op *operation) bool {
-		if s.now < op.expiresAt {
-			return false
-		}
-		s.failOperation(op)
-		return true
-	})
+	s.lookUpDurableUse()
+	for _, list := range []*[]*operation{&s.durable.unrouted, &s.durable.use.waiting, &s.durable.use.asked} {
+		*list = slices.DeleteFunc(*list, func(op *operation) bool {
+			if s.now < op.expiresAt {
+				return false
+			}
+			s.failOperation(op)
+			return true
+		})
+	}
 	for number, op := range marshaler.SortedByKey(s.durable.calls) {
 		if s.now >= op.expiresAt+routeTimeout {
 			delete(s.durable.calls, number)
@@ -316,6 +311,7 @@
 	for _, o := range m.Partitions {
 		p.ownedEpochs[o.Number] = o.Epoch
 	}
+	s.setDurableUse(true, "partitions of "+p.hello.Name)
 	if s.OwnershipAnnounced != nil {
 		s.OwnershipAnnounced()
 	}
@@ -335,7 +331,7 @@
 
 // broadcastWaiting tells the other entries how many durable jobs of this entry have not started a task.
 func (s *Submitter) broadcastWaiting() {
-	if !s.durable.inUse || s.now-s.durable.reportedAt < waitingReportInterval {
+	if !s.durable.use.inUse || s.now-s.durable.reportedAt < waitingReportInterval {
 		return
 	}
 	s.durable.reportedAt = s.now
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -30,8 +30,7 @@
 	// durableJobs holds the partitions of the durable jobs that this entry owns, and the state that every entry needs
 	// to route operations to their owners.
 	durableJobs struct {
-		inUse bool // durable jobs exist, so partitions have owners
-		known bool // inUse has been read from the store
+		use durableUse
 		// leaseUntil is the end of the lease on the partitions. After it another entry may own them.
 		leaseUntil      timer.Millis
 		handovers       map[uint64]*marshaler.Handover // latest one by partition
@@ -88,20 +87,6 @@
 	}
 )
 
-// SetDurableInUse sets whether durable jobs are in use according to the store.
-func (s *Submitter) SetDurableInUse(now timer.Millis, inUse bool) {
-	s.setNow(now)
-	before := s.mayHaveDurable()
-	s.durable.known = true
-	if inUse && !s.durable.inUse {
-		s.durable.inUse = true
-		s.report(Event{Kind: "keptInUse"})
-	}
-	if s.mayHaveDurable() != before { // it determines the heartbeat interval that peers expect
-		s.sendAllHeartbeats()
-	}
-}
-
 // RenewLease extends the lease on the owned partitions. After it expires, another entry may own them.
 func (s *Submitter) RenewLease(now, until timer.Millis) {
 	s.durable.leaseUntil = max(s.durable.leaseUntil, until)
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -13,18 +13,34 @@
 // pairSeeds is more than one in long runs by hand.
 var pairSeeds = flag.Uint64("pairSeeds", 1, "number of seeds with which TestDurableJobFaults plays each pair of faults")
 
-func newDurableSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
+// newStoreSimulation returns a simulation with a store and no processes yet.
+func newStoreSimulation(t *testing.T, seed uint64) *simulation {
 	w := newSimulation(t, seed, 0, 0)
-	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}}
+	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}, marked: true}
 	w.durable = &durableChecker{
 		starts: map[string][]timer.Millis{}, failures: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
 		tasks: map[string]int{}, cancelled: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
 		stillSince: map[string]timer.Millis{}, ended: map[string]bool{},
 	}
+	return w
+}
+
+// newDurableSimulation returns a simulation in which durable jobs have been used before.
+func newDurableSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
+	w := newStoreSimulation(t, seed)
 	w.startProcesses(entries, sidecars)
 	return w
 }
 
+// newDrawnSimulation returns a simulation with drawn kinds of backend servers, and with drawn knowledge of durable jobs.
+func newDrawnSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
+	w := newStoreSimulation(t, seed)
+	w.drawMarker()
+	w.startProcesses(entries, sidecars)
+	w.drawKinds()
+	return w
+}
+
 func (w *simulation) decisionsOf(task string) string {
 	job, _, _ := strings.Cut(task, ".")
 	return fmt.Sprint(w.faults) + strings.Join(w.decisions[job], "\n")
@@ -32,7 +48,7 @@
 
 // submitDurable submits a durable job, and submits it again to another entry while its acceptance is unknown.
 func (w *simulation) submitDurable(id string, steps []marshaler.Step, tries int) {
-	e := w.entries[w.random.IntN(len(w.entries))]
+	e := w.callersEntry(w.entries[w.random.IntN(len(w.entries))])
 	incarnation, answered := e.incarnation, false
 	resubmit := func() {
 		if !answered && tries > 0 {
@@ -155,8 +171,7 @@
 		}},
 	}
 	run := func(t *testing.T, seed uint64, faults int, pick func(w *simulation) int) {
-		w := newDurableSimulation(t, seed, 3, 4)
-		w.drawKinds()
+		w := newDrawnSimulation(t, seed, 3, 4)
 		w.advance(2500)
 		ids := append(w.scheduleDurableJobs(0, 4000, 25), w.scheduleDurableJobs(8000, 9000, 50)...)
 		w.schedule(4500, func() {
--- a/submitter/liveness.go
+++ b/submitter/liveness.go
@@ -77,9 +77,6 @@
 	}
 }
 
-// mayHaveDurable reports whether durable jobs may be in use. Heartbeats carry it.
-func (s *Submitter) mayHaveDurable() bool { return s.durable.inUse || !s.durable.known }
-
 // handlePause applies the time limits that expired while this process was suspended, before any message that arrived
 // meanwhile is handled: a grant for a job whose caller has left must not start a task, and sessions that both ends have
 // timed out must not carry starts.
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -66,12 +66,12 @@
 		s.peers[h.Name] = p
 	}
 	// Two entries may dial each other at the same time. The newest session is used for sending; both are read.
-	p.hello, p.link, p.lastReceived, p.aliveAt, p.leaving, p.suspect = h, link, s.now, s.now, false, false
+	p.hello, p.link, p.lastReceived, p.aliveAt, p.leaving, p.suspect, p.reported = h, link, s.now, s.now, false, false, false
 	s.endHandovers(p, "the session was replaced")
 	s.report(Event{Kind: "entryUp", Peer: h.Name})
 	s.relay.OnConnect(s.now, h.Name)
 	p.send(s.now, s.newPeerHeartbeat(p))
-	if s.durable.inUse {
+	if s.durable.use.inUse {
 		p.send(s.now, &marshaler.OwnedPartitions{Partitions: s.ownedPartitions()})
 	}
 }
@@ -189,7 +189,7 @@
 			p.remote.observe(s.now, m.Time)
 		}
 		p.aliveAt = max(p.aliveAt, marshaler.TimeSent(s.now, m.SentAt))
-		p.offset, p.mayHaveDurable = m.Offset, m.DurableInUse
+		p.offset, p.mayHaveDurable, p.reported = m.Offset, m.DurableInUse, true
 		p.setLoad(s.now, m)
 		if m.Leaving && !p.leaving {
 			s.report(Event{Kind: "entryLeaving", Peer: p.hello.Name})
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -59,6 +59,8 @@
 		failing         map[string]bool   // tasks whose runs all fail
 		serverLimit     map[string]uint64 // maximum number of tasks of a step on one backend server, by job
 		kinds           *kindDraws        // set if backend servers have kinds
+		startedAt       timer.Millis
+		firstEntry      int // index of the only entry that gets durable jobs at first; -1 for none
 		// store and durable are only set in simulations with durable jobs.
 		store   *fakeStore
 		durable *durableChecker
@@ -127,7 +129,7 @@
 
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
+		t: t, seed: seed, startedAt: 100_000, firstEntry: -1, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
 		startedRuns: map[string]int{}, failing: map[string]bool{}, serverLimit: map[string]uint64{},
 	}
 	w.startProcesses(entries, sidecars)
--- a/submitter/store_sim_test.go
+++ b/submitter/store_sim_test.go
@@ -26,6 +26,8 @@
 		owners     [testPartitions]string
 		epochs     [testPartitions]uint64
 		logs       [testPartitions][][]byte
+		marked     bool        // it has the marker that durable jobs are in use
+		silent     func() bool // draws whether an entry's connection has gone silent
 	}
 
 	fakeMember struct {
@@ -128,9 +130,12 @@
 	o := &fakeMembership{w: w, e: e, incarnation: e.incarnation, rejoin: true, writers: map[uint64]*fakeWriter{}, epochs: map[uint64]uint64{}}
 	e.core.Partitions = testPartitions
 	e.core.Record = o.record
-	e.core.SetDurableInUse(w.now, true)
-	w.schedule(2, o.join)
-	w.schedule(50, o.watchLease)
+	e.core.DurableJobsFound = func() {
+		w.schedule(2, o.join)
+		w.schedule(50, o.watchLease)
+	}
+	e.core.DurableJobSubmitted, e.core.LookUpDurableUse = o.writeMarker, o.lookUpMarker
+	e.core.SetDurableInUse(w.now, w.store.marked)
 }
 
 func (o *fakeMembership) current() bool { return o.e.incarnation == o.incarnation }
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -81,6 +81,11 @@
 		OwnershipAnnounced func()
 		// DurableJobSubmitted is called when a durable job is submitted while durable jobs are not known to be in use.
 		DurableJobSubmitted func()
+		// DurableJobsFound is called when it becomes known that durable jobs are in use, so that partitions need owners.
+		DurableJobsFound func()
+		// LookUpDurableUse asks the store whether durable jobs are in use, and calls done with the result; ok is false if there is
+		// none.
+		LookUpDurableUse func(done func(now timer.Millis, inUse, ok bool))
 
 		durable                durableJobs
 		load                   loadState
@@ -189,6 +194,7 @@
 		remote         remoteClock
 		requestedAt    timer.Millis // time of the latest capacity request or handover in either direction
 		mayHaveDurable bool         // it reports that durable jobs may be in use
+		reported       bool         // a heartbeat has arrived since the session opened
 		offset         uint64
 		leaving        bool
 		suspect        bool              // silent for suspectTimeout; requests open there were rerouted
@@ -272,7 +278,7 @@
 		s.acceptRestartable(j, received)
 		return
 	}
-	if !s.durable.inUse && s.DurableJobSubmitted != nil {
+	if !s.durable.use.inUse && s.DurableJobSubmitted != nil {
 		s.DurableJobSubmitted()
 	}
 	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: s.now + submitRouteTimeout})
