submitter: cancel a restartable job whichever entry runs it

Cause: a restartable job is known only to its own entry. Cancel looked there and at the owner of the partition, which knows durable jobs only.

Change: all other entries are asked, and the one that runs the job ends it. 410 takes the answer of each of them; otherwise 503.

--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -15,6 +15,8 @@
 	VerbState
 	// VerbCancel cancels a durable job.
 	VerbCancel
+	// VerbAbort ends a restartable job if the receiver runs it.
+	VerbAbort
 )
 
 type (
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -48,17 +48,6 @@
 	s.routeExisting(&operation{verb: marshaler.VerbState, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
 }
 
-// Cancel cancels a job, whichever entry owns it.
-func (s *Submitter) Cancel(now timer.Millis, queue, id string, answer func(a Answer)) {
-	s.setNow(now)
-	if j := s.jobs[id]; j != nil && j.durability.partition == nil || s.handover.jobs[id] != nil {
-		s.Abort(now, id, "cancelled by the caller")
-		answer(Answer{Kind: AnswerCancelled})
-		return
-	}
-	s.routeExisting(&operation{verb: marshaler.VerbCancel, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
-}
-
 // owner returns the entry that claims a partition with the highest epoch, or nil.
 func (s *Submitter) owner(number uint64) (best *peer) {
 	var epoch uint64
@@ -189,6 +178,14 @@
 	reply := func(a Answer) {
 		from.send(s.now, &marshaler.Reply{Number: m.Number, Kind: uint8(a.Kind), Reason: truncateReason(a.Reason), RetryAfter: a.RetryAfter})
 	}
+	if m.Verb == marshaler.VerbAbort {
+		a := Answer{Kind: AnswerNotFound}
+		if s.abortRestartable(m.Job) {
+			a.Kind = AnswerCancelled
+		}
+		reply(a)
+		return
+	}
 	p := s.durable.owned[s.partitionOf(m.Job)]
 	if p == nil {
 		reply(Answer{Kind: AnswerNotOwner})
@@ -230,7 +227,7 @@
 // onReply answers the caller of a forwarded request, or routes the request again if the receiver was not the owner.
 func (s *Submitter) onReply(m *marshaler.Reply) {
 	op := s.durable.calls[m.Number]
-	if op == nil {
+	if s.onCancelReply(m) || op == nil {
 		return
 	}
 	delete(s.durable.calls, m.Number)
@@ -267,6 +264,7 @@
 func (s *Submitter) expireOperations() {
 	s.retryUnrouted()
 	s.lookUpDurableUse()
+	s.expireCancelCalls()
 	for _, list := range []*[]*operation{&s.durable.unrouted, &s.durable.use.waiting, &s.durable.use.asked} {
 		*list = slices.DeleteFunc(*list, func(op *operation) bool {
 			if s.now < op.expiresAt {
--- a/submitter/durableuse_test.go
+++ b/submitter/durableuse_test.go
@@ -10,16 +10,18 @@
 
 // useFixture is an entry with sessions to other entries, which records what it asks of them and of the store.
 type useFixture struct {
-	core    *Submitter
-	now     timer.Millis
-	links   map[string]*marshaler.Link
-	calls   int // to other entries
+	core  *Submitter
+	now   timer.Millis
+	links map[string]*marshaler.Link
+	calls int // to other entries, about durable jobs
+	// aborts has the calls about restartable jobs, by entry. None has the job.
+	aborts  map[string][]uint64
 	lookups []func(now timer.Millis, inUse, ok bool)
 	found   int // calls of DurableJobsFound
 }
 
 func newUseFixture(peers ...string) *useFixture {
-	f := &useFixture{now: 1000, links: map[string]*marshaler.Link{}}
+	f := &useFixture{now: 1000, links: map[string]*marshaler.Link{}, aborts: map[string][]uint64{}}
 	f.core = &Submitter{
 		Name: "entry", Incarnation: 9, Partitions: 1, DurableJobsFound: func() { f.found++ },
 		LookUpDurableUse: func(done func(now timer.Millis, inUse, ok bool)) { f.lookups = append(f.lookups, done) },
@@ -29,7 +31,11 @@
 		f.links[name] = &marshaler.Link{
 			Remote: marshaler.Hello{Role: marshaler.RoleEntry, Name: name, Incarnation: 1, Session: 1}, Close: func(error) {},
 			Send: func(m marshaler.Message) {
-				if _, ok := m.(*marshaler.Call); ok {
+				call, ok := m.(*marshaler.Call)
+				switch {
+				case ok && call.Verb == marshaler.VerbAbort:
+					f.aborts[name] = append(f.aborts[name], call.Number)
+				case ok:
 					f.calls++
 				}
 			},
@@ -47,6 +53,16 @@
 	f.core.OnMessage(f.now, f.links[name], &marshaler.OwnedPartitions{Partitions: []marshaler.Partition{{Epoch: 1}}})
 }
 
+// answerAborts lets the other entries answer that they do not have the job.
+func (f *useFixture) answerAborts() {
+	for name, numbers := range marshaler.SortedByKey(f.aborts) {
+		for _, number := range numbers {
+			f.core.OnMessage(f.now, f.links[name], &marshaler.Reply{Number: number, Kind: uint8(AnswerNotFound)})
+		}
+	}
+	clear(f.aborts)
+}
+
 // advance moves the time on, while all other entries send heartbeats.
 func (f *useFixture) advance(length timer.Millis, inUse bool) {
 	for end := f.now + length; f.now < end; {
@@ -99,6 +115,8 @@
 			f.core.SetDurableInUse(f.now, false)
 			f.heartbeat("a", false)
 			f.core.OnDisconnect(f.now, f.links["b"], errConnectionCut)
+			f.now += lostPeerTime
+			f.heartbeat("a", false)
 		}, func(f *useFixture) { f.lookups[0](f.now, false, true) }, 1, 0, []AnswerKind{AnswerNotFound}},
 		{"an entry is lost, and the store has the marker", func(f *useFixture) {
 			f.core.SetDurableInUse(f.now, false)
@@ -118,6 +136,7 @@
 			c.prepare(f)
 			got := f.request(verb)
 			c.after(f)
+			f.answerAborts()
 			if !slices.Equal(*got, c.want) || len(f.lookups) != c.lookups || f.calls != c.calls {
 				t.Errorf("%s, verb %d: got answers %v, %d reads of the store and %d calls, want %v, %d and %d", c.name, verb, *got, len(f.lookups), f.calls, c.want, c.lookups, c.calls)
 			}
--- a/submitter/sessions.go
+++ b/submitter/sessions.go
@@ -105,6 +105,7 @@
 	s.placer.RemoveEntry(p.hello.Name)
 	s.rerouteRequests(p.hello.Name)
 	s.rerouteCalls(p.hello.Name)
+	s.dropCancelCalls(p.hello.Name)
 }
 
 // onSidecarLost handles the loss of a session with a sidecar. The fate of its runs is settled by the next session or by
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -100,6 +100,7 @@
 		jobs                   map[string]*job
 		sidecars               map[string]*sidecar
 		peers                  map[string]*peer
+		cancelCalls            map[uint64]cancelCall // by number of the call
 		subscriptionsCheckedAt timer.Millis
 		// patientAt is when a caller with the full time limit of a queue was last seen, by queue.
 		patientAt map[string]timer.Millis
@@ -219,7 +220,7 @@
 		s.handlePause()
 		return
 	}
-	s.jobs, s.sidecars, s.peers = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}
+	s.jobs, s.sidecars, s.peers, s.cancelCalls = map[string]*job{}, map[string]*sidecar{}, map[string]*peer{}, map[uint64]cancelCall{}
 	s.durable.owned, s.durable.finished, s.durable.calls = map[uint64]*partition{}, map[string]*finishedJob{}, map[uint64]*operation{}
 	s.placer.Admission = s.Admission
 	s.placer.Grant = s.sendGrant
