submitter: cancel restartable jobs at any entry in simulations

In each world of TestFaults some long jobs are now cancelled at random entries until a final answer, and are not sent again; the existing checks ask that nothing of them runs long after the faults.

--- a/submitter/callers_sim_test.go
+++ b/submitter/callers_sim_test.go
@@ -9,6 +9,9 @@
 func (w *simulation) resubmit(id string, j fakeJob) {
 	delete(w.jobs, id)
 	w.schedule(resubmitDelay, func() {
+		if w.withdrawn[id] {
+			return
+		}
 		first := w.random.IntN(len(w.entries))
 		other := w.entries[first]
 		for i := 1; !other.alive && i < len(w.entries); i++ { // the caller's next attempt to connect
--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -139,6 +139,7 @@
 	w.drawKinds()
 	w.advance(500)
 	ids, after := w.scheduleJobs(0, 3000, 25), w.scheduleJobs(7000, 8000, 50)
+	w.scheduleCancelled(0, 3000, 300)
 	w.schedule(3000, w.clearFaults)
 	for n := range 3 {
 		w.schedule(timer.Millis(200+900*n), func() {
@@ -155,6 +156,7 @@
 	w.drawKinds()
 	w.advance(500)
 	ids, after := w.scheduleJobs(0, 5000, 25), w.scheduleJobs(10_000, 11_000, 50)
+	w.scheduleCancelled(0, 5000, 300)
 	w.schedule(5000, w.clearFaults)
 	for n := range 12 {
 		w.schedule(timer.Millis(100+400*n), func() {
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -45,6 +45,7 @@
 		links       []*fakeLink
 		jobs        map[string]fakeJob
 		resubmitted map[string]bool
+		withdrawn   map[string]bool // jobs that their callers cancel and do not send again
 		// otherSession is a second session between two entries, as the receiver of handovers sees it.
 		otherSession *marshaler.Link
 		// departed holds the submissions whose callers have left and wait to send the job again.
@@ -129,7 +130,7 @@
 
 func newSimulation(t *testing.T, seed uint64, entries, sidecars int) *simulation {
 	w := &simulation{
-		t: t, seed: seed, startedAt: 100_000, firstEntry: -1, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
+		t: t, seed: seed, startedAt: 100_000, firstEntry: -1, random: rand.New(rand.NewPCG(seed, 1)), now: 100_000, activeRuns: map[string]int{}, answers: map[string][]Answer{}, jobs: map[string]fakeJob{}, resubmitted: map[string]bool{}, withdrawn: map[string]bool{}, departed: map[fakeJob]bool{}, decisions: map[string][]string{},
 		startedRuns: map[string]int{}, failing: map[string]bool{}, serverLimit: map[string]uint64{},
 	}
 	w.startProcesses(entries, sidecars)
