--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -27,6 +27,9 @@
 	failingFraction     = 0.07
 	limitedFraction     = 0.25
 	cancelledFraction   = 0.2
+	// twoStepFraction is the fraction of the durable jobs with a second step of up to maxNextTasks tasks.
+	twoStepFraction = 0.4
+	maxNextTasks    = 5
 	// A job is cancelled between these times after its acceptance.
 	minCancelDelay = 100 * time.Millisecond
 	maxCancelDelay = 4 * time.Second
@@ -47,6 +50,7 @@
 	fails           bool          // all runs of its tasks fail
 	cancelAfter     time.Duration // time from its acceptance to its cancellation; 0 for none
 	serverTaskLimit int
+	nextTasks       int // of a second step; 0 for none
 }
 
 // chooseDurable draws the properties of a durable job.
@@ -64,10 +68,19 @@
 	return j
 }
 
+// chooseSteps draws the second step of a durable job.
+func (j job) chooseSteps(r *rand.Rand) job {
+	if r.Float64() < twoStepFraction {
+		j.durable.nextTasks = 1 + r.IntN(maxNextTasks)
+	}
+	return j
+}
+
 // sendJobs submits jobs until faultCtx is canceled, each from a goroutine of callers.
 func (s *soak) sendJobs(faultCtx, ctx context.Context, callers *sync.WaitGroup) { //nolint:revive // the two contexts are equals
 	r := rand.New(rand.NewPCG(s.plan.Seed, 5))
 	choices := rand.New(rand.NewPCG(s.plan.Seed, 6)) // of durable jobs
+	steps := rand.New(rand.NewPCG(s.plan.Seed, 7))   // of their steps
 	gap := time.Second / time.Duration(s.plan.JobsPerSecond)
 	for n := 0; faultCtx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", uint64(n)+1<<20)
@@ -77,7 +90,7 @@
 			j.runTimeMs, j.timeout = minLongTaskMs+r.IntN(maxLongTaskMs-minLongTaskMs), longCallTimeout
 		}
 		if n%durableEvery == 0 {
-			j = j.chooseDurable(choices)
+			j = j.chooseDurable(choices).chooseSteps(steps)
 			callers.Go(func() { s.sendDurableJob(ctx, j, entry) })
 		} else {
 			callers.Go(func() { s.sendJob(ctx, j, entry, abandons) })
@@ -115,7 +128,9 @@
 // sendDurableJob submits a durable job until it is accepted or rejected.
 func (s *soak) sendDurableJob(ctx context.Context, j job, entry int) {
 	unknown := false
-	s.checker.onSubmitted(j.id, durableJob{serverTaskLimit: j.durable.serverTaskLimit, fails: j.durable.fails})
+	s.checker.onSubmitted(j.id, durableJob{
+		tasks: j.tasks, nextTasks: j.durable.nextTasks, serverTaskLimit: j.durable.serverTaskLimit, fails: j.durable.fails,
+	})
 	for range maxAttempts {
 		r, err := j.durableRequest(s.address(1+entry, callerProxyPort))
 		if err != nil {
@@ -126,7 +141,7 @@
 		s.checker.events.add("caller of durable job %s at entry-%d: %d %s", j.id, entry, status, body)
 		switch {
 		case status == http.StatusOK:
-			s.checker.onAccepted(j.id, j.tasks)
+			s.checker.onAccepted(j.id)
 			s.cancelLater(ctx, j, entry)
 			return
 		case status == http.StatusServiceUnavailable && !unknown:
@@ -145,7 +160,7 @@
 		spec = "fail " + spec
 	}
 	return platformtest.JobRequest{
-		Address: address, Prefix: prefix, ID: j.id, Durable: true, Tasks: j.tasks, Spec: spec, EstimateMs: j.estimateMs(),
+		Address: address, Prefix: prefix, ID: j.id, Durable: true, Tasks: j.tasks, NextTasks: j.durable.nextTasks, Spec: spec, EstimateMs: j.estimateMs(),
 		DeadlineMs: int(j.timeout.Milliseconds()), ServerTaskLimit: j.durable.serverTaskLimit,
 	}.HTTP()
 }
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -42,7 +42,7 @@
 		timerDelays   []string
 		jobs          int
 		responses     map[string]int
-		accepted      map[string]int // number of tasks by accepted durable job
+		accepted      map[string]bool // durable jobs
 		durable       durableChecks
 	}
 
@@ -64,7 +64,7 @@
 	return &checker{
 		running: map[string]startedRun{}, startedRuns: map[string]int{}, succeeded: map[string]bool{}, failedRuns: map[string]int{},
 		draining: map[string]time.Time{}, withdrawn: map[string]time.Time{}, responses: map[string]int{},
-		accepted: map[string]int{}, departures: map[string][]time.Time{}, durable: newDurableChecks(),
+		accepted: map[string]bool{}, departures: map[string][]time.Time{}, durable: newDurableChecks(),
 	}
 }
 
@@ -208,12 +208,12 @@
 }
 
 // onAccepted records the acceptance of a durable job.
-func (c *checker) onAccepted(id string, tasks int) {
+func (c *checker) onAccepted(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.jobs++
 	c.responses["kept"]++
-	c.accepted[id] = tasks
+	c.accepted[id] = true
 }
 
 // acceptedJobs returns the sorted identifiers of the accepted durable jobs.
@@ -236,9 +236,9 @@
 	if state != "succeeded" {
 		return fmt.Sprintf("durable job %s was accepted, but did not end after the last fault: state %q", id, state)
 	}
-	for i := range c.accepted[id] {
-		if !c.succeeded[fmt.Sprintf("%s.0.0.%d", id, i)] {
-			return fmt.Sprintf("durable job %s was reported as succeeded, but its task %d did not succeed", id, i)
+	for _, task := range c.durable.jobs[id].taskNames(id) {
+		if !c.succeeded[task] {
+			return fmt.Sprintf("durable job %s was reported as succeeded, but its task %s did not succeed", id, task)
 		}
 	}
 	return ""
--- a/soaker/durable.go
+++ b/soaker/durable.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -26,10 +27,25 @@
 
 // durableJob is what the callers have chosen for a durable job.
 type durableJob struct {
+	tasks           int
+	nextTasks       int  // of a second step, which waits for the first one; 0 for none
 	serverTaskLimit int  // 0 for none
 	fails           bool // all runs of its tasks fail
 }
 
+// stepTasks returns the names of the tasks of a step.
+func stepTasks(id string, step, tasks int) (names []string) {
+	for i := range tasks {
+		names = append(names, fmt.Sprintf("%s.0.%d.%d", id, step, i))
+	}
+	return names
+}
+
+// taskNames returns the names of all tasks of the job.
+func (j durableJob) taskNames(id string) []string {
+	return append(stepTasks(id, 0, j.tasks), stepTasks(id, 1, j.nextTasks)...)
+}
+
 func newDurableChecks() durableChecks {
 	return durableChecks{
 		jobs: map[string]durableJob{}, starts: map[string][]time.Time{}, successes: map[string]time.Time{}, failures: map[string][]time.Time{},
@@ -72,9 +88,10 @@
 	}
 	c.durable.starts[task] = append(c.durable.starts[task], r.at)
 	c.checkFailuresLocked(task)
-	beside := 0
+	c.checkOrderLocked(job, task)
+	beside, step := 0, task[:strings.LastIndex(task, ".")+1]
 	for other, running := range c.running {
-		if strings.HasPrefix(other, job+".") && other != task && running.server == r.server {
+		if strings.HasPrefix(other, step) && other != task && running.server == r.server {
 			beside++
 		}
 	}
@@ -83,6 +100,18 @@
 	}
 }
 
+// checkOrderLocked checks that a task of the second step starts only after all tasks of the first one have succeeded.
+func (c *checker) checkOrderLocked(job, task string) {
+	if !strings.HasPrefix(task, job+".0.1.") {
+		return
+	}
+	for _, before := range stepTasks(job, 0, c.durable.jobs[job].tasks) {
+		if !c.succeeded[before] {
+			c.addViolationLocked("task %s starts before task %s has succeeded", task, before)
+		}
+	}
+}
+
 // onForgotten checks an end that was acknowledged to a backend server and counts.
 func (c *checker) onForgotten(task, outcome string, ended time.Time) {
 	c.mu.Lock()
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/crocuslb/crocuslb/platform/platformtest"
 )
 
+// rebalanceInterval is the mean time between two reassignments of the partitions.
+const rebalanceInterval = 2500 * time.Millisecond
+
 // fault is a kind of fault. inject returns when the fault is over.
 type fault struct {
 	name   string
@@ -129,6 +133,21 @@
 	}
 }
 
+// rebalance lets the store reassign all partitions of durable jobs now and then until ctx is canceled, beside the other faults. It
+// draws from a random source of its own, so that the other faults of a seed remain as they are.
+func (s *soak) rebalance(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.plan.Seed, 8))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(2 * r.Float64() * float64(rebalanceInterval))):
+		}
+		s.checker.events.add("fault: partitions reassigned")
+		s.store.Rebalance()
+	}
+}
+
 // clearFaults ends the faults of the store and of the backend servers.
 func (s *soak) clearFaults() {
 	s.store.SetFaults(platformtest.StoreFaults{})
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -304,6 +304,7 @@
 	defer cancel()
 	var callers sync.WaitGroup
 	callers.Go(func() { s.sendJobs(faultCtx, ctx, &callers) })
+	s.faultGroup.Go(func() { s.rebalance(faultCtx) })
 	s.inject(faultCtx, ctx)
 	s.faultGroup.Wait()
 	s.clearFaults()
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -201,6 +201,16 @@
 			run(c, "a", task, 1)
 			run(c, "b", job+".0.0.1", 1)
 		}, false},
+		{"second step before the first one", func(c *checker) {
+			c.onSubmitted(job, durableJob{tasks: 2, nextTasks: 1})
+			run(c, "a", task, 1, "done")
+			run(c, "a", job+".0.1.0", 1)
+		}, true},
+		{"second step after the first one", func(c *checker) {
+			c.onSubmitted(job, durableJob{tasks: 1, nextTasks: 1})
+			run(c, "a", task, 1, "done")
+			run(c, "a", job+".0.1.0", 1)
+		}, false},
 		{"start long after the cancellation", func(c *checker) {
 			c.onSubmitted(job, durableJob{})
 			c.durable.cancelledAt[job] = time.Now().Add(-cancelStartLimit - storeFaultAllowance - time.Second)
