soaker: first durable jobs of an installation, and no denied jobs

One seed in three plays an installation without durable jobs so far: the connections of all entries to the store go silent, and one entry gets all durable jobs. In all seeds each accepted job is asked for at each entry 3 s after its acceptance; an answer 410 is a violation.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -24,6 +24,9 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+// firstDurableEvery is the number of seeds of which one plays the first durable jobs of an installation.
+const firstDurableEvery = 3
+
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of jobs and faults")
 	seconds := flag.Int64("seconds", 30, "time during which faults are injected, in s")
@@ -95,6 +98,7 @@
 				defer func() { <-semaphore }()
 				plan := p
 				plan.Seed += uint64(i)
+				plan.FirstDurable = plan.Seed%firstDurableEvery == 0
 				report, err := soaker.Run(ctx, plan)
 				if err != nil {
 					fmt.Fprintf(os.Stderr, "faultrunner: seed %d: %v\n", plan.Seed, err)
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,8 @@
 	// A job is cancelled between these times after its acceptance.
 	minCancelDelay = 100 * time.Millisecond
 	maxCancelDelay = 4 * time.Second
+	// visibleTime is the time from the acceptance of a durable job until no entry may deny it.
+	visibleTime = 3 * time.Second
 	// durableJobTimeout is the time after the last fault within which all accepted durable jobs must end.
 	durableJobTimeout = 10 * time.Second
 )
@@ -91,6 +95,9 @@
 		}
 		if n%durableEvery == 0 {
 			j = j.chooseDurable(choices).chooseSteps(steps)
+			if s.plan.FirstDurable {
+				entry = int(s.plan.Seed) % s.plan.Entries
+			}
 			callers.Go(func() { s.sendDurableJob(ctx, j, entry) })
 		} else {
 			callers.Go(func() { s.sendJob(ctx, j, entry, abandons) })
@@ -142,7 +149,10 @@
 		switch {
 		case status == http.StatusOK:
 			s.checker.onAccepted(j.id)
+			accepted := time.Now()
 			s.cancelLater(ctx, j, entry)
+			time.Sleep(time.Until(accepted.Add(visibleTime)))
+			s.checkVisible(ctx, j.id)
 			return
 		case status == http.StatusServiceUnavailable && !unknown:
 			s.checker.onResponses(j.id, j.tasks, []attempt{{status, body}})
@@ -185,6 +195,15 @@
 	}
 }
 
+// checkVisible checks that no entry denies an accepted job. An entry that cannot know answers otherwise, or not at all.
+func (s *soak) checkVisible(ctx context.Context, id string) {
+	for i := range s.plan.Entries {
+		if state := s.jobState(ctx, i, id); strings.HasPrefix(state, strconv.Itoa(http.StatusGone)) {
+			s.checker.addViolation("durable job %s was accepted over %s ago, but entry-%d answers %s", id, visibleTime, i, state)
+		}
+	}
+}
+
 // estimateMs returns the run time that the caller declares for a task, in ms.
 func (j job) estimateMs() int { return max(taskEstimateMs, j.runTimeMs) }
 
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -55,6 +55,9 @@
 		FaultInterval time.Duration // mean time between faults; default 700 ms
 		// CPUShortage adds jobs with long tasks and the faults of processes that lack processor time to the usual faults.
 		CPUShortage bool
+		// FirstDurable lets the connections of all entries to the store go silent before the first durable job, and all durable jobs
+		// go to one entry, so that the others learn late that there are any.
+		FirstDurable bool
 		// Faults names the faults to select from. If it is empty, all are used.
 		Faults []string
 		LogDir string // directory for the output of the processes; not written if empty
@@ -303,6 +306,11 @@
 	faultCtx, cancel := context.WithTimeout(ctx, s.plan.Duration)
 	defer cancel()
 	var callers sync.WaitGroup
+	if s.plan.FirstDurable {
+		for i := range s.plan.Entries {
+			s.entry(i).storeProxy.stall()
+		}
+	}
 	callers.Go(func() { s.sendJobs(faultCtx, ctx, &callers) })
 	s.faultGroup.Go(func() { s.rebalance(faultCtx) })
 	s.inject(faultCtx, ctx)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -27,11 +27,14 @@
 		Faults: []string{"sidecars starved", "entry paused with callers reset while sidecars starved", "entry paused with callers reset"},
 	}
 	const orphan = "the runs of a lost entry went on for longer than 1.3 s: each gap in processor time restarted the sidecar's grace period, and starts of other entries extended the lease"
+	firstDurable := usual
+	firstDurable.FirstDurable = true
 	cases := []struct {
 		seed  uint64
 		plan  Plan
 		cause string
 	}{
+		{3, firstDurable, "entries denied accepted jobs, because they had not read yet that there are durable jobs"},
 		{1, usual, "an entry panicked on the end of a restartable job that a restarted sidecar offered for recording"},
 		{103, usual, "the check of planned stops counted time during which the process was paused"},
 		{234, usual, "a killed process was started again before it had ended, so its port was in use"},
