submitter: log failed cancellations like other operations without an answer

The detail of the log line began with "cancellation:", which would become the label of a metric. It now begins with the kind of the answer, as for operations on durable jobs. The comment on lostPeerTime says what the time is measured from.

--- a/submitter/cancel.go
+++ b/submitter/cancel.go
@@ -5,8 +5,8 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-// lostPeerTime is how long after the loss of its session another entry may still run jobs that this one cannot cancel. Without
-// callers and sessions its runs end sooner; an entry that was removed must not keep cancellations open for ever.
+// lostPeerTime is how long after its last message another entry without a session counts as one that may run the job. Cuts between
+// entries are shorter; an entry that was removed for good must not make all later cancellations fail.
 const lostPeerTime = 10 * timer.Second
 
 type (
@@ -127,10 +127,11 @@
 }
 
 func (s *Submitter) failCancellation(c *cancellation) {
+	a := Answer{Kind: AnswerNotRun, Reason: "not all entries could be asked for the job", RetryAfter: ownerRetryAfter}
 	if !c.ended {
-		s.report(Event{Kind: "unanswered", Job: c.op.job.ID, Queue: c.op.queue, Detail: "cancellation: not all entries answered"})
+		s.report(Event{Kind: "unanswered", Job: c.op.job.ID, Queue: c.op.queue, Detail: a.Kind.String() + " " + a.Reason})
 	}
-	s.answerCancellation(c, Answer{Kind: AnswerNotRun, Reason: "not all entries could be asked for the job", RetryAfter: ownerRetryAfter})
+	s.answerCancellation(c, a)
 }
 
 func (s *Submitter) answerCancellation(c *cancellation, a Answer) {
