submitter: cut and reset sessions between entries in simulated durable jobs

No world of durable jobs had faults between entries, on whose word an entry now denies a job. Sessions of entries that are reset, and links between entries that are cut, are two more kinds of fault, alone and in pairs with the others. The mixed seeds draw from the former kinds, so that their worlds remain as they are.

--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -170,6 +170,12 @@
 			}
 		}},
 	}
+	mixedKinds := len(kinds) // the mixed seeds draw from these
+	for _, k := range handoverFaults() {
+		if k.name == "sessions of entries reset" || k.name == "link between entries cut" {
+			kinds = append(kinds, k)
+		}
+	}
 	run := func(t *testing.T, seed uint64, faults int, pick func(w *simulation) int) {
 		w := newDrawnSimulation(t, seed, 3, 4)
 		w.advance(2500)
@@ -220,7 +226,7 @@
 	runPair(7, 8, 147)
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprintf("mixed/%d", seed), func(t *testing.T) {
-			run(t, 70_000+seed, 9, func(w *simulation) int { return w.random.IntN(len(kinds)) })
+			run(t, 70_000+seed, 9, func(w *simulation) int { return w.random.IntN(mixedKinds) })
 		})
 	}
 }
