limiter, runner: bound the connections of clients on all HTTP ports

Callers saw an entry that ran out of descriptors, and then out of touch with the store, its peers and the sidecars: 800 connections that send nothing held 817 descriptors of 600 (TestCallersPort, TestOtherPorts).

Cause: nothing counted what clients hold. A process did not know the size of its machine, either.

The new package limiter has one budget for a process. It is taken from the machine's memory and descriptors, which the deploy file passes on from the platform (memoryMb, descriptors). A connection is charged with its descriptor and 56 KiB: stacks, buffers, and what the kernel receives for it until the process reads, which the smaller receive buffer bounds. Beyond the budget, connections without a complete request are closed, first those that hold most for the longest time; a request that is served is never cut. If there is none, the new connection gets a 503 before its request is read, so the refusal is true. A sixteenth of the budget is for the other ports only.

An evicted connection stays charged until the process has let it go.

The Go runtime is told the machine's memory, so that garbage is collected in time.

--- a/runner/entry.go
+++ b/runner/entry.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/gravitational/trace"
 
 	"github.com/crocuslb/crocuslb/connector"
 	"github.com/crocuslb/crocuslb/marshaler"
@@ -53,6 +51,7 @@
 	}
 	e.loop = newEventLoop()
 	e.monitor.logger, e.monitor.droppedLogLines = e.Logger, e.DroppedLogLines
+	e.monitor.setMachine(e.Machine)
 	e.loop.onPanic = func(err error) { e.monitor.reportPanic("loop", err) }
 	e.core = submitter.Submitter{
 		Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report,
@@ -155,7 +154,7 @@
 		}
 	})
 	return startServers(ctx, &e.monitor, []endpoint{
-		{e.CallersAddress, callers}, {e.ReadyAddress, ready}, {e.MetricsAddress, e.metricsHandler()},
+		{portCallers, e.CallersAddress, callers}, {portReady, e.ReadyAddress, ready}, {portMetrics, e.MetricsAddress, e.metricsHandler()},
 	})
 }
 
@@ -304,30 +303,3 @@
 		_ = server.Close() // the process exits anyway
 	}
 }
-
-type endpoint struct {
-	address string
-	handler http.Handler
-}
-
-// startServers starts a server for each endpoint that has an address.
-func startServers(ctx context.Context, m *monitor, endpoints []endpoint) ([]*http.Server, error) {
-	var servers []*http.Server
-	for _, e := range endpoints {
-		if e.address == "" {
-			continue
-		}
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.address)
-		if err != nil {
-			return servers, trace.ConnectionProblem(err, "cannot listen on %q: %v", e.address, err)
-		}
-		server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext}
-		servers = append(servers, server)
-		go func() {
-			if err := server.Serve(closeListener{listener}); !errors.Is(err, http.ErrServerClosed) {
-				m.logger.WithError(err).WithField("address", e.address).Error("http: server failed")
-			}
-		}()
-	}
-	return servers, nil
-}
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/crocuslb/crocuslb/limiter"
 )
 
 // closeCheckInterval is the interval at which a connection that net/http does not read is checked for its end.
@@ -20,7 +22,7 @@
 	// notices this with a read of one byte, but reads no more once the client has sent one: a part of its next request, or
 	// a line break behind the body. From then on the socket is polled until net/http reads again.
 	closeConn struct {
-		*net.TCPConn
+		*limiter.Conn
 		cancelRequests context.CancelFunc
 
 		mu       sync.Mutex
@@ -31,12 +33,20 @@
 // Accept implements net.Listener.
 func (l closeListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &closeConn{TCPConn: tcp}, err
+	if limited, ok := c.(*limiter.Conn); ok {
+		return &closeConn{Conn: limited}, err
 	}
 	return c, err
 }
 
+// limitedConn returns the connection below a closeConn, or nil.
+func limitedConn(c net.Conn) *limiter.Conn {
+	if c, ok := c.(*closeConn); ok {
+		return c.Conn
+	}
+	return nil
+}
+
 // connContext is an http.Server's ConnContext.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	if c, ok := c.(*closeConn); ok {
@@ -48,7 +58,7 @@
 // Read implements net.Conn.
 func (c *closeConn) Read(b []byte) (int, error) {
 	c.endPoll()
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	if len(b) == 1 && n == 1 { // all other reads of net/http have larger buffers
 		c.startPoll()
 	}
@@ -61,7 +71,7 @@
 	if c.cancelRequests != nil {
 		c.cancelRequests()
 	}
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 func (c *closeConn) startPoll() {
--- a/runner/options.go
+++ b/runner/options.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/connector"
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/placer"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/recoverer"
@@ -32,9 +33,6 @@
 	// backendTimeout bounds a call to the backend server on the same machine, which responds within a few milliseconds. It
 	// is short enough that a task of 60 ms whose start call is lost can still be started elsewhere.
 	backendTimeout = 40 * time.Millisecond
-	// headerTimeout and idleTimeout bound how long a connection may stay open without a complete request.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
 	// maxPriorityLabel bounds the label values of metrics by priority.
 	maxPriorityLabel = 7
 )
@@ -62,6 +60,8 @@
 	Partitions uint64
 	// WritesPerSecond is the store's rate limit for write calls from all processes together.
 	WritesPerSecond uint64
+	// Machine is the size of the machine, of which clients may use a part. The zero value sets no limits.
+	Machine limiter.Machine
 	// Handover lets an entry hand jobs over to other entries while it is overloaded, and take theirs.
 	Handover bool
 	// Admission is the policy by which an entry refuses jobs when capacity does not suffice.
@@ -91,6 +91,9 @@
 	logger          log.Interface
 	droppedLogLines func() uint64
 	traffic         *connector.Traffic
+	// budget bounds what clients make the process hold.
+	budget    limiter.Budget
+	limitLogs limitLog
 }
 
 // reportPanic logs and counts a recovered panic. source is the process that sent the message being handled, or a
@@ -127,6 +130,7 @@
 		if m.droppedLogLines != nil {
 			m.metrics.SetTotal("crocuslb_dropped_log_lines_total", m.droppedLogLines())
 		}
+		m.setBudgetGauges()
 		if m.traffic != nil {
 			for _, s := range m.traffic.Stats() {
 				m.metrics.SetTotal("crocuslb_sent_messages_total{message="+strconv.Quote(s.Type)+"}", s.Messages)
--- a/runner/panic_test.go
+++ b/runner/panic_test.go
@@ -181,7 +181,7 @@
 // TestRequestPanics guards against an HTTP request whose handler panics and ends the process.
 func TestRequestPanics(t *testing.T) {
 	m, _ := newMonitor()
-	h := m.recoverPanics(endpoint{"here", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("injected") })})
+	h := m.recoverPanics(endpoint{address: "here", handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("injected") })})
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x")))
 	if w.Code != http.StatusInternalServerError {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/loader"
 	"github.com/crocuslb/crocuslb/placer"
 )
@@ -40,6 +41,8 @@
 	{Name: "writes", Unit: loader.UnitCount, Default: "800", Min: 1, Max: 1_000_000, Description: "rate limit of the platform's store for write calls from all processes together, per second"},
 	{Name: "seeds", Unit: loader.UnitAddresses, Description: "addresses on machines that may run an entry; only their IP addresses are used"},
 	{Name: "cores", Unit: loader.UnitRatio, Default: "1", Description: "number of processor cores that the process may use"},
+	{Name: "memoryMb", Unit: loader.UnitMegabytes, Default: "256", Min: 64, Max: 1 << 20, Description: "memory of the machine that the process may use; clients may make it hold 40% of that (docs/OPERATIONS.md)"},
+	{Name: "descriptors", Unit: loader.UnitCount, Default: "4096", Min: 256, Max: 1 << 24, Description: "number of descriptors that the process may open; connections of clients may take half of them"},
 	{Name: "handover", Default: valueOn, Check: checkOnOff, Description: "on or off: whether an overloaded entry hands new restartable jobs over to other entries, takes theirs, and steps down as the placing entry; entries only"},
 	{Name: "admission", Default: "cost", Description: "which jobs are refused when capacity does not suffice: deadline (those that cannot start in time) or cost (those whose refusal costs callers least); entries only"},
 	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Description: "maximum time to finish in-flight work after SIGTERM"},
@@ -80,6 +83,7 @@
 		Weight:  uint64(values.Number("cores") * millicoresPerCore), DrainTime: values.Millis("drainMs"),
 	}
 	options.Advertise, options.Handover = values.Text("advertise"), values.Text("handover") != valueOff
+	options.Machine = limiter.NewMachine(int(values.Count("memoryMb")), int(values.Count("descriptors")))
 	options.Partitions, options.WritesPerSecond = uint64(values.Count("partitions")), uint64(values.Count("writes"))
 	if values.Count("metricsPort") != 0 {
 		options.MetricsAddress = net.JoinHostPort(values.Text("ip"), values.Text("metricsPort"))
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	s.loop = newEventLoop()
 	s.monitor.logger, s.monitor.droppedLogLines = s.Logger, s.DroppedLogLines
+	s.monitor.setMachine(s.Machine)
 	s.loop.onPanic = func(err error) { s.monitor.reportPanic("loop", err) }
 	s.backend = platform.NewBackend(s.BackendAddress, maxBackendConnections, backendTimeout)
 	s.descriptors = descriptorStore{logger: s.Logger, store: newStore(s.StoreAddress, 0), name: s.Name, pending: make(chan string, 1)}
@@ -88,7 +89,9 @@
 		OnDeregister: func(id string) { s.loop.post(runCtx, func(now timer.Millis) { s.core.OnDeregistered(now, id) }) },
 		OnMalformed:  func(err error) { s.Logger.WithError(err).Warn("sidecar: rejected an invalid announcement") },
 	}
-	servers, err := startServers(runCtx, &s.monitor, []endpoint{{s.AnnounceAddress, announcements.Handler()}, {s.MetricsAddress, s.monitor.metricsHandler()}})
+	servers, err := startServers(runCtx, &s.monitor, []endpoint{
+		{portAnnounce, s.AnnounceAddress, announcements.Handler()}, {portMetrics, s.MetricsAddress, s.monitor.metricsHandler()},
+	})
 	if err != nil {
 		return err
 	}
