limiter: charge the heads of requests, and keep the configured limit

Callers ended a process with heads: 30 connections with 1 MB of short lines each made it hold 641 MB, 800 heads of legal size without their end 270 MB, 150 paths of 900 kB 340 MB, on every port. The configuration's limit (16,384 bytes) was used by nobody, and net/http parses as it receives: a line of four bytes becomes a map entry, a list and a string.

A connection now charges each piece of a head before net/http parses it, by its lines and its size (TestHeadCharge compares that with what net/http holds). A head beyond the limit gets 431 as it arrives. The limit is the configuration's on the callers' port, as soon as it is known, and 65,536 bytes (headBytes) before that and on the other ports. net/http reads ahead, so the bytes that came with the previous request are charged, too (TestPipelinedHead).

--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -29,6 +29,8 @@
 	LimitConnections Limit = "connections"
 	// LimitMemory is the maximum memory that clients hold.
 	LimitMemory Limit = "memory"
+	// LimitHead is the maximum size of a request's head.
+	LimitHead Limit = "head"
 )
 
 const (
@@ -36,6 +38,8 @@
 	ActionEvict Action = "evict"
 	// ActionRefuse answers that the request is not served.
 	ActionRefuse Action = "refuse"
+	// ActionClose closes the connection that met the limit.
+	ActionClose Action = "close"
 )
 
 type (
@@ -60,6 +64,8 @@
 		Port string
 		// Privileged is set for a port whose few clients have room that the others cannot use.
 		Privileged bool
+		// HeadBytes returns the maximum size of a head. If it is nil or returns 0, DefaultHeadBytes applies.
+		HeadBytes func() uint64
 		// Report is called without blocking, and may be nil.
 		Report func(e Event)
 
@@ -109,7 +115,7 @@
 	if !ok {
 		return nil
 	}
-	return &Conn{TCPConn: tcp, account: account}
+	return &Conn{TCPConn: tcp, account: account, port: l}
 }
 
 // refuse answers a connection for which there is no room without reading a request, and closes it.
@@ -131,6 +137,15 @@
 	}()
 }
 
+func (l *Listener) maxHead() int64 {
+	if l.HeadBytes != nil {
+		if n := l.HeadBytes(); n > 0 {
+			return int64(min(n, maxHeadBytes))
+		}
+	}
+	return DefaultHeadBytes
+}
+
 func (l *Listener) report(e Event) {
 	if l.Report != nil {
 		e.Port = l.Port
@@ -141,6 +156,7 @@
 // Configure sets the parts of an HTTP server that tell the connections of the listener about its requests. find returns the
 // Conn below a connection of the server.
 func (l *Listener) Configure(server *http.Server, find func(c net.Conn) *Conn) {
+	server.MaxHeaderBytes = maxHeadBytes
 	connContext := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
@@ -160,9 +176,11 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		c.BeginRequest(r)
-		handler.ServeHTTP(w, r)
-		if c.account.Evicted() {
+		err := c.BeginRequest(r)
+		if err == nil {
+			handler.ServeHTTP(w, r)
+		}
+		if err != nil || c.account.Evicted() {
 			panic(http.ErrAbortHandler) // lets the connection go at once; net/http would wait for a moment
 		}
 	})
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +90,113 @@
 	}
 }
 
+func unlimited() *Budget { return &Budget{Limits: Limits{MemoryBytes: 1 << 40, Connections: 1 << 20}} }
+
+// TestHeadCharge guards against heads that hold more memory than they are charged for.
+func TestHeadCharge(t *testing.T) {
+	cases := []struct {
+		name string
+		line func(n int) string
+	}{
+		{"same empty line", func(int) string { return "a:\r\n" }},
+		{"different empty lines", func(n int) string { return fmt.Sprintf("%x:\r\n", n) }},
+		{"different empty lines without a carriage return", func(n int) string { return fmt.Sprintf("%c%c:\n", 'a'+n/26%26, 'a'+n%26) }},
+		{"usual lines", func(n int) string { return fmt.Sprintf("X-Header-%d: some value of usual length\r\n", n) }},
+		{"one long line", func(n int) string { return strings.Repeat("x", 14_000) + ":\r\n" }},
+	}
+	const heads, size = 64, 16_000
+	for _, c := range cases {
+		head := "GET / HTTP/1.1\r\nHost: a\r\n"
+		for n := 0; len(head) < size; n++ {
+			head += c.line(n)
+		}
+		head += "\r\n"
+		budget := unlimited()
+		account, _ := budget.Open(true, func() {})
+		conn := &Conn{account: account, port: &Listener{}}
+		for rest := []byte(head); len(rest) > 0; {
+			b := rest[:min(len(rest), readBufferSize)]
+			if err := conn.chargeHead(b); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[len(b):]
+		}
+		requests := make([]*http.Request, heads)
+		before := heapBytes()
+		for n := range requests {
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			requests[n] = r
+		}
+		held := (heapBytes() - before) / heads
+		if _, charged := budget.Use(); held > charged {
+			t.Errorf("%s: got %d bytes for a head, want at most the %d charged", c.name, held, charged)
+		}
+		runtime.KeepAlive(requests)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestHeadTooLarge guards against heads over the limit that are parsed, on new and on used connections, and against a limit that
+// refuses a head of exactly its size.
+func TestHeadTooLarge(t *testing.T) {
+	s := newTestServer(t, &Listener{Budget: unlimited(), HeadBytes: func() uint64 { return 8000 }}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served") // fails only when the client has left
+	})
+	head := func(bytes int) string {
+		start, end := "GET / HTTP/1.1\r\nHost: a\r\nx: ", "\r\n\r\n"
+		return start + strings.Repeat("y", bytes-len(start)-len(end)) + end
+	}
+	if got := s.exchange(head(8000)); got != "200 served" {
+		t.Errorf("got %q for a head of the largest size, want 200 served", got)
+	}
+	if got := s.exchange(head(8000 + 2*readBufferSize + 1)); !strings.HasPrefix(got, "431 ") {
+		t.Errorf("got %q for a head that is too large, want 431", got)
+	}
+	conn := s.dial(head(100))
+	responses := bufio.NewReader(conn)
+	for n, request := range []string{"", head(8000), head(100_000)} {
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(responses, nil)
+		if n < 2 && (err != nil || response.StatusCode != http.StatusOK) {
+			t.Errorf("request %d: got %v, %v, want 200", n, response, err)
+		}
+		if n == 2 && err == nil && response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("request %d: got status %d, want 431 or none", n, response.StatusCode)
+		}
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body) // its end is not checked
+			_ = response.Body.Close()                 // as above
+		}
+	}
+	if got := s.count(LimitHead, ActionRefuse); got != 2 {
+		t.Errorf("got %d refused heads, want 2", got)
+	}
+}
+
+// TestPipelinedHead guards against a head that is charged to nobody because it was received with the previous request.
+func TestPipelinedHead(t *testing.T) {
+	s := newTestServer(t, &Listener{Budget: unlimited()}, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // its end is not checked
+	})
+	s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\n", 1300))
+	const want = connectionBytes + 1300*headLineBytes
+	s.eventually("charge of the second head", func() bool {
+		_, memory := s.budget.Use()
+		return memory >= want
+	})
+}
+
 // TestRefusedConnection guards against a client that is not told that there is no room, and against a refusal of one that could
 // be served after an idle connection is closed.
 func TestRefusedConnection(t *testing.T) {
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -28,16 +28,18 @@
 	port    string // name in logs and metrics
 	address string // not served if empty
 	handler http.Handler
+	// headBytes returns the maximum size of a request's head; it may be nil or return 0 for Options.HeadBytes.
+	headBytes func() uint64
 }
 
 // startServers starts a server for each endpoint that has an address.
-func startServers(ctx context.Context, m *monitor, endpoints []endpoint) ([]*http.Server, error) {
+func startServers(ctx context.Context, m *monitor, o *Options, endpoints []endpoint) ([]*http.Server, error) {
 	var servers []*http.Server
 	for _, e := range endpoints {
 		if e.address == "" {
 			continue
 		}
-		server, listener, err := newServer(ctx, m, e)
+		server, listener, err := newServer(ctx, m, o, e)
 		if err != nil {
 			return servers, err
 		}
@@ -52,15 +54,27 @@
 }
 
 // newServer returns an endpoint's server and its listener, whose connections are charged to the process's budget.
-func newServer(ctx context.Context, m *monitor, e endpoint) (*http.Server, *limiter.Listener, error) {
+func newServer(ctx context.Context, m *monitor, o *Options, e endpoint) (*http.Server, *limiter.Listener, error) {
 	listener, err := limiter.Listen(ctx, e.address)
 	if err != nil {
 		return nil, nil, trace.ConnectionProblem(err, "cannot listen on %q: %v", e.address, err)
 	}
 	limited := &limiter.Listener{
-		Listener: listener, Budget: &m.budget, Port: e.port, Privileged: e.port != portCallers, Report: m.reportLimit,
+		Listener: listener, Budget: &m.budget, Port: e.port, Privileged: e.port != portCallers, HeadBytes: e.maxHead(o), Report: m.reportLimit,
 	}
 	server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext}
 	limited.Configure(server, limitedConn)
 	return server, limited, nil
 }
+
+// maxHead returns the function that returns the maximum size of a request's head.
+func (e *endpoint) maxHead(o *Options) func() uint64 {
+	return func() uint64 {
+		if e.headBytes != nil {
+			if n := e.headBytes(); n > 0 {
+				return n
+			}
+		}
+		return o.HeadBytes
+	}
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -153,8 +153,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return startServers(ctx, &e.monitor, []endpoint{
-		{portCallers, e.CallersAddress, callers}, {portReady, e.ReadyAddress, ready}, {portMetrics, e.MetricsAddress, e.metricsHandler()},
+	headBytes := func() uint64 { return e.config.current().Limits.HeaderBytesLimit }
+	return startServers(ctx, &e.monitor, &e.Options, []endpoint{
+		{portCallers, e.CallersAddress, callers, headBytes}, {portReady, e.ReadyAddress, ready, nil}, {portMetrics, e.MetricsAddress, e.metricsHandler(), nil},
 	})
 }
 
--- a/runner/options.go
+++ b/runner/options.go
@@ -62,6 +62,8 @@
 	WritesPerSecond uint64
 	// Machine is the size of the machine, of which clients may use a part. The zero value sets no limits.
 	Machine limiter.Machine
+	// HeadBytes is the maximum size of a request's head while the configuration sets none; 0 means the default of limiter.
+	HeadBytes uint64
 	// Handover lets an entry hand jobs over to other entries while it is overloaded, and take theirs.
 	Handover bool
 	// Admission is the policy by which an entry refuses jobs when capacity does not suffice.
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -89,8 +89,8 @@
 		OnDeregister: func(id string) { s.loop.post(runCtx, func(now timer.Millis) { s.core.OnDeregistered(now, id) }) },
 		OnMalformed:  func(err error) { s.Logger.WithError(err).Warn("sidecar: rejected an invalid announcement") },
 	}
-	servers, err := startServers(runCtx, &s.monitor, []endpoint{
-		{portAnnounce, s.AnnounceAddress, announcements.Handler()}, {portMetrics, s.MetricsAddress, s.monitor.metricsHandler()},
+	servers, err := startServers(runCtx, &s.monitor, &s.Options, []endpoint{
+		{portAnnounce, s.AnnounceAddress, announcements.Handler(), nil}, {portMetrics, s.MetricsAddress, s.monitor.metricsHandler(), nil},
 	})
 	if err != nil {
 		return err
