limiter, platform: charge bodies while they arrive

Callers ended a process with bodies: 500 connections with a body of legal size but for its last byte held 306 MB, sent slowly 277 MB, in chunks of 8 bytes 301 MB; 60 announcements of 3 MB at a sidecar 321 MB. Each stayed open for good.

Cause: nothing counted the bodies that have arrived, io.ReadAll copies as it grows, a body that is announced too large was read up to the limit, and no limit ended a body that stands still.

limiter.BodyReader reads a body into a buffer that is charged before it grows. What is decoded stays charged until the answer.

--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -31,6 +31,10 @@
 	LimitMemory Limit = "memory"
 	// LimitHead is the maximum size of a request's head.
 	LimitHead Limit = "head"
+	// LimitBody is the maximum size of a request's body.
+	LimitBody Limit = "body"
+	// LimitBodyProgress is the maximum time in which no byte of a body arrives.
+	LimitBodyProgress Limit = "bodyProgress"
 )
 
 const (
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 // testServer is an HTTP server behind a Listener.
@@ -197,6 +200,32 @@
 	})
 }
 
+// TestAnsweredRequestIsReleased guards against heads and bodies that stay charged on an idle connection.
+func TestAnsweredRequestIsReleased(t *testing.T) {
+	bodies := &BodyReader{}
+	s := newTestServer(t, &Listener{Budget: unlimited()}, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := bodies.Read(w, r, 1000); err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+	})
+	conn := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n" + strings.Repeat(" ", 500))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()                          // it is empty
+	const ahead = 600*headByteCopies + 4*headLineBytes // may be of the next request
+	s.eventually("release", func() bool {
+		_, memory := s.budget.Use()
+		return memory <= connectionBytes+ahead
+	})
+	_ = conn.Close() // the process notices it
+	s.eventually("release of the connection", func() bool {
+		connections, memory := s.budget.Use()
+		return connections == 0 && memory == 0
+	})
+}
+
 // TestRefusedConnection guards against a client that is not told that there is no room, and against a refusal of one that could
 // be served after an idle connection is closed.
 func TestRefusedConnection(t *testing.T) {
@@ -229,3 +258,61 @@
 		t.Errorf("got events %v, want one eviction and a refused connection", s.events)
 	}
 }
+
+// TestBody guards against bodies over the limit that are read, bodies that are cut, and memory beyond the budget.
+func TestBody(t *testing.T) {
+	const limit = 20_000
+	request := func(announced, sent int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", announced, strings.Repeat("x", sent))
+	}
+	chunks := func(n int) string {
+		return "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("64\r\n"+strings.Repeat("x", 100)+"\r\n", n) + "0\r\n\r\n"
+	}
+	cases := []struct {
+		name    string
+		request string
+		memory  int64 // of the budget beside the connection
+		want    string
+	}{
+		{"none", request(0, 0), 1 << 20, "200 0"},
+		{"small", request(300, 300), 1 << 20, "200 300"},
+		{"largest", request(limit, limit), 1 << 20, "200 20000"},
+		{"largest in chunks", chunks(200), 1 << 20, "200 20000"},
+		{"too large, announced only", request(limit+1, 0), 1 << 20, "500 the body is too large"},
+		{"too large in chunks", chunks(201), 1 << 20, "500 the body is too large"},
+		{"no memory", request(limit, limit), 15_000, "500 the memory for clients is used up"},
+		{"no memory to decode", request(limit, limit), 60_000, "500 the memory for clients is used up"},
+	}
+	for _, c := range cases {
+		budget := &Budget{Limits: Limits{MemoryBytes: connectionBytes + c.memory, Connections: 100}}
+		bodies := &BodyReader{}
+		s := newTestServer(t, &Listener{Budget: budget, Privileged: true}, func(w http.ResponseWriter, r *http.Request) {
+			body, err := bodies.Read(w, r, limit)
+			if err != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, err.Error()) // fails only when the client has left
+				return
+			}
+			_, _ = fmt.Fprint(w, len(body)) // as above
+		})
+		if got := s.exchange(c.request); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// TestStalledBody guards against a body that is never finished and keeps its connection for good although there is room.
+func TestStalledBody(t *testing.T) {
+	result := make(chan error, 1)
+	bodies := &BodyReader{Timeout: 50 * timer.Millisecond}
+	s := newTestServer(t, &Listener{Budget: unlimited()}, func(w http.ResponseWriter, r *http.Request) {
+		_, err := bodies.Read(w, r, 1000)
+		result <- err
+	})
+	s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{")
+	var failed net.Error
+	if err := <-result; !errors.As(err, &failed) || !failed.Timeout() {
+		t.Errorf("got error %v, want a timeout", err)
+	}
+	s.eventually("release", func() bool { n, _ := s.budget.Use(); return n == 0 })
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/connector"
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/recoverer"
@@ -127,6 +128,7 @@
 // startServers starts the HTTP servers. The first one serves callers.
 func (e *Entry) startServers(ctx context.Context) ([]*http.Server, error) {
 	callers := &platform.JobServer{
+		Bodies: limiter.BodyReader{Port: portCallers, Timeout: e.BodyTimeout, Report: e.monitor.reportLimit},
 		Snapshot: func(deadline timer.Millis, canceled <-chan struct{}) (*router.Snapshot, timer.Millis) {
 			return e.config.await(e.loop.clock, submitter.StartWaitLimit(deadline), canceled)
 		},
--- a/runner/options.go
+++ b/runner/options.go
@@ -64,6 +64,8 @@
 	Machine limiter.Machine
 	// HeadBytes is the maximum size of a request's head while the configuration sets none; 0 means the default of limiter.
 	HeadBytes uint64
+	// BodyTimeout is the time in which at least a byte of a request's body must arrive; 0 means the default of limiter.
+	BodyTimeout timer.Millis
 	// Handover lets an entry hand jobs over to other entries while it is overloaded, and take theirs.
 	Handover bool
 	// Admission is the policy by which an entry refuses jobs when capacity does not suffice.
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/connector"
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/recoverer"
@@ -87,6 +88,7 @@
 	announcements := platform.RegistrationServer{
 		OnHeartbeat:  func(b supervisor.Backend) bool { return s.announce(runCtx, b) },
 		OnDeregister: func(id string) { s.loop.post(runCtx, func(now timer.Millis) { s.core.OnDeregistered(now, id) }) },
+		Bodies:       limiter.BodyReader{Port: portAnnounce, Timeout: s.BodyTimeout, Report: s.monitor.reportLimit},
 		OnMalformed:  func(err error) { s.Logger.WithError(err).Warn("sidecar: rejected an invalid announcement") },
 	}
 	servers, err := startServers(runCtx, &s.monitor, &s.Options, []endpoint{
