--- a/submitter/kind.go
+++ b/submitter/kind.go
@@ -17,8 +17,8 @@
 	maxIDLength = 64
 	// maxEstimate bounds the estimated run time of a task.
 	maxEstimate = 24 * 60 * timer.Minute
-	// maxSteps and maxTasks bound the size of a job.
-	maxSteps = 100
+	// MaxSteps and maxTasks bound the size of a job.
+	MaxSteps = 100
 	maxTasks = 10_000
 	// retryJitter is the interval over which the retries of refused callers are spread.
 	retryJitter = 2 * timer.Second
--- a/submitter/outcome_test.go
+++ b/submitter/outcome_test.go
@@ -165,7 +165,7 @@
 		{"negative CPU", func(j *Job) { j.Steps[0].Resources.CPU = -1 }}, {"negative memory", func(j *Job) { j.Steps[0].Resources.MemoryMB = -1 }},
 		{"negative accelerators", func(j *Job) { j.Steps[0].Resources.Accelerators = -1 }}, {"negative estimate", func(j *Job) { j.Steps[0].Estimate = -1 }},
 		{"estimate above the limit", func(j *Job) { j.Steps[0].Estimate = maxEstimate + 1 }},
-		{"no steps", func(j *Job) { j.Steps = nil }}, {"too many steps", func(j *Job) { j.Steps = make([]marshaler.Step, maxSteps+1) }},
+		{"no steps", func(j *Job) { j.Steps = nil }}, {"too many steps", func(j *Job) { j.Steps = make([]marshaler.Step, MaxSteps+1) }},
 		{"no tasks", func(j *Job) { j.Steps[0].Tasks = 0 }}, {"number of tasks that overflows", func(j *Job) { j.Steps = []marshaler.Step{valid, valid}; j.Steps[1].Tasks = 1<<64 - 1 }}, {"too many tasks", func(j *Job) { j.Steps[0].Tasks = maxTasks + 1 }},
 		{"long label", func(j *Job) { j.Steps[0].Label = strings.Repeat("x", marshaler.MaxNameLen+1) }},
 		{"long rack", func(j *Job) { j.Steps[0].Rack = strings.Repeat("x", marshaler.MaxNameLen+1) }},
--- a/submitter/steps.go
+++ b/submitter/steps.go
@@ -111,7 +111,7 @@
 
 // invalidStepsReason returns why the steps of a job are invalid, or "".
 func (j *Job) invalidStepsReason() string {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return "the job has no or too many steps"
 	}
 	var tasks uint64
