submitter: charge jobs to the memory of the process

60 jobs of 10,000 tasks, in bodies of 100 bytes, made an entry hold 258 MB, durable ones 373 MB. A job was accepted whatever it holds: its caller's connection says nothing of the number of tasks, and a durable job stays after its answer.

Each active job, each job that is handed over, and each finished durable job until it is forgotten are charged to the budget that the connections and requests use, by their tasks. A job without room is refused with 503 and a delay before anything of it is kept or sent: it never runs. Jobs of a partition that the entry acquires are charged without question.

--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -29,6 +29,8 @@
 	LimitConnections Limit = "connections"
 	// LimitMemory is the maximum memory that clients hold.
 	LimitMemory Limit = "memory"
+	// LimitJobs is the maximum memory that clients hold, met by a job.
+	LimitJobs Limit = "jobs"
 	// LimitHead is the maximum size of a request's head.
 	LimitHead Limit = "head"
 	// LimitBody is the maximum size of a request's body.
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -56,6 +56,10 @@
 	e.loop.onPanic = func(err error) { e.monitor.reportPanic("loop", err) }
 	e.core = submitter.Submitter{
 		Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Weight: e.Weight, Report: e.report,
+		Memory: submitter.MemoryBudget{
+			Reserve: func(bytes int64) bool { return e.monitor.reserve(bytes, portCallers, limiter.LimitJobs) },
+			Take:    e.monitor.budget.Take, Release: e.monitor.budget.Release,
+		},
 		Partitions: e.Partitions, Admission: e.Admission, Handover: e.Handover,
 	}
 	e.owner = partitionOwner{
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -50,6 +50,15 @@
 	debug.SetMemoryLimit(machine.RuntimeMemory())
 }
 
+// reserve charges memory that belongs to no connection, and reports whether there is room.
+func (m *monitor) reserve(bytes int64, port string, l limiter.Limit) bool {
+	if m.budget.Reserve(bytes) {
+		return true
+	}
+	m.reportLimit(limiter.Event{Port: port, Limit: l, Action: limiter.ActionRefuse})
+	return false
+}
+
 // reportLimit counts and logs a client's meeting with a limit. It does not block.
 func (m *monitor) reportLimit(e limiter.Event) {
 	m.metrics.Count("crocuslb_client_limits_total{port=" + strconv.Quote(e.Port) + ",limit=" + strconv.Quote(string(e.Limit)) + ",action=" + strconv.Quote(string(e.Action)) + "}")
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -63,6 +63,7 @@
 		// issued holds the latest run that this entry started or adopted, by task index. It is empty for a job that a previous
 		// owner ended.
 		issued map[uint64]issuedRun
+		memory int64 // charged, in bytes
 	}
 
 	// durableState is the additional state of an active durable job.
@@ -132,7 +133,11 @@
 			s.dropOwnership(j, stop)
 		}
 	}
-	maps.DeleteFunc(s.durable.finished, func(id string, _ *finishedJob) bool { return s.partitionOf(id) == number })
+	for id, finished := range s.durable.finished {
+		if s.partitionOf(id) == number {
+			s.forget(id, finished)
+		}
+	}
 	for _, sc := range marshaler.SortedByKey(s.sidecars) {
 		if sc.link != nil {
 			sc.link.Send(&marshaler.Release{Partition: marshaler.Partition{Number: number, Epoch: p.epoch}})
@@ -144,6 +149,7 @@
 // dropOwnership removes a job that another entry will own.
 func (s *Submitter) dropOwnership(j *job, stop bool) {
 	delete(s.jobs, j.ID)
+	s.releaseMemory(j)
 	for n := range j.steps {
 		s.withdrawRequest(j, n)
 		for i := range j.steps[n].tasks {
@@ -193,8 +199,11 @@
 		old.waiters = append(old.waiters, j.Answer)
 		return
 	}
+	if !s.reserveMemory(&j) {
+		return
+	}
 	n := jobFromRecord(recordOf(&j))
-	n.Job = j
+	n.Job, n.memory = j, j.memoryNeed()
 	n.durability.partition = p
 	s.admit(n)
 }
@@ -258,7 +267,7 @@
 	}
 	for id, finished := range s.durable.finished {
 		if s.now-finished.since >= stateRetention {
-			delete(s.durable.finished, id)
+			s.forget(id, finished)
 		}
 	}
 	for _, j := range marshaler.SortedByKey(s.jobs) {
--- a/submitter/ends.go
+++ b/submitter/ends.go
@@ -121,8 +121,12 @@
 	if s.jobs[j.ID] != j || j.durability.pendingWrites > 0 || state == projector.Open {
 		return
 	}
-	s.durable.finished[j.ID] = &finishedJob{record: j.durability.record, state: state, since: s.now, offset: j.durability.offset, issued: j.issuedRuns()}
+	s.durable.finished[j.ID] = &finishedJob{
+		record: j.durability.record, state: state, since: s.now, offset: j.durability.offset, issued: j.issuedRuns(), memory: j.finishedMemoryNeed(),
+	}
 	delete(s.jobs, j.ID)
+	s.Memory.take(j.finishedMemoryNeed())
+	s.releaseMemory(j)
 	s.stopTasks(j)
 	j.answerWaiters(Answer{Kind: AnswerAccepted})
 	s.answerStateRequests(j, true)
--- a/submitter/jobhandover.go
+++ b/submitter/jobhandover.go
@@ -41,7 +41,10 @@
 // acceptRestartable hands a new job over, refuses it or admits it, depending on the load of this entry. A received job
 // is not handed over again.
 func (s *Submitter) acceptRestartable(j Job, received bool) {
-	n := &job{Job: j, steps: newSteps(j.Steps)}
+	if !s.reserveMemory(&j) {
+		return
+	}
+	n := &job{Job: j, steps: newSteps(j.Steps), memory: j.memoryNeed()}
 	if !s.Handover || s.load.own.Class <= gauger.Normal {
 		s.admit(n)
 		return
@@ -119,6 +122,7 @@
 	j := h.job
 	delete(s.handover.jobs, j.ID)
 	delete(h.to.handedOver, j.ID)
+	s.releaseMemory(j)
 	h.to.requestedAt = s.now
 	s.report(Event{
 		Kind: "handOverEnd", Job: j.ID, Queue: j.Queue.Name, Peer: h.to.hello.Name, Detail: a.Kind.String() + " " + a.Reason, Took: s.now - j.arrived,
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -19,13 +19,14 @@
 	s.durable.owned[p.number] = p
 	open := 0
 	for _, record := range jobs {
-		j := Job{Steps: record.Steps}
+		j := Job{Steps: record.Steps, Spec: record.Spec}
 		if reason := j.invalidStepsReason(); reason != "" { // not written by an entry
 			s.report(Event{Kind: "skipRecord", Job: record.ID, Queue: record.Queue, Detail: reason})
 			continue
 		}
 		if state := projector.StateOf(record); state != projector.Open {
-			s.durable.finished[record.ID] = &finishedJob{record: record, state: state, since: now}
+			s.durable.finished[record.ID] = &finishedJob{record: record, state: state, since: now, memory: j.finishedMemoryNeed()}
+			s.Memory.take(j.finishedMemoryNeed())
 			continue
 		}
 		open++
@@ -48,6 +49,8 @@
 	j.durability.firstAttempt = p.epoch * attemptsPerEpoch
 	j.restoreTasks()
 	s.jobs[record.ID] = j
+	j.memory = j.memoryNeed()
+	s.Memory.take(j.memory)
 }
 
 // jobFromRecord returns an active job for a record.
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -106,6 +106,7 @@
 		name        string
 		incarnation uint64
 		core        *Submitter
+		memory      int64        // charged by the core, in bytes
 		class       gauger.Class // load that the entry measures, in simulations with handover
 	}
 
@@ -197,6 +198,10 @@
 	e.core = &Submitter{Name: e.name, Incarnation: e.incarnation, Weight: 400, Handover: w.handover, Report: func(v Event) {
 		w.decisions[v.Job] = append(w.decisions[v.Job], fmt.Sprintf("%d %s %s %s %s %d", w.now, e.name, v.Kind, v.Peer, v.Detail, v.Value))
 	}}
+	e.memory = 0
+	e.core.Memory = MemoryBudget{
+		Reserve: func(bytes int64) bool { e.memory += bytes; return true }, Take: func(bytes int64) { e.memory += bytes }, Release: func(bytes int64) { e.memory -= bytes },
+	}
 	e.core.SetSnapshot(w.now, testSnapshot())
 	if w.store != nil {
 		w.startMembership(e)
@@ -211,6 +216,9 @@
 		}
 		w.runUnpaused(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 			e.core.Tick(w.now)
+			if got, want := e.memory, e.core.chargedMemory(); got != want {
+				w.t.Fatalf("seed %d, at %d ms: %s has charged %d bytes, its jobs hold %d", w.seed, w.now, e.name, got, want)
+			}
 			w.schedule(e.starvation.tickInterval(w), tick)
 		})
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -80,6 +80,8 @@
 		// Record appends a record of a partition to the store, under the epoch of its owner. done is called in the
 		// order of the records, or not at all if the partition is lost.
 		Record func(partition, epoch uint64, body []byte, done func(now timer.Millis, offset uint64))
+		// Memory is the budget of the jobs.
+		Memory MemoryBudget
 		// OwnershipAnnounced is called when another entry announces the partitions that it owns.
 		OwnershipAnnounced func()
 		// DurableJobSubmitted is called when a durable job is submitted while durable jobs are not known to be in use.
@@ -148,6 +150,7 @@
 		grantedAt       timer.Millis // time of the first grant
 		avoidedSidecars []string     // sidecars that failed a task of the job or were unreachable
 		durability      durableState
+		memory          int64 // charged, in bytes
 	}
 
 	task struct {
@@ -378,6 +381,7 @@
 // finish answers a job and stops its runs.
 func (s *Submitter) finish(j *job, a Answer) {
 	delete(s.jobs, j.ID)
+	s.releaseMemory(j)
 	if a.Kind == AnswerNotRun {
 		a.RetryAfter += jitter(j.ID)
 	}
