supervisor: bound the runs by the memory of the sidecar

Jobs of 10,000 tasks that declare no resources made a sidecar hold 160 MB, 931 MB since the entry does not fail any more: all starts of a job arrive at once, and each has a goroutine, a call and a row in each hold response.

A sidecar charges 16 KiB for a run. The simulations compare what is charged with the runs at each tick.

--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -31,6 +31,8 @@
 	LimitMemory Limit = "memory"
 	// LimitJobs is the maximum memory that clients hold, met by a job.
 	LimitJobs Limit = "jobs"
+	// LimitRuns is the maximum memory that clients hold, met by a run of a task.
+	LimitRuns Limit = "runs"
 	// LimitHead is the maximum size of a request's head.
 	LimitHead Limit = "head"
 	// LimitBody is the maximum size of a request's body.
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -20,6 +20,7 @@
 	portCallers  = "callers"
 	portReady    = "ready"
 	portMetrics  = "metrics"
+	portSessions = "sessions"
 	portAnnounce = "announce"
 )
 
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -29,6 +29,8 @@
 	holdRetryDelay = 20 * time.Millisecond
 
 	maxBackendConnections = 10
+	// runBytes is what a run holds: its calls to the backend server, its row in each hold response, and its messages.
+	runBytes = 16 << 10
 	// confirmAttempts is the number of calls with which the backend server is asked for its incarnation.
 	confirmAttempts = 3
 	// persistTimeout is how long the acknowledgement of a draining backend server waits for the store. The backend server
@@ -71,9 +73,11 @@
 	s.holdRequests = make(chan supervisor.HoldRequest, 1)
 	s.core = supervisor.Supervisor{
 		Domain: s.Domain, Partitions: s.Partitions, Report: s.report,
-		Start:   func(m marshaler.Start) { s.startTask(runCtx, m) },
-		Stop:    func(r marshaler.RunKey) { s.stopRun(runCtx, r) },
-		HoldNow: func() { s.pollRuns(runCtx) },
+		Start:      func(m marshaler.Start) { s.startTask(runCtx, m) },
+		Stop:       func(r marshaler.RunKey) { s.stopRun(runCtx, r) },
+		HoldNow:    func() { s.pollRuns(runCtx) },
+		ReserveRun: func() bool { return s.monitor.reserve(runBytes, portSessions, limiter.LimitRuns) },
+		ReleaseRun: func() { s.monitor.budget.Release(runBytes) },
 	}
 	s.config = configuration{logger: s.Logger, processName: s.Name, onChange: func(now timer.Millis, c router.Snapshot) {
 		s.core.SetOffset(now, c.Offset, c.DomainWithdrawn(s.Domain))
--- a/submitter/sim_test.go
+++ b/submitter/sim_test.go
@@ -115,6 +115,7 @@
 		name        string
 		incarnation uint64
 		core        *supervisor.Supervisor
+		runs        int // charged by the core
 		backend     *fakeBackend
 	}
 )
@@ -241,7 +242,8 @@
 	s.alive, s.pausedUntil, s.waiting, s.starvation.nextTurn = true, 0, nil, 0
 	incarnation := s.incarnation
 	current := func() bool { return s.incarnation == incarnation }
-	k := &supervisor.Supervisor{Partitions: testPartitions, Report: func(v supervisor.Event) {
+	s.runs = 0
+	k := &supervisor.Supervisor{Partitions: testPartitions, ReserveRun: func() bool { s.runs++; return true }, ReleaseRun: func() { s.runs-- }, Report: func(v supervisor.Event) {
 		w.decisions[v.Run.Job] = append(w.decisions[v.Run.Job], fmt.Sprintf("%d %s %s %s task %d.%d %s", w.now, s.name, v.Kind, v.Entry, v.Run.Index, v.Run.Attempt, v.Detail))
 	}}
 	s.core = k
@@ -317,6 +319,9 @@
 		}
 		w.runUnpaused(&s.process, current, func() {
 			k.Tick(w.now)
+			if got, want := s.runs, k.Running(); got != want {
+				w.t.Fatalf("seed %d, at %d ms: %s has charged %d runs and has %d", w.seed, w.now, s.name, got, want)
+			}
 			w.schedule(s.starvation.tickInterval(w), tick)
 		})
 	}
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -8,6 +8,13 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
+const (
+	noMemoryReason = "no memory for one more run"
+	// freedRunsDivisor is the divisor of the runs that end before starts are admitted again after the memory was used up. Otherwise
+	// each end would bring a crowd of starts of which all but one are refused.
+	freedRunsDivisor = 8
+)
+
 // onStart admits or refuses a start.
 func (k *Supervisor) onStart(now timer.Millis, e *entry, m *marshaler.Start) {
 	k.recentStarts = append(k.recentStarts, recentStart{m.Run.Job, now})
@@ -36,6 +43,8 @@
 	case notAfter <= k.Clock(now):
 		ok, reason = false, "start is late"
 		k.sendLoad(now, e) // the entry may have a wrong estimate of the clock, and refusals postpone the next load report
+	case !k.reserveRun(now):
+		ok, reason = false, noMemoryReason
 	}
 	if !ok {
 		if other := k.runs[at]; other != nil {
@@ -59,6 +68,24 @@
 	k.Start(start)
 }
 
+// reserveRun charges a run. If there is no memory for it, it tells the entries to send no more starts.
+func (k *Supervisor) reserveRun(now timer.Millis) bool {
+	if k.ReserveRun == nil || k.ReserveRun() {
+		return true
+	}
+	k.full, k.runsWhenFull = true, len(k.runs)
+	k.sendLoads(now)
+	return false
+}
+
+// checkMemory admits starts again after enough of the runs have ended.
+func (k *Supervisor) checkMemory(now timer.Millis) {
+	if k.full && len(k.runs) <= k.runsWhenFull-k.runsWhenFull/freedRunsDivisor {
+		k.full = false
+		k.sendLoads(now)
+	}
+}
+
 // serves reports whether the backend server belongs to the service and has the label that a start requires. It may have been
 // replaced by one of another kind after the capacity was granted; only the sidecar knows which one it has now.
 func (k *Supervisor) serves(m *marshaler.Start) bool {
@@ -202,6 +229,9 @@
 func (k *Supervisor) finishRun(now timer.Millis, r *run, status marshaler.Status, reason string, number uint64) {
 	status = r.crash.statusOf(status)
 	delete(k.runs, taskKey{r.key.Job, r.key.Index})
+	if k.ReleaseRun != nil {
+		k.ReleaseRun()
+	}
 	k.free = k.free.Add(r.room)
 	ran := now - r.startedAt
 	if status == marshaler.StatusRefused || status == marshaler.StatusSuperseded {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -96,6 +96,10 @@
 		Domain string
 		// Partitions is the number of partitions of the durable jobs.
 		Partitions uint64
+		// ReserveRun reports whether the process has memory for one more run, and charges it. ReleaseRun is called at its end.
+		// Both may be nil.
+		ReserveRun func() bool
+		ReleaseRun func()
 		// Start, Stop, HoldNow and Report must only queue and not block. HoldNow requests a hold that returns immediately.
 		Start   func(s marshaler.Start)
 		Stop    func(r marshaler.RunKey)
@@ -108,6 +112,8 @@
 		reconciled   bool // a hold response listed no run that this process does not know
 		unresponsive bool // holds have failed for holdTimeout, or the backend server has refused one
 		crashed      bool // the backend server has crashed, and has not answered since
+		full         bool // there was no memory for a run, and too few have ended since
+		runsWhenFull int
 		// crashedStartTime is the start time of the incarnation that crashed last.
 		withdrawn bool
 		stopping  bool
@@ -269,6 +275,8 @@
 		return false, "backend server is draining"
 	case k.withdrawn:
 		return false, "failure domain is withdrawn"
+	case k.full:
+		return false, noMemoryReason
 	case k.durable.leaseExpiring:
 		return false, "lease is left to lapse"
 	}
@@ -289,6 +297,7 @@
 	for len(k.unconfirmed) > 0 && now-k.unconfirmed[0].at > maxStartDelay {
 		k.unconfirmed = k.unconfirmed[1:]
 	}
+	k.checkMemory(now)
 	k.checkSettled(now)
 	k.tickDurable(now)
 	k.detectPause(now)
