placer: bound the starts on their way to a worker

A job of 10,000 tasks that declare no resources was granted as a whole to one worker. The worker's reservations are searched for each start that it reports, so the placing entry's time grew with their square.

A worker has at most 256 reservations, which the sidecar's reports release. A job leaves as many free as it has on the worker, so that a small job is granted beside large ones. Usual jobs do not meet this: at the size to design for a worker starts 100 tasks a second.

--- a/placer/worker.go
+++ b/placer/worker.go
@@ -10,6 +10,11 @@
 const (
 	// reservationTTL is how long granted resources stay reserved if the sidecar does not report the start.
 	reservationTTL = 300 * timer.Millisecond
+	// maxReservations bounds the starts on their way to a worker. Tasks that declare no resources have no other bound, and
+	// thousands of starts at once keep the sidecar and the entries from their heartbeats. Up to freelyReserved, jobs are not
+	// compared.
+	maxReservations = 256
+	freelyReserved  = 32
 	// breakerThreshold is the number of consecutive jobs with failed tasks on a worker that opens its circuit breaker.
 	// Several failures of one job count once, so that a job that fails everywhere does not open breakers.
 	breakerThreshold = 2
@@ -89,6 +94,21 @@
 	}
 }
 
+// mayReserve reports whether the worker may get one more task of a job before it has reported the starts of others. A job leaves
+// as many reservations free as it has, so that one with very many tasks leaves some to the others.
+func (w *worker) mayReserve(job string) bool {
+	if len(w.reservations) < freelyReserved {
+		return true
+	}
+	own := 0
+	for i := range w.reservations {
+		if w.reservations[i].job == job {
+			own++
+		}
+	}
+	return own < (maxReservations-len(w.reservations))/2
+}
+
 func (w *worker) reserve(now timer.Millis, job string, resources marshaler.Resources, suspect bool) {
 	w.reservations = append(w.reservations, reservation{job, resources, now, suspect})
 	w.free = w.free.Sub(resources)
