placer: let a job whose starts are refused have one start at a time

Beside two durable jobs of 10,000 tasks that need more than they declare, no ordinary job was done in 180 s (TestCallersPort): the backend server refuses nearly each start, its tasks are requested again, and of the starts that wait for the next free place 142 of 143 are those of the large jobs.

The placing entry counts the refused starts of a job, less those that succeed. From 16 on the job gets one start at a time on each worker, for 5 s after the last refusal.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -47,6 +47,7 @@
 		kinds          map[string]*workerKind
 		services       map[string]*serviceIndex
 		speeds         speedGroup
+		refusals       map[string]refusalCount // by job
 		openBreakers   []*worker
 		expirations    expirationQueue
 		avoidMark      uint64       // of the workers that the latest request avoids
--- a/placer/separation.go
+++ b/placer/separation.go
@@ -41,7 +41,7 @@
 	if h, ok := p.heldFree[r.service]; ok && h.worker == w && p.placedAt <= h.until && r.constraints.suspicion < marshaler.SuspicionStrong {
 		return false
 	}
-	return w.mayReserve(r.key.job) && p.confinementAllows(r, w)
+	return w.mayReserve(r.key.job, p.distrusts(r.key.job)) && p.confinementAllows(r, w)
 }
 
 // holdFree keeps other tasks off the worker that has the most free processors, so that a task of a request can run there
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -95,9 +95,9 @@
 }
 
 // mayReserve reports whether the worker may get one more task of a job before it has reported the starts of others. A job leaves
-// as many reservations free as it has, so that one with very many tasks leaves some to the others.
-func (w *worker) mayReserve(job string) bool {
-	if len(w.reservations) < freelyReserved {
+// as many reservations free as it has, so that one with very many tasks leaves some to the others. A distrusted one has one.
+func (w *worker) mayReserve(job string, distrusted bool) bool {
+	if len(w.reservations) < freelyReserved && !distrusted {
 		return true
 	}
 	own := 0
@@ -106,7 +106,7 @@
 			own++
 		}
 	}
-	return own < (maxReservations-len(w.reservations))/2
+	return own < (maxReservations-len(w.reservations))/2 && (own == 0 || !distrusted)
 }
 
 func (w *worker) reserve(now timer.Millis, job string, resources marshaler.Resources, suspect bool) {
@@ -192,6 +192,7 @@
 
 // recordOutcome updates the worker's breaker after a run has ended.
 func (p *Placer) recordOutcome(now timer.Millis, w *worker, s marshaler.CompletedRun) {
+	p.recordRefusal(now, s)
 	b := &w.breaker
 	if s.Blame > marshaler.BlameNone {
 		p.blame(now, w, s.Queue)
