connector: bound what strangers hold on the port of the sessions

The port for other processes is open to everyone. 800 connections that send nothing held 818 descriptors of 600, and 60 that announce a message of 4 MB held 291 MB, because the message is allocated when its size arrives.

A connection is charged to the budget until the peer has said who it is; the oldest unknown one gives way. The first message has at most 8 KiB, which fit into the read buffer. Connections are admitted one after the other: with their admission beside each other the crowd held 815 descriptors at once.

--- a/connector/node.go
+++ b/connector/node.go
@@ -41,6 +41,10 @@
 		// panicked. Only the session in question is closed. It may be nil.
 		OnPanic func(s *Session, err error)
 
+		// Admit is called with each accepted connection, and reports whether there is room for it. known is called once the peer has
+		// sent its Hello or the connection has ended. It may be nil.
+		Admit func(conn net.Conn) (known func(), ok bool)
+
 		// Traffic counts the messages that the sessions send.
 		Traffic Traffic
 
@@ -67,12 +71,27 @@
 				time.Sleep(minRetryDelay)
 				continue
 			}
-			n.goroutines.Go(func() { _ = n.serve(ctx, newSession(conn, false, &n.Traffic)) }) // OnDisconnect reports the cause
+			n.accept(ctx, conn)
 		}
 	})
 	return listener.Addr().String(), nil
 }
 
+// accept admits an accepted connection and serves it. It waits for the admission, so that no further connection is accepted
+// before.
+func (n *Node) accept(ctx context.Context, conn net.Conn) {
+	s := newSession(conn, false, &n.Traffic)
+	if n.Admit != nil {
+		known, ok := n.Admit(conn)
+		if !ok {
+			_ = conn.Close() // nothing was sent
+			return
+		}
+		s.known = known
+	}
+	n.goroutines.Go(func() { _ = n.serve(ctx, s) }) // OnDisconnect reports the cause
+}
+
 // Connect maintains a session to an address until ctx is done, and reconnects whenever it ends.
 func (n *Node) Connect(ctx context.Context, address string) {
 	n.goroutines.Go(func() {
@@ -116,6 +135,9 @@
 		s.Send(&hello)
 		err = s.readHello(r)
 	})
+	if s.known != nil {
+		s.known()
+	}
 	if err == nil && s.Remote.Name == "" {
 		return false // making or decoding a Hello panicked
 	}
@@ -148,7 +170,7 @@
 // readHello reads the peer's Hello.
 func (s *Session) readHello(r *bufio.Reader) error {
 	_ = s.conn.SetReadDeadline(time.Now().Add(helloTimeout)) // a failure surfaces in the read
-	m, err := readMessage(r)
+	m, err := readMessage(r, maxHelloSize)
 	if err != nil {
 		return err
 	}
--- a/connector/node_test.go
+++ b/connector/node_test.go
@@ -100,6 +100,49 @@
 	}
 }
 
+// TestUnknownPeers guards against connections of strangers that make the process allocate a large frame, and against ones that
+// are not counted until they have said who they are.
+func TestUnknownPeers(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a, b := newTestNode("a"), newTestNode("b")
+	var failed, unknown, refused atomic.Int64
+	a.OnConnectError = func(string, error) { failed.Add(1) }
+	a.Admit = func(net.Conn) (func(), bool) {
+		if unknown.Load() == 1 {
+			refused.Add(1)
+			return nil, false
+		}
+		unknown.Add(1)
+		return func() { unknown.Add(-1) }, true
+	}
+	address, err := a.Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	eventually(t, "unknown peer", func() bool { return unknown.Load() == 1 })
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = second.Close() }()
+	eventually(t, "refused peer", func() bool { return refused.Load() == 1 })
+	if _, err := conn.Write(binary.BigEndian.AppendUint32(nil, maxHelloSize+1)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "end of the unknown peer", func() bool { return failed.Load() == 1 && unknown.Load() == 0 })
+	b.Connect(ctx, address)
+	eventually(t, "session", func() bool { return a.up.Load() == 1 && unknown.Load() == 0 })
+	cancel()
+	a.Wait()
+	b.Wait()
+}
+
 // TestStalledReader guards against a sender that blocks, or queues without limit, when the peer does not read.
 func TestStalledReader(t *testing.T) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/connector/session.go
+++ b/connector/session.go
@@ -18,6 +18,8 @@
 const (
 	// maxFrameSize is the largest encoded message in bytes.
 	maxFrameSize = 4 << 20
+	// maxHelloSize is the same for the Hello, which anyone may send. A larger one is not allocated.
+	maxHelloSize = readBufferSize
 	// maxQueuedBytes is the number of unsent bytes above which a session is closed, because the peer does not read.
 	maxQueuedBytes = 8 << 20
 	// writeTimeout bounds a write to a peer that accepts no data.
@@ -36,6 +38,7 @@
 		Dialed bool
 
 		conn      net.Conn
+		known     func()   // see Node.Admit; may be nil
 		traffic   *Traffic // may be nil
 		mu        sync.Mutex
 		queued    []byte
@@ -123,7 +126,7 @@
 func (s *Session) read(r *bufio.Reader, deliver func(batch []marshaler.Message)) error {
 	var batch []marshaler.Message
 	for {
-		m, err := readMessage(r)
+		m, err := readMessage(r, maxFrameSize)
 		switch {
 		case trace.IsNotImplemented(err): // ignore message types of newer versions
 		case err != nil:
@@ -150,14 +153,15 @@
 	return err == nil && r.Buffered()-headerSize >= int(binary.BigEndian.Uint32(head))
 }
 
-func readMessage(r *bufio.Reader) (marshaler.Message, error) {
+// readMessage reads a message of at most maxSize bytes.
+func readMessage(r *bufio.Reader, maxSize int) (marshaler.Message, error) {
 	head, err := r.Peek(headerSize)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "read: %v", err)
 	}
 	size := int(binary.BigEndian.Uint32(head))
-	if size == 0 || size > maxFrameSize {
-		return nil, trace.BadParameter("invalid frame size %d, want 1 to %d bytes", size, maxFrameSize)
+	if size == 0 || size > maxSize {
+		return nil, trace.BadParameter("invalid frame size %d, want 1 to %d bytes", size, maxSize)
 	}
 	_, _ = r.Discard(headerSize) // the bytes are buffered
 	if size <= r.Size() {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -69,6 +69,7 @@
 	e.core.Record, e.core.OwnershipAnnounced = e.owner.appendRecord, e.owner.requestHeartbeat
 	e.config = configuration{logger: e.Logger, onChange: e.core.SetSnapshot, available: make(chan struct{})}
 	e.node = connector.Node{
+		Admit: e.monitor.admitSession,
 		Hello: func() marshaler.Hello {
 			return marshaler.Hello{Role: marshaler.RoleEntry, Name: e.Name, Incarnation: incarnation, Domain: e.Domain, Address: e.Advertise, Weight: e.Weight}
 		},
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"net"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -59,6 +60,21 @@
 	return false
 }
 
+// admitSession charges a connection of another process until it has said which one it is. Other processes are trusted, but
+// anyone may connect.
+func (m *monitor) admitSession(conn net.Conn) (known func(), ok bool) {
+	account, ok := m.budget.Open(true, func() {
+		m.reportLimit(limiter.Event{Port: portSessions, Limit: limiter.LimitConnections, Action: limiter.ActionEvict})
+		_ = conn.Close() // the connection is over even if this fails
+	})
+	if !ok {
+		m.reportLimit(limiter.Event{Port: portSessions, Limit: limiter.LimitConnections, Action: limiter.ActionRefuse})
+		return nil, false
+	}
+	account.SetPhase(limiter.Receiving)
+	return account.Close, true
+}
+
 // reportLimit counts and logs a client's meeting with a limit. It does not block.
 func (m *monitor) reportLimit(e limiter.Event) {
 	m.metrics.Count("crocuslb_client_limits_total{port=" + strconv.Quote(e.Port) + ",limit=" + strconv.Quote(string(e.Limit)) + ",action=" + strconv.Quote(string(e.Action)) + "}")
