limiter: close connections whose client does not take its response

A client that sends requests and does not read the responses kept its connection, with what the process had read and what it could not write, for good: net/http sets no limit on a write, and the process cannot set one for the whole response, because a job may take long. 300 such connections held 134 MB with what their sockets had received (the smaller receive buffers bound that since the connections are charged).

Each write has 10 s (answerTimeoutMs) now, and meanwhile the connection may be evicted, though the request behind it is complete. TestUnreadResponse did not end on the code before.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 // ErrNoRoom is returned for a request for which there is no memory now. Nothing of it has been done.
@@ -20,6 +22,8 @@
 	headByteCopies = 2
 	// readBufferSize is the size of net/http's read buffer. It may hold as many bytes of the body when a head is complete.
 	readBufferSize = 4 << 10
+	// DefaultAnswerTimeout is how long a response may wait for its client to take it.
+	DefaultAnswerTimeout = 10 * timer.Second
 	// DefaultHeadBytes is the maximum size of a request's head unless Listener.HeadBytes returns another one, and maxHeadBytes
 	// the largest that it can return.
 	DefaultHeadBytes = 64 << 10
@@ -109,6 +113,25 @@
 	return nil
 }
 
+// Write implements net.Conn. A client that does not take its response loses the connection.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.account.SetPhaseFrom(Serving, Sending) {
+		defer c.account.SetPhaseFrom(Sending, Serving)
+	}
+	timeout := c.port.AnswerTimeout
+	if timeout == 0 {
+		timeout = DefaultAnswerTimeout
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(timeout.Duration())) // a failure surfaces in Write
+	n, err := c.TCPConn.Write(b)
+	var failed net.Error
+	if errors.As(err, &failed) && failed.Timeout() {
+		c.port.report(Event{Limit: LimitAnswer, Action: ActionClose})
+		_ = c.TCPConn.Close() // the response is incomplete
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.account.Close()
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/crocuslb/crocuslb/timer"
 )
 
 const (
@@ -37,6 +39,8 @@
 	LimitHead Limit = "head"
 	// LimitBody is the maximum size of a request's body.
 	LimitBody Limit = "body"
+	// LimitAnswer is the maximum time in which a client does not take its response.
+	LimitAnswer Limit = "answer"
 	// LimitBodyProgress is the maximum time in which no byte of a body arrives.
 	LimitBodyProgress Limit = "bodyProgress"
 )
@@ -74,6 +78,8 @@
 		Privileged bool
 		// HeadBytes returns the maximum size of a head. If it is nil or returns 0, DefaultHeadBytes applies.
 		HeadBytes func() uint64
+		// AnswerTimeout is how long a response may wait for its client to take it; 0 means DefaultAnswerTimeout.
+		AnswerTimeout timer.Millis
 		// Report is called without blocking, and may be nil.
 		Report func(e Event)
 
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -259,6 +260,26 @@
 	}
 }
 
+// TestUnreadResponse guards against a client that does not read its response and keeps the connection for good.
+func TestUnreadResponse(t *testing.T) {
+	ended := make(chan error, 1)
+	s := newTestServer(t, &Listener{Budget: unlimited(), AnswerTimeout: 100 * timer.Millisecond}, func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for err == nil {
+			_, err = w.Write(bytes.Repeat([]byte("x"), 1<<20))
+		}
+		ended <- err
+	})
+	s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if err := <-ended; err == nil {
+		t.Error("got no error of the response, want one")
+	}
+	s.eventually("release", func() bool { n, _ := s.budget.Use(); return n == 0 })
+	if got := s.count(LimitAnswer, ActionClose); got == 0 {
+		t.Error("got no event, want one of the answer's limit")
+	}
+}
+
 // TestBody guards against bodies over the limit that are read, bodies that are cut, and memory beyond the budget.
 func TestBody(t *testing.T) {
 	const limit = 20_000
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -61,7 +61,8 @@
 		return nil, nil, trace.ConnectionProblem(err, "cannot listen on %q: %v", e.address, err)
 	}
 	limited := &limiter.Listener{
-		Listener: listener, Budget: &m.budget, Port: e.port, Privileged: e.port != portCallers, HeadBytes: e.maxHead(o), Report: m.reportLimit,
+		Listener: listener, Budget: &m.budget, Port: e.port, Privileged: e.port != portCallers, HeadBytes: e.maxHead(o), AnswerTimeout: o.AnswerTimeout,
+		Report: m.reportLimit,
 	}
 	server := &http.Server{Handler: m.recoverPanics(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext}
 	limited.Configure(server, limitedConn)
--- a/runner/options.go
+++ b/runner/options.go
@@ -64,8 +64,9 @@
 	Machine limiter.Machine
 	// HeadBytes is the maximum size of a request's head while the configuration sets none; 0 means the default of limiter.
 	HeadBytes uint64
-	// BodyTimeout is the time in which at least a byte of a request's body must arrive; 0 means the default of limiter.
-	BodyTimeout timer.Millis
+	// BodyTimeout is the time in which at least a byte of a request's body must arrive, and AnswerTimeout how long a response
+	// may wait for its client to take it. For 0, the defaults of limiter apply.
+	BodyTimeout, AnswerTimeout timer.Millis
 	// Handover lets an entry hand jobs over to other entries while it is overloaded, and take theirs.
 	Handover bool
 	// Admission is the policy by which an entry refuses jobs when capacity does not suffice.
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -45,6 +45,7 @@
 	{Name: "descriptors", Unit: loader.UnitCount, Default: "4096", Min: 256, Max: 1 << 24, Description: "number of descriptors that the process may open; connections of clients may take half of them"},
 	{Name: "headBytes", Unit: loader.UnitCount, Default: "65536", Min: 1024, Max: 1 << 20, Description: "maximum size of a request's head in bytes, on the callers' port while the configuration sets none"},
 	{Name: "bodyTimeoutMs", Unit: loader.UnitMillis, Default: "30000", Min: 1, Max: 3_600_000, Description: "time in which at least a byte of a request's body must arrive"},
+	{Name: "answerTimeoutMs", Unit: loader.UnitMillis, Default: "10000", Min: 1, Max: 3_600_000, Description: "time for which a response may wait for its client to take it"},
 	{Name: "handover", Default: valueOn, Check: checkOnOff, Description: "on or off: whether an overloaded entry hands new restartable jobs over to other entries, takes theirs, and steps down as the placing entry; entries only"},
 	{Name: "admission", Default: "cost", Description: "which jobs are refused when capacity does not suffice: deadline (those that cannot start in time) or cost (those whose refusal costs callers least); entries only"},
 	{Name: "drainMs", Unit: loader.UnitMillis, Default: "5000", Min: 0, Max: 3_600_000, Description: "maximum time to finish in-flight work after SIGTERM"},
@@ -86,7 +87,7 @@
 	}
 	options.Advertise, options.Handover = values.Text("advertise"), values.Text("handover") != valueOff
 	options.Machine = limiter.NewMachine(int(values.Count("memoryMb")), int(values.Count("descriptors")))
-	options.BodyTimeout = values.Millis("bodyTimeoutMs")
+	options.BodyTimeout, options.AnswerTimeout = values.Millis("bodyTimeoutMs"), values.Millis("answerTimeoutMs")
 	options.HeadBytes = uint64(values.Count("headBytes"))
 	options.Partitions, options.WritesPerSecond = uint64(values.Count("partitions")), uint64(values.Count("writes"))
 	if values.Count("metricsPort") != 0 {
