runner: watch all connections that net/http does not read in one goroutine

A client that sends a byte too many while its request is served is not read any more, so its socket was polled by a goroutine and a ticker of its own, 20 times a second. Some hundreds of such clients take a process with a share of a core from its jobs. Each listener has one goroutine for all of them now, which runs only while there are any.

--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -46,7 +46,7 @@
 		}
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(closeListener{listener}); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(&closeListener{Listener: listener}); !errors.Is(err, http.ErrServerClosed) {
 				m.logger.WithError(err).WithField("address", e.address).Error("http: server failed")
 			}
 		}()
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -16,25 +16,34 @@
 
 type (
 	// closeListener accepts connections whose end is noticed also while net/http does not read them.
-	closeListener struct{ net.Listener }
+	closeListener struct {
+		net.Listener
+		watcher closeWatcher
+	}
 
 	// closeConn cancels the context of its requests when the client closes the connection. While a handler runs, net/http
 	// notices this with a read of one byte, but reads no more once the client has sent one: a part of its next request, or
-	// a line break behind the body. From then on the socket is polled until net/http reads again.
+	// a line break behind the body. From then on the socket is watched until net/http reads again.
 	closeConn struct {
 		*limiter.Conn
+		watcher        *closeWatcher
 		cancelRequests context.CancelFunc
+	}
 
-		mu       sync.Mutex
-		stopPoll context.CancelFunc // nil while the socket is not polled
+	// closeWatcher polls the sockets that net/http does not read. One goroutine polls all of them, because each may be opened by a
+	// client on purpose. The zero value is ready to use.
+	closeWatcher struct {
+		mu      sync.Mutex
+		conns   map[*closeConn]struct{}
+		running bool
 	}
 )
 
 // Accept implements net.Listener.
-func (l closeListener) Accept() (net.Conn, error) {
+func (l *closeListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if limited, ok := c.(*limiter.Conn); ok {
-		return &closeConn{Conn: limited}, err
+		return &closeConn{Conn: limited, watcher: &l.watcher}, err
 	}
 	return c, err
 }
@@ -57,54 +66,67 @@
 
 // Read implements net.Conn.
 func (c *closeConn) Read(b []byte) (int, error) {
-	c.endPoll()
+	c.watcher.remove(c)
 	n, err := c.Conn.Read(b)
 	if len(b) == 1 && n == 1 { // all other reads of net/http have larger buffers
-		c.startPoll()
+		c.watcher.add(c)
 	}
 	return n, err
 }
 
 // Close implements net.Conn.
 func (c *closeConn) Close() error {
-	c.endPoll()
+	c.watcher.remove(c)
 	if c.cancelRequests != nil {
 		c.cancelRequests()
 	}
 	return c.Conn.Close()
 }
 
-func (c *closeConn) startPoll() {
-	ctx, stop := context.WithCancel(context.Background())
-	c.mu.Lock()
-	c.stopPoll = stop
-	c.mu.Unlock()
-	go c.poll(ctx)
+// add starts to watch a connection.
+func (w *closeWatcher) add(c *closeConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conns == nil {
+		w.conns = map[*closeConn]struct{}{}
+	}
+	w.conns[c] = struct{}{}
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
 }
 
-func (c *closeConn) endPoll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stopPoll != nil {
-		c.stopPoll()
-		c.stopPoll = nil
-	}
+func (w *closeWatcher) remove(c *closeConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.conns, c)
 }
 
-// poll checks the socket until it is closed by the client or ctx is canceled.
-func (c *closeConn) poll(ctx context.Context) {
+// run polls the connections until there are none left.
+func (w *closeWatcher) run() {
 	ticker := time.NewTicker(closeCheckInterval)
 	defer ticker.Stop()
-	for !c.closedByPeer() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for ; w.poll(); <-ticker.C {
+		continue
 	}
-	if ctx.Err() == nil && c.cancelRequests != nil {
-		c.cancelRequests()
+}
+
+// poll cancels the requests of the connections that their clients have closed, and reports whether some are left.
+func (w *closeWatcher) poll() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		if !c.closedByPeer() {
+			continue
+		}
+		delete(w.conns, c)
+		if c.cancelRequests != nil {
+			c.cancelRequests()
+		}
 	}
+	w.running = len(w.conns) > 0
+	return w.running
 }
 
 // closedByPeer reports whether the peer has closed or reset the connection, also behind bytes that were not read.
