--- a/flooder/cluster_test.go
+++ b/flooder/cluster_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -132,8 +131,9 @@
 	ip := fmt.Sprintf("%s%d", c.network, host)
 	args = append([]string{
 		role, "-name", role + "-0", "-domain", "north", "-ip", ip, "-internalPort", strconv.Itoa(sessionPort), "-storeAddress", c.address(storeHost, storePort),
+		"-memoryMb", strconv.Itoa(memoryMb), "-descriptors", strconv.Itoa(descriptorLimit),
 	}, args...)
-	p, err := launcher.StartProgram(c.ctx, role, program, append(args, sizeArgs(c.t)...)...)
+	p, err := launcher.StartProgram(c.ctx, role, program, args...)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -142,20 +142,6 @@
 	return m
 }
 
-// sizeArgs returns the settings that tell a process the size of its machine, if the program has them.
-func sizeArgs(t *testing.T) (args []string) {
-	help, err := exec.Command(program, "help").Output()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for name, value := range map[string]int{"memoryMb": memoryMb, "descriptors": descriptorLimit} {
-		if strings.Contains(string(help), "-"+name) {
-			args = append(args, "-"+name, strconv.Itoa(value))
-		}
-	}
-	return args
-}
-
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
 	for started := time.Now(); time.Since(started) < eventuallyLimit; time.Sleep(eventuallyPeriod) {
