server: bound what clients hold on the product's own interface

Cause: there are limits for one request, and one of connections that makes the next ones wait; nothing bounds all requests together.

The listener uses the budget of the platform's ports: connections, heads and bodies are charged, idle and unfinished ones give way, and a body without room gets 503 before it is decoded. The choice of the events that are logged moves from runner to limiter, since both interfaces use it. golang.org/x/net is not imported any more.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -16,6 +16,7 @@
 	"github.com/crocuslb/crocuslb/appender"
 	"github.com/crocuslb/crocuslb/dispatcher"
 	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/loader"
 	"github.com/crocuslb/crocuslb/messenger"
 	"github.com/crocuslb/crocuslb/reporter"
@@ -39,6 +40,7 @@
 	Token            string
 	AllowNonLoopback bool
 	MaxConnections   int
+	ClientMemory     int64 // bytes
 	DrainTimeout     timer.Millis
 	Reporter         reporter.Reporter
 
@@ -46,6 +48,7 @@
 	reports        chan dispatcher.TaskReport
 	droppedReports atomic.Uint64 // task reports dropped because the queue was full
 	metrics        reporter.Metrics
+	limitLog       limiter.EventLog
 	listener       server.Listener
 	draining       atomic.Bool
 	observerSlots  chan struct{}
@@ -66,7 +69,7 @@
 			TLS: tlsConfig, Logger: logger,
 		},
 		HTTPAddress: v.Text("httpAddress"), Token: v.Text(tokenSetting.Name), AllowNonLoopback: tlsConfig != nil && v.Text(tokenSetting.Name) != "",
-		MaxConnections: int(v.Count("connections")), DrainTimeout: v.Millis(drainSetting.Name),
+		MaxConnections: int(v.Count("connections")), ClientMemory: limiter.Megabytes(v.Count("clientMemoryMb")), DrainTimeout: v.Millis(drainSetting.Name),
 		Reporter: reporter.Reporter{Objectives: objectives(v)},
 	}
 	if p.members, err = c.startMembership(ctx, logger, roleEntry, p.Entry.ID, p.Entry.Incarnation); err != nil {
@@ -126,18 +129,27 @@
 			return p.Reporter.Report(p.Entry.Clock.Now()).Write(w, format)
 		},
 		Metrics: p.writeMetrics, Ready: p.ready, OnResponse: p.metrics.CountRequest, Clock: p.Entry.Clock, Token: p.Token,
+		Bodies: limiter.BodyReader{Port: server.PortHTTP, Report: p.onClientLimit},
 	}
 	h, err := s.Handler()
 	if err != nil {
 		return "", err
 	}
 	p.listener = server.Listener{
-		Handler: h, MaxConnections: p.MaxConnections, AllowNonLoopback: p.AllowNonLoopback,
+		Handler: h, MaxConnections: p.MaxConnections, ClientMemory: p.ClientMemory, OnLimit: p.onClientLimit, AllowNonLoopback: p.AllowNonLoopback,
 		OnError: func(text string) { p.Entry.Logger.Warn("entry: HTTP server: " + text) },
 	}
 	return p.listener.Listen(ctx, p.HTTPAddress)
 }
 
+// onClientLimit counts and logs a client's meeting with a limit. It does not block.
+func (p *entryProcess) onClientLimit(e limiter.Event) {
+	p.metrics.CountLimit(e.Port, string(e.Limit), string(e.Action))
+	if count := p.limitLog.Add(e); count > 0 {
+		p.Entry.Logger.WithFields(log.Fields{"limit": string(e.Limit), "action": string(e.Action), "count": count}).Warn("entry: a client met a limit")
+	}
+}
+
 // serve runs the entry until ctx is canceled, and then drains it within the drain timeout: new jobs are rejected,
 // submissions are handed over, and requests in flight are answered. Requests that still wait after four fifths of the
 // timeout are answered with "running", because their connections would be closed at the timeout.
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -39,6 +39,7 @@
 		{Name: "logTimeoutMs", Unit: loader.UnitMillis, Default: "1000", Min: 10, Max: 60_000, Description: "time after which a call to the log counts as failed"},
 		{Name: domainSetting.Name, Description: "failure domain of the entry, for the choice of near sidecars; not known when empty", Check: checkWord},
 		{Name: "connections", Unit: loader.UnitCount, Default: "4096", Min: 1, Max: 1_000_000, Description: "open HTTP connections at most"},
+		{Name: "clientMemoryMb", Unit: loader.UnitMegabytes, Default: "256", Min: 16, Max: 1 << 20, Description: "memory that HTTP connections and requests may hold together"},
 		memberAddressSetting, memberSeedsSetting, drainSetting, secretSetting, tokenSetting, logLevelSetting, logFormatSetting,
 		{Name: "responseRatio", Unit: loader.UnitRatio, Default: "1.10", Min: 1, Max: 1000, Description: "objective: response time over ideal at which a job counts as slow"},
 		{Name: "responseTarget", Unit: loader.UnitShare, Default: "0.99", Min: 0.5, Max: 1, Description: "objective: share of complete jobs that are not slow"},
--- a/flooder/cluster_test.go
+++ b/flooder/cluster_test.go
@@ -80,13 +80,14 @@
 
 	// monitor samples the resources that a process holds.
 	monitor struct {
-		name       string
-		process    *launcher.Process
-		ip         string
-		stop       chan struct{}
-		done       chan struct{}
-		peakMemory int // bytes; resident, and received by the process's sockets but not read
-		peakOpen   int // descriptors
+		name                  string
+		process               *launcher.Process
+		ip                    string
+		memoryMb, descriptors int // bounds
+		stop                  chan struct{}
+		done                  chan struct{}
+		peakMemory            int // bytes; resident, and received by the process's sockets but not read
+		peakOpen              int // descriptors
 	}
 )
 
@@ -137,19 +138,28 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	m := &monitor{name: role, process: p, ip: ip, stop: make(chan struct{}), done: make(chan struct{})}
+	m := &monitor{name: role, process: p, ip: ip, memoryMb: memoryMb, descriptors: descriptorLimit, stop: make(chan struct{}), done: make(chan struct{})}
 	go m.run()
 	return m
 }
 
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
+	if !await(c.t, what, ok) {
+		c.t.Logf("last output of the entry: %s", c.entry.process.Tail(5))
+	}
+}
+
+// await waits for a condition and reports whether it was met.
+func await(t *testing.T, what string, ok func() bool) bool {
+	t.Helper()
 	for started := time.Now(); time.Since(started) < eventuallyLimit; time.Sleep(eventuallyPeriod) {
 		if ok() {
-			return
+			return true
 		}
 	}
-	c.t.Errorf("%s: condition not met; last output of the entry: %s", what, c.entry.process.Tail(5))
+	t.Errorf("%s: condition not met", what)
+	return false
 }
 
 // ordinaryRequest submits a small job on a new connection and returns an error if it was not done.
@@ -213,11 +223,11 @@
 	if !running {
 		t.Errorf("%s: the process has ended: %s", m.name, m.process.Tail(5))
 	}
-	if got := max(peak, m.peakMemory); got > memoryMb*1_000_000 {
-		t.Errorf("%s: got %d bytes of memory, want at most %d", m.name, got, memoryMb*1_000_000)
+	if got := max(peak, m.peakMemory); got > m.memoryMb*1_000_000 {
+		t.Errorf("%s: got %d bytes of memory, want at most %d", m.name, got, m.memoryMb*1_000_000)
 	}
-	if m.peakOpen > descriptorLimit {
-		t.Errorf("%s: got %d open descriptors, want at most %d", m.name, m.peakOpen, descriptorLimit)
+	if m.peakOpen > m.descriptors {
+		t.Errorf("%s: got %d open descriptors, want at most %d", m.name, m.peakOpen, m.descriptors)
 	}
 }
 
@@ -250,8 +260,12 @@
 	return kB << 10
 }
 
-// unreadBytes returns the bytes that the sockets at the process's address have received and the process has not read.
+// unreadBytes returns the bytes that the sockets at the process's address have received and the process has not read. It is 0 if
+// the process has no address of its own.
 func (m *monitor) unreadBytes() (unread int) {
+	if m.ip == "" {
+		return 0
+	}
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -113,10 +113,13 @@
 func (m Machine) RuntimeMemory() int64 { return int64(runtimeMemoryShare * float64(m.MemoryBytes)) }
 
 // NewMachine returns a machine with a memory in megabytes.
-func NewMachine(megabytes, descriptors int) Machine {
-	return Machine{MemoryBytes: int64(megabytes) * megabyte, Descriptors: descriptors}
+func NewMachine(megabytes int64, descriptors int) Machine {
+	return Machine{MemoryBytes: Megabytes(megabytes), Descriptors: descriptors}
 }
 
+// Megabytes returns a number of megabytes in bytes.
+func Megabytes(n int64) int64 { return n * megabyte }
+
 // Open charges a new connection. If there are too many, it evicts others and waits until they have ended. ok is false if that
 // does not suffice. evict is called at most once, and must close the connection without blocking. Privileged accounts have
 // room that others cannot use.
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -80,7 +80,7 @@
 		HeadBytes func() uint64
 		// AnswerTimeout is how long a response may wait for its client to take it; 0 means DefaultAnswerTimeout.
 		AnswerTimeout timer.Millis
-		// Report is called without blocking, and may be nil.
+		// Report must not block, and may be nil.
 		Report func(e Event)
 
 		refusals chan struct{}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -37,6 +37,11 @@
 // Count increments a counter. The name may include labels.
 func (m *Metrics) Count(name string) { m.init().GetOrCreateCounter(name).Inc() }
 
+// CountLimit counts a client that met a limit on a port, and what was done with it.
+func (m *Metrics) CountLimit(port, limit, action string) {
+	m.Count(fmt.Sprintf(`crocuslb_client_limits_total{port=%q,limit=%q,action=%q}`, port, limit, action))
+}
+
 // Observe adds a duration to a histogram. The name must end in _seconds and may include labels.
 func (m *Metrics) Observe(name string, duration timer.Millis) {
 	m.init().GetOrCreateHistogram(name).Update(duration.Duration().Seconds())
--- a/runner/limits.go
+++ b/runner/limits.go
@@ -3,45 +3,12 @@
 import (
 	"net"
 	"runtime/debug"
-	"strconv"
-	"sync"
 
 	"github.com/apex/log"
 
 	"github.com/crocuslb/crocuslb/limiter"
-	"github.com/crocuslb/crocuslb/timer"
 )
 
-// limitLogInterval is the minimum interval between two log lines about the same limit, so that a crowd that meets it does not
-// displace other lines.
-const limitLogInterval = timer.Second
-
-// limitLog counts the meetings with each limit since its last log line. The zero value is ready to use.
-type limitLog struct {
-	clock timer.Clock
-
-	mu       sync.Mutex
-	loggedAt map[limiter.Event]timer.Millis
-	counts   map[limiter.Event]int
-}
-
-// add counts an event. It returns the number of equal events to log, or 0 if a line was logged a short time ago.
-func (l *limitLog) add(e limiter.Event) (count int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.counts == nil {
-		l.loggedAt, l.counts = map[limiter.Event]timer.Millis{}, map[limiter.Event]int{}
-	}
-	l.counts[e]++
-	now := l.clock.Now()
-	if at, logged := l.loggedAt[e]; logged && now-at < limitLogInterval {
-		return 0
-	}
-	count = l.counts[e]
-	l.loggedAt[e], l.counts[e] = now, 0
-	return count
-}
-
 // setMachine sets the limits of the clients for a machine. The Go runtime is told the machine's memory, too.
 func (m *monitor) setMachine(machine limiter.Machine) {
 	if machine.MemoryBytes == 0 {
@@ -77,8 +44,8 @@
 
 // reportLimit counts and logs a client's meeting with a limit. It does not block.
 func (m *monitor) reportLimit(e limiter.Event) {
-	m.metrics.Count("crocuslb_client_limits_total{port=" + strconv.Quote(e.Port) + ",limit=" + strconv.Quote(string(e.Limit)) + ",action=" + strconv.Quote(string(e.Action)) + "}")
-	if count := m.limitLogs.add(e); count > 0 {
+	m.metrics.CountLimit(e.Port, string(e.Limit), string(e.Action))
+	if count := m.limitLog.Add(e); count > 0 {
 		m.logger.WithFields(log.Fields{"port": e.Port, "limit": string(e.Limit), "action": string(e.Action), "count": count}).Warn("http: a client met a limit")
 	}
 }
--- a/runner/options.go
+++ b/runner/options.go
@@ -97,8 +97,8 @@
 	droppedLogLines func() uint64
 	traffic         *connector.Traffic
 	// budget bounds what clients make the process hold.
-	budget    limiter.Budget
-	limitLogs limitLog
+	budget   limiter.Budget
+	limitLog limiter.EventLog
 }
 
 // reportPanic logs and counts a recovered panic. source is the process that sent the message being handled, or a
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -86,7 +86,7 @@
 		Weight:  uint64(values.Number("cores") * millicoresPerCore), DrainTime: values.Millis("drainMs"),
 	}
 	options.Advertise, options.Handover = values.Text("advertise"), values.Text("handover") != valueOff
-	options.Machine = limiter.NewMachine(int(values.Count("memoryMb")), int(values.Count("descriptors")))
+	options.Machine = limiter.NewMachine(values.Count("memoryMb"), int(values.Count("descriptors")))
 	options.BodyTimeout, options.AnswerTimeout = values.Millis("bodyTimeoutMs"), values.Millis("answerTimeoutMs")
 	options.HeadBytes = uint64(values.Count("headBytes"))
 	options.Partitions, options.WritesPerSecond = uint64(values.Count("partitions")), uint64(values.Count("writes"))
--- a/server/job.go
+++ b/server/job.go
@@ -13,20 +13,19 @@
 )
 
 const (
-	maxBodySize         = 4 << 20
-	maxPreallocatedSize = 64 << 10 // limit of the buffer allocated for a declared Content-Length
-	maxHeaderSize       = 16 << 10
-	maxTasks            = 1000
-	maxKeyLength        = 200
-	maxNameLength       = 100
-	maxPayloadSize      = 1 << 20
-	maxDeadline         = 24 * 60 * timer.Minute
-	maxRunTime          = 60 * timer.Minute
-	maxMemoryMB         = 16 << 20
-	maxWait             = timer.Minute
-	defaultWait         = 30 * timer.Second
-	maxFindings         = 50
-	maxJobSize          = encoder.MaxFrameSize - 64<<10 // largest job that fits into one message with its envelope
+	maxBodySize    = 4 << 20
+	maxHeaderSize  = 16 << 10
+	maxTasks       = 1000
+	maxKeyLength   = 200
+	maxNameLength  = 100
+	maxPayloadSize = 1 << 20
+	maxDeadline    = 24 * 60 * timer.Minute
+	maxRunTime     = 60 * timer.Minute
+	maxMemoryMB    = 16 << 20
+	maxWait        = timer.Minute
+	defaultWait    = 30 * timer.Second
+	maxFindings    = 50
+	maxJobSize     = encoder.MaxFrameSize - 64<<10 // largest job that fits into one message with its envelope
 )
 
 const (
--- a/server/listener.go
+++ b/server/listener.go
@@ -10,13 +10,17 @@
 	"strings"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/net/netutil"
 
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
 const (
+	// PortHTTP names the HTTP listener in events about limits.
+	PortHTTP = "http"
+
 	defaultMaxConnections = 4096
+	defaultClientMemory   = 256_000_000 // bytes
 	readHeaderTimeout     = 5 * timer.Second
 	readTimeout           = 30 * timer.Second
 	idleTimeout           = 2 * timer.Minute
@@ -29,8 +33,12 @@
 	// Listener serves HTTP connections with a handler. Only Handler is required.
 	Listener struct {
 		Handler http.Handler
-		// MaxConnections limits the number of open connections; 0 means 4,096.
+		// MaxConnections limits the number of open connections; 0 means 4,096. ClientMemory limits the memory, in bytes, of the
+		// connections and requests together; 0 means 256 MB. Beyond a limit, unfinished and idle connections are closed.
 		MaxConnections int
+		ClientMemory   int64
+		// OnLimit is called without blocking when a client meets a limit. It may be nil.
+		OnLimit func(e limiter.Event)
 		// OnError is called with the error log lines of the HTTP server, such as those about panics in handlers. It may
 		// be nil.
 		OnError func(text string)
@@ -55,25 +63,40 @@
 	if !l.AllowNonLoopback && !a.Addr().Unmap().IsLoopback() {
 		return "", trace.AccessDenied("listening on %s, which is not a loopback address, requires a secret and an operator token", address)
 	}
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", address)
+	listener, err := limiter.Listen(ctx, address)
 	if err != nil {
 		return "", trace.Wrap(err, "listen on %s", address)
 	}
-	limit := l.MaxConnections
-	if limit <= 0 {
-		limit = defaultMaxConnections
-	}
-	l.listener = netutil.LimitListener(listener, limit)
+	limited := l.limit(listener)
+	l.listener = limited
 	l.server = &http.Server{
 		Handler: l.Handler, MaxHeaderBytes: maxHeaderSize,
 		ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(),
 		WriteTimeout: writeTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		ErrorLog: log.New(reportWriter(l.logError), "", 0),
 	}
+	limited.Configure(l.server, func(c net.Conn) *limiter.Conn {
+		conn, _ := c.(*limiter.Conn)
+		return conn
+	})
 	return listener.Addr().String(), nil
 }
 
+// limit returns the listener with its limits.
+func (l *Listener) limit(listener net.Listener) *limiter.Listener {
+	limits := limiter.Limits{Connections: l.MaxConnections, MemoryBytes: l.ClientMemory}
+	if limits.Connections <= 0 {
+		limits.Connections = defaultMaxConnections
+	}
+	if limits.MemoryBytes <= 0 {
+		limits.MemoryBytes = defaultClientMemory
+	}
+	return &limiter.Listener{
+		Listener: listener, Budget: &limiter.Budget{Limits: limits}, Port: PortHTTP, Privileged: true,
+		HeadBytes: func() uint64 { return maxHeaderSize }, Report: l.OnLimit,
+	}
+}
+
 func (l *Listener) logError(text string) {
 	if l.OnError != nil {
 		l.OnError(text)
--- a/server/operators.go
+++ b/server/operators.go
@@ -21,7 +21,7 @@
 		}
 		dryRun = b
 	}
-	body, ok := readBody(c)
+	body, ok := s.readBody(c)
 	if !ok {
 		return
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -3,7 +3,6 @@
 package server
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -17,13 +16,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/kataras/iris/v12"
 
 	"github.com/crocuslb/crocuslb/configurer"
 	"github.com/crocuslb/crocuslb/encoder"
+	"github.com/crocuslb/crocuslb/limiter"
 	"github.com/crocuslb/crocuslb/timer"
 )
 
@@ -59,6 +58,8 @@
 		// OnResponse is called after each request. It may be nil.
 		OnResponse func(call string, handleStatus int, took timer.Millis)
 		Clock      timer.Clock
+		// Bodies reads the bodies of requests.
+		Bodies limiter.BodyReader
 		// Token is the bearer token of operators. If it is empty, all requests to the operator API are rejected.
 		Token string
 
@@ -149,7 +150,7 @@
 		rejectRequest(c, http.StatusBadRequest, "the request is malformed", []Finding{{"Idempotency-Key", "is given more than once"}})
 		return
 	}
-	body, ok := readBody(c)
+	body, ok := s.readBody(c)
 	if !ok {
 		return
 	}
@@ -238,31 +239,23 @@
 }
 
 // readBody reads a JSON body of at most maxBodySize bytes. If ok is false, it has responded to the request.
-func readBody(c iris.Context) (body []byte, ok bool) {
+func (s *Server) readBody(c iris.Context) (body []byte, ok bool) {
 	if contentType := c.GetHeader("Content-Type"); contentType != "" {
 		if media, _, err := mime.ParseMediaType(contentType); err != nil || media != contentJSON {
 			rejectRequest(c, http.StatusUnsupportedMediaType, "the body must have the type application/json", nil)
 			return nil, false
 		}
 	}
-	var buf bytes.Buffer
-	if n := c.Request().ContentLength; n > 0 {
-		buf.Grow(int(min(n, maxPreallocatedSize)) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, maxBodySize))
-	var tooLarge *http.MaxBytesError
+	body, err := s.Bodies.Read(c.ResponseWriter().Naive(), c.Request(), maxBodySize)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, limiter.ErrBodyTooLarge):
 		rejectRequest(c, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", maxBodySize), nil)
+	case errors.Is(err, limiter.ErrNoRoom):
+		rejectRequest(c, http.StatusServiceUnavailable, "the memory for requests is used up", nil)
 	case err != nil:
 		rejectRequest(c, http.StatusBadRequest, "the body could not be read", nil)
-	default:
-		// Without this, the read timeout would cancel the context of the request while the caller waits for the answer.
-		// The error of response writers without a deadline, such as those of tests, is ignored.
-		_ = http.NewResponseController(c.ResponseWriter().Naive()).SetReadDeadline(time.Time{})
-		return buf.Bytes(), true
 	}
-	return nil, false
+	return body, err == nil
 }
 
 // rejectRequest responds to a request that had no effect.
