platformtest: the path of announcements in one place

The crowds of flooder named a path of the platform outside of platform/. The crowd sends the same bytes.

--- a/flooder/flooder_test.go
+++ b/flooder/flooder_test.go
@@ -32,7 +32,7 @@
 		{name: "connections that send nothing", connections: 800, payload: fixed(nil)},
 		{name: "heads without end, of different empty lines", connections: 30, payload: fixed(fill("GET / HTTP/1.1\r\n", 1<<20, differentLine))},
 		{name: "heads of legal size without their end", connections: 800, payload: fixed(fill("GET / HTTP/1.1\r\n", maxHeaderBytes-1000, differentLine))},
-		{name: "announcements without their end", connections: 60, payload: fixed(append([]byte("POST /Instances.Heartbeat/i-0 HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n"), bytes.Repeat([]byte(" "), 3_000_000)...))},
+		{name: "announcements without their end", connections: 60, payload: fixed(append([]byte("POST "+platformtest.AnnouncementPath("i-0")+" HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n"), bytes.Repeat([]byte(" "), 3_000_000)...))},
 		{name: "frames of 4 MB without their end", connections: 60, payload: fixed(append([]byte{0, 0x3f, 0xff, 0xff}, make([]byte, 3<<20)...))},
 	}
 	for _, p := range ports {
