limiter: take no part of a large body for the next head

A client that sent a body of more than the head's limit and then another request on the same connection got 431: what the latest read returned was charged to the next head, because net/http may have read ahead. It reads a body of more than its read buffer straight into the body's buffer, and then does not. Found while reading the diff; the crowds and TestLargestRequest use a connection for one request. TestRequestsAfterLargeBodies fails on the code before: "request 1: got status 431".

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -60,7 +60,7 @@
 	}
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
-		if refused := c.chargeHead(b[:n]); refused != nil {
+		if refused := c.chargeHead(b[:n], len(b)); refused != nil {
 			return 0, refused
 		}
 	}
@@ -78,14 +78,18 @@
 }
 
 // chargeHead charges bytes that may be of a request's head. The end of the head is not looked for, so they may include up to a
-// read buffer of the body.
-func (c *Conn) chargeHead(b []byte) error {
+// read buffer of the body. asked is the number of bytes that net/http has asked for. It reads a body past its read buffer when
+// it asks for more than that, and then does not read ahead.
+func (c *Conn) chargeHead(b []byte, asked int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	part := headPart{int64(len(b)), int64(bytes.Count(b, []byte{'\n'}))}
-	if len(b) == 1 { // net/http reads a byte to notice the end of the connection
+	switch {
+	case asked > readBufferSize:
+		c.received = headPart{}
+	case len(b) == 1: // net/http reads a byte to notice the end of the connection
 		c.received = headPart{c.received.bytes + part.bytes, c.received.lines + part.lines}
-	} else {
+	default:
 		c.received = part
 	}
 	if c.inRequest {
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -120,7 +120,7 @@
 		conn := &Conn{account: account, port: &Listener{}}
 		for rest := []byte(head); len(rest) > 0; {
 			b := rest[:min(len(rest), readBufferSize)]
-			if err := conn.chargeHead(b); err != nil {
+			if err := conn.chargeHead(b, readBufferSize); err != nil {
 				t.Fatal(err)
 			}
 			rest = rest[len(b):]
@@ -188,6 +188,38 @@
 	}
 }
 
+// TestRequestsAfterLargeBodies guards against bodies that are taken for a part of the next head, so that a client is refused which
+// keeps its connection.
+func TestRequestsAfterLargeBodies(t *testing.T) {
+	const limit = 262_144
+	bodies := &BodyReader{}
+	s := newTestServer(t, &Listener{Budget: unlimited(), HeadBytes: func() uint64 { return 8000 }}, func(w http.ResponseWriter, r *http.Request) {
+		body, err := bodies.Read(w, r, limit)
+		if err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+		_, _ = fmt.Fprint(w, len(body)) // fails only when the client has left
+	})
+	conn := s.dial("")
+	responses := bufio.NewReader(conn)
+	for n, size := range []int{limit, 2, limit, 5000, 4096, 4097, 0, limit, 1, 100_000, 0} {
+		start := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\nx: ", size)
+		request := start + strings.Repeat("y", 8000-len(start)-4) + "\r\n\r\n" + strings.Repeat("\n", size)
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close() // it is read
+		if err != nil || string(body) != fmt.Sprint(size) {
+			t.Fatalf("request %d: got status %d, %q, %v, want a body of %d bytes", n, response.StatusCode, body, err, size)
+		}
+	}
+}
+
 // TestPipelinedHead guards against a head that is charged to nobody because it was received with the previous request.
 func TestPipelinedHead(t *testing.T) {
 	s := newTestServer(t, &Listener{Budget: unlimited()}, func(_ http.ResponseWriter, r *http.Request) {
