--- a/commander/entry.go
+++ b/commander/entry.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 	maxPropagationObservers   = 8
 	// taskReportQueueSize covers 0.27 s of finished tasks at 30,000 tasks/s, while a burn report blocks the reporter.
 	taskReportQueueSize = 8192
+	// ownRuntimeMemory is the memory, in bytes, for the entry's own state and garbage. With more than that and the clients' memory in
+	// use, the Go runtime collects garbage more often.
+	ownRuntimeMemory = 80_000_000
 )
 
 // entryProcess is an entry with its HTTP API. The exported fields must be set before start is called.
@@ -72,6 +76,7 @@
 		MaxConnections: int(v.Count("connections")), ClientMemory: limiter.Megabytes(v.Count("clientMemoryMb")), DrainTimeout: v.Millis(drainSetting.Name),
 		Reporter: reporter.Reporter{Objectives: objectives(v)},
 	}
+	debug.SetMemoryLimit(p.ClientMemory + ownRuntimeMemory)
 	if p.members, err = c.startMembership(ctx, logger, roleEntry, p.Entry.ID, p.Entry.Incarnation); err != nil {
 		return c.fail(err)
 	}
