--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -14,6 +14,8 @@
 	entryCount   = 3
 	sidecarCount = 11
 	service      = "dispatch"
+	// formerService serves a queue before the configuration gives it to service. It has one server.
+	formerService = "dispatch-former"
 
 	// attemptLimit is the number of failed runs of one task that the queue of the stand-ins allows (MaxAttempts).
 	attemptLimit = 2
@@ -33,8 +35,6 @@
 	// jobCount is the number of jobs that run while the store reassigns their partitions.
 	jobCount = 12
 
-	// serverDowntime is the time for which a crashed server is down.
-	serverDowntime = 3 * time.Second
 	// roomForTasks is the number of tasks of one core for which the servers have room.
 	roomForTasks = 352
 	// giveUpAfter is the time after which a client leaves that does not wait for its deadline.
@@ -46,9 +46,17 @@
 	return fmt.Sprintf(`{"Count":1,"Cpu":1000,"MemMb":64,"EstimateMs":%d}`, ms)
 }
 
+func oneService(int) string { return service }
+
+// publish publishes a configuration with one queue.
+func (c *cluster) publish(version int, service string) {
+	c.record.add("operator: configuration %d, queue %s is served by %s", version, prefix, service)
+	c.store.PublishConfiguration(version, service, prefix)
+}
+
 // startJob launches an installation, hands a job with one task in, and returns the server that runs it.
 func (c *cluster) startJob(ctx context.Context, job string, ms int) (server int, err error) {
-	if err := c.launch(ctx, entryCount, sidecarCount); err != nil {
+	if err := c.launch(ctx, entryCount, sidecarCount, oneService); err != nil {
 		return 0, err
 	}
 	if !c.submit(ctx, 0, job, oneTask(ms), fmt.Sprint(ms)) {
@@ -77,46 +85,6 @@
 	return c.watch(ctx, job)
 }
 
-// crashedServers: two servers crash, one after the other, while they run the only task of an accepted job.
-func crashedServers(ctx context.Context, c *cluster, trouble bool) ([]string, error) {
-	const job = "5c0e7a21d94b3602"
-	server, err := c.startJob(ctx, job, 4000)
-	if err != nil {
-		return nil, err
-	}
-	for n := range 2 {
-		if !trouble {
-			break
-		}
-		crashed := time.Now()
-		c.crash(ctx, server)
-		if n > 0 {
-			break
-		}
-		var ok bool
-		if server, ok = c.awaitRunning(ctx, job, crashed, 10*time.Second); !ok {
-			return nil, errors.New("the job did not start again")
-		}
-		time.Sleep(1500 * time.Millisecond)
-	}
-	return c.watch(ctx, job)
-}
-
-// crash kills a server, which comes back after serverDowntime.
-func (c *cluster) crash(ctx context.Context, server int) {
-	c.kill(c.servers[server])
-	time.AfterFunc(serverDowntime, func() {
-		if ctx.Err() != nil {
-			return
-		}
-		if err := c.start(ctx, c.servers[server]); err != nil {
-			c.record.add("server %d does not come back: %v", server, err)
-			return
-		}
-		c.record.add("server %d is back", server)
-	})
-}
-
 // lostServerAndSidecar: the server that runs the only task of an accepted job is lost for good. The process beside it is killed at the
 // same time, and started again.
 func lostServerAndSidecar(ctx context.Context, c *cluster, trouble bool) ([]string, error) {
@@ -137,6 +105,37 @@
 	return c.watch(ctx, job)
 }
 
+// movedQueue: the configuration gives a queue to another service, and the only server of the former service leaves.
+func movedQueue(ctx context.Context, c *cluster, trouble bool) ([]string, error) {
+	serviceOf := func(i int) string {
+		if i == 0 {
+			return formerService
+		}
+		return service
+	}
+	if err := c.launch(ctx, entryCount, sidecarCount, serviceOf); err != nil {
+		return nil, err
+	}
+	const job = "5c0e7a21d94b3605"
+	if !c.submit(ctx, 0, job, chain(3, 1500), "1500") {
+		return nil, errors.New("the job was not accepted")
+	}
+	if trouble {
+		c.publish(3, service)
+		time.Sleep(300 * time.Millisecond)
+		c.leave(0)
+	}
+	return c.watch(ctx, job)
+}
+
+// leave lets a server announce that it drains; it ends 4 s later.
+func (c *cluster) leave(server int) {
+	c.record.add("server %d drains and leaves", server)
+	c.signal(c.servers[server], drainSignal)
+	time.Sleep(4 * time.Second)
+	c.kill(c.servers[server])
+}
+
 // chain returns steps of two tasks each, each of which waits for the one before.
 func chain(steps, ms int) string {
 	text := fmt.Sprintf(`{"Count":2,"Cpu":1000,"MemMb":64,"EstimateMs":%d}`, ms)
@@ -186,7 +185,7 @@
 
 // earlyCancel: a client gives up on a job that waits for room, and cancels it.
 func earlyCancel(ctx context.Context, c *cluster, trouble bool) ([]string, error) {
-	if err := c.launch(ctx, entryCount, sidecarCount); err != nil {
+	if err := c.launch(ctx, entryCount, sidecarCount, oneService); err != nil {
 		return nil, err
 	}
 	const job, filler = "5c0e7a21d94b3604", "5c0e7a21d94b36f0"
@@ -247,7 +246,7 @@
 // dealtBack: the store turns an entry away for a short time and gives its partitions to the others at once; then it deals all
 // partitions anew. Accepted jobs run all the while.
 func dealtBack(ctx context.Context, c *cluster, trouble bool) ([]string, error) {
-	if err := c.launch(ctx, entryCount, sidecarCount); err != nil {
+	if err := c.launch(ctx, entryCount, sidecarCount, oneService); err != nil {
 		return nil, err
 	}
 	var jobs []string
--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -81,8 +81,8 @@
 )
 
 // launch starts an installation with the given numbers of entries and sidecars, and waits until all entries are ready and all
-// servers are known.
-func (c *cluster) launch(ctx context.Context, entries, sidecars int) error {
+// servers are known. serviceOf returns the service of a server.
+func (c *cluster) launch(ctx context.Context, entries, sidecars int, serviceOf func(i int) string) error {
 	ctx, c.cancel = context.WithCancel(ctx)
 	var err error
 	if c.dir, err = os.MkdirTemp("", "review"); err != nil {
@@ -93,8 +93,7 @@
 	}
 	c.store = &platformtest.Store{}
 	c.dealer = &dealer{next: c.store, record: c.record, members: map[string]time.Time{}}
-	c.record.add("operator: queue %s is served by %s", prefix, service)
-	c.store.PublishConfiguration(1, service, prefix)
+	c.publish(1, serviceOf(0))
 	if err := serve(ctx, c.address(storeHost, storePort), c.dealer); err != nil {
 		return err
 	}
@@ -119,7 +118,7 @@
 			return err
 		}
 		c.sidecar = append(c.sidecar, p)
-		c.servers = append(c.servers, c.newServer(i))
+		c.servers = append(c.servers, c.newServer(i, serviceOf(i)))
 		between, err := newProxy(ctx, c.address(firstSidecar+i, serverPort), c.address(firstSidecar+i, backendPort))
 		if err != nil {
 			return err
@@ -161,7 +160,7 @@
 	return &process{name: name, args: []string{program, role}, environ: []string{"CROCUSLB_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + c.dir}}, nil
 }
 
-func (c *cluster) newServer(i int) *process {
+func (c *cluster) newServer(i int, service string) *process {
 	host := firstSidecar + i
 	return &process{name: fmt.Sprintf("server-%d", i), args: []string{
 		os.Args[0], "server", "-id", fmt.Sprintf("i-%d", i), "-service", service, "-zone", fmt.Sprintf("z%d", i%domains),
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,10 +27,10 @@
 // scenarios are the cases by the number of their folder.
 var scenarios = map[string]scenario{
 	"11": darkServer,
-	"12": crashedServers,
+	"12": dealtBack,
 	"13": lostServerAndSidecar,
 	"14": earlyCancel,
-	"15": dealtBack,
+	"15": movedQueue,
 }
 
 func main() {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -9,12 +9,17 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/crocuslb/crocuslb/platform/platformtest"
 )
 
+// drainSignal makes a server announce that it drains.
+const drainSignal = syscall.SIGUSR1
+
 // startedEvent names the start of a run, beside the ways in which it ends.
 const startedEvent = "started"
 
@@ -48,6 +53,12 @@
 	}
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // returns at the end of the process
+	drains := make(chan os.Signal, 1)
+	signal.Notify(drains, drainSignal)
+	go func() {
+		<-drains
+		b.Drain()
+	}()
 	b.Run(ctx)
 	return exitHeld
 }
