--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -34,6 +34,8 @@
 	awayTime = 850 * time.Millisecond
 	// jobCount is the number of jobs that run while the store reassigns their partitions.
 	jobCount = 12
+	// lateJobCount is the number of jobs that are handed in while the store turns the entry away.
+	lateJobCount = 6
 
 	// roomForTasks is the number of tasks of one core for which the servers have room.
 	roomForTasks = 352
@@ -258,9 +260,20 @@
 		jobs = append(jobs, job)
 	}
 	time.Sleep(time.Second)
+	began := time.Now()
 	if trouble {
 		c.dealer.turnAway(c.entries[0].name)
-		time.Sleep(awayTime)
+	}
+	time.Sleep(awayTime / 2)
+	for n := range lateJobCount {
+		job := fmt.Sprintf("5c0e7a21d94b38%02x", n)
+		body := fmt.Sprintf(`{"Spec":"2500","Steps":[%s]}`, chain(2, 2500))
+		if status, _ := c.call(ctx, 1, http.MethodPost, prefix+job, body, callTimeout); status == http.StatusOK {
+			jobs = append(jobs, job)
+		}
+	}
+	if trouble {
+		time.Sleep(time.Until(began.Add(awayTime)))
 		c.dealer.rebalance()
 	}
 	return c.watchAll(ctx, jobs)
@@ -286,12 +299,15 @@
 		if open[job] == "" {
 			continue
 		}
-		list := c.eventsOf(job)
-		idle := time.Since(list[len(list)-1].at)
+		last := began
+		if list := c.eventsOf(job); len(list) > 0 {
+			last = list[len(list)-1].at
+		}
+		idle := time.Since(last)
 		if idle < calmTime+idleTime {
 			return nil, fmt.Errorf("job %s is not idle", job)
 		}
-		violations = append(violations, fmt.Sprintf("LOST: job %s is shown as %s, and nothing of it has run for %s (bound %s), with over half of the capacity free",
+		violations = append(violations, fmt.Sprintf("LOST: accepted job %s: the last answer is %q, and nothing of it has run for %s (bound %s), with over half of the capacity free",
 			job, open[job], idle.Round(time.Second), idleTime))
 	}
 	return violations, nil
