supervisor: end the runs of a silent backend server with their lease

Cause, one for both: a run ended for the sidecar by a listed end, a new incarnation, two refused holds, or, at its owner, by the loss of the sidecar's session. All need an answer or a loss. Nothing used the lease, which ends runs without either. A sidecar also asked for leases in holds that nobody answered, and a new process without a list of runs never told entries what it holds.

Change: a run has ended once the latest lease that may have been requested, answered or not, has expired on the slowest clock of the server. No lease is requested from a server that has not answered for its duration. What a former process requested ends a full lease after the start of this one. Then entries get the list of runs and the census. A census that cannot be sent when an end is found is due.

TestPause and TestIdleSessions let their backend server answer holds while time passes: they had one that was silent for seconds and started tasks all the same, which a sidecar never did. Their bounds are unchanged.

--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -345,7 +345,7 @@
 
 func (s *Sidecar) report(e supervisor.Event) {
 	detail, _, _ := strings.Cut(e.Detail, " ")
-	if e.Kind == "backend" || e.Kind == "backendSilent" || e.Kind == "backendRestarted" || e.Kind == "deregistered" {
+	if e.Kind == "backend" || e.Kind == "backendSilent" || e.Kind == "backendRestarted" || e.Kind == "leaseExpired" || e.Kind == "deregistered" {
 		detail = ""
 	}
 	s.monitor.countEvent(e.Kind, detail)
--- a/submitter/backend_sim_test.go
+++ b/submitter/backend_sim_test.go
@@ -33,6 +33,10 @@
 		endedAt        map[uint64]timer.Millis // by number
 		lapsedRuns     int                     // number of runs that ended because the lease expired
 		capacity       *changingCapacity       // set if it does not guard its capacity
+		lost           bool                    // it does not come back
+		silent         bool                    // calls get no answer; set if it is lost
+		silentUntil    timer.Millis            // calls get no answer before, while runs continue
+		unheard        bool                    // only the answers are lost before silentUntil, the calls are executed
 	}
 
 	fakeRun struct {
@@ -62,6 +66,13 @@
 		return
 	}
 	w.schedule(1, func() {
+		if b.isSilent() {
+			if b.up && b.unheard {
+				do(false)
+			}
+			w.schedule(callTimeout, func() { onLost(false) })
+			return
+		}
 		if b.up && w.now >= b.refusesUntil {
 			do(true)
 		} else {
@@ -242,7 +253,7 @@
 				return
 			}
 			done = true
-			if !b.up {
+			if !b.up || b.isSilent() {
 				failed(false)
 				return
 			}
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -176,6 +176,7 @@
 			kinds = append(kinds, k)
 		}
 	}
+	kinds = append(kinds, lostServerFaults()...)
 	run := func(t *testing.T, seed uint64, faults int, pick func(w *simulation) int) {
 		w := newDrawnSimulation(t, seed, 3, 4)
 		w.advance(2500)
--- a/submitter/faults_test.go
+++ b/submitter/faults_test.go
@@ -68,7 +68,7 @@
 			b := w.sidecars[w.random.IntN(len(w.sidecars))].backend
 			b.crash()
 			w.schedule(timer.Millis(50+w.random.IntN(1500)), func() {
-				if !b.up { // otherwise it has started again after an earlier crash; a new incarnation takes time to start
+				if !b.up && !b.lost { // otherwise it has started again after an earlier crash; a new incarnation takes time to start
 					b.restart()
 				}
 			})
--- a/supervisor/announcement.go
+++ b/supervisor/announcement.go
@@ -68,6 +68,7 @@
 		!slices.Equal(b.Labels, k.backend.Labels)
 	if restarted && k.announced {
 		k.noteCrash(now)
+		k.lease.incarnationSince = now
 	}
 	k.backend, k.announced, k.described = b, true, true
 	if restarted {
@@ -99,6 +100,7 @@
 	k.backend.StartTime = born
 	k.lastEnd, k.reconciled, k.backendClock, k.backendClockAt, k.speed = 0, false, 0, 0, NormalSpeed
 	k.refusedHold, k.goneRuns = 0, 0
+	k.lease.end, k.lease.expiredAt, k.lease.runsEnded = 0, 0, false
 	k.endListedRuns(now, "backend server restarted")
 	k.durable.reset()
 	k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(d unconfirmedStart) bool { return now-d.at > maxStartDelay })
--- a/supervisor/durable.go
+++ b/supervisor/durable.go
@@ -8,10 +8,6 @@
 	"github.com/crocuslb/crocuslb/timer"
 )
 
-// maxLeaseMs is the longest lease that a backend server grants, on its own clock. A previous incarnation of this process
-// may have requested it.
-const maxLeaseMs = 1000
-
 // crashRetention is how long a crash is reported to new owners of a partition. It exceeds the time in which an owner is
 // replaced and a backend server restarts, before which no owner gets a list of the partition.
 const crashRetention = 30 * timer.Second
@@ -25,9 +21,6 @@
 		unrecorded      map[uint64]unrecordedEnd
 		orphanDeadlines map[uint64]timer.Millis // by released partition; its runs are stopped at this time
 		crashes         []sentOutcome           // of runs that were active at a crash, for crashRetention
-		// leaseEnd is the latest expiry that was or may have been requested for the lease, on the backend server's clock; 0
-		// before the first hold response.
-		leaseEnd int64
 		// leaseExpiring says that the lease is not renewed. Void ends must not count, so they are acknowledged to the backend
 		// server only after the lease has expired.
 		leaseExpiring bool
@@ -60,13 +53,7 @@
 }
 
 // reset discards the ends that a previous incarnation of the backend server listed. They will not be listed again.
-func (st *durableState) reset() { st.unrecorded, st.leaseEnd, st.leaseExpiring = nil, 0, false }
-
-func (st *durableState) extendLease(until int64) {
-	if st.leaseEnd != 0 {
-		st.leaseEnd = max(st.leaseEnd, until)
-	}
-}
+func (st *durableState) reset() { st.unrecorded, st.leaseExpiring = nil, false }
 
 // processed returns the number up to which the backend server may forget ends: each unrecorded end has a higher number.
 func (k *Supervisor) processed() uint64 {
@@ -176,15 +163,18 @@
 	}
 }
 
-// sendCensus sends the owner of a partition its active runs and unrecorded ends on this sidecar.
+// sendCensus sends the owner of a partition its active runs and unrecorded ends on this sidecar, or notes that it is due.
 func (k *Supervisor) sendCensus(number uint64) {
 	c, ok := k.durable.claims[number]
-	e := k.entries[c.entry]
-	if !ok || !k.knowsAllRuns() || e == nil || e.link == nil {
+	if !ok {
 		return
 	}
-	c.censusDue = false
+	e := k.entries[c.entry]
+	c.censusDue = !k.knowsAllRuns() || e == nil || e.link == nil
 	k.durable.claims[number] = c
+	if c.censusDue {
+		return
+	}
 	census := &marshaler.Census{Partition: marshaler.Partition{Number: number, Epoch: c.epoch}}
 	for _, r := range k.sortedRuns() {
 		if r.durable && k.partition(r.key.Job) == number {
@@ -239,10 +229,10 @@
 // checkLeaseExpiry acknowledges void ends and resumes lease renewal once the lease has expired on the backend server's
 // clock.
 func (k *Supervisor) checkLeaseExpiry(clock int64) {
-	if k.durable.leaseEnd == 0 {
-		k.durable.leaseEnd = clock + maxLeaseMs
+	if k.lease.end == 0 {
+		k.lease.end = clock + int64(maxLease) // a previous incarnation of this process may have requested it
 	}
-	if !k.durable.leaseExpiring || clock <= k.durable.leaseEnd {
+	if !k.durable.leaseExpiring || clock <= k.lease.end {
 		return
 	}
 	k.durable.leaseExpiring = false
--- a/supervisor/entries.go
+++ b/supervisor/entries.go
@@ -72,9 +72,9 @@
 	}
 	e.aliveAt = max(e.aliveAt, sentAt(now, m))
 	k.noteActivation(now, e, m)
-	if k.leaseWithheld {
+	if k.lease.withheld {
 		k.updateLease(now)
-		if !k.leaseWithheld {
+		if !k.lease.withheld {
 			k.HoldNow() // renews the lease immediately
 		}
 	}
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -52,9 +52,9 @@
 		k.settleHold = h.Number
 	}
 	k.updateLease(now)
-	if k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.leaseWithheld {
+	if k.backendClockAt != 0 && !k.durable.leaseExpiring && !k.lease.withheld {
 		h.LeaseUntil = k.Clock(now) + int64(LeaseDuration)
-		k.durable.extendLease(h.LeaseUntil)
+		k.lease.extend(h.LeaseUntil)
 	}
 	return h, true
 }
@@ -95,6 +95,7 @@
 	if l.StartTime > k.backend.StartTime {
 		k.report(Event{Kind: "backendRestarted", Detail: k.backend.ID})
 		k.noteCrash(now)
+		k.lease.incarnationSince = now
 		k.backend.Sequence, k.described = 0, false // each incarnation counts anew
 		k.resetBackend(now, l.StartTime)
 	}
@@ -107,6 +108,7 @@
 		k.backendClock, k.backendClockAt = at, now
 	}
 	wasAccepting, _ := k.Accepting()
+	k.lease.expiredAt, k.lease.runsEnded = 0, false
 	knewAllRuns := k.knowsAllRuns()
 	k.unresponsive, k.crashed = false, false
 	k.checkLeaseExpiry(l.Clock)
--- a/supervisor/runs.go
+++ b/supervisor/runs.go
@@ -62,7 +62,7 @@
 	k.runs[at] = r
 	k.free = k.free.Sub(r.room)
 	k.report(Event{Kind: "start", Run: m.Run, Entry: e.name, Value: k.free.CPU})
-	k.durable.extendLease(notAfter)
+	k.lease.extend(notAfter)
 	start := *m
 	start.NotAfter = notAfter
 	k.Start(start)
--- a/supervisor/starved_test.go
+++ b/supervisor/starved_test.go
@@ -47,7 +47,7 @@
 // extendLease extends the lease of all runs until a time on the backend server's clock.
 func (v *lostEntryFixture) extendLease(until int64) {
 	if remaining := timer.Millis(until) - v.now; remaining > 0 {
-		v.leaseUntil = max(v.leaseUntil, v.now+min(remaining, maxLeaseMs)*102/100)
+		v.leaseUntil = max(v.leaseUntil, v.now+min(remaining, maxLease)*102/100)
 	}
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -136,10 +136,10 @@
 		settleHold     uint64       // number of the first hold after startsSettle
 		settled        bool         // a hold response after startsSettle listed no run that this process does not know
 		graceEnd       timer.Millis // no entry times out before, because this process was paused
-		leaseWithheld  bool         // the lease is not extended, because of a run that must end
-		unknownRuns    int          // active runs in the latest hold response that this process does not know
-		refusedHold    uint64       // holds with a higher number began after the backend server refused one; 0 if it has answered since
-		goneRuns       int          // runs that were taken for ended because the present incarnation refused connections
+		lease          leaseState
+		unknownRuns    int    // active runs in the latest hold response that this process does not know
+		refusedHold    uint64 // holds with a higher number began after the backend server refused one; 0 if it has answered since
+		goneRuns       int    // runs that were taken for ended because the present incarnation refused connections
 	}
 
 	// recentStart is a start that this process has handled, whether or not it was admitted.
@@ -299,6 +299,7 @@
 	}
 	k.checkMemory(now)
 	k.checkSettled(now)
+	k.checkExpiry(now)
 	k.tickDurable(now)
 	k.detectPause(now)
 	for name, e := range marshaler.SortedByKey(k.entries) {
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -283,6 +283,7 @@
 			if !silent {
 				f.k.OnMessage(f.now, f.link, &marshaler.Heartbeat{})
 			}
+			f.k.OnHoldResponse(f.now, HoldResponse{Number: h.Number, StartTime: 10, Clock: int64(f.now), Running: []RunProgress{{Run: firstRun, Percent: 100}}})
 			f.k.Tick(f.now)
 			if len(f.stops) > 0 && stopped == 0 {
 				stopped = max(f.now-resumed, 1)
@@ -427,10 +428,12 @@
 		t.Errorf("got an idle session closed after %s without a message, want it open", EntryTimeout)
 	}
 	before = f.loadReports
+	f.list(nil)
 	f.start(firstRun, 3000)
 	f.k.OnStarted(f.now, StartResult{Run: firstRun, Status: StartConfirmed})
 	startedAt := f.now
 	for len(f.stops) == 0 && f.now < startedAt+1000 {
+		f.list([]RunProgress{{Run: firstRun, Percent: 100}})
 		f.advance(25)
 	}
 	if got := f.now - startedAt; got < EntryTimeout || got > EntryTimeout+25 {
