acquirer, runner: prove the ownership of partitions after each change of generation

Cause: the entry's heartbeats before and after the gap list the partition, and partitionOwner.acquire took "a writer is there" for "owned all the while". The entry went on under its old epoch: it denied what the owner between had accepted, sidecars with the later epoch sent it no ends, and nothing made it write and be fenced.

Change: ownership lasts only while it is proven unbroken: by a heartbeat with an unchanged generation, or, after a change, by an owner's record under the new generation that follows the entry's last record directly. That write fences all owners between, who would have written before they acted. If other records are between, the partition is released and acquired anew. Until the answer, ownership ends with the last proven lease. The decisions are in the new package acquirer, without I/O, which the processes and the worlds both drive; the worlds had a copy before. A job that an owner does not know is denied only after a heartbeat sent after the request has confirmed the ownership, so that the answer is true inside the gap, too; checkStates therefore waits for an answer for up to 200 ms. The event loop tells its process when it has released a partition at the end of a lease, and a fenced partition is released under a context that is still valid.

TestEpochOnce moves from runner to acquirer with the rule that it checks, and also covers the epoch of a proof.

One append for each partition and change of the generation.

--- a/projector/projector.go
+++ b/projector/projector.go
@@ -55,7 +55,7 @@
 			ApplyCrash(j, m)
 		}
 	case *marshaler.OwnerRecord:
-		if m.Epoch != a.epoch {
+		if m.Epoch > a.epoch { // an owner also confirms its epoch
 			a.epoch, a.previousEpoch = m.Epoch, a.epoch
 		}
 	case *marshaler.CancelRecord:
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -66,7 +66,8 @@
 		logger: e.Logger, store: newStore(e.StoreAddress, 0), loop: e.loop, core: &e.core, memberName: e.Name, heartbeatDue: make(chan struct{}, 1),
 		limiter: writeLimiter{rate: writeCallShare * float64(e.WritesPerSecond) / float64(max(e.Partitions, 1))},
 	}
-	e.core.Record, e.core.OwnershipAnnounced = e.owner.appendRecord, e.owner.requestHeartbeat
+	e.core.Record, e.core.OwnershipExpired = e.owner.appendRecord, e.owner.onOwnershipExpired
+	e.core.OwnershipAnnounced, e.core.RequestHeartbeat = e.owner.requestHeartbeat, e.owner.requestHeartbeat
 	e.config = configuration{logger: e.Logger, onChange: e.core.SetSnapshot, available: make(chan struct{})}
 	e.node = connector.Node{
 		Admit: e.monitor.admitSession,
--- a/runner/owner.go
+++ b/runner/owner.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
 
+	"github.com/crocuslb/crocuslb/acquirer"
+	"github.com/crocuslb/crocuslb/marshaler"
 	"github.com/crocuslb/crocuslb/platform"
 	"github.com/crocuslb/crocuslb/projector"
 	"github.com/crocuslb/crocuslb/recoverer"
@@ -49,26 +49,24 @@
 	// heartbeatDue triggers a heartbeat before the period has passed.
 	heartbeatDue chan struct{}
 
-	startOnce  sync.Once
-	cancel     context.CancelFunc
-	done       chan struct{} // closed when run returns
-	generation uint64        // last one that the store assigned; owned by run
-	// rejoin makes the next heartbeat start a new membership, with new epochs.
-	rejoin atomic.Bool
+	startOnce sync.Once
+	ctx       context.Context // of run
+	cancel    context.CancelFunc
+	done      chan struct{} // closed when run returns
 
-	mu       sync.Mutex
-	leaseEnd timer.Millis
-	writers  map[uint64]*writer // by partition
-	epochs   map[uint64]uint64  // latest epoch under which this process owned a partition, by partition
+	changing   sync.Mutex // held while the changes after one event are carried out
+	mu         sync.Mutex // not held while the event loop is waited for
+	membership acquirer.Membership
+	writers    map[uint64]*writer // by partition
 }
 
 // start begins to own partitions until ctx is canceled. Further calls do nothing.
 func (o *partitionOwner) start(ctx context.Context) {
 	o.startOnce.Do(func() {
-		ctx, o.cancel = context.WithCancel(ctx)
+		o.ctx, o.cancel = context.WithCancel(ctx)
 		o.done = make(chan struct{})
-		o.rejoin.Store(true)
-		go o.run(ctx)
+		o.membership.LeaseDuration = leaseDuration
+		go o.run(o.ctx)
 	})
 }
 
@@ -80,7 +78,7 @@
 	}
 	o.cancel()
 	<-o.done
-	o.releaseAll(ctx, false, "entry is stopping")
+	o.change(ctx, func(m *acquirer.Membership) acquirer.Changes { return m.Leave("entry is stopping") })
 	if err := o.store.LeaveGroup(ctx, o.memberName); err != nil {
 		o.logger.WithError(err).Warn("owner: cannot leave the group")
 	}
@@ -119,42 +117,43 @@
 // heartbeat renews the membership and applies the returned assignment. changed reports whether partitions were
 // released.
 func (o *partitionOwner) heartbeat(ctx context.Context) (changed bool, err error) {
-	if o.rejoin.Swap(false) {
-		// A previous run of the process may have been a member under the same name. Its epochs must not be reused.
-		o.releaseAll(ctx, true, "membership restarted")
-		if err := o.store.LeaveGroup(ctx, o.memberName); err != nil {
-			o.rejoin.Store(true)
-			return false, err
-		}
-		o.generation = 0
+	if err := o.join(ctx); err != nil {
+		return false, err
 	}
 	sent := o.loop.clock.Now()
-	assignment, err := o.store.JoinGroup(ctx, o.memberName, int64(memberTTL), o.generation)
+	assignment, err := o.store.JoinGroup(ctx, o.memberName, int64(memberTTL), o.generation())
 	if err != nil {
 		return false, err
 	}
-	if o.leaseExpired() { // expired before the response arrived; the core has released its partitions
-		o.expireLease(ctx)
-		return true, nil
-	}
+	changes := o.change(ctx, func(m *acquirer.Membership) acquirer.Changes {
+		return m.OnAssigned(o.loop.clock.Now(), sent, assignment.Generation, assignment.Partitions)
+	})
+	return len(changes.Release) > 0, nil
+}
+
+// join begins a new membership if one is due. A previous run of the process may have been a member under the same name. Its epochs
+// must not be reused.
+func (o *partitionOwner) join(ctx context.Context) error {
 	o.mu.Lock()
-	o.leaseEnd = sent + leaseDuration
+	due := o.membership.MustJoin()
 	o.mu.Unlock()
-	o.loop.post(ctx, func(now timer.Millis) { o.core.RenewLease(now, sent+leaseDuration) })
-	o.generation = assignment.Generation
-	for _, partition := range o.ownedPartitions() {
-		if !slices.Contains(assignment.Partitions, partition) {
-			o.release(ctx, partition, false, "assigned to another entry")
-			changed = true
-		}
+	if !due {
+		return nil
 	}
-	for _, partition := range assignment.Partitions {
-		if !o.acquire(ctx, partition, assignment.Generation) {
-			o.expireLease(ctx)
-			return true, nil
-		}
+	o.change(ctx, func(m *acquirer.Membership) acquirer.Changes { return m.End("membership restarted") })
+	if err := o.store.LeaveGroup(ctx, o.memberName); err != nil {
+		return err
 	}
-	return changed, nil
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.membership.Join()
+	return nil
+}
+
+func (o *partitionOwner) generation() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.membership.Generation()
 }
 
 // watchLease releases all partitions when the lease expires without a successful heartbeat.
@@ -165,57 +164,45 @@
 			return
 		case <-time.After(leaseCheckPeriod):
 		}
-		if o.leaseExpired() {
-			o.expireLease(ctx)
-		}
+		o.change(ctx, func(m *acquirer.Membership) acquirer.Changes { return m.CheckLease(o.loop.clock.Now()) })
 	}
 }
 
-// leaseExpired reports whether partitions are owned and the lease has expired.
-func (o *partitionOwner) leaseExpired() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.writers) > 0 && o.loop.clock.Now() >= o.leaseEnd
-}
-
-// expireLease releases all partitions. The next heartbeat starts a new membership.
-func (o *partitionOwner) expireLease(ctx context.Context) {
-	o.rejoin.Store(true)
-	o.releaseAll(ctx, true, "lease expired")
-}
-
-func (o *partitionOwner) ownedPartitions() []uint64 {
+// change passes an event to the membership and carries out the changes that follow.
+func (o *partitionOwner) change(ctx context.Context, event func(m *acquirer.Membership) acquirer.Changes) acquirer.Changes {
+	o.changing.Lock()
+	defer o.changing.Unlock()
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	var partitions []uint64
-	for partition := range o.writers {
-		partitions = append(partitions, partition)
+	changes := event(&o.membership)
+	o.mu.Unlock()
+	for _, r := range changes.Release {
+		o.stopWriter(r.Partition)
+		o.releaseInCore(ctx, r)
 	}
-	slices.Sort(partitions)
-	return partitions
-}
-
-func (o *partitionOwner) releaseAll(ctx context.Context, stop bool, reason string) {
-	for _, partition := range o.ownedPartitions() {
-		o.release(ctx, partition, stop, reason)
+	if changes.LeaseUntil != 0 {
+		o.loop.post(ctx, func(now timer.Millis) {
+			for _, p := range changes.Prove {
+				o.core.LimitOwnership(now, p.Partition, p.Until)
+			}
+			o.core.RenewLease(now, changes.LeaseUntil)
+			o.core.OnHeartbeat(now, changes.ConfirmedAt)
+		})
+	}
+	for _, p := range changes.Prove {
+		o.requestProof(p)
 	}
+	for _, a := range changes.Acquire {
+		o.startWriter(ctx, a)
+	}
+	return changes
 }
 
-// release stops the writer of a partition and releases the partition in the core.
-func (o *partitionOwner) release(ctx context.Context, partition uint64, stop bool, reason string) {
-	o.mu.Lock()
-	w := o.writers[partition]
-	delete(o.writers, partition)
-	o.limiter.setPartitions(len(o.writers))
-	o.mu.Unlock()
-	if w == nil {
-		return
-	}
-	w.cancel()
+// releaseInCore releases a partition in the core and waits until that has been done.
+func (o *partitionOwner) releaseInCore(ctx context.Context, r acquirer.Release) {
 	done := make(chan struct{})
 	o.loop.post(ctx, func(now timer.Millis) {
-		o.core.ReleasePartition(now, partition, stop, reason)
-		close(done)
+		defer close(done)
+		o.core.ReleasePartition(now, r.Partition, r.Stop, r.Reason)
 	})
 	select {
 	case <-done:
@@ -223,31 +210,36 @@
 	}
 }
 
-// acquire starts the writer of a partition, unless the partition is owned already. It returns false if this process has owned
-// the partition under the epoch before: the lease expired while a heartbeat was under way, and the membership outlived it.
-// Handovers, the runs of sidecars and the sequence of writes are tied to the epoch, so a new membership is required.
-func (o *partitionOwner) acquire(ctx context.Context, partition, epoch uint64) bool {
+func (o *partitionOwner) requestProof(p acquirer.Proof) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.writers[partition] != nil {
-		return true
-	}
-	if o.epochs[partition] == epoch {
-		return false
+	if w := o.writers[p.Partition]; w != nil {
+		w.requestProof(p.Generation)
 	}
-	if o.epochs == nil {
-		o.epochs = map[uint64]uint64{}
-	}
-	o.epochs[partition] = epoch
+}
+
+// startWriter starts the writer of a partition, which acquires it.
+func (o *partitionOwner) startWriter(ctx context.Context, a acquirer.Acquisition) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &writer{owner: o, partition: a.Partition, epoch: a.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.writers == nil {
 		o.writers = map[uint64]*writer{}
 	}
-	writerCtx, cancel := context.WithCancel(ctx)
-	w := &writer{owner: o, partition: partition, epoch: epoch, cancel: cancel, wake: make(chan struct{}, 1)}
-	o.writers[partition] = w
+	o.writers[a.Partition] = w
+	o.limiter.setPartitions(len(o.writers))
+	go w.run(ctx)
+}
+
+func (o *partitionOwner) stopWriter(partition uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w := o.writers[partition]; w != nil {
+		w.cancel()
+	}
+	delete(o.writers, partition)
 	o.limiter.setPartitions(len(o.writers))
-	go w.run(writerCtx)
-	return true
 }
 
 // appendRecord queues a record with the writer of its partition. It never blocks and is called by the event loop.
@@ -255,17 +247,59 @@
 	o.mu.Lock()
 	w := o.writers[partition]
 	o.mu.Unlock()
-	if w == nil || w.epoch != epoch {
-		return // the release of the partition is on its way to the core
+	if w != nil {
+		w.enqueue(epoch, body, done)
+	}
+}
+
+// onOwnershipExpired handles the release of a partition by the core, whose lease has expired. It never blocks and is called by the
+// event loop.
+func (o *partitionOwner) onOwnershipExpired(partition uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.membership.OnExpired(partition)
+}
+
+// onProven decides whether a partition is still owned after the proof of a writer was answered.
+func (o *partitionOwner) onProven(ctx context.Context, w *writer, generation uint64, unbroken bool) acquirer.Verdict {
+	o.mu.Lock()
+	verdict := acquirer.Outdated
+	if o.writers[w.partition] == w {
+		verdict = o.membership.OnProven(o.loop.clock.Now(), w.partition, generation, unbroken)
+	}
+	limited := o.membership.Limit(w.partition) != 0
+	o.mu.Unlock()
+	if verdict == acquirer.Kept && !limited {
+		o.loop.post(ctx, func(now timer.Millis) { o.core.ConfirmOwnership(now, w.partition) })
 	}
-	w.enqueue(body, done)
+	return verdict
 }
 
-// onFenced handles the store's rejection of a writer's epoch.
-func (o *partitionOwner) onFenced(ctx context.Context, w *writer, err error) {
-	o.logger.WithError(err).WithFields(log.Fields{"partition": w.partition, "epoch": w.epoch}).Warn("owner: epoch rejected by the store; releasing the partition")
-	o.rejoin.Store(true)
-	o.release(ctx, w.partition, true, "fenced by a later owner")
+// passToCore passes an acquired partition to the core.
+func (o *partitionOwner) passToCore(ctx context.Context, partition marshaler.Partition, jobs []*marshaler.JobRecord) {
+	o.loop.post(ctx, func(now timer.Millis) {
+		if ctx.Err() != nil {
+			return
+		}
+		o.mu.Lock()
+		limit := o.membership.Limit(partition.Number)
+		o.mu.Unlock()
+		o.core.AcquirePartition(now, partition, jobs)
+		if limit != 0 {
+			o.core.LimitOwnership(now, partition.Number, limit)
+		}
+	})
+}
+
+// onFenced handles the store's rejection of a writer's epoch. The writer's own context ends with it.
+func (o *partitionOwner) onFenced(w *writer, err error) {
+	o.logger.WithError(err).WithField("partition", w.partition).Warn("owner: epoch rejected by the store; releasing the partition")
+	o.change(o.ctx, func(m *acquirer.Membership) acquirer.Changes {
+		if o.writers[w.partition] != w {
+			return acquirer.Changes{}
+		}
+		return m.OnFenced(w.partition)
+	})
 }
 
 // replay reads all records of a partition. Records that cannot be decoded are logged and skipped.
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -26,6 +26,8 @@
 	// waitingReportInterval is the interval between two broadcasts of the number of waiting jobs. Callers may get
 	// numbers that are up to 2 s old.
 	waitingReportInterval = 500 * timer.Millisecond
+
+	noSuchJob = "no such job"
 )
 
 // operation is a caller's request on a durable job.
@@ -35,7 +37,8 @@
 	queue     string
 	answer    func(a Answer)
 	expiresAt timer.Millis
-	sentTo    string // name of the entry that it was sent to
+	heldAt    timer.Millis // when it was held back until the ownership is verified
+	sentTo    string       // name of the entry that it was sent to
 	sent      bool
 	// maybeExecuted means that an entry that received the operation was lost before it answered. It may have executed
 	// the operation.
@@ -85,6 +88,10 @@
 // serve executes an operation on a job of a partition that this entry owns.
 func (s *Submitter) serve(op *operation, p *partition) {
 	id := op.job.ID
+	if op.verb != marshaler.VerbSubmit && s.isUnknown(op) {
+		s.denyJob(op, p)
+		return
+	}
 	switch op.verb {
 	case marshaler.VerbSubmit:
 		op.job.Answer = op.answer
@@ -122,7 +129,7 @@
 	j := s.jobs[id]
 	switch {
 	case j == nil || !j.durability.stored || j.durability.record.Queue != queue:
-		return Answer{Kind: AnswerNotFound, Reason: "no such job"}
+		return Answer{Kind: AnswerNotFound, Reason: noSuchJob}
 	case j.hasBegun():
 		return Answer{Kind: AnswerRunning}
 	}
@@ -142,7 +149,7 @@
 	return AnswerRunning
 }
 
-// cancel cancels a job that this entry owns. The answer is sent once the cancellation is in the store.
+// cancel cancels a job that this entry owns and knows. The answer is sent once the cancellation is in the store.
 func (s *Submitter) cancel(op *operation) {
 	id := op.job.ID
 	if finished := s.durable.finished[id]; finished != nil && finished.record.Queue == op.queue {
@@ -150,10 +157,6 @@
 		return
 	}
 	j := s.jobs[id]
-	if j == nil || j.durability.record == nil || j.durability.record.Queue != op.queue || !j.durability.storeRequested {
-		op.answer(Answer{Kind: AnswerNotFound, Reason: "no such job"})
-		return
-	}
 	j.durability.cancelRequests = append(j.durability.cancelRequests, op)
 	if len(j.durability.cancelRequests) > 1 {
 		return
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -32,7 +32,11 @@
 	durableJobs struct {
 		use durableUse
 		// leaseUntil is the end of the lease on the partitions. After it another entry may own them.
-		leaseUntil      timer.Millis
+		leaseUntil timer.Millis
+		// expiresAt is the earliest time at which the ownership of a partition ends.
+		expiresAt timer.Millis
+		// confirmedAt is when the latest heartbeat was sent that confirmed the ownership.
+		confirmedAt     timer.Millis
 		handovers       map[uint64]*marshaler.Handover // latest one by partition
 		owned           map[uint64]*partition
 		finished        map[string]*finishedJob
@@ -52,6 +56,12 @@
 		// have ended.
 		runsExpireAt timer.Millis
 		recovered    bool
+		// limit is the time at which the ownership ends before the lease does, because another entry may have owned the partition
+		// since it was last proven that none has; 0 for none.
+		limit timer.Millis
+		// unverified has the operations on jobs that this entry does not know. They are answered once it is verified that the
+		// entry still owned the partition after they arrived: a later owner may have accepted the job.
+		unverified []*operation
 	}
 
 	// finishedJob is a durable job that has ended.
@@ -89,23 +99,6 @@
 	}
 )
 
-// RenewLease extends the lease on the owned partitions. After it expires, another entry may own them.
-func (s *Submitter) RenewLease(now, until timer.Millis) {
-	s.durable.leaseUntil = max(s.durable.leaseUntil, until)
-	s.setNow(now)
-}
-
-// releaseExpired releases all partitions once the lease has expired, before any decision is made on them. A process
-// that was suspended detects the expiry here first.
-func (s *Submitter) releaseExpired() {
-	if s.now < s.durable.leaseUntil {
-		return
-	}
-	for number := range marshaler.SortedByKey(s.durable.owned) {
-		s.release(number, true, "the lease has ended")
-	}
-}
-
 // OwnedPartitionNumbers returns the numbers of the owned partitions in ascending order.
 func (s *Submitter) OwnedPartitionNumbers() []uint64 {
 	return slices.Sorted(maps.Keys(s.durable.owned))
@@ -133,6 +126,7 @@
 			s.dropOwnership(j, stop)
 		}
 	}
+	s.routeAgain(p.unverified)
 	for id, finished := range s.durable.finished {
 		if s.partitionOf(id) == number {
 			s.forget(id, finished)
@@ -165,10 +159,7 @@
 			}
 		}
 	}
-	for _, op := range append(j.durability.stateRequests, j.durability.cancelRequests...) {
-		op.expiresAt = s.now + routeTimeout
-		s.durable.unrouted = append(s.durable.unrouted, op)
-	}
+	s.routeAgain(append(j.durability.stateRequests, j.durability.cancelRequests...))
 	answer := Answer{Kind: AnswerNotRun, Reason: "the job's owner changes", RetryAfter: ownerRetryAfter}
 	if j.durability.storeRequested {
 		answer = Answer{Kind: AnswerAborted, Reason: "it is not known whether the job was stored"}
@@ -176,6 +167,14 @@
 	j.answerWaiters(answer)
 }
 
+// routeAgain routes operations on jobs of a partition that this entry has lost to the next owner.
+func (s *Submitter) routeAgain(operations []*operation) {
+	for _, op := range operations {
+		op.expiresAt = s.now + routeTimeout
+		s.durable.unrouted = append(s.durable.unrouted, op)
+	}
+}
+
 func (j *job) answerWaiters(a Answer) {
 	for _, answer := range j.waiters {
 		answer(a)
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -16,7 +16,7 @@
 // newStoreSimulation returns a simulation with a store and no processes yet.
 func newStoreSimulation(t *testing.T, seed uint64) *simulation {
 	w := newSimulation(t, seed, 0, 0)
-	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}, marked: true}
+	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}, refusedUntil: map[string]timer.Millis{}, marked: true}
 	w.durable = &durableChecker{
 		starts: map[string][]timer.Millis{}, failures: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
 		tasks: map[string]int{}, cancelled: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
@@ -111,6 +111,8 @@
 
 const (
 	maxSubmissions = 5
+	// answerLimit is how long an entry may take to answer a request for a job's state in calm.
+	answerLimit = 200
 	// visibilityDelay is the time after its acceptance during which a job may be unknown to other entries.
 	visibilityDelay = 200
 	// cancelDelay is the time after an acknowledged cancellation during which starts may still be in flight.
@@ -176,7 +178,7 @@
 			kinds = append(kinds, k)
 		}
 	}
-	kinds = append(kinds, lostServerFaults()...)
+	kinds = append(append(kinds, lostServerFaults()...), storeFaults()...)
 	run := func(t *testing.T, seed uint64, faults int, pick func(w *simulation) int) {
 		w := newDrawnSimulation(t, seed, 3, 4)
 		w.advance(2500)
@@ -251,6 +253,9 @@
 			got := AnswerKind(0)
 			e.core.State(w.now, testQueue.Name, id, func(a Answer) { got = a.Kind })
 			w.advance(10)
+			for asked := w.now; got == 0 && w.now < asked+answerLimit; {
+				w.advance(10) // the owner confirms its ownership before it denies a job
+			}
 			switch {
 			case w.durable.cancelled[id] > 0 && got != AnswerDone && got != AnswerFailed && got != AnswerCancelled:
 				w.t.Errorf("cancelled job %s at %s: got state %s, want its end; decisions: %s", id, e.name, got, w.decisionsOf(id))
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -12,11 +12,15 @@
 // AcquirePartition takes ownership of a partition with its jobs. The store rejects writes to it under a lower epoch.
 func (s *Submitter) AcquirePartition(now timer.Millis, taken marshaler.Partition, jobs []*marshaler.JobRecord) {
 	s.setNow(now)
-	if now >= s.durable.leaseUntil {
-		return // the lease has expired; the process is about to start a new membership
+	if now >= s.durable.leaseUntil { // the process is about to start a new membership
+		if s.OwnershipExpired != nil {
+			s.OwnershipExpired(taken.Number)
+		}
+		return
 	}
 	p := &partition{number: taken.Number, epoch: taken.Epoch, previous: taken.Previous, runsExpireAt: now + runExpiry}
 	s.durable.owned[p.number] = p
+	s.updateExpiry()
 	open := 0
 	for _, record := range jobs {
 		j := Job{Steps: record.Steps, Spec: record.Spec}
@@ -179,6 +183,7 @@
 	t.state, t.attempt, t.issuedAttempt, t.sidecar, t.sidecarIncarnation = taskAssigned, key.Attempt, key.Attempt, sc.name, sc.incarnation
 	j.assigned++
 	sc.assignedRuns[key] = sc.session
+	delete(sc.unwantedRuns, key) // this entry may have stopped it when it lost the partition before
 	s.report(Event{Kind: "adopt", Job: j.ID, Queue: j.Queue.Name, Peer: sc.name, Value: int64(key.Index)})
 	return true
 }
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -82,6 +82,11 @@
 		Record func(partition, epoch uint64, body []byte, done func(now timer.Millis, offset uint64))
 		// Memory is the budget of the jobs.
 		Memory MemoryBudget
+		// RequestHeartbeat requests a heartbeat to the store before the next one is due, whose response OnHeartbeat handles. It
+		// must not block. If it is nil, jobs are denied without confirmation.
+		RequestHeartbeat func()
+		// OwnershipExpired is called when a partition is released because the lease on it has expired. It must not block.
+		OwnershipExpired func(partition uint64)
 		// OwnershipAnnounced is called when another entry announces the partitions that it owns.
 		OwnershipAnnounced func()
 		// DurableJobSubmitted is called when a durable job is submitted while durable jobs are not known to be in use.
