submitter: withdraw a queued durable job when its cancellation is answered

Cause: cancel answered "no such job" for a job whose record was not handed to the store yet, and left it in the queue. A submission that arrived after the cancellation was accepted, too.

Change: such a cancellation takes the job out of the queue, and the owner refuses submissions under its identifier for 15 s. At most 10,000 cancellations are kept.

--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -89,6 +89,9 @@
 func (s *Submitter) serve(op *operation, p *partition) {
 	id := op.job.ID
 	if op.verb != marshaler.VerbSubmit && s.isUnknown(op) {
+		if op.verb == marshaler.VerbCancel {
+			s.withdraw(op)
+		}
 		s.denyJob(op, p)
 		return
 	}
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -40,6 +40,7 @@
 		handovers       map[uint64]*marshaler.Handover // latest one by partition
 		owned           map[uint64]*partition
 		finished        map[string]*finishedJob
+		withdrawn       withdrawals
 		calls           map[uint64]*operation // forwarded to other entries, by number
 		lastCall        uint64                // number of the latest call
 		unrouted        []*operation          // operations without a known owner
@@ -198,6 +199,11 @@
 		old.waiters = append(old.waiters, j.Answer)
 		return
 	}
+	if s.durable.withdrawn.contains(j.ID) {
+		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + cancelledReason})
+		j.Answer(Answer{Kind: AnswerNotRun, Reason: cancelledReason, RetryAfter: withdrawalRetention})
+		return
+	}
 	if !s.reserveMemory(&j) {
 		return
 	}
@@ -275,6 +281,7 @@
 			s.writeJobRecord(j, func() {})
 		}
 	}
+	s.durable.withdrawn.expire(s.now)
 	s.expireOperations()
 	s.broadcastWaiting()
 }
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -19,7 +19,7 @@
 	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}, refusedUntil: map[string]timer.Millis{}, marked: true}
 	w.durable = &durableChecker{
 		starts: map[string][]timer.Millis{}, failures: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
-		tasks: map[string]int{}, cancelled: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
+		tasks: map[string]int{}, cancelled: map[string]timer.Millis{}, denied: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
 		stillSince: map[string]timer.Millis{}, ended: map[string]bool{},
 	}
 	return w
@@ -51,7 +51,7 @@
 	e := w.callersEntry(w.entries[w.random.IntN(len(w.entries))])
 	incarnation, answered := e.incarnation, false
 	resubmit := func() {
-		if !answered && tries > 0 {
+		if !answered && tries > 0 && w.durable.denied[id] == 0 { // the caller of a cancelled job has left
 			answered = true
 			w.submitDurable(id, steps, tries-1)
 		}
@@ -102,8 +102,12 @@
 	incarnation := e.incarnation
 	w.runOn(&e.process, func() bool { return e.incarnation == incarnation }, func() {
 		e.core.Cancel(w.now, testQueue.Name, id, func(a Answer) {
-			if a.Kind == AnswerCancelled && e.incarnation == incarnation {
+			switch {
+			case e.incarnation != incarnation:
+			case a.Kind == AnswerCancelled:
 				w.durable.cancelled[id] = w.now
+			case a.Kind == AnswerNotFound:
+				w.durable.denied[id] = w.now
 			}
 		})
 	})
--- a/submitter/durablechecker_sim_test.go
+++ b/submitter/durablechecker_sim_test.go
@@ -18,6 +18,8 @@
 	tasks      map[string]int
 	// cancelled holds the times at which cancellations were acknowledged, by job.
 	cancelled map[string]timer.Millis
+	// denied holds the times at which cancellations were answered with "no such job", by job.
+	denied map[string]timer.Millis
 	steps     map[string][]marshaler.Step // by job
 	done      map[string]bool             // tasks of which a run has succeeded
 	// stillSince holds the time since which a job has nothing running, and ended the jobs that have ended in the store, for
@@ -32,6 +34,9 @@
 		w.t.Errorf("at %d ms, task %s starts after its success at %d ms was recorded; decisions: %s", w.now, task, at, w.decisionsOf(task))
 	}
 	job, _, _ := strings.Cut(task, ".")
+	if at, ok := k.denied[job]; ok && w.now > at+cancelDelay {
+		w.t.Errorf("at %d ms, task %s starts although the cancellation of its job was answered with no such job at %d ms; decisions: %s", w.now, task, at, w.decisionsOf(task))
+	}
 	if at, ok := k.cancelled[job]; ok && w.now > at+cancelDelay {
 		w.t.Errorf("at %d ms, task %s starts although its job was cancelled at %d ms; decisions: %s", w.now, task, at, w.decisionsOf(task))
 	}
--- /dev/null
+++ b/submitter/withdrawal.go
@@ -0,0 +1,61 @@
+package submitter
+
+import "github.com/crocuslb/crocuslb/timer"
+
+const (
+	// withdrawalRetention is how long an entry refuses a job after it has answered its cancellation with "no such job". Submissions
+	// that are under way arrive seconds later at most.
+	withdrawalRetention = 15 * timer.Second
+	// maxWithdrawals bounds the cancellations that are kept. Each takes about 100 bytes.
+	maxWithdrawals = 10_000
+
+	cancelledReason = "the job was cancelled before it was accepted"
+)
+
+// withdrawals holds the jobs that were cancelled before they were accepted. The zero value is empty.
+type withdrawals struct {
+	times map[string]timer.Millis // by job
+	order []string                // of the cancellations, oldest first
+}
+
+// add notes the cancellation of a job.
+func (l *withdrawals) add(now timer.Millis, id string) {
+	if l.times == nil {
+		l.times = map[string]timer.Millis{}
+	}
+	if _, known := l.times[id]; known {
+		return
+	}
+	l.times[id] = now
+	if l.order = append(l.order, id); len(l.order) > maxWithdrawals {
+		l.removeOldest()
+	}
+}
+
+func (l *withdrawals) contains(id string) bool {
+	_, ok := l.times[id]
+	return ok
+}
+
+// expire forgets old cancellations.
+func (l *withdrawals) expire(now timer.Millis) {
+	for len(l.order) > 0 && now-l.times[l.order[0]] >= withdrawalRetention {
+		l.removeOldest()
+	}
+}
+
+func (l *withdrawals) removeOldest() {
+	delete(l.times, l.order[0])
+	l.order = l.order[1:]
+}
+
+// withdraw makes sure that a job whose cancellation is answered with "no such job" is not accepted afterwards: it may wait for
+// capacity, or its submission may be under way.
+func (s *Submitter) withdraw(op *operation) {
+	s.durable.withdrawn.add(s.now, op.job.ID)
+	j := s.jobs[op.job.ID]
+	if j == nil || j.durability.partition == nil || j.Queue.Name != op.queue {
+		return
+	}
+	s.finish(j, Answer{Kind: AnswerNotRun, Reason: cancelledReason})
+}
