submitter: move the jobs of a queue to its service in the configuration in force

Cause: a job kept the service of its acceptance, and asked for capacity there.

Change: a new configuration, and an owner that takes jobs over, give each job the present service of its queue and make its open requests again. A job whose queue is gone keeps its service.

--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -36,6 +36,7 @@
 		open++
 		s.restoreJob(now, p, record)
 	}
+	s.moveJobs() // the configuration may have changed since the jobs were accepted
 	s.report(Event{Kind: "acquire", Detail: "partition", Value: int64(p.number), Count: int64(open)})
 	s.sendClaim([]marshaler.Partition{taken})
 	if h := s.durable.handovers[p.number]; h != nil {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -249,6 +249,7 @@
 func (s *Submitter) SetSnapshot(now timer.Millis, snapshot router.Snapshot) {
 	s.setNow(now)
 	s.snapshot, s.explainer.snapshotAt = snapshot, now
+	s.moveJobs()
 	s.relay.OnConfigurationChanged(now)
 	s.sendAllHeartbeats()
 }
