submitter: keep an owner's claim until it or a later owner denies it

Jobs were answered "the job has no owner at present" until the next change of ownership, when an older list of another entry's partitions arrived after a newer one, on a session that had been replaced.

Cause: onOwned replaced what was known by any list that came, and compared no epochs.

Change: a list can only raise the epoch of a claim. A claim ends with the entry's answer that it does not own the partition, or with the higher epoch of another entry. The messages are the same, so entries of both releases understand each other.

--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -39,6 +39,7 @@
 	expiresAt timer.Millis
 	heldAt    timer.Millis // when it was held back until the ownership is verified
 	sentTo    string       // name of the entry that it was sent to
+	sentEpoch uint64       // epoch under which that entry claimed the job's partition
 	sent      bool
 	// maybeExecuted means that an entry that received the operation was lost before it answered. It may have executed
 	// the operation.
@@ -80,7 +81,7 @@
 	}
 	s.durable.lastCall++
 	call.Number = s.durable.lastCall
-	op.sentTo, op.sent = p.hello.Name, true
+	op.sentTo, op.sentEpoch, op.sent = p.hello.Name, p.ownedEpochs[number], true
 	s.durable.calls[call.Number] = op
 	p.send(s.now, call)
 }
@@ -239,6 +240,7 @@
 	delete(s.durable.calls, m.Number)
 	if AnswerKind(m.Kind) == AnswerNotOwner {
 		op.sent = false
+		s.dropOwnerClaim(op)
 		s.durable.unrouted = append(s.durable.unrouted, op)
 		return
 	}
@@ -310,10 +312,15 @@
 	}
 }
 
+// onOwned handles the list of the partitions that another entry owns. An older list may arrive after a newer one, on a session that
+// was replaced. A partition that a list lacks is therefore not taken for released: its former owner says so when it gets an operation,
+// and a later owner has a higher epoch.
 func (s *Submitter) onOwned(p *peer, m *marshaler.OwnedPartitions) {
-	p.ownedEpochs = map[uint64]uint64{}
+	if p.ownedEpochs == nil {
+		p.ownedEpochs = map[uint64]uint64{}
+	}
 	for _, o := range m.Partitions {
-		p.ownedEpochs[o.Number] = o.Epoch
+		p.ownedEpochs[o.Number] = max(p.ownedEpochs[o.Number], o.Epoch)
 	}
 	s.setDurableUse(true, "partitions of "+p.hello.Name)
 	if s.OwnershipAnnounced != nil {
@@ -322,6 +329,14 @@
 	s.retryUnrouted()
 }
 
+// dropOwnerClaim forgets the claim of an entry that has answered an operation with AnswerNotOwner.
+func (s *Submitter) dropOwnerClaim(op *operation) {
+	number := s.partitionOf(op.job.ID)
+	if p := s.peers[op.sentTo]; p != nil && p.ownedEpochs[number] == op.sentEpoch {
+		delete(p.ownedEpochs, number)
+	}
+}
+
 // localWaitingJobs returns the number of durable jobs of this entry that have not started a task, by queue.
 func (s *Submitter) localWaitingJobs() map[string]uint64 {
 	waiting := map[string]uint64{}
--- a/submitter/durablechecker_sim_test.go
+++ b/submitter/durablechecker_sim_test.go
@@ -20,8 +20,8 @@
 	cancelled map[string]timer.Millis
 	// denied holds the times at which cancellations were answered with "no such job", by job.
 	denied map[string]timer.Millis
-	steps     map[string][]marshaler.Step // by job
-	done      map[string]bool             // tasks of which a run has succeeded
+	steps  map[string][]marshaler.Step // by job
+	done   map[string]bool             // tasks of which a run has succeeded
 	// stillSince holds the time since which a job has nothing running, and ended the jobs that have ended in the store, for
 	// checkStanding.
 	stillSince map[string]timer.Millis
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -210,7 +210,7 @@
 		offset         uint64
 		leaving        bool
 		suspect        bool              // silent for suspectTimeout; requests open there were rerouted
-		ownedEpochs    map[uint64]uint64 // epochs of its partitions, by partition
+		ownedEpochs    map[uint64]uint64 // latest epochs of the partitions that it has claimed, by partition
 		waitingJobs    map[string]uint64 // its durable jobs that have not started a task, by queue
 		load           *marshaler.Heartbeat
 		loadAt         timer.Millis            // time of the latest heartbeat
