review: case 2, fill in the memory and the descriptors of the settings templates

The case ended with 2 ("not every entry serves") on: its stand-in fills in the fields of deploy/entry.env and deploy/sidecar.env, and has added MEMORY_MB={{Limits.MemoryMb}} and DESCRIPTORS={{Limits.MaxFds}} since. Each process ended at its start with one line, CROCUSLB_MEMORY_MB: "" is not an integer (unit MB), CROCUSLB_DESCRIPTORS: "" is not an integer (unit count), which is what an empty setting should do. Claim, trouble, checks and bounds are untouched.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -163,6 +163,7 @@
 	}
 	if isEntry {
 		m.role, m.template, m.fields["Limits.CpuShare"] = "entry", "deploy/entry.env", "0.4"
+		m.fields["Limits.MemoryMb"], m.fields["Limits.MaxFds"] = "284", "4100"
 		proxied := c.address(proxyHosts+hostNumber, internalPort)
 		m.extra = "ADVERTISE=" + proxied + "\n" // the other processes reach the entry through the proxy
 		if m.entryProxy, err = newProxy(proxied, c.address(hostNumber, internalPort), m.zone, names); err != nil {
@@ -172,6 +173,7 @@
 		return nil
 	}
 	m.role, m.template, m.fields["Limits.CpuShare"] = "sidecar", "deploy/sidecar.env", "0.24"
+	m.fields["Limits.MemoryMb"], m.fields["Limits.MaxFds"] = "152", "4096"
 	c.sidecars = append(c.sidecars, m)
 	c.executors = append(c.executors, &executor{
 		machine: name, zone: m.zone, service: serviceName, address: m.fields["app"], control: m.fields["ListenAddrs.Control"], cpu: executorCPU, rec: c.rec, unguarded: os.Getenv("UNGUARDED") != "",
