review: case 9, fill in the memory and the descriptors of the settings templates

Each process ended at its start with CROCUSLB_MEMORY_MB: "{{Limits.MemoryMb}}" is not an integer (unit MB), and the same for CROCUSLB_DESCRIPTORS. Claim, trouble, checks and bounds are untouched.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -192,14 +192,15 @@
 		return nil, err
 	}
 	seeds := []string{f.addr(1, controlPort), f.addr(2, controlPort), f.addr(3, controlPort)}
-	cores := "0.4"
+	cores, memory, descriptors := "0.4", "284", "4100"
 	if role == "sidecar" {
-		cores = "0.24"
+		cores, memory, descriptors = "0.24", "152", "4096"
 	}
 	filled := strings.NewReplacer("{{NodeName}}", name, "{{Zone}}", zoneOf(index), "{{Ip}}", ip, "{{InternalPorts.0}}", fmt.Sprint(internalPort),
 		"{{platform.Address}}", f.addr(host, storePort), "{{ListenAddrs.Front}}", f.addr(host, frontPort), "{{ListenAddrs.ReadyAddr}}", f.addr(host, readyPort),
 		"{{ListenAddrs.Control}}", f.addr(host, controlPort), "{{app}}", f.addr(host, appPort), "{{platform.parts}}", "12", "{{platform.WritesPerS}}", "800",
-		"{{Seeds}}", strings.Join(seeds, ","), "{{Limits.CpuShare}}", cores).Replace(string(template))
+		"{{Seeds}}", strings.Join(seeds, ","), "{{Limits.CpuShare}}", cores,
+		"{{Limits.MemoryMb}}", memory, "{{Limits.MaxFds}}", descriptors).Replace(string(template))
 	return p, os.WriteFile(p.settings, []byte(filled), 0o600)
 }
 
