submitter: refuse a durable job only if no earlier owner may have stored it

Callers saw: a job whose only submission was answered 503 ("never runs") ran to its end (REFUSED).

Cause: an entry forwards a submission to the owner under epoch 9, their session is lost, the owner stores the job. With the session the entry forgets the owner's claim, takes a former owner of epoch 5 for the owner and sends the submission there. That one learns that it has lost the partition and answers "never runs", which is true of its copy alone. That an earlier owner had not answered was looked at only when no owner answered in time.

Change: all answers to an operation pass operation.answer, which knows under which epochs it is open. A refusal passes if the owner that decides has a higher one: it has read all records of the former owners, and the store rejects their later ones. An entry neither sends to the holder of an epoch that is known to be outdated nor decides as one. A call names its epoch (optional field), so that a delayed submission is not accepted after a change of the owner. The time in which an owner is sought begins again when the receiver is lost.

--- a/marshaler/codec_test.go
+++ b/marshaler/codec_test.go
@@ -85,6 +85,7 @@
 		{"crash", &Outcome{Status: StatusCrashed, Blame: BlameCertain}, &Outcome{Status: StatusCrashed}, 2},
 		{"suspect runs", &Load{SuspectRuns: 1}, &Load{}, 2},
 		{"crashed task", &JobRecord{Tasks: []TaskRecord{{Index: 1, Crashes: []TaskCrash{{Attempt: 2}}, GivenUp: true}}}, &JobRecord{Tasks: []TaskRecord{{Index: 1}}}, 6},
+		{"call", &Call{Number: 1, Epoch: 50}, &Call{Number: 1}, 2},
 		{"heartbeat", &Heartbeat{Offset: 1, Time: 50, SentAt: 60}, &Heartbeat{Offset: 1}, 4},
 		{"load", &Load{CompletedRuns: []CompletedRun{{Job: "j", Queue: "queue"}}, Time: 50}, &Load{CompletedRuns: []CompletedRun{{Job: "j"}}}, 9},
 	}
--- a/marshaler/durable.go
+++ b/marshaler/durable.go
@@ -140,6 +140,7 @@
 		Job    string
 		Queue  string
 		Body   []byte // encoded JobRecord, for VerbSubmit
+		Epoch  uint64 // epoch under which the receiver claims the partition; 0 if the sender is of a former version
 	}
 
 	// Reply is the response to a Call.
--- a/marshaler/durablecodec.go
+++ b/marshaler/durablecodec.go
@@ -45,7 +45,8 @@
 		dst = appender.AppendUint(dst, 2, uint64(m.Verb))
 		dst = appender.AppendString(dst, 3, m.Job)
 		dst = appender.AppendString(dst, 4, m.Queue)
-		return appendBytes(dst, 5, m.Body)
+		dst = appendBytes(dst, 5, m.Body)
+		return appender.AppendUint(dst, 6, m.Epoch)
 	case *Reply:
 		dst = appender.AppendUint(append(dst, kindReply), 1, m.Number)
 		dst = appender.AppendUint(dst, 2, uint64(m.Kind))
@@ -388,6 +389,8 @@
 		b, err := f.BytesValue(maxNestedLen)
 		m.Body = append([]byte(nil), b...)
 		return err
+	case 6:
+		return f.StoreUint(&m.Epoch)
 	}
 	return nil
 }
--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -30,43 +30,44 @@
 	noSuchJob = "no such job"
 )
 
-// operation is a caller's request on a durable job.
-type operation struct {
-	verb      marshaler.Verb
-	job       Job // only the ID is set, except with VerbSubmit
-	queue     string
-	answer    func(a Answer)
-	expiresAt timer.Millis
-	heldAt    timer.Millis // when it was held back until the ownership is verified
-	sentTo    string       // name of the entry that it was sent to
-	sentEpoch uint64       // epoch under which that entry claimed the job's partition
-	sent      bool
-	// maybeExecuted means that an entry that received the operation was lost before it answered. It may have executed
-	// the operation.
-	maybeExecuted bool
-}
-
 // State requests the state of a durable job.
 func (s *Submitter) State(now timer.Millis, queue, id string, answer func(a Answer)) {
 	s.setNow(now)
-	s.routeExisting(&operation{verb: marshaler.VerbState, job: Job{ID: id}, queue: queue, answer: answer, expiresAt: now + routeTimeout})
+	s.routeExisting(&operation{verb: marshaler.VerbState, job: Job{ID: id}, queue: queue, respond: answer, expiresAt: now + routeTimeout})
 }
 
-// owner returns the entry that claims a partition with the highest epoch, or nil.
-func (s *Submitter) owner(number uint64) (best *peer) {
-	var epoch uint64
+// owner returns the entry that claims a partition with the highest known epoch, or nil if there is no session with it. A claim with a
+// lower epoch is outdated: the store rejects the records of its holder.
+func (s *Submitter) owner(number uint64) *peer {
+	latest := s.durable.latestEpochs[number]
 	for _, p := range marshaler.SortedByKey(s.peers) {
-		if p.link != nil && p.ownedEpochs[number] > epoch {
-			best, epoch = p, p.ownedEpochs[number]
+		if p.link != nil && latest > 0 && p.ownedEpochs[number] == latest {
+			return p
 		}
 	}
-	return best
+	return nil
+}
+
+// ownedPartition returns a partition that this entry owns, or nil. It is nil also if another entry is known to own it by now.
+func (s *Submitter) ownedPartition(number uint64) *partition {
+	if p := s.durable.owned[number]; p != nil && p.epoch >= s.durable.latestEpochs[number] {
+		return p
+	}
+	return nil
+}
+
+// noteEpoch notes that a partition was acquired under an epoch, by this entry or another one.
+func (s *Submitter) noteEpoch(number, epoch uint64) {
+	if s.durable.latestEpochs == nil {
+		s.durable.latestEpochs = map[uint64]uint64{}
+	}
+	s.durable.latestEpochs[number] = max(s.durable.latestEpochs[number], epoch)
 }
 
 // route executes an operation locally or forwards it to the owner of its job.
 func (s *Submitter) route(op *operation) {
 	number := s.partitionOf(op.job.ID)
-	if p := s.durable.owned[number]; p != nil {
+	if p := s.ownedPartition(number); p != nil {
 		s.serve(op, p)
 		return
 	}
@@ -75,13 +76,13 @@
 		s.durable.unrouted = append(s.durable.unrouted, op)
 		return
 	}
-	call := &marshaler.Call{Verb: op.verb, Job: op.job.ID, Queue: op.queue}
+	call := &marshaler.Call{Verb: op.verb, Job: op.job.ID, Queue: op.queue, Epoch: p.ownedEpochs[number]}
 	if op.verb == marshaler.VerbSubmit {
 		call.Body = marshaler.Append(nil, recordOf(&op.job))
 	}
 	s.durable.lastCall++
 	call.Number = s.durable.lastCall
-	op.sentTo, op.sentEpoch, op.sent = p.hello.Name, p.ownedEpochs[number], true
+	op.sentTo, op.sentEpoch = p.hello.Name, call.Epoch
 	s.durable.calls[call.Number] = op
 	p.send(s.now, call)
 }
@@ -89,6 +90,7 @@
 // serve executes an operation on a job of a partition that this entry owns.
 func (s *Submitter) serve(op *operation, p *partition) {
 	id := op.job.ID
+	op.decidedEpoch = p.epoch
 	if op.verb != marshaler.VerbSubmit && s.isUnknown(op) {
 		if op.verb == marshaler.VerbCancel {
 			s.withdraw(op)
@@ -193,12 +195,12 @@
 		reply(a)
 		return
 	}
-	p := s.durable.owned[s.partitionOf(m.Job)]
-	if p == nil {
-		reply(Answer{Kind: AnswerNotOwner})
+	p := s.ownedPartition(s.partitionOf(m.Job))
+	if p == nil || m.Verb == marshaler.VerbSubmit && m.Epoch != 0 && m.Epoch != p.epoch {
+		reply(Answer{Kind: AnswerNotOwner}) // a submission that is delayed beyond a change of the owner may have been refused since
 		return
 	}
-	op := &operation{verb: m.Verb, job: Job{ID: m.Job}, queue: m.Queue, answer: reply}
+	op := &operation{verb: m.Verb, job: Job{ID: m.Job}, queue: m.Queue, respond: reply}
 	if m.Verb == marshaler.VerbSubmit {
 		job, err := s.decodeSubmission(m)
 		if err != nil {
@@ -239,12 +241,12 @@
 	}
 	delete(s.durable.calls, m.Number)
 	if AnswerKind(m.Kind) == AnswerNotOwner {
-		op.sent = false
 		s.dropOwnerClaim(op)
 		s.durable.unrouted = append(s.durable.unrouted, op)
 		return
 	}
-	s.report(Event{Kind: "reply", Job: op.job.ID, Queue: op.queue, Peer: op.sentTo, Detail: AnswerKind(m.Kind).String() + " " + m.Reason})
+	op.decidedEpoch = op.sentEpoch
+	s.report(Event{Kind: "reply", Job: op.job.ID, Queue: op.queue, Peer: op.sentTo, Detail: AnswerKind(m.Kind).String() + " " + m.Reason, Value: int64(op.openEpoch)})
 	op.answer(Answer{Kind: AnswerKind(m.Kind), Reason: m.Reason, RetryAfter: m.RetryAfter})
 }
 
@@ -253,7 +255,9 @@
 	for number, op := range marshaler.SortedByKey(s.durable.calls) {
 		if op.sentTo == name {
 			delete(s.durable.calls, number)
-			op.maybeExecuted = true
+			op.noteUnanswered()
+			op.expiresAt = max(op.expiresAt, s.now+submitRouteTimeout)
+			s.report(Event{Kind: "reroute", Job: op.job.ID, Queue: op.queue, Peer: name, Value: int64(op.sentEpoch)})
 			s.durable.unrouted = append(s.durable.unrouted, op)
 		}
 	}
@@ -285,6 +289,7 @@
 	for number, op := range marshaler.SortedByKey(s.durable.calls) {
 		if s.now >= op.expiresAt+routeTimeout {
 			delete(s.durable.calls, number)
+			op.noteUnanswered()
 			s.failOperation(op)
 		}
 	}
@@ -292,19 +297,12 @@
 
 // failOperation answers an operation that no owner answered in time.
 func (s *Submitter) failOperation(op *operation) {
-	a := op.timeoutAnswer()
+	op.decidedEpoch = 0
+	a := op.certain(Answer{Kind: AnswerNotRun, Reason: "the job has no owner at present", RetryAfter: ownerRetryAfter + jitter(op.job.ID)})
 	s.report(Event{Kind: "unanswered", Job: op.job.ID, Queue: op.queue, Peer: op.sentTo, Detail: a.Kind.String() + " " + a.Reason})
 	op.answer(a)
 }
 
-// timeoutAnswer returns the answer to an operation that no owner answered.
-func (op *operation) timeoutAnswer() Answer {
-	if op.sent || op.maybeExecuted {
-		return Answer{Kind: AnswerAborted, Reason: "the job's owner did not answer"}
-	}
-	return Answer{Kind: AnswerNotRun, Reason: "the job has no owner at present", RetryAfter: ownerRetryAfter + jitter(op.job.ID)}
-}
-
 // broadcastOwned tells the other entries which partitions this entry owns.
 func (s *Submitter) broadcastOwned() {
 	for _, p := range marshaler.SortedByKey(s.peers) {
@@ -321,6 +319,7 @@
 	}
 	for _, o := range m.Partitions {
 		p.ownedEpochs[o.Number] = max(p.ownedEpochs[o.Number], o.Epoch)
+		s.noteEpoch(o.Number, o.Epoch)
 	}
 	s.setDurableUse(true, "partitions of "+p.hello.Name)
 	if s.OwnershipAnnounced != nil {
--- a/submitter/cancel.go
+++ b/submitter/cancel.go
@@ -36,12 +36,12 @@
 		return
 	}
 	op := &operation{verb: marshaler.VerbCancel, job: Job{ID: id}, queue: queue, expiresAt: now + routeTimeout}
-	op.answer = func(a Answer) {
+	op.respond = func(a Answer) {
 		if a.Kind != AnswerNotFound {
 			answer(a)
 			return
 		}
-		s.cancelElsewhere(&operation{verb: marshaler.VerbAbort, job: op.job, queue: queue, answer: answer, expiresAt: op.expiresAt})
+		s.cancelElsewhere(&operation{verb: marshaler.VerbAbort, job: op.job, queue: queue, respond: answer, expiresAt: op.expiresAt})
 	}
 	s.routeExisting(op)
 }
@@ -120,7 +120,7 @@
 		s.failCancellation(c)
 	case !c.durableInUse && s.durable.use.inUse: // an entry has announced durable jobs before it answered
 		c.ended = true
-		s.route(&operation{verb: marshaler.VerbCancel, job: c.op.job, queue: c.op.queue, answer: c.op.answer, expiresAt: c.op.expiresAt})
+		s.route(&operation{verb: marshaler.VerbCancel, job: c.op.job, queue: c.op.queue, respond: c.op.answer, expiresAt: c.op.expiresAt})
 	default:
 		s.answerCancellation(c, Answer{Kind: AnswerNotFound, Reason: "no such job"})
 	}
--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -39,6 +39,7 @@
 		confirmedAt     timer.Millis
 		handovers       map[uint64]*marshaler.Handover // latest one by partition
 		owned           map[uint64]*partition
+		latestEpochs    map[uint64]uint64 // highest epoch under which any entry is known to have acquired a partition, by partition
 		finished        map[string]*finishedJob
 		withdrawn       withdrawals
 		calls           map[uint64]*operation // forwarded to other entries, by number
--- a/submitter/durable_sim_test.go
+++ b/submitter/durable_sim_test.go
@@ -19,7 +19,8 @@
 	w.store = &fakeStore{w: w, members: map[string]*fakeMember{}, refusedUntil: map[string]timer.Millis{}, marked: true}
 	w.durable = &durableChecker{
 		starts: map[string][]timer.Millis{}, failures: map[string][]timer.Millis{}, recordedAt: map[string]timer.Millis{}, accepted: map[string]bool{}, refused: map[string]bool{},
-		tasks: map[string]int{}, cancelled: map[string]timer.Millis{}, denied: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
+		answers: map[AnswerKind]int{},
+		tasks:   map[string]int{}, cancelled: map[string]timer.Millis{}, denied: map[string]timer.Millis{}, steps: map[string][]marshaler.Step{}, done: map[string]bool{},
 		stillSince: map[string]timer.Millis{}, ended: map[string]bool{},
 	}
 	return w
@@ -64,6 +65,7 @@
 				if answered || e.incarnation != incarnation {
 					return
 				}
+				w.durable.answers[a.Kind]++
 				switch a.Kind {
 				case AnswerAccepted:
 					answered = true
--- a/submitter/durablechecker_sim_test.go
+++ b/submitter/durablechecker_sim_test.go
@@ -16,6 +16,8 @@
 	accepted   map[string]bool
 	refused    map[string]bool
 	tasks      map[string]int
+	// answers counts the answers to submissions. AnswerAborted leaves open whether the job is stored.
+	answers map[AnswerKind]int
 	// cancelled holds the times at which cancellations were acknowledged, by job.
 	cancelled map[string]timer.Millis
 	// denied holds the times at which cancellations were answered with "no such job", by job.
--- a/submitter/recovery.go
+++ b/submitter/recovery.go
@@ -20,6 +20,7 @@
 	}
 	p := &partition{number: taken.Number, epoch: taken.Epoch, previous: taken.Previous, runsExpireAt: now + runExpiry}
 	s.durable.owned[p.number] = p
+	s.noteEpoch(p.number, p.epoch)
 	s.updateExpiry()
 	open := 0
 	for _, record := range jobs {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -294,7 +294,7 @@
 	if !s.durable.use.inUse && s.DurableJobSubmitted != nil {
 		s.DurableJobSubmitted()
 	}
-	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, answer: j.Answer, expiresAt: s.now + submitRouteTimeout})
+	s.route(&operation{verb: marshaler.VerbSubmit, job: j, queue: j.Queue.Name, respond: j.Answer, expiresAt: s.now + submitRouteTimeout})
 }
 
 // admit adds a new job and requests capacity for it.
