submitter: keep withdrawn jobs by queue, too

Callers would see: a DELETE on one queue, answered 410, refuses the job with the same identifier on another queue for 15 s (503).

Cause: the cancellations of jobs that were not accepted were kept by the identifier alone. TestCancelOnAnotherQueue fails before the change (trial on a copy): got notRun, want accepted.

--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -200,7 +200,7 @@
 		old.waiters = append(old.waiters, j.Answer)
 		return
 	}
-	if s.durable.withdrawn.contains(j.ID) {
+	if s.durable.withdrawn.contains(withdrawnJob{j.Queue.Name, j.ID}) {
 		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + cancelledReason})
 		j.Answer(Answer{Kind: AnswerNotRun, Reason: cancelledReason, RetryAfter: withdrawalRetention})
 		return
--- a/submitter/withdrawal.go
+++ b/submitter/withdrawal.go
@@ -12,28 +12,33 @@
 	cancelledReason = "the job was cancelled before it was accepted"
 )
 
-// withdrawals holds the jobs that were cancelled before they were accepted. The zero value is empty.
-type withdrawals struct {
-	times map[string]timer.Millis // by job
-	order []string                // of the cancellations, oldest first
-}
+type (
+	// withdrawals holds the jobs that were cancelled before they were accepted. The zero value is empty.
+	withdrawals struct {
+		times map[withdrawnJob]timer.Millis
+		order []withdrawnJob // oldest cancellation first
+	}
+
+	// withdrawnJob names a job by its queue, too: whoever may cancel the jobs of one queue must not refuse those of another.
+	withdrawnJob struct{ queue, id string }
+)
 
 // add notes the cancellation of a job.
-func (l *withdrawals) add(now timer.Millis, id string) {
+func (l *withdrawals) add(now timer.Millis, j withdrawnJob) {
 	if l.times == nil {
-		l.times = map[string]timer.Millis{}
+		l.times = map[withdrawnJob]timer.Millis{}
 	}
-	if _, known := l.times[id]; known {
+	if _, known := l.times[j]; known {
 		return
 	}
-	l.times[id] = now
-	if l.order = append(l.order, id); len(l.order) > maxWithdrawals {
+	l.times[j] = now
+	if l.order = append(l.order, j); len(l.order) > maxWithdrawals {
 		l.removeOldest()
 	}
 }
 
-func (l *withdrawals) contains(id string) bool {
-	_, ok := l.times[id]
+func (l *withdrawals) contains(j withdrawnJob) bool {
+	_, ok := l.times[j]
 	return ok
 }
 
@@ -52,7 +57,7 @@
 // withdraw makes sure that a job whose cancellation is answered with "no such job" is not accepted afterwards: it may wait for
 // capacity, or its submission may be under way.
 func (s *Submitter) withdraw(op *operation) {
-	s.durable.withdrawn.add(s.now, op.job.ID)
+	s.durable.withdrawn.add(s.now, withdrawnJob{op.queue, op.job.ID})
 	j := s.jobs[op.job.ID]
 	if j == nil || j.durability.partition == nil || j.Queue.Name != op.queue {
 		return
--- a/submitter/withdrawal_test.go
+++ b/submitter/withdrawal_test.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 
@@ -53,9 +54,9 @@
 func TestWithdrawalsBounded(t *testing.T) {
 	var l withdrawals
 	for n := range 2 * maxWithdrawals {
-		l.add(1000, strconv.Itoa(n))
+		l.add(1000, withdrawnJob{"q", strconv.Itoa(n)})
 	}
-	if len(l.times) != maxWithdrawals || !l.contains(strconv.Itoa(2*maxWithdrawals-1)) || l.contains("0") {
+	if len(l.times) != maxWithdrawals || !l.contains(withdrawnJob{"q", strconv.Itoa(2*maxWithdrawals - 1)}) || l.contains(withdrawnJob{"q", "0"}) {
 		t.Errorf("got %d cancellations, want the latest %d", len(l.times), maxWithdrawals)
 	}
 	l.expire(1000 + withdrawalRetention)
@@ -63,3 +64,19 @@
 		t.Errorf("got %d cancellations after their retention, want none", len(l.times))
 	}
 }
+
+// TestCancelOnAnotherQueue guards against a cancellation on one queue that refuses the job of another queue with the same identifier.
+func TestCancelOnAnotherQueue(t *testing.T) {
+	f := newDurableFixture(twoSteps(1))
+	f.core.RequestHeartbeat = func() {}
+	var submitted []AnswerKind
+	f.core.Cancel(f.now, "other", "job-1", func(Answer) {})
+	f.core.Submit(f.now, Job{
+		ID: "job-1", Kind: Kind{Durable: true}, Queue: testQueue, Deadline: 2000, Answer: func(a Answer) { submitted = append(submitted, a.Kind) },
+		Steps: []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 1000}, Estimate: 100}},
+	})
+	f.advance(500)
+	if want := []AnswerKind{AnswerAccepted}; !slices.Equal(submitted, want) {
+		t.Errorf("got answers %v to the submission, want %v", submitted, want)
+	}
+}
