submitter: refuse a job whose identifier belongs to a job of another queue or kind

Callers would see: a durable job is answered 200, accepted, because a durable job of another queue has its identifier; a GET on its own queue is answered 410 then (LOST). A restartable job that finds a durable one of the same identifier, or the other way round, got the answer of the other job.

Cause: an active or ended job was taken for the same job by its identifier alone. It is refused now (503, with the time after which the identifier is free).

--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -188,6 +188,9 @@
 
 // submitDurable accepts a durable job of a partition that this entry owns.
 func (s *Submitter) submitDurable(j Job, p *partition) {
+	if s.refusesIdentifier(&j, s.jobs[j.ID]) {
+		return
+	}
 	if finished := s.durable.finished[j.ID]; finished != nil {
 		j.Answer(Answer{Kind: AnswerAccepted})
 		return
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -272,6 +272,9 @@
 	if h := s.handover.jobs[j.ID]; old == nil && h != nil {
 		old = h.job
 	}
+	if !j.Kind.Durable && s.refusesIdentifier(&j, old) {
+		return
+	}
 	if old != nil && !j.Kind.Durable {
 		old.waiters = append(old.waiters, j.Answer)
 		s.report(Event{Kind: "attach", Job: j.ID, Queue: j.Queue.Name})
@@ -307,22 +310,6 @@
 	s.requestReadySteps(j)
 }
 
-// Abort aborts a job whose caller disconnected or cancelled it. It returns false if the job is unknown or its record was
-// handed to the store.
-func (s *Submitter) Abort(now timer.Millis, id, reason string) bool {
-	s.setNow(now)
-	if h := s.handover.jobs[id]; h != nil {
-		s.cancelHandover(h, Answer{Kind: AnswerAborted, Reason: reason})
-		return true
-	}
-	j := s.jobs[id]
-	if j == nil || j.durability.storeRequested {
-		return false
-	}
-	s.finish(j, Answer{Kind: AnswerAborted, Reason: reason})
-	return true
-}
-
 // WaitingJobs returns the number of jobs of a queue that have not started a task. It includes durable jobs of other
 // entries.
 func (s *Submitter) WaitingJobs(queue string) (waiting int) {
@@ -437,13 +424,3 @@
 		s.Report(e)
 	}
 }
-
-// AbortAll aborts all jobs because the entry shuts down.
-func (s *Submitter) AbortAll(now timer.Millis, reason string) {
-	for id := range marshaler.SortedByKey(s.jobs) {
-		s.Abort(now, id, reason)
-	}
-	for id := range marshaler.SortedByKey(s.handover.jobs) {
-		s.Abort(now, id, reason)
-	}
-}
