--- a/submitter/durable.go
+++ b/submitter/durable.go
@@ -204,7 +204,7 @@
 		return
 	}
 	if s.durable.withdrawn.contains(withdrawnJob{j.Queue.Name, j.ID}) {
-		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + cancelledReason})
+		s.report(Event{Kind: eventRefuse, Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + cancelledReason})
 		j.Answer(Answer{Kind: AnswerNotRun, Reason: cancelledReason, RetryAfter: withdrawalRetention})
 		return
 	}
--- a/submitter/identifier.go
+++ b/submitter/identifier.go
@@ -12,7 +12,7 @@
 	default:
 		return false
 	}
-	s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + identifierReason})
+	s.report(Event{Kind: eventRefuse, Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + identifierReason})
 	j.Answer(Answer{Kind: AnswerNotRun, Reason: identifierReason, RetryAfter: stateRetention})
 	return true
 }
--- a/submitter/memory.go
+++ b/submitter/memory.go
@@ -54,7 +54,7 @@
 	if s.Memory.reserve(j.memoryNeed()) {
 		return true
 	}
-	s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: memoryReason, Value: j.memoryNeed()})
+	s.report(Event{Kind: eventRefuse, Job: j.ID, Queue: j.Queue.Name, Detail: memoryReason, Value: j.memoryNeed()})
 	j.Answer(Answer{Kind: AnswerNotRun, Reason: memoryReason, RetryAfter: memoryRetryAfter + jitter(j.ID)})
 	return false
 }
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -42,6 +42,9 @@
 	requestRepeatInterval = timer.Second
 )
 
+// eventRefuse is the kind of the Event of a refused submission.
+const eventRefuse = "refuse"
+
 const (
 	taskQueued   = iota + 1 // waits for a grant
 	taskAssigned            // sent to a sidecar, without an outcome
@@ -281,12 +284,12 @@
 		return
 	}
 	if reason := j.invalidReason(); reason != "" {
-		s.report(Event{Kind: "refuse", Queue: j.Queue.Name, Detail: "submitter " + reason})
+		s.report(Event{Kind: eventRefuse, Queue: j.Queue.Name, Detail: "submitter " + reason})
 		j.Answer(Answer{Kind: AnswerMalformed, Reason: reason})
 		return
 	}
 	if reason := j.unsupportedReason(); reason != "" {
-		s.report(Event{Kind: "refuse", Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + reason})
+		s.report(Event{Kind: eventRefuse, Job: j.ID, Queue: j.Queue.Name, Detail: "submitter " + reason})
 		j.Answer(Answer{Kind: AnswerNotRun, Reason: reason, RetryAfter: unsupportedRetryAfter})
 		return
 	}
