--- a/submitter/endbehindcut_test.go
+++ b/submitter/endbehindcut_test.go
@@ -26,23 +26,25 @@
 		}, true},
 	}
 	for _, c := range cases {
-		f := newDurableFixture(&marshaler.JobRecord{ID: "job", Attempts: 1, Steps: []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 3000}, Estimate: 100}}})
-		first := f.nextStart(t, 0)
-		link := f.links[first.sidecar]
-		f.core.OnDisconnect(f.now, link, errConnectionCut)
-		second := f.nextStart(t, 1)
-		c.end(f, second)
-		f.advance(100)
-		if f.core.jobs["job"] != nil {
-			t.Fatalf("%s: the job is open", c.name)
-		}
-		f.core.OnConnect(f.now, link)
-		f.acks = nil
-		f.core.OnMessage(f.now, link, &marshaler.Census{
-			Partition: marshaler.Partition{Epoch: 3}, Ends: []marshaler.Outcome{{Run: first.run, Status: marshaler.StatusDone, Number: 5, Stale: true}},
-		})
-		if want := (marshaler.OutcomeAck{Number: 5, Run: first.run, Void: c.void}); len(f.acks) != 1 || f.acks[0] != want {
-			t.Errorf("%s: got acknowledgements %+v, want %+v", c.name, f.acks, want)
+		for _, stale := range []bool{false, true} { // the owner decides alike whether or not the sidecar noticed the loss of the session
+			f := newDurableFixture(&marshaler.JobRecord{ID: "job", Attempts: 1, Steps: []marshaler.Step{{Tasks: 1, Resources: marshaler.Resources{CPU: 3000}, Estimate: 100}}})
+			first := f.nextStart(t, 0)
+			link := f.links[first.sidecar]
+			f.core.OnDisconnect(f.now, link, errConnectionCut)
+			second := f.nextStart(t, 1)
+			c.end(f, second)
+			f.advance(100)
+			if f.core.jobs["job"] != nil {
+				t.Fatalf("%s, stale %t: the job is open", c.name, stale)
+			}
+			f.core.OnConnect(f.now, link)
+			f.acks = nil
+			f.core.OnMessage(f.now, link, &marshaler.Census{
+				Partition: marshaler.Partition{Epoch: 3}, Ends: []marshaler.Outcome{{Run: first.run, Status: marshaler.StatusDone, Number: 5, Stale: stale}},
+			})
+			if want := (marshaler.OutcomeAck{Number: 5, Run: first.run, Void: c.void}); len(f.acks) != 1 || f.acks[0] != want {
+				t.Errorf("%s, stale %t: got acknowledgements %+v, want %+v", c.name, stale, f.acks, want)
+			}
 		}
 	}
 }
