--- a/submitter/store_sim_test.go
+++ b/submitter/store_sim_test.go
@@ -96,9 +96,13 @@
 	s.generation++
 }
 
-// reassignAtOnce assigns the partitions to the members that the store serves, without the consent of the present owners.
+// reassignAtOnce assigns the partitions to the members that the store serves, without the consent of the present owners. A store that
+// serves nobody assigns nothing.
 func (s *fakeStore) reassignAtOnce(shift int) {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(s.members)), s.refuses)
+	if len(names) == 0 {
+		return
+	}
 	for p := range s.owners {
 		s.owners[p] = memberAt(names, p+shift)
 	}
