loader: reject settings that are template fields which were not filled in

Operators would see: a process with NAME={{NodeName}} or DOMAIN={{Zone}} starts, and all machines run under one name; IP={{Ip}} ends with "cannot listen" and status 1, without the name of the setting.

Cause: free text was always valid.

--- a/loader/setting.go
+++ b/loader/setting.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"net/url"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -48,6 +49,9 @@
 	maxValueBytes  = 64 << 10
 )
 
+// templateField matches a placeholder of a settings template.
+var templateField = regexp.MustCompile(`\{\{[^{}]*\}\}`)
+
 type (
 	// Unit determines how the text of a setting is parsed.
 	Unit uint8
@@ -107,6 +111,9 @@
 	if len(text) > maxValueBytes || !utf8.ValidString(text) {
 		return trace.BadParameter("want valid UTF-8 of at most %d bytes", maxValueBytes)
 	}
+	if templateField.MatchString(text) {
+		return trace.BadParameter("%s is a template field that was not filled in", quoteTruncated(text))
+	}
 	if err := s.checkUnit(text); err != nil {
 		return err
 	}
