soaker: lose servers silently, and let the store serve only some entries

Plan.Losses adds them, from a random source of their own, so that the seeds that have failed keep their faults; faultrunner -platform has them unless -losses=false.

--- a/cmd/faultrunner/main.go
+++ b/cmd/faultrunner/main.go
@@ -41,11 +41,12 @@
 	entries := flag.Int("entries", 3, "entries; with -platform only")
 	sidecars := flag.Int("sidecars", 6, "sidecars; with -platform only")
 	shortage := flag.Bool("cpuShortage", false, "add long tasks and faults of processes that lack processor time; with -platform only")
+	losses := flag.Bool("losses", true, "add servers that are lost and silent, and a store that serves only some entries; with -platform only")
 	flag.Parse()
 	if *platform {
 		os.Exit(runSoak(soaker.Plan{
 			Seed: *seed, Duration: time.Duration(*seconds) * time.Second, FaultInterval: time.Duration(*faultInterval) * time.Millisecond,
-			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs, CPUShortage: *shortage,
+			JobsPerSecond: *rate, Entries: *entries, Sidecars: *sidecars, LogDir: *logs, CPUShortage: *shortage, Losses: *losses,
 			Faults: splitNames(*faults),
 		}, *seeds, *parallel))
 	}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -96,7 +96,7 @@
 
 // FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range slices.Concat(faults, shortageFaults) {
+	for _, f := range slices.Concat(faults, shortageFaults, losses) {
 		names = append(names, f.name)
 	}
 	return names
@@ -107,7 +107,7 @@
 	kinds := faults
 	switch {
 	case len(s.plan.Faults) > 0:
-		kinds = slices.DeleteFunc(slices.Concat(faults, shortageFaults), func(f fault) bool { return !slices.Contains(s.plan.Faults, f.name) })
+		kinds = slices.DeleteFunc(slices.Concat(faults, shortageFaults, losses), func(f fault) bool { return !slices.Contains(s.plan.Faults, f.name) })
 	case s.plan.CPUShortage && s.random.Float64() < shortageFaultFraction:
 		kinds = shortageFaults
 	}
@@ -125,14 +125,19 @@
 			return
 		case <-time.After(pause):
 		}
-		s.mu.Lock()
-		s.injectedFaults = append(s.injectedFaults, fmt.Sprintf("%6.2f s %s (%d, %s)", time.Since(s.started).Seconds(), f.name, pick%12, length))
-		s.checker.events.add("fault: %s (%d, %s)", f.name, pick%12, length)
-		s.mu.Unlock()
-		s.faultGroup.Go(func() { f.inject(s, ctx, pick, length) })
+		s.start(ctx, f, pick, length)
 	}
 }
 
+// start starts a fault and notes it.
+func (s *soak) start(ctx context.Context, f fault, pick int, length time.Duration) {
+	s.mu.Lock()
+	s.injectedFaults = append(s.injectedFaults, fmt.Sprintf("%6.2f s %s (%d, %s)", time.Since(s.started).Seconds(), f.name, pick%12, length))
+	s.checker.events.add("fault: %s (%d, %s)", f.name, pick%12, length)
+	s.mu.Unlock()
+	s.faultGroup.Go(func() { f.inject(s, ctx, pick, length) })
+}
+
 // rebalance lets the store reassign all partitions of durable jobs now and then until ctx is canceled, beside the other faults. It
 // draws from a random source of its own, so that the other faults of a seed remain as they are.
 func (s *soak) rebalance(ctx context.Context) {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -58,6 +58,8 @@
 		// FirstDurable lets the connections of all entries to the store go silent before the first durable job, and all durable jobs
 		// go to one entry, so that the others learn late that there are any.
 		FirstDurable bool
+		// Losses adds servers that are lost and silent, and a store that serves only some entries, to the usual faults.
+		Losses bool
 		// Faults names the faults to select from. If it is empty, all are used.
 		Faults []string
 		LogDir string // directory for the output of the processes; not written if empty
@@ -313,6 +315,9 @@
 	}
 	callers.Go(func() { s.sendJobs(faultCtx, ctx, &callers) })
 	s.faultGroup.Go(func() { s.rebalance(faultCtx) })
+	if s.plan.Losses {
+		s.faultGroup.Go(func() { s.injectLosses(faultCtx, ctx) })
+	}
 	s.inject(faultCtx, ctx)
 	s.faultGroup.Wait()
 	s.clearFaults()
