--- a/submitter/callers.go
+++ b/submitter/callers.go
@@ -256,7 +256,7 @@
 		if op.sentTo == name {
 			delete(s.durable.calls, number)
 			op.noteUnanswered()
-			op.expiresAt = max(op.expiresAt, s.now+submitRouteTimeout)
+			op.expiresAt = max(op.expiresAt, s.now+submitRouteTimeout) // the search for an owner begins again
 			s.report(Event{Kind: "reroute", Job: op.job.ID, Queue: op.queue, Peer: name, Value: int64(op.sentEpoch)})
 			s.durable.unrouted = append(s.durable.unrouted, op)
 		}
