--- a/reviewer/case.go
+++ b/reviewer/case.go
@@ -18,6 +18,7 @@
 	targetDir  = "target"
 	scriptName = "run.sh"
 	claimName  = "claim.txt"
+	recordName = "record.txt" // written by the script
 	rulePrefix = "rule:"
 )
 
--- a/reviewer/play.go
+++ b/reviewer/play.go
@@ -20,7 +20,6 @@
 	stopTimeout = 10 * time.Second
 	// exitUnknown stands for a script that was killed or could not be started.
 	exitUnknown = -1
-	troubleName = "TROUBLE"
 )
 
 type (
@@ -44,6 +43,14 @@
 // Held reports whether the case ran to its end and the rule held.
 func (r *Result) Held() bool { return r.Exit == 0 }
 
+// environ returns the variable that tells a script whether to play the disruption.
+func (p *Play) environ() string {
+	if p.Trouble {
+		return "TROUBLE=1"
+	}
+	return "TROUBLE=0"
+}
+
 // Plays returns the plays of cases, one after another, each with and without the disruption.
 func Plays(cases []Case, troubles []bool, repeat int) (plays []Play) {
 	for n := range repeat {
@@ -96,7 +103,7 @@
 	defer cancel()
 	var output bytes.Buffer
 	command := newCommand(ctx, dir, filepath.Join(reviewDir, p.Case.Name, scriptName), &output)
-	command.Env = append(os.Environ(), troubleName+"="+map[bool]string{true: "1", false: "0"}[p.Trouble])
+	command.Env = append(os.Environ(), p.environ())
 	if err := command.Run(); err != nil && command.ProcessState == nil {
 		r.Output = trace.Wrap(err).Error()
 		return r
--- a/reviewer/probe.go
+++ b/reviewer/probe.go
@@ -23,10 +23,19 @@
 	settingsName  = "settings"
 	outputName    = "output"
 	readySetting  = "READY_ADDRESS"
+	roleEntry     = "entry"
+	roleSidecar   = "sidecar"
+	// wrapper keeps the settings and the output of the first process of each role in a directory, %[1]s, and runs the program, %[2]s.
+	// Further processes of a role do nothing until they are killed.
+	wrapper = `#!/bin/sh
+mkdir '%[1]s'/$1 2>/dev/null || exec sleep 60
+cp "$CROCUSLB_CONFIG" '%[1]s'/$1/new && mv '%[1]s'/$1/new '%[1]s'/$1/%[3]s
+exec '%[2]s' "$@" >'%[1]s'/$1/%[4]s 2>&1
+`
 )
 
 var (
-	roles          = []string{"entry", "sidecar"}
+	roles          = []string{roleEntry, roleSidecar}
 	standInPattern = regexp.MustCompile(`(?m)^exec (target/\S+)`)
 	fieldPattern   = regexp.MustCompile(`^(\w+)=.*(\{\{.+\}\})`)
 )
@@ -83,8 +92,7 @@
 	return nil
 }
 
-// wrapProgram puts a script in the place of the project's program in a copy. It runs the program for the first process of each role,
-// and keeps its settings and output.
+// wrapProgram puts the wrapper in the place of the project's program in a copy.
 func wrapProgram(dir string) error {
 	target := filepath.Join(dir, targetDir)
 	built, err := os.Readlink(target)
@@ -109,14 +117,13 @@
 			return trace.ConvertSystemError(err)
 		}
 	}
-	script := fmt.Sprintf("#!/bin/sh\nmkdir '%[1]s'/$1 2>/dev/null || exec sleep 60\ncp \"$CROCUSLB_CONFIG\" '%[1]s'/$1/new && mv '%[1]s'/$1/new '%[1]s'/$1/%[2]s\nexec '%[3]s' \"$@\" >'%[1]s'/$1/%[4]s 2>&1\n",
-		dir, settingsName, filepath.Join(built, program), outputName)
+	script := fmt.Sprintf(wrapper, dir, filepath.Join(built, program), settingsName, outputName)
 	return trace.ConvertSystemError(os.WriteFile(filepath.Join(target, program), []byte(script), 0o700)) //nolint:gosec // it has to be run
 }
 
 // awaitReady returns once an entry with one sidecar is ready.
 func (s *StandIn) awaitReady(ctx context.Context, dir string) error {
-	var settings string
+	settings := map[string]string{} // by role
 	for _, role := range roles {
 		text, err := awaitFile(ctx, filepath.Join(dir, role, settingsName))
 		if err != nil {
@@ -125,11 +132,9 @@
 		if err := checkFields(dir, role, text); err != nil {
 			return err
 		}
-		if role == roles[0] {
-			settings = text
-		}
+		settings[role] = text
 	}
-	address := settingOf(settings, readySetting)
+	address := settingOf(settings[roleEntry], readySetting)
 	for {
 		if isReady(ctx, address) {
 			return nil
--- a/reviewer/table.go
+++ b/reviewer/table.go
@@ -8,8 +8,6 @@
 	"time"
 )
 
-const recordName = "record.txt"
-
 // Line returns a line on a result: its play, exit status, duration and the last line that the case printed.
 func (r *Result) Line() string {
 	lines := strings.Split(strings.TrimSpace(r.Output), "\n")
--- a/submitter/durablefaults_sim_test.go
+++ b/submitter/durablefaults_sim_test.go
@@ -11,10 +11,10 @@
 
 // These numbers are higher in long runs by hand.
 var (
-	pairSeeds      = flag.Uint64("pairSeeds", 1, "number of seeds with which TestDurableJobFaults plays each pair of faults")
-	mixtureSeeds   = flag.Uint64("mixtureSeeds", 40, "number of seeds of TestDurableJobMixtures")
-	firstMixture   = flag.Uint64("firstMixture", 0, "first seed of TestDurableJobMixtures")
-	membershipSeed = flag.Uint64("membershipSeeds", 2, "number of seeds with which TestMembershipFaults plays each pair of faults")
+	pairSeeds       = flag.Uint64("pairSeeds", 1, "number of seeds with which TestDurableJobFaults plays each pair of faults")
+	mixtureSeeds    = flag.Uint64("mixtureSeeds", 40, "number of seeds of TestDurableJobMixtures")
+	firstMixture    = flag.Uint64("firstMixture", 0, "first seed of TestDurableJobMixtures")
+	membershipSeeds = flag.Uint64("membershipSeeds", 2, "number of seeds with which TestMembershipFaults plays each pair of faults")
 )
 
 // durableSeries is a way to play faults among durable jobs.
@@ -151,7 +151,7 @@
 	kinds := slices.DeleteFunc(all, func(k fault) bool { return !slices.Contains(membershipFaults, k.name) })
 	for i := range kinds {
 		for j := range i {
-			for seed := range *membershipSeed {
+			for seed := range *membershipSeeds {
 				t.Run(fmt.Sprintf("%s, %s/%d", kinds[j].name, kinds[i].name, seed), func(t *testing.T) {
 					t.Parallel()
 					playDurable(t, 2_000_000+10_000*uint64(i)+500*uint64(j)+seed, durableSeries{12, 10, taking(kinds[j], kinds[i])})
